--- /dev/null
+++ b/Makefile
@@ -0,0 +1,35 @@
+PYTHON ?= python3.11
+VENV := .venv
+BIN := $(VENV)/bin
+
+.PHONY: install format lint types test binary demo clean
+
+install: $(VENV)/.installed
+
+$(VENV)/.installed: requirements.txt requirements-dev.txt pyproject.toml
+	test -x $(BIN)/python || $(PYTHON) -m venv $(VENV)
+	$(BIN)/python -m pip install --quiet -r requirements-dev.txt
+	$(BIN)/python -m pip install --quiet --no-deps --no-build-isolation -e .
+	touch $@
+
+format: install
+	$(BIN)/black --quiet tamarackhatch standins scripts
+
+lint: install
+	$(BIN)/black --check --quiet tamarackhatch standins scripts
+	$(BIN)/flake8 tamarackhatch standins scripts
+
+types: install
+	$(BIN)/mypy
+
+test: install
+	$(BIN)/python -m pytest
+
+binary: install
+	sh scripts/build-binary.sh dist/tamarackhatch
+
+demo: install
+	$(BIN)/python -m standins.demo
+
+clean:
+	rm -rf $(VENV) build dist *.egg-info
--- /dev/null
+++ b/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for the platform, runners and workers."""
--- /dev/null
+++ b/tamarackhatch/clock/_clock.py
@@ -0,0 +1,20 @@
+"""The interface through which all code reads the time."""
+
+import datetime
+import typing
+
+
+class Clock(typing.Protocol):
+    """Source of wall-clock and monotonic time."""
+
+    def get_utc(self) -> datetime.datetime:
+        """Returns the current time, in UTC and timezone-aware."""
+        ...
+
+    def get_monotonic(self) -> datetime.timedelta:
+        """Returns time since an arbitrary start; it never goes back."""
+        ...
+
+    async def sleep(self, duration: datetime.timedelta) -> None:
+        """Suspends the calling task for at least the given duration."""
+        ...
--- /dev/null
+++ b/tamarackhatch/errors/__init__.py
@@ -0,0 +1,9 @@
+"""Exceptions with codes, and findings with their place."""
+
+from tamarackhatch.errors._codes import ErrorCode
+from tamarackhatch.errors._errors import CodedError
+from tamarackhatch.errors._errors import FindingsError
+from tamarackhatch.errors._findings import Finding
+from tamarackhatch.errors._findings import Place
+
+__all__ = ["CodedError", "ErrorCode", "Finding", "FindingsError", "Place"]
--- /dev/null
+++ b/tamarackhatch/errors/_findings.py
@@ -0,0 +1,35 @@
+"""Findings about input, each with its place."""
+
+import attrs
+
+from tamarackhatch.errors import _codes
+
+
+@attrs.frozen(order=True)
+class Place:
+    """Position in an input file.
+
+    Attributes:
+        file: Path as the user gave it.
+        line: Line number, from 1.
+        column: Column number, from 1.
+    """
+
+    file: str
+    line: int
+    column: int
+
+    def __str__(self) -> str:
+        return f"{self.file}:{self.line}:{self.column}"
+
+
+@attrs.frozen
+class Finding:
+    """One fault found in an input."""
+
+    place: Place
+    code: _codes.ErrorCode
+    message: str
+
+    def __str__(self) -> str:
+        return f"{self.place}: {self.code.value} {self.message}"
