--- a/tamarackhatch/platform/__init__.py
+++ b/tamarackhatch/platform/__init__.py
@@ -9,6 +9,8 @@
 from tamarackhatch.platform._errors import WorkerOutcomeUnknownError
 from tamarackhatch.platform._errors import WorkerRefusedError
 from tamarackhatch.platform._errors import WorkerUnavailableError
+from tamarackhatch.platform._http_runner_client import HOP_HEADERS
+from tamarackhatch.platform._http_runner_client import HttpRunnerClient
 from tamarackhatch.platform._instance_list import InstanceList
 from tamarackhatch.platform._instance_list import InstanceView
 from tamarackhatch.platform._object_store import ObjectStore
@@ -33,6 +35,8 @@
     "BadPlatformAnswerError",
     "Condition",
     "ConditionFailedError",
+    "HOP_HEADERS",
+    "HttpRunnerClient",
     "InstanceList",
     "InstanceView",
     "ObjectStore",
