--- a/tamarackhatch/model/__init__.py
+++ b/tamarackhatch/model/__init__.py
@@ -19,7 +19,9 @@
 from tamarackhatch.model._servers import RunnerLoad
 from tamarackhatch.model._servers import ServerState
 from tamarackhatch.model._workers import Commitment
+from tamarackhatch.model._workers import Reservation
 from tamarackhatch.model._workers import TeamRecord
+from tamarackhatch.model._workers import WorkerHealth
 from tamarackhatch.model._workers import WorkerRecord
 
 __all__ = [
@@ -32,6 +34,7 @@
     "JobState",
     "Outcome",
     "OwnerRecord",
+    "Reservation",
     "Resources",
     "RunnerLoad",
     "ServerState",
@@ -43,5 +46,6 @@
     "TaskId",
     "TaskState",
     "TeamRecord",
+    "WorkerHealth",
     "WorkerRecord",
 ]
--- /dev/null
+++ b/tamarackhatch/placement/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of placement."""
--- a/tamarackhatch/platform/__init__.py
+++ b/tamarackhatch/platform/__init__.py
@@ -17,6 +17,7 @@
 from tamarackhatch.platform._runner_client import RunnerAnswer
 from tamarackhatch.platform._runner_client import RunnerClient
 from tamarackhatch.platform._table_service import Condition
+from tamarackhatch.platform._table_service import JsonValue
 from tamarackhatch.platform._table_service import Row
 from tamarackhatch.platform._table_service import Table
 from tamarackhatch.platform._table_service import TableService
@@ -35,6 +36,7 @@
     "ConditionFailedError",
     "InstanceList",
     "InstanceView",
+    "JsonValue",
     "ObjectStore",
     "ReportedState",
     "ReportedTask",
--- /dev/null
+++ b/tamarackhatch/tasks/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the owner's work on workers."""
