Add HTTP clients of the platform and its stand-in

Cause: the entry instances need the table service, the object store, the instance list and the workers, with errors that tell "did not happen" from "not known". Change: one bounded pool of curl calls with lanes, the four clients, the cache of the instance list, strict reading of every answer, and a stand-in of the platform with faults. A write is sent at most once: libcurl sends a request again when a reused connection closes early, and a transaction would then fail on its own write.

--- a/tamarackhatch/platform/__init__.py
+++ b/tamarackhatch/platform/__init__.py
@@ -9,6 +9,12 @@
 from tamarackhatch.platform._errors import WorkerOutcomeUnknownError
 from tamarackhatch.platform._errors import WorkerRefusedError
 from tamarackhatch.platform._errors import WorkerUnavailableError
+from tamarackhatch.platform._http_instance_list import HttpInstanceList
+from tamarackhatch.platform._http_object_store import HttpObjectStore
+from tamarackhatch.platform._http_pool import HttpPool
+from tamarackhatch.platform._http_table_service import HttpTableService
+from tamarackhatch.platform._http_worker_client import HttpWorkerClient
+from tamarackhatch.platform._instance_cache import InstanceListCache
 from tamarackhatch.platform._instance_list import InstanceList
 from tamarackhatch.platform._instance_list import InstanceView
 from tamarackhatch.platform._object_store import ObjectStore
@@ -33,7 +39,13 @@
     "BadPlatformAnswerError",
     "Condition",
     "ConditionFailedError",
+    "HttpInstanceList",
+    "HttpObjectStore",
+    "HttpPool",
+    "HttpTableService",
+    "HttpWorkerClient",
     "InstanceList",
+    "InstanceListCache",
     "InstanceView",
     "ObjectStore",
     "ReportedState",
