--- a/tamarackhatch/platform/__init__.py
+++ b/tamarackhatch/platform/__init__.py
@@ -9,8 +9,14 @@
 from tamarackhatch.platform._errors import WorkerOutcomeUnknownError
 from tamarackhatch.platform._errors import WorkerRefusedError
 from tamarackhatch.platform._errors import WorkerUnavailableError
+from tamarackhatch.platform._http_instance_list import HttpInstanceList
+from tamarackhatch.platform._http_object_store import HttpObjectStore
+from tamarackhatch.platform._http_pool import HttpPool
 from tamarackhatch.platform._http_runner_client import HOP_HEADERS
 from tamarackhatch.platform._http_runner_client import HttpRunnerClient
+from tamarackhatch.platform._http_table_service import HttpTableService
+from tamarackhatch.platform._http_worker_client import HttpWorkerClient
+from tamarackhatch.platform._instance_cache import InstanceListCache
 from tamarackhatch.platform._instance_list import InstanceList
 from tamarackhatch.platform._instance_list import InstanceView
 from tamarackhatch.platform._object_store import ObjectStore
@@ -38,7 +44,13 @@
     "ConditionFailedError",
     "HOP_HEADERS",
     "HttpRunnerClient",
+    "HttpInstanceList",
+    "HttpObjectStore",
+    "HttpPool",
+    "HttpTableService",
+    "HttpWorkerClient",
     "InstanceList",
+    "InstanceListCache",
     "InstanceView",
     "JsonValue",
     "ObjectStore",
