--- /dev/null
+++ b/tamarackhatch/documents/_findings.py
@@ -0,0 +1,30 @@
+"""Collects findings while a document is read."""
+
+from tamarackhatch import errors
+
+
+class Collector:
+    """Takes findings from all readers, to report them together."""
+
+    def __init__(self) -> None:
+        self._findings: list[errors.Finding] = []
+
+    @property
+    def findings(self) -> tuple[errors.Finding, ...]:
+        """All findings so far, in the order of their places."""
+        return tuple(sorted(self._findings, key=lambda item: item.place))
+
+    def add_finding(
+        self, place: errors.Place, code: errors.ErrorCode, message: str
+    ) -> None:
+        """Records a fault."""
+        self._findings.append(errors.Finding(place, code, message))
+
+    def raise_findings(self) -> None:
+        """Raises all findings, if there are any.
+
+        Raises:
+            FindingsError: At least one finding was recorded.
+        """
+        if self._findings:
+            raise errors.FindingsError(self.findings)
--- /dev/null
+++ b/tamarackhatch/documents/_kinds.py
@@ -0,0 +1,187 @@
+"""Kinds of scalar values: check on reading, conversion on writing."""
+
+import datetime
+import math
+import re
+import typing
+
+import attrs
+
+from tamarackhatch.documents import _findings
+from tamarackhatch.documents import _nodes
+from tamarackhatch import errors
+
+
+class Kind(typing.Protocol):
+    """Reads and writes the value of one key."""
+
+    def read(
+        self, node: _nodes.Node, path: str, collector: _findings.Collector
+    ) -> typing.Any:
+        """Returns the value, or None after recording a finding."""
+        ...
+
+    def write(self, value: typing.Any) -> typing.Any:
+        """Returns the JSON form of a value."""
+        ...
+
+
+def _read_number(
+    node: _nodes.Node,
+    path: str,
+    collector: _findings.Collector,
+    minimum: int,
+    maximum: int,
+) -> int | None:
+    value = node.value if isinstance(node, _nodes.ScalarNode) else None
+    is_whole = isinstance(value, int) and not isinstance(value, bool)
+    if isinstance(value, float) and math.isfinite(value):
+        # The notation 1e3 or 1000.0 is a whole number as well.
+        is_whole = value.is_integer()
+    if not is_whole or not isinstance(value, (int, float)):
+        is_number = isinstance(value, float)
+        found = "a fraction" if is_number else _nodes.describe_node(node)
+        collector.add_finding(
+            node.place,
+            errors.ErrorCode.WRONG_TYPE,
+            f"{path} must be a whole number, not {found}",
+        )
+        return None
+    if not minimum <= value <= maximum:
+        collector.add_finding(
+            node.place,
+            errors.ErrorCode.OUT_OF_RANGE,
+            f"{path} must be from {minimum} to {maximum}",
+        )
+        return None
+    return int(value)
+
+
+@attrs.frozen
+class Integer:
+    """A whole number within bounds, both included."""
+
+    minimum: int
+    maximum: int
+
+    def read(
+        self, node: _nodes.Node, path: str, collector: _findings.Collector
+    ) -> int | None:
+        return _read_number(node, path, collector, self.minimum, self.maximum)
+
+    def write(self, value: int) -> int:
+        return value
+
+
+@attrs.frozen
+class Size:
+    """A size in bytes, written as a multiple of ``unit`` bytes."""
+
+    unit: int
+    minimum: int
+    maximum: int
+
+    def read(
+        self, node: _nodes.Node, path: str, collector: _findings.Collector
+    ) -> int | None:
+        count = _read_number(node, path, collector, self.minimum, self.maximum)
+        return None if count is None else count * self.unit
+
+    def write(self, value: int) -> int:
+        return value // self.unit
+
+
+@attrs.frozen
+class Duration:
+    """A duration, written as a multiple of ``unit``."""
+
+    unit: datetime.timedelta
+    minimum: int
+    maximum: int
+
+    def read(
+        self, node: _nodes.Node, path: str, collector: _findings.Collector
+    ) -> datetime.timedelta | None:
+        count = _read_number(node, path, collector, self.minimum, self.maximum)
+        return None if count is None else count * self.unit
+
+    def write(self, value: datetime.timedelta) -> int:
+        return value // self.unit
+
+
+@attrs.frozen
+class Percent:
+    """A share from 0 to 1, written in whole per cent."""
+
+    maximum: int = 100
+
+    def read(
+        self, node: _nodes.Node, path: str, collector: _findings.Collector
+    ) -> float | None:
+        count = _read_number(node, path, collector, 0, self.maximum)
+        return None if count is None else count / 100
+
+    def write(self, value: float) -> int:
+        return round(value * 100)
+
+
+@attrs.frozen
+class Flag:
+    """True or false."""
+
+    def read(
+        self, node: _nodes.Node, path: str, collector: _findings.Collector
+    ) -> bool | None:
+        value = node.value if isinstance(node, _nodes.ScalarNode) else None
+        if isinstance(value, bool):
+            return value
+        collector.add_finding(
+            node.place,
+            errors.ErrorCode.WRONG_TYPE,
+            f"{path} must be true or false, "
+            f"not {_nodes.describe_node(node)}",
+        )
+        return None
+
+    def write(self, value: bool) -> bool:
+        return value
+
+
+@attrs.frozen
+class Text:
+    """Text that matches a pattern as a whole.
+
+    Attributes:
+        pattern: Regular expression.
+        rule: What the pattern demands, in words.
+        maximum: Most characters.
+    """
+
+    pattern: str = r"(?s).*"
+    rule: str = "text"
+    maximum: int = 1024
+
+    def read(
+        self, node: _nodes.Node, path: str, collector: _findings.Collector
+    ) -> str | None:
+        value = node.value if isinstance(node, _nodes.ScalarNode) else None
+        if not isinstance(value, str):
+            collector.add_finding(
+                node.place,
+                errors.ErrorCode.WRONG_TYPE,
+                f"{path} must be text, not {_nodes.describe_node(node)}",
+            )
+            return None
+        if len(value) > self.maximum:
+            rule = f"at most {self.maximum} characters long"
+        elif not re.fullmatch(self.pattern, value):
+            rule = self.rule
+        else:
+            return value
+        collector.add_finding(
+            node.place, errors.ErrorCode.OUT_OF_RANGE, f"{path} must be {rule}"
+        )
+        return None
+
+    def write(self, value: str) -> str:
+        return value
--- /dev/null
+++ b/tamarackhatch/documents/_objects.py
@@ -0,0 +1,141 @@
+"""Objects described by a table of their keys."""
+
+from collections.abc import Callable
+from collections.abc import Mapping
+from collections.abc import Sequence
+import difflib
+import typing
+
+import attrs
+
+from tamarackhatch.documents import _findings
+from tamarackhatch.documents import _kinds
+from tamarackhatch.documents import _nodes
+from tamarackhatch import errors
+
+
+@attrs.frozen
+class Key:
+    """One key of an object.
+
+    Attributes:
+        name: Name in the file, with the unit where there is one.
+        kind: Kind of the value.
+        attribute: Attribute of the attrs class, if it differs from the name.
+        is_required: Whether the key must be present.
+    """
+
+    name: str
+    kind: _kinds.Kind
+    attribute: str = attrs.field()
+    is_required: bool = False
+
+    @attribute.default
+    def _get_attribute(self) -> str:
+        return self.name
+
+
+@attrs.frozen
+class Nested:
+    """An object as the value of a key.
+
+    Attributes:
+        build: Makes the value from the attributes read.
+        keys: Keys of the object.
+    """
+
+    build: Callable[..., typing.Any]
+    keys: tuple[Key, ...]
+
+    def read(
+        self, node: _nodes.Node, path: str, collector: _findings.Collector
+    ) -> typing.Any:
+        before = len(collector.findings)
+        values = read_object(node, path, self.keys, collector)
+        if values is None or len(collector.findings) > before:
+            return None
+        return self.build(**values)
+
+    def write(self, value: typing.Any) -> typing.Any:
+        return write_object(value, self.keys)
+
+
+def read_object(
+    node: _nodes.Node,
+    path: str,
+    keys: Sequence[Key],
+    collector: _findings.Collector,
+) -> dict[str, typing.Any] | None:
+    """Reads an object by the table of its keys.
+
+    Args:
+        node: The value to read.
+        path: Name of the object in findings; empty for the root.
+        keys: The allowed keys.
+        collector: Takes the findings.
+
+    Returns:
+        The valid values by attribute, or None if the node is no object.
+    """
+    if not isinstance(node, _nodes.ObjectNode):
+        collector.add_finding(
+            node.place,
+            errors.ErrorCode.WRONG_TYPE,
+            f"{path or 'the document'} must be an object, "
+            f"not {_nodes.describe_node(node)}",
+        )
+        return None
+    by_name = {key.name: key for key in keys}
+    seen: dict[str, errors.Place] = {}
+    values: dict[str, typing.Any] = {}
+    for member in node.members:
+        full = _join(path, member.key)
+        key = by_name.get(member.key)
+        if key is None:
+            collector.add_finding(
+                member.place,
+                errors.ErrorCode.UNKNOWN_KEY,
+                f"unknown key {full}{_suggest(member.key, by_name)}",
+            )
+            continue
+        if member.key in seen:
+            first = seen[member.key]
+            collector.add_finding(
+                member.place,
+                errors.ErrorCode.DUPLICATE,
+                f"{full} is given twice, first at {first}",
+            )
+            continue
+        seen[member.key] = member.place
+        value = key.kind.read(member.value, full, collector)
+        if value is not None:
+            values[key.attribute] = value
+    for key in keys:
+        if key.is_required and key.name not in seen:
+            collector.add_finding(
+                node.place,
+                errors.ErrorCode.MISSING_KEY,
+                f"{_join(path, key.name)} is missing",
+            )
+    return values
+
+
+def write_object(
+    value: object, keys: Sequence[Key]
+) -> Mapping[str, typing.Any]:
+    """Returns the JSON object of an attrs instance; None is left out."""
+    written = {}
+    for key in keys:
+        content = getattr(value, key.attribute)
+        if content is not None:
+            written[key.name] = key.kind.write(content)
+    return written
+
+
+def _join(path: str, name: str) -> str:
+    return f"{path}.{name}" if path else name
+
+
+def _suggest(name: str, known: Mapping[str, Key]) -> str:
+    near = difflib.get_close_matches(name, known, n=1, cutoff=0)
+    return f"; the nearest known key is {near[0]}" if near else ""
--- /dev/null
+++ b/tamarackhatch/documents/_parser.py
@@ -0,0 +1,173 @@
+"""Turns text or plain JSON values into nodes."""
+
+import functools
+import pathlib
+import re
+import typing
+
+import json5
+from json5 import loader
+from json5 import model
+
+from tamarackhatch.documents import _findings
+from tamarackhatch.documents import _nodes
+from tamarackhatch import errors
+
+# The parser builds its values iteratively, but the conversion to nodes
+# recurses; this bound stays far below the interpreter's recursion limit.
+_MAX_DEPTH = 32
+_INDEX = re.compile(r"at index (\d+)$")
+_EXPECTED = re.compile(r"expecting ([\w ]+?)(?: in or near| at:|$)")
+
+
+def read_file(path: str, collector: _findings.Collector) -> _nodes.Node | None:
+    """Reads and parses a file.
+
+    Args:
+        path: The file; findings name it as given here.
+        collector: Takes the findings.
+
+    Returns:
+        The root value, or None if the file is unreadable or malformed.
+    """
+    try:
+        text = pathlib.Path(path).read_text(encoding="utf-8")
+    except OSError as error:
+        fault = error.strerror or type(error).__name__
+    except UnicodeDecodeError:
+        fault = "the text is not UTF-8"
+    else:
+        return parse_text(text, path, collector)
+    collector.add_finding(
+        errors.Place(path, 1, 1),
+        errors.ErrorCode.UNREADABLE_FILE,
+        f"cannot read the file: {fault}",
+    )
+    return None
+
+
+def parse_text(
+    text: str, file: str, collector: _findings.Collector
+) -> _nodes.Node | None:
+    """Parses JSON with comments; returns None if it is malformed."""
+    try:
+        document = json5.loads(text, loader=loader.ModelLoader())
+    except json5.JSON5DecodeError as error:
+        line, column = _locate_error(error, text)
+        place = errors.Place(file, line, column)
+        message = _describe_error(error)
+    else:
+        try:
+            return _convert(document.value, file, 0)
+        except _TooDeepError as error:
+            place = error.place
+            message = f"values are nested deeper than {_MAX_DEPTH} levels"
+    collector.add_finding(place, errors.ErrorCode.SYNTAX, message)
+    return None
+
+
+def build_node(
+    value: object, place: errors.Place, depth: int = 0
+) -> _nodes.Node:
+    """Converts a plain JSON value; all its nodes get the same place.
+
+    Raises:
+        ValueError: The value is nested too deeply or is no JSON value.
+    """
+    if depth > _MAX_DEPTH:
+        raise ValueError("the value is nested too deeply")
+    if isinstance(value, dict):
+        members = tuple(
+            _nodes.Member(place, str(key), build_node(item, place, depth + 1))
+            for key, item in value.items()
+        )
+        return _nodes.ObjectNode(place, members)
+    if isinstance(value, (list, tuple)):
+        items = tuple(build_node(item, place, depth + 1) for item in value)
+        return _nodes.ArrayNode(place, items)
+    if value is None or isinstance(value, (str, int, float, bool)):
+        return _nodes.ScalarNode(place, value)
+    raise ValueError(f"{type(value).__name__} is no JSON value")
+
+
+class _TooDeepError(Exception):
+    def __init__(self, place: errors.Place) -> None:
+        super().__init__("nested too deeply")
+        self.place = place
+
+
+def _get_place(node: typing.Any, file: str) -> errors.Place:
+    return errors.Place(file, node.lineno or 1, (node.col_offset or 0) + 1)
+
+
+@functools.singledispatch
+def _convert(node: typing.Any, file: str, depth: int) -> _nodes.Node:
+    return _nodes.ScalarNode(_get_place(node, file), node.value)
+
+
+@_convert.register
+def _(node: model.String, file: str, depth: int) -> _nodes.Node:
+    return _nodes.ScalarNode(_get_place(node, file), node.characters)
+
+
+@_convert.register
+def _(node: model.UnaryOp, file: str, depth: int) -> _nodes.Node:
+    number = typing.cast(typing.Any, node.value).value
+    if node.op == "-" and not isinstance(node.value, model.Infinity):
+        number = -number
+    return _nodes.ScalarNode(_get_place(node, file), number)
+
+
+@_convert.register
+def _(node: model.JSONArray, file: str, depth: int) -> _nodes.Node:
+    place = _get_place(node, file)
+    if depth >= _MAX_DEPTH:
+        raise _TooDeepError(place)
+    items = tuple(_convert(item, file, depth + 1) for item in node.values)
+    return _nodes.ArrayNode(place, items)
+
+
+@_convert.register
+def _(node: model.JSONObject, file: str, depth: int) -> _nodes.Node:
+    place = _get_place(node, file)
+    if depth >= _MAX_DEPTH:
+        raise _TooDeepError(place)
+    members = []
+    for pair in node.key_value_pairs:
+        key: typing.Any = pair.key
+        members.append(
+            _nodes.Member(
+                _get_place(key, file),
+                (
+                    key.name
+                    if isinstance(key, model.Identifier)
+                    else key.characters
+                ),
+                _convert(pair.value, file, depth + 1),
+            )
+        )
+    return _nodes.ObjectNode(place, tuple(members))
+
+
+def _locate_error(error: json5.JSON5DecodeError, text: str) -> tuple[int, int]:
+    """Returns line and column; the library omits both for some faults."""
+    index = len(text)
+    found = _INDEX.search(error.msg)
+    if found:
+        index = int(found.group(1))
+    elif error.token is not None and error.token.index is not None:
+        index = error.token.index
+    line = text.count("\n", 0, index) + 1
+    return line, index - (text.rfind("\n", 0, index) + 1) + 1
+
+
+def _describe_error(error: json5.JSON5DecodeError) -> str:
+    """Returns a message that quotes nothing of the text."""
+    if "Illegal character" in error.msg:
+        return "unexpected character"
+    found = _EXPECTED.search(error.msg.splitlines()[-1])
+    if error.token is None and "There were" not in error.msg:
+        where = "unexpected end of file"
+    else:
+        where = "syntax error"
+    return f"{where}, expecting {found.group(1)}" if found else where
