--- a/tamarackhatch/documents/_findings.py
+++ b/tamarackhatch/documents/_findings.py
@@ -4,9 +4,16 @@
 
 
 class Collector:
-    """Takes findings from all readers, to report them together."""
+    """Takes findings from all readers, to report them together.
 
-    def __init__(self) -> None:
+    Args:
+        ignored: Codes of findings that are dropped.
+    """
+
+    def __init__(
+        self, ignored: frozenset[errors.ErrorCode] = frozenset()
+    ) -> None:
+        self._ignored = ignored
         self._findings: list[errors.Finding] = []
 
     @property
@@ -18,7 +25,8 @@
         self, place: errors.Place, code: errors.ErrorCode, message: str
     ) -> None:
         """Records a fault."""
-        self._findings.append(errors.Finding(place, code, message))
+        if code not in self._ignored:
+            self._findings.append(errors.Finding(place, code, message))
 
     def raise_findings(self) -> None:
         """Raises all findings, if there are any.
--- a/tamarackhatch/documents/_objects.py
+++ b/tamarackhatch/documents/_objects.py
@@ -23,12 +23,14 @@
         kind: Kind of the value.
         attribute: Attribute of the attrs class, if it differs from the name.
         is_required: Whether the key must be present.
+        is_nullable: Whether null is a value, read as None.
     """
 
     name: str
     kind: _kinds.Kind
     attribute: str = attrs.field()
     is_required: bool = False
+    is_nullable: bool = False
 
     @attribute.default
     def _get_attribute(self) -> str:
@@ -107,6 +109,9 @@
             )
             continue
         seen[member.key] = member.place
+        if key.is_nullable and _is_null(member.value):
+            values[key.attribute] = None
+            continue
         value = key.kind.read(member.value, full, collector)
         if value is not None:
             values[key.attribute] = value
@@ -123,15 +128,24 @@
 def write_object(
     value: object, keys: Sequence[Key]
 ) -> Mapping[str, typing.Any]:
-    """Returns the JSON object of an attrs instance; None is left out."""
+    """Returns the JSON object of an attrs instance.
+
+    None is written as null for a nullable key, and left out otherwise.
+    """
     written = {}
     for key in keys:
         content = getattr(value, key.attribute)
         if content is not None:
             written[key.name] = key.kind.write(content)
+        elif key.is_nullable:
+            written[key.name] = None
     return written
 
 
+def _is_null(node: _nodes.Node) -> bool:
+    return isinstance(node, _nodes.ScalarNode) and node.value is None
+
+
 def _join(path: str, name: str) -> str:
     return f"{path}.{name}" if path else name
 
