--- a/tamarackhatch/api/tests/__init__.py
+++ b/tamarackhatch/api/tests/__init__.py
@@ -1,1 +1,1 @@
-"""Tests of the api package."""
+"""Tests of the HTTP interfaces."""
