--- a/tamarackhatch/placement/_service.py
+++ b/tamarackhatch/placement/_service.py
@@ -195,6 +195,10 @@
                 errors.ErrorCode.INFEASIBLE_JOB,
                 f"one task of {spec.job} exceeds the quota of {spec.team}",
             )
+        if self._instances.snapshot is None:
+            raise platform.StoreUnavailableError(
+                "the instance list has not been read yet"
+            )
         # A leaving server counts: its replacement has the same size.
         for backend in self._instances.list_backends():
             policy = self._configuration.get_worker_policy(backend.worker)
--- a/tamarackhatch/tasks/tests/bench.py
+++ b/tamarackhatch/tasks/tests/bench.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import datetime
+import typing
 
 import attrs
 
@@ -47,6 +48,24 @@
         return self.service
 
 
+class Gate:
+    """Holds up every call of a paused process, as SIGSTOP would."""
+
+    def __init__(self, target: object) -> None:
+        self._target = target
+        self.is_open = asyncio.Event()
+        self.is_open.set()
+
+    def __getattr__(self, name: str) -> typing.Any:
+        method = getattr(self._target, name)
+
+        async def call(*arguments: typing.Any) -> typing.Any:
+            await self.is_open.wait()
+            return await method(*arguments)
+
+        return call
+
+
 class Instance:
     """One entry instance's dispatcher and worker manager."""
 
@@ -57,9 +76,11 @@
         self.roster = FixedRoster(name, members)
         self.interference = placement.InterferenceModel(bench.clock)
         self.latency = FixedLatency()
+        self.store = Gate(bench.tables)
+        self.client = Gate(bench.fleet)
         self.manager = tasks.WorkerManager(
-            bench.tables,
-            bench.fleet,
+            self.store,
+            self.client,
             bench.instances,
             self.ownership,
             bench.configuration,
@@ -68,7 +89,7 @@
             self.interference,
         )
         self.dispatcher = placement.Dispatcher(
-            bench.tables,
+            self.store,
             bench.instances,
             self.roster,
             bench.owners,
@@ -79,6 +100,14 @@
         )
         self.running: list[asyncio.Task[None]] = []
 
+    def set_paused(self, is_paused: bool) -> None:
+        """Pauses or wakes the process."""
+        for gate in (self.store, self.client):
+            if is_paused:
+                gate.is_open.clear()
+            else:
+                gate.is_open.set()
+
     def start(self) -> None:
         """Starts both parts."""
         self.running = [
@@ -212,7 +241,16 @@
 
     async def find_faults(self, is_idle: bool = False) -> list[str]:
         """Checks the rows against each other; returns what is wrong."""
-        faults = list(self.fleet.violations)
+        faults: list[str] = []
+        while True:
+            # The scans are one consistent reading if nothing was written.
+            count = self.tables.commit_count
+            faults = await self._compare_rows(is_idle)
+            if self.tables.commit_count == count:
+                return faults + self.fleet.violations
+
+    async def _compare_rows(self, is_idle: bool) -> list[str]:
+        faults: list[str] = []
         in_use: dict[str, model.Resources] = {}
         committed: set[tuple[str, model.TaskId, int]] = set()
         for record in await self.read_workers():
