--- a/tamarackhatch/platform/_answers.py
+++ b/tamarackhatch/platform/_answers.py
@@ -42,6 +42,13 @@
         """Returns a text, or None for null or a missing key."""
         return None if self._value.get(key) is None else self.read_text(key)
 
+    def read_note(self, key: str) -> str:
+        """Returns a text for people; it may be empty, null or missing."""
+        value = self._value.get(key) or ""
+        if not isinstance(value, str):
+            raise self._build_error(key, "must be a text")
+        return value
+
     def read_count(self, key: str, minimum: int = 0) -> int:
         """Returns a whole number of at least the minimum."""
         value = self._value.get(key)
--- a/tamarackhatch/platform/_http_worker_client.py
+++ b/tamarackhatch/platform/_http_worker_client.py
@@ -296,5 +296,5 @@
         content.read_count("attempt"),
         content.read_enum("state", _worker_client.ReportedState),
         content.read_optional_text("checkpoint"),
-        content.read_optional_text("reason") or "",
+        content.read_note("reason"),
     )
