--- a/standins/checks.py
+++ b/standins/checks.py
@@ -12,6 +12,8 @@
 
 MAX_SLOTS = 8
 MAX_CONNECTIONS = 64
+# A killed process's connections end when its peers learn of it.
+_KILL_MARGIN_SECONDS = 1.0
 
 
 class Rule(enum.Enum):
@@ -27,6 +29,7 @@
     TOO_MANY_CONNECTIONS = "a runner had too many connections"
     NOT_RUN_BUT_RAN = "a request that was called not run had run"
     WRONG_ANSWER = "an answer does not match its request"
+    LOST_WITHOUT_KILL = "a caller got no outcome, though nothing was killed"
 
 
 @attrs.frozen
@@ -48,6 +51,8 @@
         workers: Records of all workers.
         runners: Records of all runners.
         callers: What the callers learned.
+        killed_at: Times at which an entry instance was killed; callers
+            with a request in flight then may lose it.
         cancelled_jobs: Jobs whose tasks need not be resumed.
         is_settled: Whether all work had its time to end. While it is not,
             evicted work may still be waiting.
@@ -56,6 +61,7 @@
     workers: tuple[records.WorkerRecords, ...] = ()
     runners: tuple[records.RunnerRecords, ...] = ()
     callers: tuple[records.CallerRequest, ...] = ()
+    killed_at: tuple[float, ...] = ()
     cancelled_jobs: frozenset[str] = frozenset()
     is_settled: bool = True
 
@@ -70,6 +76,7 @@
         *check_runners(history.runners),
         *check_single_runs(history.runners, history.callers),
         *check_outcomes(history.runners, history.callers),
+        *check_lost(history.callers, history.killed_at),
     )
 
 
@@ -221,6 +228,25 @@
             )
 
 
+def check_lost(
+    callers: Iterable[records.CallerRequest], killed_at: tuple[float, ...]
+) -> Iterator[Violation]:
+    """Checks that only a kill leaves a caller without an outcome."""
+    for request in callers:
+        ended_at = request.sent_at + request.latency_ms / 1000
+        is_explained = any(
+            request.sent_at - _KILL_MARGIN_SECONDS
+            <= moment
+            <= ended_at + _KILL_MARGIN_SECONDS
+            for moment in killed_at
+        )
+        is_lost = request.outcome is records.CallerOutcome.LOST
+        if is_lost and not is_explained:
+            yield Violation(
+                Rule.LOST_WITHOUT_KILL, f"{request.request_id}: {request.code}"
+            )
+
+
 def _is_early_end(request: records.CallerRequest) -> bool:
     """Tells whether a watch ended without a change, at a planned stop."""
     return request.kind is records.RequestKind.WATCH and request.status == 204
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -279,7 +279,9 @@
     )
     options = parser.parse_args()
     state = PlatformState(options.lag_ms)
-    state.board.change(json.loads(options.instances), {}, [])
+    instances = json.loads(options.instances)
+    if instances:
+        state.board.change(instances, {}, [])
 
     async def run() -> None:
         await serving.serve_until_signal(build_server(state), options)
--- a/standins/tests/test_checks.py
+++ b/standins/tests/test_checks.py
@@ -95,6 +95,9 @@
     "not run": checks.History(
         callers=(_caller(records.CallerOutcome.NOT_RUN),)
     ),
+    "lost at a kill": checks.History(
+        callers=(_caller(records.CallerOutcome.LOST),), killed_at=(0.5,)
+    ),
     "watch ended early": checks.History(
         callers=(
             _caller(_ANSWERED, kind=records.RequestKind.WATCH, status=204),
@@ -249,6 +252,12 @@
             callers=(_caller(_ANSWERED, status=500),),
         ),
     ),
+    (
+        checks.Rule.LOST_WITHOUT_KILL,
+        checks.History(
+            callers=(_caller(records.CallerOutcome.LOST),), killed_at=(9.0,)
+        ),
+    ),
 ]
 
 
