--- a/standins/demo.py
+++ b/standins/demo.py
@@ -300,7 +300,7 @@
             prober.cancel()
             await asyncio.gather(prober, return_exceptions=True)
             pool.close()
-        faults = [*submitted, *change[1], *stopped[2]]
+        faults = [*submitted, *change[1], *stopped[2], *self._list_ended()]
         if not is_settled:
             faults.append("not all tasks ended in time")
         steps = Steps(
@@ -379,6 +379,20 @@
             return None, [f"declaration change: {error}"]
         return None, ["declaration change was not in force within 15 s"]
 
+    def _list_ended(self) -> list[str]:
+        """Returns a text for each instance that ended on its own."""
+        expected = set()
+        if self._plan.kill_at is not None:
+            expected.add(self._entries[0].name)
+        if self._plan.stop_at is not None:
+            expected.add(self._entries[-1].name)
+        return [
+            f"{name} ended on its own with code"
+            f" {child.process.returncode}:\n{child.read_log_tail()}"
+            for name, child in self._entry_children.items()
+            if name not in expected and child.process.returncode is not None
+        ]
+
     def _is_running(self, entry: Entry) -> bool:
         return self._entry_children[entry.name].process.returncode is None
 
@@ -521,15 +535,29 @@
     return content if isinstance(content, dict) else {}
 
 
-async def run_demo(plan: DemoPlan, serve_command: Sequence[str]) -> int:
-    """Runs the demonstration in a temporary folder."""
+async def run_demo(
+    plan: DemoPlan,
+    serve_command: Sequence[str],
+    folder: pathlib.Path | None = None,
+) -> int:
+    """Runs the demonstration; returns the exit code.
+
+    Args:
+        plan: Steps and times.
+        serve_command: Command that starts an entry instance.
+        folder: Where settings and logs stay; None for a temporary folder.
+    """
     task = asyncio.current_task()
     if task is not None:
         # A SIGTERM must end the children too.
         loop = asyncio.get_running_loop()
         loop.add_signal_handler(signal.SIGTERM, task.cancel)
-    with tempfile.TemporaryDirectory(prefix="tamarackhatch-demo-") as name:
-        return await Demo(plan, serve_command, pathlib.Path(name)).run()
+    with contextlib.ExitStack() as stack:
+        if folder is None:
+            temporary = tempfile.TemporaryDirectory(prefix="tamarackhatch-")
+            folder = pathlib.Path(stack.enter_context(temporary))
+        folder.mkdir(parents=True, exist_ok=True)
+        return await Demo(plan, serve_command, folder).run()
 
 
 def main() -> None:
@@ -541,10 +569,13 @@
         help="command that starts an entry instance",
     )
     parser.add_argument("--seed", type=int, default=0)
+    parser.add_argument(
+        "--folder", type=pathlib.Path, help="keeps settings and logs here"
+    )
     options = parser.parse_args()
     plan = DemoPlan(requests=load.LoadPlan(_SERVICE, seed=options.seed))
     command = shlex.split(options.serve_command)
-    sys.exit(asyncio.run(run_demo(plan, command)))
+    sys.exit(asyncio.run(run_demo(plan, command, options.folder)))
 
 
 if __name__ == "__main__":
--- a/standins/worker_tasks.py
+++ b/standins/worker_tasks.py
@@ -130,6 +130,7 @@
         self._audit = audit.WorkerAudit(worker, capacity)
         self._events: list[records.WorkerEvent] = []
         self._attempts: dict[tuple[str, int], Attempt] = {}
+        self._latest: dict[str, Attempt] = {}
         self._running: dict[str, Attempt] = {}
         self._highest_epoch = 0
         self._fails_all = False
@@ -175,6 +176,8 @@
             order, script, order.lease_until, now, checkpoint=order.checkpoint
         )
         self._attempts[order.task, order.attempt] = attempt
+        # Older attempts are refused, so the last one started is the latest.
+        self._latest[order.task] = attempt
         self._running[order.task] = attempt
         self._record(
             records.EventKind.START,
--- a/tamarackhatch/platform/_instance_cache.py
+++ b/tamarackhatch/platform/_instance_cache.py
@@ -11,7 +11,8 @@
 
 _POLL_INTERVAL = datetime.timedelta(seconds=1)
 # Clocks are assumed to agree within 1 s. A list from further ahead would
-# block every later list until its time has come.
+# block every later list until its time has come. An instance whose own clock
+# is that far behind gets no list; its leases would be wrong too.
 _MAX_AHEAD = datetime.timedelta(seconds=2)
 
 
