Score a part of the fleet for each placement and keep blocked jobs out

Cause: with 2,000 workers one placement scored and listed all of them twice, and each pass compared all waiting jobs with each other. Free amounts below zero, as a reservation leaves them, were ignored where the task needed none.

Change: the list of candidates is built once a pass and updated in place, up to 256 workers are scored before the whole fleet, jobs are taken from a heap, and a batch job that did not fit is skipped until something it depends on changes.

--- a/tamarackhatch/placement/_dispatcher.py
+++ b/tamarackhatch/placement/_dispatcher.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable
 from collections.abc import Sequence
 import datetime
+import heapq
 
 from absl import logging
 import attrs
@@ -38,6 +39,9 @@
 _FRESH_FOR = datetime.timedelta(seconds=1)
 # Longest that an eviction may take before its reservation ends.
 RESERVATION = datetime.timedelta(seconds=15)
+_SCORED_WORKERS = 256
+_ALWAYS = datetime.datetime.min.replace(tzinfo=datetime.timezone.utc)
+_BLOCK_FOR = datetime.timedelta(seconds=2)
 _MAX_GROUPS = 64
 _MAX_PREEMPTIONS = 64
 _MIN_REFRESH = 8
@@ -64,7 +68,7 @@
         return None
     return min(
         (
-            task.not_before or job.spec.submitted_at
+            task.not_before or _ALWAYS
             for task in job.tasks
             if task.state is model.TaskState.PENDING
         ),
@@ -72,6 +76,25 @@
     )
 
 
+@attrs.frozen(order=True)
+class _Order:
+    """Place of a job in the order of dispatch; the lowest comes first."""
+
+    is_batch: bool
+    share: float
+    submitted_at: datetime.datetime
+
+
+@attrs.frozen
+class _Block:
+    """What was known when a job did not fit."""
+
+    change_count: int
+    job_version: int
+    team_version: int
+    until: datetime.timedelta
+
+
 @attrs.frozen
 class _KnownTeam:
     record: model.TeamRecord
@@ -126,6 +149,10 @@
         self._refresh_count = _MIN_REFRESH
         self._has_scanned_workers = False
         self._candidates: dict[str, _BuiltCandidate] = {}
+        self._listed: list[_policy.Candidate] = []
+        self._positions: dict[str, int] = {}
+        self._offset = xxhash.xxh32_intdigest(roster.instance.encode())
+        self._blocks: dict[str, _Block] = {}
         self._unfit: list[model.Resources] = []
         self._fleet = model.Resources()
 
@@ -173,17 +200,30 @@
         await self._load_workers()
         await self._load_teams()
         self._unfit.clear()
+        self._list_candidates()
         self._fleet = self._compute_fleet()
-        skipped: set[str] = set()
+        skipped: list[str] = []
         groups = 0
-        while groups < _MAX_GROUPS:
-            queued = self._choose_job(skipped)
-            if queued is None:
-                break
+        order = self._build_order()
+        while order and groups < _MAX_GROUPS:
+            key, name = heapq.heappop(order)
+            queued = self._jobs.get(name)
+            if queued is None or not self._is_due(queued):
+                continue
+            if self._is_blocked(queued):
+                skipped.append(name)
+                continue
+            newest = self._compute_order(queued)
+            if newest > key:
+                # Its team was given more since the order was built.
+                heapq.heappush(order, (newest, name))
+                continue
             if await self._place_group(queued):
                 groups += 1
+                heapq.heappush(order, (newest, name))
             else:
-                skipped.add(queued.job.spec.job)
+                self._block(queued)
+                skipped.append(name)
         waiting = [self._jobs[job] for job in skipped if job in self._jobs]
         if waiting:
             await self._refresh_workers(waiting, groups > 0)
@@ -225,6 +265,7 @@
     def _drop_job(self, job: str) -> None:
         self._jobs.pop(job, None)
         self._reasons.pop(job, None)
+        self._blocks.pop(job, None)
 
     async def _load_jobs(self) -> None:
         changed = []
@@ -266,11 +307,10 @@
         )
 
     async def _load_teams(self) -> None:
-        now = self._clock.get_utc()
         due = {
             queued.job.spec.team
             for queued in self._jobs.values()
-            if queued.due_at is not None and queued.due_at <= now
+            if self._is_due(queued)
         }
         await asyncio.gather(*(self._freshen_team(team) for team in due))
 
@@ -313,15 +353,13 @@
             backend, self._configuration.get_worker_policy(backend.worker)
         )
 
-    def _list_candidates(self) -> list[_policy.Candidate]:
-        """Returns the workers that may take tasks.
+    def _list_candidates(self) -> None:
+        """Builds the list of the workers that may take tasks in this pass.
 
         Only those whose row, server or policy changed are built anew.
         """
-        version = self._configuration.version
-        snapshot = self._instances.snapshot
-        as_of = snapshot.as_of if snapshot else None
-        found: list[_policy.Candidate] = []
+        self._listed = []
+        self._positions = {}
         for backend in self._instances.list_backends():
             worker = backend.worker
             if (
@@ -330,23 +368,59 @@
                 or self._ownership.get_owner(worker) is None
             ):
                 continue
-            known = self._cache.get_worker(worker)
-            record = known.record if known else None
-            built = self._candidates.get(worker)
-            if (
-                built is None
-                or built.record is not record
-                or built.configuration != version
-                or built.as_of != as_of
-                or built.candidate.backend is not backend
-            ):
-                candidate = self._build_candidate(backend, record, as_of)
-                built = _BuiltCandidate(candidate, record, version, as_of)
-                self._candidates[worker] = built
             policy = self._configuration.get_worker_policy(worker)
             if policy.batch_allowed:
-                found.append(built.candidate)
-        return found
+                self._positions[worker] = len(self._listed)
+                self._listed.append(self._get_candidate(backend))
+
+    def _get_candidate(
+        self, backend: model.BackendServer
+    ) -> _policy.Candidate:
+        """Returns the candidate for the newest known row."""
+        worker = backend.worker
+        version = self._configuration.version
+        snapshot = self._instances.snapshot
+        as_of = snapshot.as_of if snapshot else None
+        known = self._cache.get_worker(worker)
+        record = known.record if known else None
+        built = self._candidates.get(worker)
+        if (
+            built is None
+            or built.record is not record
+            or built.configuration != version
+            or built.as_of != as_of
+            or built.candidate.backend is not backend
+        ):
+            candidate = self._build_candidate(backend, record, as_of)
+            built = _BuiltCandidate(candidate, record, version, as_of)
+            self._candidates[worker] = built
+        return built.candidate
+
+    def _update_candidate(self, worker: str) -> _policy.Candidate | None:
+        """Brings one listed worker up to date; None if it is not listed."""
+        position = self._positions.get(worker)
+        if position is None:
+            return None
+        candidate = self._get_candidate(self._listed[position].backend)
+        self._listed[position] = candidate
+        return candidate
+
+    def _choose_worker(self, demand: _policy.Demand) -> _policy.Choice | None:
+        """Chooses from a part of the fleet, or from all if none there fits.
+
+        Scoring a part keeps the cost of one placement independent of the
+        size of the fleet. The part moves on with each choice.
+        """
+        now = self._clock.get_utc()
+        count = len(self._listed)
+        if count > _SCORED_WORKERS:
+            start = self._offset % count
+            self._offset = start + _SCORED_WORKERS
+            part = self._listed[start : start + _SCORED_WORKERS]
+            choice = self._policy.choose_worker(demand, part, now)
+            if choice is not None:
+                return choice
+        return self._policy.choose_worker(demand, self._listed, now)
 
     def _build_candidate(
         self,
@@ -360,23 +434,60 @@
         record = _capacity.fit_capacity(record, capacity, as_of)
         return _policy.Candidate(backend, record, record.compute_free())
 
-    def _choose_job(self, skipped: set[str]) -> _QueuedJob | None:
-        """Returns the next job by urgency, share of the quota, then age."""
-        now = self._clock.get_utc()
-        best: tuple[tuple[object, ...], _QueuedJob] | None = None
-        for name, queued in self._jobs.items():
-            if name in skipped or queued.due_at is None or queued.due_at > now:
-                continue
-            spec = queued.job.spec
-            key = (
-                not spec.urgent,
-                self._compute_share(spec.team),
-                spec.submitted_at,
-                name,
+    def _build_order(self) -> list[tuple[_Order, str]]:
+        order = [
+            (self._compute_order(queued), name)
+            for name, queued in self._jobs.items()
+            if self._is_due(queued)
+        ]
+        heapq.heapify(order)
+        return order
+
+    def _compute_order(self, queued: _QueuedJob) -> _Order:
+        """Orders by urgency, share of the team's quota, then age."""
+        spec = queued.job.spec
+        return _Order(
+            not spec.urgent,
+            self._compute_share(spec.team),
+            spec.submitted_at,
+        )
+
+    def _is_due(self, queued: _QueuedJob) -> bool:
+        return (
+            queued.due_at is not None
+            and queued.due_at <= self._clock.get_utc()
+        )
+
+    def _is_blocked(self, queued: _QueuedJob) -> bool:
+        """Tells whether the job did not fit and nothing has changed since.
+
+        The block ends by itself, because quarantine, reservations and
+        ownership change with time.
+        """
+        block = self._blocks.get(queued.job.spec.job)
+        return (
+            block is not None
+            and block == self._build_block(queued, block.until)
+            and self._clock.get_monotonic() < block.until
+        )
+
+    def _block(self, queued: _QueuedJob) -> None:
+        if not queued.job.spec.urgent:
+            until = self._clock.get_monotonic() + _BLOCK_FOR
+            self._blocks[queued.job.spec.job] = self._build_block(
+                queued, until
             )
-            if best is None or key < best[0]:
-                best = (key, queued)
-        return best[1] if best else None
+
+    def _build_block(
+        self, queued: _QueuedJob, until: datetime.timedelta
+    ) -> _Block:
+        team = self._teams.get(queued.job.spec.team)
+        return _Block(
+            self._cache.change_count,
+            queued.version,
+            team.version if team else 0,
+            until,
+        )
 
     def _compute_share(self, team: str) -> float:
         """Returns the largest share that the team uses of its quota."""
@@ -410,12 +521,8 @@
         if any(size.fits_in(spec.resources) for size in self._unfit):
             self._note_wait(spec, "no worker has room now")
             return False
-        now = self._clock.get_utc()
-        due = _list_due(queued.job, now)
-        demand = self._build_demand(queued.job, due, room)
-        choice = self._policy.choose_worker(
-            demand, self._list_candidates(), now
-        )
+        demand = self._build_demand(queued.job, room)
+        choice = self._choose_worker(demand)
         if choice is None:
             if not demand.excluded and not spec.urgent:
                 self._unfit.append(spec.resources)
@@ -425,13 +532,27 @@
         known = self._cache.get_worker(worker)
         oldest = self._clock.get_monotonic() - _FRESH_FOR
         if known is None or known.read_at < oldest or queued.read_at < oldest:
-            # The next round chooses again with the fresh rows.
             await asyncio.gather(
                 self._read_worker(worker),
                 self._read_job(spec.job, queued.entry_version),
             )
+        fresh = self._jobs.get(spec.job)
+        candidate = self._update_candidate(worker)
+        known = self._cache.get_worker(worker)
+        if (
+            fresh is None
+            or not self._is_due(fresh)
+            or candidate is None
+            or known is None
+        ):
             return True
-        await self._commit_group(queued, demand, choice, known)
+        demand = self._build_demand(fresh.job, room)
+        choice = self._policy.choose_worker(
+            demand, (candidate,), self._clock.get_utc()
+        )
+        if choice is not None:
+            await self._commit_group(fresh, choice, known)
+            self._update_candidate(worker)
         return True
 
     async def _freshen_team(self, team: str) -> None:
@@ -448,9 +569,7 @@
         left = quota - self._teams[spec.team].record.in_use
         return min(_policy.count_fitting(spec.resources, left), size)
 
-    def _build_demand(
-        self, job: model.Job, due: Sequence[model.Task], room: int
-    ) -> _policy.Demand:
+    def _build_demand(self, job: model.Job, room: int) -> _policy.Demand:
         racks: dict[tuple[str, str], int] = {}
         for task in job.tasks:
             if task.state is model.TaskState.PLACED and task.worker:
@@ -458,15 +577,9 @@
                 if backend is not None:
                     place = (backend.data_centre, backend.rack)
                     racks[place] = racks.get(place, 0) + 1
-        # A group holds tasks with the same history, so that one exclusion
-        # list holds for all of them.
-        excluded = self._choose_excluded(job.spec, due[0])
-        alike = [
-            task
-            for task in due
-            if task.failed_workers == due[0].failed_workers
-        ]
-        return _policy.Demand(job.spec, min(len(alike), room), excluded, racks)
+        group = _list_group(job, self._clock.get_utc())
+        excluded = self._choose_excluded(job.spec, group[0])
+        return _policy.Demand(job.spec, min(len(group), room), excluded, racks)
 
     def _choose_excluded(
         self, spec: model.JobSpec, task: model.Task
@@ -474,7 +587,7 @@
         excluded = frozenset(task.failed_workers)
         if not excluded:
             return excluded
-        for candidate in self._list_candidates():
+        for candidate in self._listed:
             if candidate.backend.worker not in excluded and (
                 spec.resources.fits_in(candidate.record.capacity)
             ):
@@ -486,7 +599,6 @@
     async def _commit_group(
         self,
         queued: _QueuedJob,
-        demand: _policy.Demand,
         choice: _policy.Choice,
         known: _worker_cache.KnownWorker,
     ) -> None:
@@ -494,12 +606,7 @@
         job = queued.job
         spec = job.spec
         worker = choice.candidate.backend.worker
-        due = _list_due(job, now)
-        chosen = [
-            task
-            for task in due
-            if task.failed_workers == due[0].failed_workers
-        ][: choice.count]
+        chosen = _list_group(job, now)[: choice.count]
         reason = (
             f"placed: {choice.reason},"
             f" configuration {self._configuration.version}"
@@ -612,7 +719,7 @@
         reserved: list[str] = []
         aged: list[tuple[datetime.timedelta, str]] = []
         oldest = self._clock.get_monotonic() - _FRESH_FOR
-        for candidate in self._list_candidates():
+        for candidate in self._listed:
             worker = candidate.backend.worker
             reservation = candidate.record.reservation
             known = self._cache.get_worker(worker)
@@ -641,14 +748,12 @@
         wanted = min(len(due), room) - self._count_reserved(spec, now)
         if wanted <= 0:
             return
-        demand = self._build_demand(
-            queued.job, due, min(wanted, _MAX_PREEMPTIONS)
-        )
-        candidates = self._list_candidates()
-        if self._policy.choose_worker(demand, candidates, now) is not None:
+        self._list_candidates()
+        demand = self._build_demand(queued.job, min(wanted, _MAX_PREEMPTIONS))
+        if self._policy.choose_worker(demand, self._listed, now) is not None:
             # Rows read since the placement failed show room.
             return
-        preemptions = self._policy.choose_victims(demand, candidates, now)
+        preemptions = self._policy.choose_victims(demand, self._listed, now)
         if not preemptions:
             self._note_wait(spec, "no room, and no batch task to evict")
         for preemption in preemptions:
@@ -658,7 +763,7 @@
         self, spec: model.JobSpec, now: datetime.datetime
     ) -> int:
         count = 0
-        for candidate in self._list_candidates():
+        for candidate in self._listed:
             reservation = candidate.record.reservation
             if (
                 reservation is not None
@@ -740,6 +845,19 @@
     )
 
 
+def _list_group(
+    job: model.Job, now: datetime.datetime
+) -> tuple[model.Task, ...]:
+    """Returns due tasks that failed on the same workers, or on none.
+
+    One list of excluded workers then holds for the whole group.
+    """
+    due = _list_due(job, now)
+    return tuple(
+        task for task in due if task.failed_workers == due[0].failed_workers
+    )
+
+
 def _multiply(resources: model.Resources, count: int) -> model.Resources:
     return model.Resources(
         resources.processors * count,
--- a/tamarackhatch/placement/_policy.py
+++ b/tamarackhatch/placement/_policy.py
@@ -92,6 +92,8 @@
 
 def count_fitting(need: model.Resources, free: model.Resources) -> int:
     """Returns how many times the need fits; 0 if any amount is negative."""
+    if min(free.processors, free.memory_mb, free.accelerators) < 0:
+        return 0
     counts = [
         amount // wanted
         for amount, wanted in (
--- a/tamarackhatch/tasks/tests/test_history.py
+++ b/tamarackhatch/tasks/tests/test_history.py
@@ -7,6 +7,7 @@
 from hypothesis import strategies
 
 from tamarackhatch import declarations
+from tamarackhatch import errors
 from tamarackhatch import model
 from tamarackhatch.tasks.tests import bench as benches
 from tamarackhatch.tasks.tests import fleet
@@ -63,6 +64,7 @@
         for name in NODES:
             # Both believe that they dispatch every team.
             self.bench.nodes[name].roster.members = (name,)
+        self.count = 0
         self.jobs: list[str] = []
         self.lost: set[str] = set()
         self.cancelled: set[str] = set()
@@ -73,8 +75,8 @@
         node = NODES[event.index % 2]
         bench = self.bench
         if event.name in ("submit", "urgent"):
-            job = f"j{len(self.jobs)}"
-            self.jobs.append(job)
+            job = f"j{self.count}"
+            self.count += 1
             await bench.submit(
                 job,
                 count=3 + 3 * event.index,
@@ -82,10 +84,11 @@
                 urgent=event.name == "urgent",
                 team=f"t{event.index % 2}",
             )
+            self.jobs.append(job)
         elif event.name == "cancel" and self.jobs:
             job = self.jobs[event.index % len(self.jobs)]
-            await bench.service.cancel_job(job)
             self.cancelled.add(job)
+            await bench.service.cancel_job(job)
         elif event.name == "cut":
             bench.fleet.faults[worker] = fleet.Fault.CUT_OFF
         elif event.name == "lose":
@@ -164,7 +167,11 @@
                     await bench.advance(event.seconds + 5)
                     bench.tables.set_down(False)
                     continue
-                await self.apply(event)
+                try:
+                    await self.apply(event)
+                except errors.CodedError:
+                    # A submission may be refused; the job does not count.
+                    pass
                 await bench.advance(event.seconds)
                 assert await bench.find_faults() == []
             await self.finish()
