--- a/tamarackhatch/routing/_router.py
+++ b/tamarackhatch/routing/_router.py
@@ -300,7 +300,10 @@
     ) -> bool:
         return (
             last is not None
-            and last.code in _PASSING_CODES
+            and (
+                last.code in _PASSING_CODES
+                or last.outcome is model.Outcome.UNKNOWN
+            )
             and rounds < _MAX_ROUNDS
             and self._get_remaining(request) > _ROUND_PAUSE
         )
--- a/tamarackhatch/testing/_table_service.py
+++ b/tamarackhatch/testing/_table_service.py
@@ -40,6 +40,10 @@
         """Queues a fault, or None for success, for each coming commit."""
         self._faults.extend(faults)
 
+    def clear_commit_faults(self) -> None:
+        """Drops the queued faults that no commit has met yet."""
+        self._faults.clear()
+
     async def read_row(
         self, table: platform.Table, key: str
     ) -> platform.Row | None:
