--- a/tamarackhatch/tasks/tests/__init__.py
+++ /dev/null
@@ -1,1 +0,0 @@
-"""Tests of the owner's work on workers."""
