--- /dev/null
+++ b/tamarackhatch/__main__.py
@@ -0,0 +1,5 @@
+"""Runs the command line as ``python -m tamarackhatch``."""
+
+from tamarackhatch import cli
+
+cli.main()
--- a/tamarackhatch/clock/_clock.py
+++ b/tamarackhatch/clock/_clock.py
@@ -15,6 +15,10 @@
         """Returns time since an arbitrary start; it never goes back."""
         ...
 
+    def get_boot_time(self) -> datetime.timedelta:
+        """Returns time since boot, including time spent suspended."""
+        ...
+
     async def sleep(self, duration: datetime.timedelta) -> None:
         """Suspends the calling task for at least the given duration."""
         ...
--- a/tamarackhatch/clock/_manual.py
+++ b/tamarackhatch/clock/_manual.py
@@ -27,6 +27,9 @@
     def get_monotonic(self) -> datetime.timedelta:
         return self._elapsed
 
+    def get_boot_time(self) -> datetime.timedelta:
+        return self._elapsed
+
     async def sleep(self, duration: datetime.timedelta) -> None:
         if duration <= datetime.timedelta():
             await asyncio.sleep(0)
--- a/tamarackhatch/clock/_system.py
+++ b/tamarackhatch/clock/_system.py
@@ -14,5 +14,10 @@
     def get_monotonic(self) -> datetime.timedelta:
         return datetime.timedelta(seconds=time.monotonic())
 
+    def get_boot_time(self) -> datetime.timedelta:
+        return datetime.timedelta(
+            seconds=time.clock_gettime(time.CLOCK_BOOTTIME)
+        )
+
     async def sleep(self, duration: datetime.timedelta) -> None:
         await asyncio.sleep(duration.total_seconds())
--- a/tamarackhatch/documents/__init__.py
+++ b/tamarackhatch/documents/__init__.py
@@ -1,6 +1,7 @@
 """Reads JSON with comments into typed values; reports all findings."""
 
 from tamarackhatch.documents._findings import Collector
+from tamarackhatch.documents._kinds import Decimal
 from tamarackhatch.documents._kinds import Duration
 from tamarackhatch.documents._kinds import Flag
 from tamarackhatch.documents._kinds import Integer
@@ -24,6 +25,7 @@
 __all__ = [
     "ArrayNode",
     "Collector",
+    "Decimal",
     "Duration",
     "Flag",
     "Integer",
--- a/tamarackhatch/documents/_kinds.py
+++ b/tamarackhatch/documents/_kinds.py
@@ -91,6 +91,37 @@
         return value // self.unit
 
 
+@attrs.frozen
+class Decimal:
+    """A number within bounds, both included; fractions are allowed."""
+
+    minimum: int
+    maximum: int
+
+    def read(
+        self, node: _nodes.Node, path: str, collector: _findings.Collector
+    ) -> float | None:
+        value = node.value if isinstance(node, _nodes.ScalarNode) else None
+        if isinstance(value, bool) or not isinstance(value, (int, float)):
+            collector.add_finding(
+                node.place,
+                errors.ErrorCode.WRONG_TYPE,
+                f"{path} must be a number, not {_nodes.describe_node(node)}",
+            )
+            return None
+        if not self.minimum <= value <= self.maximum:
+            collector.add_finding(
+                node.place,
+                errors.ErrorCode.OUT_OF_RANGE,
+                f"{path} must be from {self.minimum} to {self.maximum}",
+            )
+            return None
+        return float(value)
+
+    def write(self, value: float) -> float:
+        return value
+
+
 @attrs.frozen
 class Duration:
     """A duration, written as a multiple of ``unit``."""
@@ -98,15 +129,25 @@
     unit: datetime.timedelta
     minimum: int
     maximum: int
+    allows_fraction: bool = False
 
     def read(
         self, node: _nodes.Node, path: str, collector: _findings.Collector
     ) -> datetime.timedelta | None:
-        count = _read_number(node, path, collector, self.minimum, self.maximum)
+        count: float | None
+        if self.allows_fraction:
+            kind = Decimal(self.minimum, self.maximum)
+            count = kind.read(node, path, collector)
+        else:
+            count = _read_number(
+                node, path, collector, self.minimum, self.maximum
+            )
         return None if count is None else count * self.unit
 
-    def write(self, value: datetime.timedelta) -> int:
-        return value // self.unit
+    def write(self, value: datetime.timedelta) -> float:
+        return (
+            value / self.unit if self.allows_fraction else value // self.unit
+        )
 
 
 @attrs.frozen
--- /dev/null
+++ b/tamarackhatch/election/_election.py
@@ -0,0 +1,233 @@
+"""Election of the active scheduler by rows of the store."""
+
+from collections.abc import Awaitable
+from collections.abc import Callable
+import datetime
+import hashlib
+
+import attrs
+
+from tamarackhatch import clock
+from tamarackhatch.election import _authority
+from tamarackhatch import model
+from tamarackhatch import observability
+from tamarackhatch import records
+
+_READ_TIMEOUT = datetime.timedelta(milliseconds=800)
+_WRITE_TIMEOUT = datetime.timedelta(milliseconds=800)
+_RETRY_PAUSE = datetime.timedelta(milliseconds=150)
+_MIN_WAIT = datetime.timedelta(milliseconds=50)
+_MAX_WAIT = datetime.timedelta(seconds=2)
+# A gap in the answers longer than this may have kept the scheduler's sign of
+# life from being written as well.
+_MAX_ANSWER_GAP = datetime.timedelta(milliseconds=600)
+# Instances near the store and with more processor time campaign first. The
+# nearest ones read in about 4 ms, those of other regions in about 30 ms.
+_DELAY_PER_READ_TIME = 8
+_DELAY_OF_ONE_CORE = datetime.timedelta(milliseconds=80)
+_MAX_DELAY = datetime.timedelta(milliseconds=600)
+_MAX_JITTER_MS = 60
+
+Lead = Callable[[_authority.Term], Awaitable[None]]
+
+
+@attrs.frozen
+class Candidate:
+    """This process as a candidate.
+
+    Attributes:
+        instance: Name of the instance.
+        incarnation: Distinguishes processes of the same instance.
+        processor: Processor time it may use, in cores.
+    """
+
+    instance: str
+    incarnation: str
+    processor: float
+
+
+class Election:
+    """Follows the active scheduler and takes over when it is silent."""
+
+    def __init__(
+        self,
+        store: model.TableStore,
+        source: clock.Clock,
+        candidate: Candidate,
+        timeout: datetime.timedelta,
+        lead: Lead,
+        log: observability.Log,
+    ) -> None:
+        self._store = store
+        self._clock = source
+        self._candidate = candidate
+        self._timeout = timeout
+        self._lead = lead
+        self._log = log
+        self._beat: records.Beat | None = None
+        self._version = 0
+        self._changed = datetime.timedelta()
+        self._answered = datetime.timedelta()
+        self._read_time = _READ_TIMEOUT
+        self._is_standing = True
+        digest = hashlib.blake2b(candidate.incarnation.encode()).digest()
+        self._jitter = datetime.timedelta(
+            milliseconds=digest[0] % _MAX_JITTER_MS
+        )
+
+    @property
+    def beat(self) -> records.Beat | None:
+        """The latest sign of life that was read."""
+        return self._beat
+
+    @property
+    def beat_age(self) -> datetime.timedelta:
+        """Time since the latest sign of life was read."""
+        return self._clock.get_monotonic() - self._changed
+
+    def withdraw(self) -> None:
+        """Keeps this process from winning another term."""
+        self._is_standing = False
+
+    async def run(self) -> None:
+        """Follows and campaigns until cancelled."""
+        await self._reload()
+        while True:
+            if self._is_standing and self._is_vacant():
+                term = await self._campaign()
+                if term is not None:
+                    await self._lead(term)
+                await self._reload()
+                continue
+            await self._follow()
+
+    async def _reload(self) -> None:
+        while True:
+            began = self._clock.get_monotonic()
+            try:
+                page = await self._store.read(
+                    records.BEAT.table, records.BEAT.part, _READ_TIMEOUT
+                )
+            except model.StoreUnavailableError as error:
+                self._log.debug("beat_unread", reason=error.message)
+                await self._clock.sleep(_RETRY_PAUSE)
+                continue
+            now = self._clock.get_monotonic()
+            self._read_time = min(self._read_time, now - began)
+            self._note_answer()
+            self._version = page.version
+            self._take(records.find_row(page.rows, records.BEAT))
+            return
+
+    async def _follow(self) -> None:
+        silence = self._clock.get_monotonic() - self._changed
+        wait = self._timeout + self._delay - silence
+        wait = min(_MAX_WAIT, max(_MIN_WAIT, wait))
+        try:
+            page = await self._store.follow(
+                records.BEAT.table, self._version, wait
+            )
+        except model.HistoryLostError:
+            await self._reload()
+            return
+        except model.StoreUnavailableError as error:
+            self._log.debug("beat_unread", reason=error.message)
+            await self._clock.sleep(_RETRY_PAUSE)
+            return
+        self._note_answer(wait)
+        self._version = page.version
+        self._take(records.find_row(page.rows[::-1], records.BEAT))
+
+    def _note_answer(
+        self, wait: datetime.timedelta = datetime.timedelta()
+    ) -> None:
+        now = self._clock.get_monotonic()
+        if now - self._answered > wait + _MAX_ANSWER_GAP:
+            self._changed = now
+        self._answered = now
+
+    def _take(self, row: model.Row | None) -> None:
+        if row is None or row.is_deleted:
+            return
+        try:
+            beat = records.decode_beat(row.value)
+        except records.BadRecordError as error:
+            self._log.warning("beat_unreadable", reason=error.message)
+            return
+        if beat == self._beat:
+            return
+        if self._beat is None or self._beat.term != beat.term:
+            self._log.info(
+                "scheduler_seen",
+                leader=beat.instance,
+                term=beat.term,
+                released=beat.is_released,
+            )
+        self._beat = beat
+        self._changed = self._clock.get_monotonic()
+
+    @property
+    def _delay(self) -> datetime.timedelta:
+        """How long this candidate lets better placed ones go first."""
+        delay = self._read_time * _DELAY_PER_READ_TIME
+        delay += _DELAY_OF_ONE_CORE / max(self._candidate.processor, 0.1)
+        return min(delay, _MAX_DELAY) + self._jitter
+
+    def _is_vacant(self) -> bool:
+        silence = self._clock.get_monotonic() - self._changed
+        beat = self._beat
+        if beat is None or beat.is_released:
+            return silence >= self._delay
+        if beat.instance == self._candidate.instance:
+            # The holder is an earlier process of this instance, or a write
+            # of this process whose answer was lost.
+            return True
+        return silence >= self._timeout + self._delay
+
+    async def _campaign(self) -> _authority.Term | None:
+        began = self._clock.get_boot_time()
+        try:
+            page = await self._store.read(
+                records.FENCE.table, records.FENCE.part, _READ_TIMEOUT
+            )
+            row = records.find_row(page.rows, records.FENCE)
+            holder = None if row is None else records.decode_beat(row.value)
+            if row is not None and holder is not None:
+                if holder.incarnation == self._candidate.incarnation:
+                    return _authority.Term(holder.term, row.version, began)
+            term = 1 if holder is None else holder.term + 1
+            return await self._claim(
+                0 if row is None else row.version, term, began
+            )
+        except records.BadRecordError as error:
+            self._log.error("fence_unreadable", reason=error.message)
+        except (
+            model.StoreUnavailableError,
+            model.StoreOutcomeUnknownError,
+        ) as error:
+            self._log.info("campaign_failed", reason=error.message)
+        await self._clock.sleep(_RETRY_PAUSE)
+        return None
+
+    async def _claim(
+        self, version: int, number: int, began: datetime.timedelta
+    ) -> _authority.Term | None:
+        beat = records.Beat(
+            self._candidate.instance, self._candidate.incarnation, number
+        )
+        value = records.encode_beat(beat)
+        result = await self._store.write(
+            [(records.FENCE, version)],
+            [
+                model.Put(records.FENCE, value),
+                model.Put(records.BEAT, value),
+                model.Put(records.SEQUENCE, b"{}"),
+            ],
+            [],
+            _WRITE_TIMEOUT,
+        )
+        if isinstance(result, model.Conflict):
+            self._log.info("campaign_lost", term=number)
+            return None
+        self._log.info("campaign_won", term=number, token=result.version)
+        return _authority.Term(number, result.version, began)
--- a/tamarackhatch/metrics/tests/__init__.py
+++ /dev/null
@@ -1,1 +0,0 @@
-"""Tests of the package."""
--- /dev/null
+++ b/tamarackhatch/model/__init__.py
@@ -0,0 +1,67 @@
+"""Data classes shared by all packages."""
+
+from tamarackhatch.model._configuration import AdviceTiming
+from tamarackhatch.model._configuration import Configuration
+from tamarackhatch.model._configuration import Queue
+from tamarackhatch.model._configuration import RequestLimits
+from tamarackhatch.model._configuration import Service
+from tamarackhatch.model._jobs import Job
+from tamarackhatch.model._jobs import JobState
+from tamarackhatch.model._jobs import Schedule
+from tamarackhatch.model._jobs import Step
+from tamarackhatch.model._jobs import TaskKey
+from tamarackhatch.model._resources import Resources
+from tamarackhatch.model._rows import Conflict
+from tamarackhatch.model._rows import Committed
+from tamarackhatch.model._rows import FeedPage
+from tamarackhatch.model._rows import HistoryLostError
+from tamarackhatch.model._rows import Put
+from tamarackhatch.model._rows import Row
+from tamarackhatch.model._rows import RowPage
+from tamarackhatch.model._rows import RowRef
+from tamarackhatch.model._rows import StoreOutcomeUnknownError
+from tamarackhatch.model._rows import StoreUnavailableError
+from tamarackhatch.model._rows import TableStore
+from tamarackhatch.model._runners import EndedTask
+from tamarackhatch.model._runners import EndKind
+from tamarackhatch.model._runners import Runner
+from tamarackhatch.model._runners import RunnerReport
+from tamarackhatch.model._runners import RunningTask
+from tamarackhatch.model._service import JobLookup
+from tamarackhatch.model._service import JobService
+from tamarackhatch.model._service import Outcome
+from tamarackhatch.model._service import QueueLookup
+
+__all__ = [
+    "AdviceTiming",
+    "Committed",
+    "Configuration",
+    "Conflict",
+    "EndKind",
+    "EndedTask",
+    "FeedPage",
+    "HistoryLostError",
+    "Job",
+    "JobLookup",
+    "JobService",
+    "JobState",
+    "Outcome",
+    "Put",
+    "Queue",
+    "QueueLookup",
+    "RequestLimits",
+    "Resources",
+    "Row",
+    "RowPage",
+    "RowRef",
+    "Runner",
+    "RunnerReport",
+    "RunningTask",
+    "Schedule",
+    "Service",
+    "Step",
+    "StoreOutcomeUnknownError",
+    "StoreUnavailableError",
+    "TableStore",
+    "TaskKey",
+]
--- /dev/null
+++ b/tamarackhatch/model/_runners.py
@@ -0,0 +1,111 @@
+"""Runners and what they report."""
+
+import datetime
+import enum
+
+import attrs
+
+from tamarackhatch.model import _jobs
+from tamarackhatch.model import _resources
+
+
+@attrs.frozen
+class Runner:
+    """A runner's entry in the registry.
+
+    Attributes:
+        identifier: Identity, which a restarted runner may keep.
+        service: Service whose queues it runs.
+        address: ``host:port`` of its calls.
+        data_centre: Where it stands.
+        is_draining: Whether it is about to leave.
+        capacity: What its tasks may reserve together.
+        labels: Its kind and its rack.
+        born: Start of this incarnation, in milliseconds of Unix time; 0 if
+            the entry does not say.
+        remaining: Least time until a draining runner leaves; None if it
+            is not draining.
+    """
+
+    identifier: str
+    service: str
+    address: str
+    data_centre: str
+    is_draining: bool
+    capacity: _resources.Resources
+    labels: tuple[str, ...] = ()
+    born: int = 0
+    remaining: datetime.timedelta | None = None
+
+    @property
+    def rack(self) -> str:
+        """The last label, which names the rack; empty without labels."""
+        return self.labels[-1] if self.labels else ""
+
+
+class EndKind(enum.Enum):
+    """How a run of a task ended."""
+
+    DONE = "done"
+    FAILED = "failed"
+    STOPPED = "stopped"
+    LAPSED = "lapsed"
+    BROKEN = "broken"
+    ALONE = "alone"
+
+
+@attrs.frozen
+class RunningTask:
+    """A run that a runner lists as running.
+
+    Attributes:
+        task: The task.
+        run: Number of the run.
+        checkpoint: Latest checkpoint; empty for none.
+        percent: Progress; 100 for a lasting task at work.
+        sample: For a serving task the tail of its response times over the
+            last half second, in milliseconds; for any other task its
+            processor use, in thousandths of a core.
+    """
+
+    task: _jobs.TaskKey
+    run: int
+    checkpoint: str
+    percent: int
+    sample: int = 0
+
+
+@attrs.frozen
+class EndedTask:
+    """A run that a runner lists as ended.
+
+    Attributes:
+        number: Position in the runner's sequence of ends, from 1.
+        task: The task.
+        run: Number of the run.
+        kind: How it ended.
+        checkpoint: Last checkpoint; empty for none.
+    """
+
+    number: int
+    task: _jobs.TaskKey
+    run: int
+    kind: EndKind
+    checkpoint: str
+
+
+@attrs.frozen
+class RunnerReport:
+    """Answer of a runner to a lease renewal.
+
+    Attributes:
+        born: Incarnation that answered; see Runner.
+        clock: Reading of the runner's steady clock.
+        running: All runs in progress.
+        ended: Ends that were not acknowledged yet, oldest first.
+    """
+
+    born: int
+    clock: datetime.timedelta
+    running: tuple[RunningTask, ...]
+    ended: tuple[EndedTask, ...]
--- /dev/null
+++ b/tamarackhatch/observability/_metrics.py
@@ -0,0 +1,75 @@
+"""Counters and latency histograms of one process."""
+
+import prometheus_client
+
+_LATENCY_BUCKETS = (
+    0.005,
+    0.01,
+    0.025,
+    0.05,
+    0.1,
+    0.25,
+    0.5,
+    1.0,
+    2.5,
+    5.0,
+    10.0,
+)
+
+
+class Metrics:
+    """All measurements of the process, with their registry."""
+
+    def __init__(self) -> None:
+        self._registry = prometheus_client.CollectorRegistry()
+        self.requests = prometheus_client.Counter(
+            "tamarackhatch_requests",
+            "Requests of callers by kind and outcome.",
+            ["kind", "outcome"],
+            registry=self._registry,
+        )
+        self.request_seconds = prometheus_client.Histogram(
+            "tamarackhatch_request_seconds",
+            "Time to answer a caller, by kind.",
+            ["kind"],
+            buckets=_LATENCY_BUCKETS,
+            registry=self._registry,
+        )
+        self.orders = prometheus_client.Counter(
+            "tamarackhatch_orders",
+            "Orders to runners by kind and outcome.",
+            ["kind", "outcome"],
+            registry=self._registry,
+        )
+        self.ends = prometheus_client.Counter(
+            "tamarackhatch_ends",
+            "Ends of runs by how they ended.",
+            ["how"],
+            registry=self._registry,
+        )
+        self.start_seconds = prometheus_client.Histogram(
+            "tamarackhatch_start_seconds",
+            "Time from a task's turn to its confirmed start.",
+            buckets=_LATENCY_BUCKETS,
+            registry=self._registry,
+        )
+        self.commit_seconds = prometheus_client.Histogram(
+            "tamarackhatch_commit_seconds",
+            "Time of the scheduler's transactions.",
+            buckets=_LATENCY_BUCKETS,
+            registry=self._registry,
+        )
+        self.waiting = prometheus_client.Gauge(
+            "tamarackhatch_waiting_tasks",
+            "Tasks that wait for a runner.",
+            registry=self._registry,
+        )
+        self.is_scheduler = prometheus_client.Gauge(
+            "tamarackhatch_is_scheduler",
+            "1 while this process is the active scheduler.",
+            registry=self._registry,
+        )
+
+    def render(self) -> bytes:
+        """Returns all measurements as text."""
+        return prometheus_client.generate_latest(self._registry)
--- /dev/null
+++ b/tamarackhatch/platform/__init__.py
@@ -0,0 +1,37 @@
+"""Adapter of the users' platform: its names, formats and calls."""
+
+from tamarackhatch.platform._configuration import CONFIGURATION_KEY
+from tamarackhatch.platform._configuration import decode_configuration
+from tamarackhatch.platform._configuration import OPERATOR_TABLE
+from tamarackhatch.platform._decoding import BadAnswerError
+from tamarackhatch.platform._ingress import Ingress
+from tamarackhatch.platform._job_body import BadJobError
+from tamarackhatch.platform._job_body import decode_job
+from tamarackhatch.platform._registry import decode_runner
+from tamarackhatch.platform._registry import RUNNERS_TABLE
+from tamarackhatch.platform._runner_client import FencedError
+from tamarackhatch.platform._runner_client import OrderOutcome
+from tamarackhatch.platform._runner_client import RunnerClient
+from tamarackhatch.platform._runner_client import RunnerOutcomeUnknownError
+from tamarackhatch.platform._runner_client import RunnerUnavailableError
+from tamarackhatch.platform._runner_client import RunOrder
+from tamarackhatch.platform._store import PlatformStore
+
+__all__ = [
+    "BadAnswerError",
+    "BadJobError",
+    "CONFIGURATION_KEY",
+    "FencedError",
+    "Ingress",
+    "OPERATOR_TABLE",
+    "OrderOutcome",
+    "PlatformStore",
+    "RUNNERS_TABLE",
+    "RunOrder",
+    "RunnerClient",
+    "RunnerOutcomeUnknownError",
+    "RunnerUnavailableError",
+    "decode_configuration",
+    "decode_job",
+    "decode_runner",
+]
--- /dev/null
+++ b/tamarackhatch/platform/_decoding.py
@@ -0,0 +1,112 @@
+"""Reads fields of JSON bodies, tolerating what other writers left there."""
+
+import datetime
+import typing
+
+import orjson
+
+from tamarackhatch import errors
+
+_MILLISECOND = datetime.timedelta(milliseconds=1)
+
+
+class BadAnswerError(errors.CodedError):
+    """A body does not have the published form."""
+
+    def __init__(self, message: str) -> None:
+        super().__init__(errors.ErrorCode.BAD_PLATFORM_ANSWER, message)
+
+
+def decode_object(body: bytes) -> dict[str, typing.Any]:
+    """Returns the JSON object of a body.
+
+    Raises:
+        BadAnswerError: The body is no JSON object.
+    """
+    try:
+        document = orjson.loads(body)
+    except orjson.JSONDecodeError as error:
+        raise BadAnswerError(f"the body is not JSON: {error}") from error
+    if not isinstance(document, dict):
+        raise BadAnswerError("the body is not a JSON object")
+    return document
+
+
+def get_text(document: dict[str, typing.Any], name: str) -> str:
+    """Returns a text field; empty if it is missing.
+
+    Raises:
+        BadAnswerError: The field has another type.
+    """
+    value = document.get(name, "")
+    if not isinstance(value, str):
+        raise BadAnswerError(f"{name} is not text")
+    return value
+
+
+def get_integer(document: dict[str, typing.Any], name: str) -> int:
+    """Returns a whole number; 0 if it is missing.
+
+    Raises:
+        BadAnswerError: The field is not a whole number.
+    """
+    value = document.get(name, 0)
+    if isinstance(value, float) and value.is_integer():
+        return int(value)
+    if isinstance(value, bool) or not isinstance(value, int):
+        raise BadAnswerError(f"{name} is not a whole number")
+    return value
+
+
+def get_flag(document: dict[str, typing.Any], name: str) -> bool:
+    """Returns a flag; false if it is missing.
+
+    Raises:
+        BadAnswerError: The field is neither true nor false.
+    """
+    value = document.get(name, False)
+    if not isinstance(value, bool):
+        raise BadAnswerError(f"{name} is neither true nor false")
+    return value
+
+
+def get_milliseconds(
+    document: dict[str, typing.Any], name: str
+) -> datetime.timedelta:
+    """Returns a duration that is given in milliseconds; 0 if missing.
+
+    Raises:
+        BadAnswerError: The field is not a number.
+    """
+    value = document.get(name, 0)
+    if isinstance(value, bool) or not isinstance(value, (int, float)):
+        raise BadAnswerError(f"{name} is not a number")
+    return value * _MILLISECOND
+
+
+def get_list(document: dict[str, typing.Any], name: str) -> list[typing.Any]:
+    """Returns a list; empty if it is missing.
+
+    Raises:
+        BadAnswerError: The field is no list.
+    """
+    value = document.get(name) or []
+    if not isinstance(value, list):
+        raise BadAnswerError(f"{name} is not a list")
+    return value
+
+
+def get_object(value: object, name: str) -> dict[str, typing.Any]:
+    """Returns a value as an object.
+
+    Raises:
+        BadAnswerError: The value is no object.
+    """
+    if not isinstance(value, dict):
+        raise BadAnswerError(f"{name} is not an object")
+    return value
+
+
+def count_milliseconds(duration: datetime.timedelta) -> int:
+    """Returns a duration in whole milliseconds, rounded down."""
+    return duration // _MILLISECOND
--- /dev/null
+++ b/tamarackhatch/platform/_job_body.py
@@ -0,0 +1,95 @@
+"""Jobs as callers submit them over the platform's interface."""
+
+import datetime
+import typing
+
+from tamarackhatch import errors
+from tamarackhatch import model
+from tamarackhatch.platform import _decoding
+from tamarackhatch.platform import _registry
+
+_MAX_SPECIFICATION_BYTES = 4000
+_MAX_TASKS = 20_000
+_EPOCH = datetime.datetime(1970, 1, 1, tzinfo=datetime.timezone.utc)
+
+
+class BadJobError(errors.CodedError):
+    """A submitted job is malformed."""
+
+    def __init__(self, message: str) -> None:
+        super().__init__(errors.ErrorCode.BAD_JOB, message)
+
+
+def decode_job(
+    identifier: str, queue: model.Queue, body: bytes, now: datetime.datetime
+) -> model.Job:
+    """Returns the job of a request body.
+
+    Raises:
+        BadJobError: The body is malformed.
+    """
+    try:
+        document = _decoding.decode_object(body)
+        specification = _decoding.get_text(document, "spec")
+        if len(specification.encode()) > _MAX_SPECIFICATION_BYTES:
+            raise BadJobError(
+                f"spec is longer than {_MAX_SPECIFICATION_BYTES} bytes"
+            )
+        items = _decoding.get_list(document, "steps")
+        steps = tuple(
+            _decode_step(_decoding.get_object(item, f"steps[{index}]"), index)
+            for index, item in enumerate(items)
+        )
+        schedule = _decode_schedule(document)
+    except _decoding.BadAnswerError as error:
+        raise BadJobError(error.message) from error
+    if not steps:
+        raise BadJobError("a job needs at least one step")
+    if sum(step.count for step in steps) > _MAX_TASKS:
+        raise BadJobError(f"a job has more than {_MAX_TASKS} tasks")
+    return model.Job(identifier, queue, specification, steps, now, schedule)
+
+
+def _decode_schedule(
+    document: dict[str, typing.Any],
+) -> model.Schedule | None:
+    count = _decoding.get_integer(document, "repeat_count")
+    if count <= 0:
+        return None
+    return model.Schedule(
+        _EPOCH + _decoding.get_milliseconds(document, "first_run_ms"),
+        _decoding.get_milliseconds(document, "interval_ms"),
+        count,
+    )
+
+
+def _decode_step(document: dict[str, typing.Any], index: int) -> model.Step:
+    count = _decoding.get_integer(document, "count")
+    if count < 1:
+        raise BadJobError(f"steps[{index}].count must be at least 1")
+    after = _decoding.get_list(document, "after")
+    if not all(
+        isinstance(step, int)
+        and not isinstance(step, bool)
+        and 0 <= step < index
+        for step in after
+    ):
+        raise BadJobError(f"steps[{index}].after must name earlier steps")
+    return model.Step(
+        count=count,
+        resources=_registry.decode_resources(document),
+        estimate=_decoding.get_milliseconds(document, "est_runtime_ms"),
+        after=tuple(after),
+        is_gang=_decoding.get_flag(document, "gang"),
+        is_checkpointing=_decoding.get_flag(document, "checkpointing"),
+        is_rack_sensitive=_decoding.get_flag(document, "rack_sensitive"),
+        is_speculative=_decoding.get_flag(document, "speculative"),
+        is_lasting=_decoding.get_flag(document, "long_running"),
+        is_filler=_decoding.get_flag(document, "fills"),
+        required_label=_decoding.get_text(document, "requires"),
+        preferred_rack=_decoding.get_text(document, "affinity"),
+        max_per_runner=_decoding.get_integer(document, "anti_affinity"),
+        image=_decoding.get_text(document, "image"),
+        tail_target=_decoding.get_milliseconds(document, "target_ms"),
+        may_miss=_decoding.get_integer(document, "may_miss"),
+    )
--- /dev/null
+++ b/tamarackhatch/platform/_registry.py
@@ -0,0 +1,63 @@
+"""The runners' own entries in the platform's store."""
+
+import typing
+
+from tamarackhatch import model
+from tamarackhatch.platform import _decoding
+
+RUNNERS_TABLE: typing.Final = "servers"
+_READY = "ready"
+_DRAINING = "draining"
+
+
+def decode_runner(row: model.Row) -> model.Runner:
+    """Returns the runner of an entry.
+
+    Raises:
+        BadAnswerError: Another writer left the entry; it names no runner.
+    """
+    document = _decoding.decode_object(row.value)
+    state = _decoding.get_text(document, "state")
+    service = _decoding.get_text(document, "service")
+    address = _decoding.get_text(document, "address")
+    if state not in (_READY, _DRAINING):
+        raise _decoding.BadAnswerError(f"state {state!r} is not known")
+    host, separator, port = address.rpartition(":")
+    if not (service and host and separator and port.isdigit()):
+        raise _decoding.BadAnswerError("service or address is missing")
+    capacity = _decoding.get_object(document.get("capacity"), "capacity")
+    labels = _decoding.get_list(document, "labels")
+    if not all(isinstance(label, str) for label in labels):
+        raise _decoding.BadAnswerError("a label is not text")
+    is_draining = state == _DRAINING
+    return model.Runner(
+        identifier=row.ref.key,
+        service=service,
+        address=address,
+        data_centre=_decoding.get_text(document, "zone"),
+        is_draining=is_draining,
+        capacity=decode_resources(capacity),
+        labels=tuple(labels),
+        born=_decoding.get_integer(document, "born"),
+        remaining=(
+            _decoding.get_milliseconds(document, "remaining_ms")
+            if is_draining
+            else None
+        ),
+    )
+
+
+def decode_resources(document: dict[str, typing.Any]) -> model.Resources:
+    """Returns the resources of a task or a runner.
+
+    Raises:
+        BadAnswerError: An amount is not a whole number, or is negative.
+    """
+    resources = model.Resources(
+        _decoding.get_integer(document, "cpu"),
+        _decoding.get_integer(document, "mem_mb"),
+        _decoding.get_integer(document, "gpu"),
+    )
+    if min(resources.cpu, resources.memory, resources.accelerators) < 0:
+        raise _decoding.BadAnswerError("an amount is negative")
+    return resources
--- /dev/null
+++ b/tamarackhatch/platform/_runner_client.py
@@ -0,0 +1,300 @@
+"""Orders to runners over the platform's protocol."""
+
+import datetime
+import enum
+import typing
+
+import attrs
+import orjson
+
+from tamarackhatch import errors
+from tamarackhatch import model
+from tamarackhatch.platform import _decoding
+from tamarackhatch import transport
+
+_OK = 200
+_CONFLICT = 409
+_OTHER_INCARNATION = 421
+_NOT_DONE_STATUSES = (429, 503)
+# Time on the way beyond the wait that a renewal asks for. The farthest
+# runners answer within 30 ms, and a lost packet costs one resend.
+_RENEWAL_SLACK = datetime.timedelta(milliseconds=800)
+_ORDER_TIMEOUT = datetime.timedelta(milliseconds=800)
+_MILLISECOND = datetime.timedelta(milliseconds=1)
+
+
+class RunnerUnavailableError(errors.CodedError):
+    """The runner did not do what was asked, and will not do it later."""
+
+    def __init__(self, message: str) -> None:
+        super().__init__(errors.ErrorCode.RUNNER_UNAVAILABLE, message)
+
+
+class RunnerOutcomeUnknownError(errors.CodedError):
+    """No answer came; the order may be carried out, now or later."""
+
+    def __init__(self, message: str) -> None:
+        super().__init__(errors.ErrorCode.RUNNER_OUTCOME_UNKNOWN, message)
+
+
+class OrderOutcome(enum.Enum):
+    """Answer of a runner to an order.
+
+    Attributes:
+        ACCEPTED: It is carried out, or was before.
+        FENCED: The runner has seen a higher fencing token.
+        OUTDATED: This run or a higher one was stopped or has ended there.
+        EXPIRED: The lease in the order has passed on the runner's clock.
+        NO_ROOM: The task does not fit.
+        NO_TICKET: The placement policy's ticket is missing or expired.
+        UNHEALTHY: The runner does nothing at present.
+        RESTARTED: Another incarnation answers at the address.
+        INVALID: The runner does not understand the order.
+    """
+
+    ACCEPTED = "accepted"
+    FENCED = "fenced"
+    OUTDATED = "outdated"
+    EXPIRED = "expired"
+    NO_ROOM = "no room"
+    NO_TICKET = "no ticket"
+    UNHEALTHY = "unhealthy"
+    RESTARTED = "restarted"
+    INVALID = "invalid"
+
+
+_REASONS: typing.Final = {
+    "fence": OrderOutcome.FENCED,
+    "old": OrderOutcome.OUTDATED,
+    "late": OrderOutcome.EXPIRED,
+    "room": OrderOutcome.NO_ROOM,
+    "ticket": OrderOutcome.NO_TICKET,
+}
+
+
+@attrs.frozen
+class RunOrder:
+    """Names a run for an order.
+
+    Attributes:
+        task: The task.
+        run: Number of the run.
+        token: Fencing token of the scheduler.
+    """
+
+    task: model.TaskKey
+    run: int
+    token: int
+
+
+class RunnerClient:
+    """Sends orders to runners."""
+
+    def __init__(self, client: transport.HttpClient) -> None:
+        self._client = client
+
+    async def renew(
+        self,
+        runner: model.Runner,
+        token: int,
+        acknowledged: int,
+        lease_end: datetime.timedelta | None,
+        wait: datetime.timedelta,
+    ) -> model.RunnerReport:
+        """Renews the lease of all that runs there, and reads both lists.
+
+        Args:
+            runner: The runner.
+            token: Fencing token of the scheduler.
+            acknowledged: Number of the last end that is kept durably.
+            lease_end: End of the lease on the runner's clock; None only
+                looks.
+            wait: How long the runner may wait for an end.
+
+        Raises:
+            RunnerUnavailableError: No report came.
+            FencedError: The runner has seen a higher token.
+        """
+        body: dict[str, typing.Any] = {
+            "fencing_token": token,
+            "ack_cursor": acknowledged,
+            "wait_ms": _decoding.count_milliseconds(wait),
+        }
+        if lease_end is not None:
+            body["deadline_ms"] = _decoding.count_milliseconds(lease_end)
+        try:
+            answer = await self._send(
+                runner, "/-/hold", body, wait + _RENEWAL_SLACK
+            )
+        except RunnerOutcomeUnknownError as error:
+            raise RunnerUnavailableError(error.message) from error
+        if answer.status == _CONFLICT:
+            outcome = _decode_refusal(answer.body)
+            if outcome is OrderOutcome.FENCED:
+                raise FencedError(f"runner {runner.identifier}")
+        if answer.status != _OK:
+            raise RunnerUnavailableError(f"status {answer.status}")
+        return _decode_report(answer.body)
+
+    async def start(
+        self,
+        runner: model.Runner,
+        order: RunOrder,
+        specification: str,
+        lease_end: datetime.timedelta,
+        checkpoint: str,
+        ticket: str,
+    ) -> OrderOutcome:
+        """Starts a run.
+
+        Raises:
+            RunnerUnavailableError: The run did not start and will not.
+            RunnerOutcomeUnknownError: The run may start until the lease ends.
+        """
+        body = _encode_order(order)
+        body["spec"] = specification
+        body["deadline_ms"] = _decoding.count_milliseconds(lease_end)
+        if checkpoint:
+            body["checkpoint"] = checkpoint
+        if ticket:
+            body["ticket"] = ticket
+        return await self._order(runner, "/-/run-start", body)
+
+    async def stop(
+        self, runner: model.Runner, order: RunOrder
+    ) -> OrderOutcome:
+        """Stops a run, or keeps it from starting.
+
+        Raises:
+            RunnerUnavailableError: Nothing was done.
+            RunnerOutcomeUnknownError: It may be done, now or later.
+        """
+        return await self._order(runner, "/-/run-stop", _encode_order(order))
+
+    async def set_pace(
+        self, runner: model.Runner, order: RunOrder, percent: int
+    ) -> OrderOutcome:
+        """Lets a run work at a share of its speed.
+
+        Raises:
+            RunnerUnavailableError: Nothing was done.
+            RunnerOutcomeUnknownError: It may be done, now or later.
+        """
+        body = _encode_order(order)
+        body["percent"] = percent
+        return await self._order(runner, "/-/pace", body)
+
+    async def _order(
+        self, runner: model.Runner, path: str, body: dict[str, typing.Any]
+    ) -> OrderOutcome:
+        answer = await self._send(runner, path, body, _ORDER_TIMEOUT)
+        if answer.status == _OK:
+            return OrderOutcome.ACCEPTED
+        if answer.status == _CONFLICT:
+            return _decode_refusal(answer.body)
+        if answer.status == _OTHER_INCARNATION:
+            return OrderOutcome.RESTARTED
+        if answer.status in _NOT_DONE_STATUSES:
+            return OrderOutcome.UNHEALTHY
+        if answer.status == 400:
+            return OrderOutcome.INVALID
+        raise RunnerOutcomeUnknownError(f"status {answer.status}")
+
+    async def _send(
+        self,
+        runner: model.Runner,
+        path: str,
+        body: dict[str, typing.Any],
+        timeout: datetime.timedelta,
+    ) -> transport.Answer:
+        call = transport.Call(
+            "POST",
+            runner.address,
+            path,
+            timeout,
+            orjson.dumps(body),
+            (f"X-Expect-Instance: {runner.identifier}",),
+        )
+        try:
+            return await self._client.send(call)
+        except transport.CallNotSentError as error:
+            raise RunnerUnavailableError(str(error)) from error
+        except transport.CallLostError as error:
+            raise RunnerOutcomeUnknownError(str(error)) from error
+
+
+class FencedError(errors.CodedError):
+    """Another scheduler has a higher fencing token."""
+
+    def __init__(self, message: str) -> None:
+        super().__init__(errors.ErrorCode.SCHEDULER_FENCED, message)
+
+
+def parse_task_key(text: str) -> model.TaskKey:
+    """Returns the task of a name on the wire.
+
+    Raises:
+        BadAnswerError: The name does not have four parts.
+    """
+    parts = text.split(".")
+    try:
+        job, occurrence, step, index = parts
+        return model.TaskKey(job, int(occurrence), int(step), int(index))
+    except ValueError as error:
+        raise _decoding.BadAnswerError(f"bad task name {text!r}") from error
+
+
+def _encode_order(order: RunOrder) -> dict[str, typing.Any]:
+    return {
+        "task": str(order.task),
+        "run": order.run,
+        "fencing_token": order.token,
+    }
+
+
+def _decode_refusal(body: bytes) -> OrderOutcome:
+    document = _decoding.decode_object(body)
+    reason = _decoding.get_text(document, "reason")
+    return _REASONS.get(reason, OrderOutcome.INVALID)
+
+
+def _decode_report(body: bytes) -> model.RunnerReport:
+    document = _decoding.decode_object(body)
+    try:
+        return model.RunnerReport(
+            _decoding.get_integer(document, "born"),
+            _decoding.get_integer(document, "clock_ms") * _MILLISECOND,
+            tuple(
+                _decode_running(row)
+                for row in _decoding.get_list(document, "running")
+            ),
+            tuple(
+                _decode_ended(row)
+                for row in _decoding.get_list(document, "ended")
+            ),
+        )
+    except (IndexError, TypeError, ValueError) as error:
+        raise _decoding.BadAnswerError(f"bad report: {error}") from error
+
+
+def _decode_running(row: list[typing.Any]) -> model.RunningTask:
+    # Rows are [task, run, saved, percent, sample]; "saved" is the checkpoint.
+    sample = row[4] if len(row) > 4 else 0
+    return model.RunningTask(
+        parse_task_key(row[0]),
+        int(row[1]),
+        row[2] or "",
+        int(row[3]),
+        int(sample or 0),
+    )
+
+
+def _decode_ended(row: list[typing.Any]) -> model.EndedTask:
+    # Rows are [number, task, run, how, saved].
+    return model.EndedTask(
+        int(row[0]),
+        parse_task_key(row[1]),
+        int(row[2]),
+        model.EndKind(row[3]),
+        row[4] or "",
+    )
--- /dev/null
+++ b/tamarackhatch/platform/_store.py
@@ -0,0 +1,168 @@
+"""Client of the platform's metadata store."""
+
+import base64
+from collections.abc import Sequence
+import datetime
+import typing
+import urllib.parse
+
+import orjson
+
+from tamarackhatch import model
+from tamarackhatch.platform import _decoding
+from tamarackhatch import transport
+
+_OK = 200
+_GONE = 410
+_CONDITION_FAILED = 412
+# A feed answers after its wait; the rest covers the way and a slow store.
+_FEED_SLACK = datetime.timedelta(milliseconds=900)
+
+
+class PlatformStore:
+    """The platform's table store, over HTTP."""
+
+    def __init__(self, client: transport.HttpClient, address: str) -> None:
+        self._client = client
+        self._address = address
+
+    async def write(
+        self,
+        expected: Sequence[tuple[model.RowRef, int]],
+        puts: Sequence[model.Put],
+        removals: Sequence[model.RowRef],
+        timeout: datetime.timedelta,
+    ) -> model.Committed | model.Conflict:
+        """Applies all changes or none; see model.TableStore."""
+        body = orjson.dumps(
+            {
+                "expected_rev": [
+                    {**_encode_ref(ref), "schema_version": version}
+                    for ref, version in expected
+                ],
+                "puts": [
+                    {
+                        **_encode_ref(put.ref),
+                        "value": base64.b64encode(put.value).decode(),
+                    }
+                    for put in puts
+                ],
+                "remove": [_encode_ref(ref) for ref in removals],
+            }
+        )
+        call = transport.Call(
+            "POST", self._address, "/-/rows-tx", timeout, body
+        )
+        try:
+            answer = await self._client.send(call)
+        except transport.CallNotSentError as error:
+            raise model.StoreUnavailableError(str(error)) from error
+        except transport.CallLostError as error:
+            raise model.StoreOutcomeUnknownError(str(error)) from error
+        try:
+            if answer.status == _OK:
+                document = _decoding.decode_object(answer.body)
+                return model.Committed(
+                    _decoding.get_integer(document, "schema_version")
+                )
+            if answer.status == _CONDITION_FAILED:
+                document = _decoding.decode_object(answer.body)
+                return model.Conflict(_decode_rows(document))
+        except _decoding.BadAnswerError as error:
+            raise model.StoreOutcomeUnknownError(error.message) from error
+        # The store answers every other status without having done anything.
+        raise model.StoreUnavailableError(f"status {answer.status}")
+
+    async def read(
+        self,
+        table: str,
+        part: str,
+        timeout: datetime.timedelta,
+        first: str = "",
+        end: str = "",
+    ) -> model.RowPage:
+        """Reads rows of a partition; see model.TableStore."""
+        query = {"table": table, "part": part}
+        if first:
+            query["from"] = first
+        if end:
+            query["to"] = end
+        document = await self._get("/-/rows-get", query, timeout)
+        try:
+            return model.RowPage(
+                _decode_rows(document),
+                _decoding.get_flag(document, "has_more"),
+                _decoding.get_integer(document, "schema_version"),
+            )
+        except _decoding.BadAnswerError as error:
+            raise model.StoreUnavailableError(error.message) from error
+
+    async def follow(
+        self, table: str, after: int, wait: datetime.timedelta
+    ) -> model.FeedPage:
+        """Waits for changes of a table; see model.TableStore."""
+        query = {
+            "table": table,
+            "after": str(after),
+            "wait_ms": str(_decoding.count_milliseconds(wait)),
+        }
+        document = await self._get("/-/rows-feed", query, wait + _FEED_SLACK)
+        try:
+            version = _decoding.get_integer(document, "schema_version")
+            return model.FeedPage(_decode_rows(document), max(version, after))
+        except _decoding.BadAnswerError as error:
+            raise model.StoreUnavailableError(error.message) from error
+
+    async def _get(
+        self, path: str, query: dict[str, str], timeout: datetime.timedelta
+    ) -> dict[str, typing.Any]:
+        path = f"{path}?{urllib.parse.urlencode(query)}"
+        call = transport.Call("GET", self._address, path, timeout)
+        try:
+            answer = await self._client.send(call)
+        except (
+            transport.CallNotSentError,
+            transport.CallLostError,
+        ) as error:
+            raise model.StoreUnavailableError(str(error)) from error
+        if answer.status == _GONE:
+            raise model.HistoryLostError("the store dropped its history")
+        if answer.status != _OK:
+            raise model.StoreUnavailableError(f"status {answer.status}")
+        try:
+            return _decoding.decode_object(answer.body)
+        except _decoding.BadAnswerError as error:
+            raise model.StoreUnavailableError(error.message) from error
+
+
+def _encode_ref(ref: model.RowRef) -> dict[str, str]:
+    return {"table": ref.table, "part": ref.part, "key": ref.key}
+
+
+def _decode_rows(
+    document: dict[str, typing.Any],
+) -> tuple[model.Row, ...]:
+    return tuple(
+        _decode_row(_decoding.get_object(item, "a row"))
+        for item in _decoding.get_list(document, "rows")
+    )
+
+
+def _decode_row(document: dict[str, typing.Any]) -> model.Row:
+    text = document.get("value") or ""
+    if not isinstance(text, str):
+        raise _decoding.BadAnswerError("value is not text")
+    try:
+        value = base64.b64decode(text, validate=True)
+    except ValueError as error:
+        raise _decoding.BadAnswerError("value is not base64") from error
+    return model.Row(
+        model.RowRef(
+            _decoding.get_text(document, "table"),
+            _decoding.get_text(document, "part"),
+            _decoding.get_text(document, "key"),
+        ),
+        value,
+        _decoding.get_integer(document, "schema_version"),
+        bool(document.get("deleted")),
+    )
--- /dev/null
+++ b/tamarackhatch/records/_jobs.py
@@ -0,0 +1,120 @@
+"""JSON form of a job, in the store and on the project's own interface."""
+
+import datetime
+import typing
+
+import attrs
+import orjson
+
+from tamarackhatch import model
+from tamarackhatch.records import _progress
+
+_EPOCH = datetime.datetime(1970, 1, 1, tzinfo=datetime.timezone.utc)
+_MILLISECOND = datetime.timedelta(milliseconds=1)
+
+
+def encode_job(job: model.Job) -> bytes:
+    """Returns the row value of a job."""
+    document: dict[str, typing.Any] = {
+        "queue": _encode_queue(job.queue),
+        "specification": job.specification,
+        "steps": [_encode_step(step) for step in job.steps],
+        "accepted_ms": (job.accepted - _EPOCH) // _MILLISECOND,
+    }
+    if job.schedule is not None:
+        document["schedule"] = {
+            "first_ms": (job.schedule.first - _EPOCH) // _MILLISECOND,
+            "interval_ms": job.schedule.interval // _MILLISECOND,
+            "count": job.schedule.count,
+        }
+    return orjson.dumps(document)
+
+
+def decode_job(identifier: str, value: bytes) -> model.Job:
+    """Returns the job of a row value.
+
+    Raises:
+        BadRecordError: The value is malformed.
+    """
+    try:
+        document = orjson.loads(value)
+        schedule = document.get("schedule")
+        return model.Job(
+            identifier,
+            _decode_queue(document["queue"]),
+            document["specification"],
+            tuple(_decode_step(step) for step in document["steps"]),
+            _EPOCH + document["accepted_ms"] * _MILLISECOND,
+            None if schedule is None else _decode_schedule(schedule),
+        )
+    except (ValueError, KeyError, TypeError, AttributeError) as error:
+        raise _progress.BadRecordError(
+            f"bad row of job {identifier}: {error!r}"
+        ) from error
+
+
+def _encode_queue(queue: model.Queue) -> list[typing.Any]:
+    """Keeps what running the job needs when the queue is removed."""
+    return [
+        queue.name,
+        queue.service,
+        queue.priority,
+        queue.max_attempts,
+        queue.stretch,
+        queue.target_latency // _MILLISECOND,
+    ]
+
+
+def _decode_queue(fields: list[typing.Any]) -> model.Queue:
+    name, service, priority, max_attempts, stretch, target = fields
+    return model.Queue(
+        name=name,
+        host="",
+        path_prefix="",
+        service=service,
+        priority=priority,
+        max_attempts=max_attempts,
+        stretch=stretch,
+        target_latency=target * _MILLISECOND,
+    )
+
+
+def _encode_step(step: model.Step) -> dict[str, typing.Any]:
+    document: dict[str, typing.Any] = {}
+    for field in attrs.fields(model.Step):
+        value = getattr(step, field.name)
+        if value == field.default:
+            continue
+        if isinstance(value, datetime.timedelta):
+            document[f"{field.name}_ms"] = value // _MILLISECOND
+        elif isinstance(value, model.Resources):
+            document[field.name] = [
+                value.cpu,
+                value.memory,
+                value.accelerators,
+            ]
+        else:
+            document[field.name] = value
+    return document
+
+
+def _decode_step(document: dict[str, typing.Any]) -> model.Step:
+    values: dict[str, typing.Any] = {}
+    for name, value in document.items():
+        if name.endswith("_ms"):
+            values[name.removesuffix("_ms")] = value * _MILLISECOND
+        elif name == "resources":
+            values[name] = model.Resources(*value)
+        elif name == "after":
+            values[name] = tuple(value)
+        else:
+            values[name] = value
+    return model.Step(**values)
+
+
+def _decode_schedule(document: dict[str, typing.Any]) -> model.Schedule:
+    return model.Schedule(
+        _EPOCH + document["first_ms"] * _MILLISECOND,
+        document["interval_ms"] * _MILLISECOND,
+        document["count"],
+    )
--- /dev/null
+++ b/tamarackhatch/records/_progress.py
@@ -0,0 +1,122 @@
+"""Progress of a job as the scheduler keeps it durably."""
+
+import typing
+
+import attrs
+import orjson
+
+from tamarackhatch import errors
+from tamarackhatch import model
+
+
+class BadRecordError(errors.CodedError):
+    """A row of the project cannot be read."""
+
+    def __init__(self, message: str) -> None:
+        super().__init__(errors.ErrorCode.BAD_RECORD, message)
+
+
+@attrs.frozen
+class TaskHistory:
+    """What must not be forgotten about an unfinished task.
+
+    Attributes:
+        run: Highest run number known to have ended.
+        failures: Runs that failed.
+        checkpoint: Latest checkpoint; empty for none.
+    """
+
+    run: int
+    failures: int
+    checkpoint: str
+
+
+@attrs.frozen
+class OccurrenceProgress:
+    """Progress of one occurrence of a job.
+
+    Attributes:
+        done: For each step index, the finished tasks as a bit set.
+        tasks: Histories of unfinished tasks, by step and task index.
+    """
+
+    done: dict[int, int] = attrs.field(factory=dict)
+    tasks: dict[tuple[int, int], TaskHistory] = attrs.field(factory=dict)
+
+
+@attrs.frozen
+class JobProgress:
+    """Progress of a job.
+
+    Attributes:
+        state: State that callers are shown.
+        finished: All occurrences before this one are finished.
+        occurrences: Progress of later occurrences that have any.
+    """
+
+    state: model.JobState
+    finished: int = 0
+    occurrences: dict[int, OccurrenceProgress] = attrs.field(factory=dict)
+
+
+def encode_progress(progress: JobProgress) -> bytes:
+    """Returns the row value of a job's progress.
+
+    The keys are single letters, because the row is rewritten with most ends
+    of tasks and the store's traffic is paid by volume.
+    """
+    document: dict[str, typing.Any] = {"s": progress.state.value}
+    if not progress.state.is_final:
+        if progress.finished:
+            document["f"] = progress.finished
+        occurrences = {
+            str(number): _encode_occurrence(occurrence)
+            for number, occurrence in progress.occurrences.items()
+        }
+        if occurrences:
+            document["o"] = occurrences
+    return orjson.dumps(document)
+
+
+def decode_progress(value: bytes) -> JobProgress:
+    """Returns the progress of a row value.
+
+    Raises:
+        BadRecordError: The value is malformed.
+    """
+    try:
+        document = orjson.loads(value)
+        return JobProgress(
+            model.JobState(document["s"]),
+            document.get("f", 0),
+            {
+                int(number): _decode_occurrence(occurrence)
+                for number, occurrence in document.get("o", {}).items()
+            },
+        )
+    except (ValueError, KeyError, TypeError, AttributeError) as error:
+        raise BadRecordError(f"bad progress row: {error!r}") from error
+
+
+def _encode_occurrence(
+    occurrence: OccurrenceProgress,
+) -> dict[str, typing.Any]:
+    return {
+        "d": {
+            str(step): f"{bits:x}" for step, bits in occurrence.done.items()
+        },
+        "t": [
+            [step, index, history.run, history.failures, history.checkpoint]
+            for (step, index), history in occurrence.tasks.items()
+        ],
+    }
+
+
+def _decode_occurrence(document: dict[str, typing.Any]) -> OccurrenceProgress:
+    return OccurrenceProgress(
+        {int(step): int(bits, 16) for step, bits in document["d"].items()},
+        {
+            (step, index): TaskHistory(run, failures, checkpoint)
+            for step, index, run, failures, checkpoint in document["t"]
+        },
+    )
--- /dev/null
+++ b/tamarackhatch/scheduler/__init__.py
@@ -0,0 +1,5 @@
+"""Scheduling of tasks on the runners of a cell."""
+
+from tamarackhatch.scheduler._scheduler import Scheduler
+
+__all__ = ["Scheduler"]
--- /dev/null
+++ b/tamarackhatch/scheduler/_context.py
@@ -0,0 +1,53 @@
+"""What the parts of one scheduler share."""
+
+import asyncio
+import datetime
+
+import attrs
+
+from tamarackhatch import clock
+from tamarackhatch import election
+from tamarackhatch import observability
+from tamarackhatch import platform
+from tamarackhatch import settings
+from tamarackhatch.scheduler import _board
+from tamarackhatch.scheduler import _fleet
+from tamarackhatch.scheduler import _writer
+
+
+@attrs.frozen
+class SchedulerContext:
+    """Parts of one scheduler that its tasks share.
+
+    Attributes:
+        clock: Source of time.
+        settings: Settings of the instance.
+        authority: Whether orders may be given.
+        client: Sends orders to runners.
+        board: Jobs and tasks.
+        fleet: Runners by identifier.
+        writer: Writes durable progress.
+        log: Log of the scheduler.
+        metrics: Measurements of the process.
+        wake: Set when tasks wait or room has become free.
+    """
+
+    clock: clock.Clock
+    settings: settings.Settings
+    authority: election.Authority
+    client: platform.RunnerClient
+    board: _board.Board
+    fleet: dict[str, _fleet.RunnerEntry]
+    writer: _writer.ProgressWriter
+    log: observability.Log
+    metrics: observability.Metrics
+    wake: asyncio.Event
+
+    @property
+    def token(self) -> int:
+        """Fencing token of the term."""
+        return self.authority.term.token
+
+    def get_now(self) -> datetime.timedelta:
+        """Returns monotonic time."""
+        return self.clock.get_monotonic()
--- /dev/null
+++ b/tamarackhatch/scheduler/_dispatcher.py
@@ -0,0 +1,160 @@
+"""Gives waiting tasks to runners."""
+
+import asyncio
+import datetime
+
+from tamarackhatch import placement
+from tamarackhatch.scheduler import _context
+from tamarackhatch.scheduler import _fleet
+from tamarackhatch.scheduler import _orders
+from tamarackhatch.scheduler import _state
+
+# Events within this time share one pass.
+_PASS_INTERVAL = datetime.timedelta(milliseconds=10)
+# Runners become usable again without an event.
+_MAX_INTERVAL = datetime.timedelta(milliseconds=250)
+
+Group = dict[int, _state.TaskEntry]
+
+
+class Dispatcher:
+    """Runs placement passes when tasks wait or room has become free."""
+
+    def __init__(
+        self, context: _context.SchedulerContext, orders: _orders.OrderDesk
+    ) -> None:
+        self._context = context
+        self._orders = orders
+        self._settled_version: int | None = None
+
+    def hold_back(self, version: int) -> None:
+        """Keeps jobs up to a row version from starting.
+
+        Their tasks may run on runners that have not answered yet.
+        """
+        self._settled_version = version
+
+    def let_go(self) -> None:
+        """Lets all jobs start."""
+        self._settled_version = None
+        self._context.wake.set()
+
+    async def run(self) -> None:
+        """Runs passes until cancelled."""
+        context = self._context
+        while True:
+            try:
+                async with asyncio.timeout(_MAX_INTERVAL.total_seconds()):
+                    await context.wake.wait()
+            except TimeoutError:
+                pass
+            context.wake.clear()
+            if context.authority.is_valid:
+                self.run_pass()
+            await context.clock.sleep(_PASS_INTERVAL)
+
+    def run_pass(self) -> None:
+        """Places as many waiting tasks as there is room for."""
+        context = self._context
+        waiting = context.board.waiting
+        context.metrics.waiting.set(sum(map(len, waiting.values())))
+        if not waiting:
+            return
+        groups = sorted((group for group in waiting.values()), key=_get_order)
+        candidates = self._list_candidates()
+        for group in groups:
+            first = next(iter(group.values()))
+            if self._is_held_back(first):
+                continue
+            service = first.job.job.queue.service
+            self._place_group(group, candidates.get(service, []))
+
+    def _is_held_back(self, task: _state.TaskEntry) -> bool:
+        return (
+            self._settled_version is not None
+            and task.job.version <= self._settled_version
+        )
+
+    def _list_candidates(self) -> dict[str, list[placement.Candidate]]:
+        now = self._context.get_now()
+        candidates: dict[str, list[placement.Candidate]] = {}
+        for entry in self._context.fleet.values():
+            if entry.is_usable(now):
+                candidates.setdefault(entry.record.service, []).append(
+                    placement.Candidate(entry.load, entry.failures)
+                )
+        return candidates
+
+    def _place_group(
+        self, group: Group, candidates: list[placement.Candidate]
+    ) -> None:
+        tasks = list(group.values())
+        if tasks[0].step.is_gang:
+            self._place_gang(tasks, candidates)
+            return
+        for task in tasks:
+            chosen = self._choose(task, candidates)
+            if chosen is None:
+                return
+            self._start(task, chosen)
+
+    def _place_gang(
+        self,
+        tasks: list[_state.TaskEntry],
+        candidates: list[placement.Candidate],
+    ) -> None:
+        occurrence = tasks[0].job.occurrences[tasks[0].key.occurrence]
+        members = occurrence.steps[tasks[0].key.step]
+        if len(tasks) < len(members):
+            return
+        chosen: list[placement.Candidate] = []
+        for task in members:
+            candidate = self._choose(task, candidates)
+            if candidate is None:
+                break
+            candidate.load.add(task.key, task.step)
+            chosen.append(candidate)
+        for task, candidate in zip(members, chosen):
+            candidate.load.remove(task.key, task.step)
+        if len(chosen) < len(members):
+            return
+        run = max(task.run for task in members)
+        checkpoint = next((t.checkpoint for t in members if t.checkpoint), "")
+        for task, candidate in zip(members, chosen):
+            task.run = run
+            task.checkpoint = checkpoint
+            self._start(task, candidate)
+
+    def _choose(
+        self, task: _state.TaskEntry, candidates: list[placement.Candidate]
+    ) -> placement.Candidate | None:
+        key, step = task.key, task.step
+        chosen = None
+        if task.failed_on:
+            chosen = placement.choose_runner(
+                key, step, candidates, task.failed_on.__contains__
+            )
+        return chosen or placement.choose_runner(key, step, candidates)
+
+    def _start(
+        self, task: _state.TaskEntry, chosen: placement.Candidate
+    ) -> None:
+        context = self._context
+        entry: _fleet.RunnerEntry = context.fleet[chosen.load.identifier]
+        context.log.info(
+            "task_placed",
+            task=str(task.key),
+            run=task.run + 1,
+            runner=entry.identifier,
+            waited_ms=(context.get_now() - task.since)
+            // datetime.timedelta(milliseconds=1),
+            reserved_cpu=entry.load.reserved_cpu,
+            filler_cpu=entry.load.filler_cpu,
+        )
+        context.board.begin_start(task, entry)
+        self._orders.start(task, entry)
+
+
+def _get_order(group: Group) -> tuple[float, ...]:
+    task = next(iter(group.values()))
+    return task.job.order
--- /dev/null
+++ b/tamarackhatch/scheduler/_fleet.py
@@ -0,0 +1,122 @@
+"""Runners as the scheduler knows them."""
+
+import collections
+import datetime
+
+import attrs
+
+from tamarackhatch import model
+from tamarackhatch import placement
+from tamarackhatch.scheduler import _state
+
+# A runner's steady clock may be slower than ours by this share.
+_CLOCK_DRIFT = 0.02
+# Covers rounding of the runner's clock to milliseconds.
+_EXPIRY_MARGIN = datetime.timedelta(milliseconds=50)
+# A runner that has not answered for this long gets no new tasks. A renewal
+# may wait up to 1.5 s for an end.
+TRUST = datetime.timedelta(milliseconds=2600)
+
+
+@attrs.define(eq=False)
+class RunnerEntry:
+    """A runner.
+
+    Attributes:
+        record: Its latest entry in the registry.
+        load: What runs there.
+        is_registered: Whether the registry lists it at present.
+        is_enrolled: Whether the durable roster names it.
+        born: Incarnation that last answered; 0 before the first answer.
+        tasks: Tasks that run there or may run there.
+        lease_end: Latest lease end that any order has carried, on the
+            runner's clock.
+        clock: Reading of the runner's clock in its last answer.
+        clock_read: Monotonic time at which that answer came.
+        processed: Number of the last end that was taken into account.
+        acknowledged: Number of the last end that is kept durably.
+        pending_acks: Ends that are not durable yet, as pairs of their number
+            and the writer's generation that makes them so.
+        silent_calls: Renewals in a row that got no answer.
+        failures: Failed runs there, beyond those of other runners; decays.
+        avoid_until: Monotonic time until which it gets no new tasks.
+    """
+
+    record: model.Runner
+    load: placement.RunnerLoad
+    is_registered: bool = True
+    is_enrolled: bool = False
+    born: int = 0
+    tasks: dict[model.TaskKey, _state.TaskEntry] = attrs.field(factory=dict)
+    lease_end: datetime.timedelta = datetime.timedelta()
+    clock: datetime.timedelta = datetime.timedelta()
+    clock_read: datetime.timedelta | None = None
+    processed: int = 0
+    acknowledged: int = 0
+    pending_acks: collections.deque[tuple[int, int]] = attrs.field(
+        factory=collections.deque
+    )
+    silent_calls: int = 0
+    failures: float = 0.0
+    avoid_until: datetime.timedelta = datetime.timedelta()
+
+    @property
+    def identifier(self) -> str:
+        """Identity of the runner."""
+        return self.record.identifier
+
+    def assign(self, task: _state.TaskEntry) -> None:
+        """Counts a task in as one that may run here."""
+        self.tasks[task.key] = task
+        task.runner = self
+        self.load.add(task.key, task.step)
+
+    def release(self, task: _state.TaskEntry) -> None:
+        """Counts a task out, because no run of it can be here any more."""
+        if self.tasks.pop(task.key, None) is None:
+            return
+        task.runner = None
+        self.load.remove(task.key, task.step)
+
+    def compute_lease_end(
+        self, now: datetime.timedelta, lease: datetime.timedelta
+    ) -> datetime.timedelta | None:
+        """Returns the end of a lease granted now; None without a clock.
+
+        The result is noted, because any order that carries it may be
+        carried out.
+        """
+        if self.clock_read is None:
+            return None
+        lease_end = self.clock + (now - self.clock_read) + lease
+        self.lease_end = max(self.lease_end, lease_end)
+        return lease_end
+
+    def is_lease_over(self, now: datetime.timedelta) -> bool:
+        """Tells whether every lease granted here has certainly passed."""
+        if self.clock_read is None:
+            return False
+        elapsed = (now - self.clock_read) * (1 - _CLOCK_DRIFT)
+        return self.clock + elapsed > self.lease_end + _EXPIRY_MARGIN
+
+    def is_usable(self, now: datetime.timedelta) -> bool:
+        """Tells whether new tasks may be placed here."""
+        return (
+            self.is_registered
+            and self.is_enrolled
+            and not self.record.is_draining
+            and self.clock_read is not None
+            and self.silent_calls == 0
+            and now - self.clock_read < TRUST
+            and now >= self.avoid_until
+        )
+
+
+def make_entry(record: model.Runner) -> RunnerEntry:
+    """Returns the entry of a runner on which nothing is known to run."""
+    return RunnerEntry(
+        record,
+        placement.RunnerLoad(
+            record.identifier, record.service, record.capacity, record.labels
+        ),
+    )
--- /dev/null
+++ b/tamarackhatch/scheduler/_link.py
@@ -0,0 +1,271 @@
+"""One task for each runner: renews its lease and follows its lists."""
+
+import datetime
+
+from tamarackhatch import model
+from tamarackhatch import placement
+from tamarackhatch import platform
+from tamarackhatch.scheduler import _context
+from tamarackhatch.scheduler import _fleet
+from tamarackhatch.scheduler import _orders
+from tamarackhatch.scheduler import _state
+
+# How long a runner may wait for an end before it answers.
+_IDLE_WAIT = datetime.timedelta(milliseconds=1500)
+# Where fillers work beside serving tasks, samples are needed more often.
+_SAMPLING_WAIT = datetime.timedelta(milliseconds=400)
+_RETRY_PAUSE = datetime.timedelta(milliseconds=200)
+# Between two renewals of a runner; each look at a runner is priced.
+_MIN_INTERVAL = datetime.timedelta(milliseconds=100)
+# Ends are acknowledged with the next renewal, once they are durable.
+_DURABLE_WAIT = datetime.timedelta(milliseconds=300)
+# A report lists at most this many ends; a full one may hide others.
+_MAX_LISTED_ENDS = 500
+# A draining runner stops its tasks this long before it may leave.
+_LEAVE_MARGIN = datetime.timedelta(milliseconds=1500)
+
+
+class RunnerLink:
+    """Keeps the scheduler's view of one runner true."""
+
+    def __init__(
+        self,
+        context: _context.SchedulerContext,
+        entry: _fleet.RunnerEntry,
+        orders: _orders.OrderDesk,
+    ) -> None:
+        self._context = context
+        self._entry = entry
+        self._orders = orders
+        self._pace = placement.PaceController(
+            context.settings.scheduling.pace_margin
+        )
+        self._has_reported = False
+        self._began = context.get_now()
+
+    @property
+    def has_reported(self) -> bool:
+        """Whether the runner has answered in this term.
+
+        From then on it refuses the orders of earlier schedulers.
+        """
+        return self._has_reported
+
+    async def run(self) -> None:
+        """Follows the runner until it is gone for good."""
+        context, entry = self._context, self._entry
+        while not context.authority.is_revoked:
+            sent = context.get_now()
+            report = await self._renew(sent)
+            if report is None:
+                if self._is_gone():
+                    return
+                await context.clock.sleep(_RETRY_PAUSE)
+                continue
+            self._apply(report, sent)
+            if entry.record.is_draining:
+                self._evacuate()
+            else:
+                self._control_pace(report)
+            context.wake.set()
+            await self._pause(sent)
+
+    async def _renew(
+        self, sent: datetime.timedelta
+    ) -> model.RunnerReport | None:
+        context, entry = self._context, self._entry
+        lease_end = None
+        wait = datetime.timedelta()
+        if context.authority.is_valid:
+            lease_end = entry.compute_lease_end(sent, context.settings.lease)
+        if lease_end is not None and not entry.pending_acks:
+            wait = self._choose_wait()
+        try:
+            report = await context.client.renew(
+                entry.record,
+                context.token,
+                entry.acknowledged,
+                lease_end,
+                wait,
+            )
+        except platform.FencedError:
+            context.log.warning("fenced", runner=entry.identifier)
+            context.authority.revoke()
+            return None
+        except (
+            platform.RunnerUnavailableError,
+            platform.BadAnswerError,
+        ) as error:
+            self._note_silence(error.message)
+            return None
+        context.metrics.orders.labels("renew", "accepted").inc()
+        return report
+
+    def _choose_wait(self) -> datetime.timedelta:
+        load = self._entry.load
+        if load.serving_images and load.filler_images:
+            return _SAMPLING_WAIT
+        return _IDLE_WAIT
+
+    def _note_silence(self, reason: str) -> None:
+        context, entry = self._context, self._entry
+        context.metrics.orders.labels("renew", "unanswered").inc()
+        entry.silent_calls += 1
+        if entry.silent_calls == 1:
+            context.log.warning(
+                "runner_lost", runner=entry.identifier, reason=reason
+            )
+        if entry.tasks and entry.is_lease_over(context.get_now()):
+            for task in list(entry.tasks.values()):
+                context.board.lose_run(task, "lease over")
+
+    def _is_gone(self) -> bool:
+        entry, now = self._entry, self._context.get_now()
+        if entry.is_registered or entry.tasks:
+            return False
+        if entry.clock_read is not None:
+            return entry.is_lease_over(now)
+        # It never answered: an earlier scheduler's leases may last.
+        return now - self._began > self._context.settings.takeover_wait
+
+    def _apply(
+        self, report: model.RunnerReport, sent: datetime.timedelta
+    ) -> None:
+        context, entry = self._context, self._entry
+        now = context.get_now()
+        if entry.silent_calls:
+            context.log.info("runner_regained", runner=entry.identifier)
+        entry.silent_calls = 0
+        if report.born != entry.born:
+            self._meet_incarnation(report)
+        entry.clock, entry.clock_read = report.clock, now
+        if not self._has_reported:
+            # An earlier scheduler may have granted a lease just before.
+            entry.lease_end = report.clock + context.settings.lease * 1.05
+            self._has_reported = True
+        for ended in report.ended:
+            if ended.number > entry.processed:
+                self._take_end(ended)
+        listed = {item.task: item for item in report.running}
+        for item in report.running:
+            self._take_running(item)
+        if len(report.ended) < _MAX_LISTED_ENDS:
+            self._find_missing(listed, sent)
+
+    def _meet_incarnation(self, report: model.RunnerReport) -> None:
+        entry = self._entry
+        if entry.born:
+            self._context.log.warning(
+                "runner_restarted", runner=entry.identifier, born=report.born
+            )
+        entry.born = report.born
+        entry.processed = entry.acknowledged = 0
+        entry.pending_acks.clear()
+        entry.lease_end = report.clock + self._context.settings.lease
+        runs = {(item.task, item.run) for item in report.running}
+        for task in list(entry.tasks.values()):
+            # Unresolved orders go on until this incarnation answers them.
+            if task.confirmed is None or (task.key, task.run) in runs:
+                continue
+            self._context.board.lose_run(task, "runner restarted")
+
+    def _take_end(self, ended: model.EndedTask) -> None:
+        context, entry = self._context, self._entry
+        entry.processed = ended.number
+        task = context.board.find_task(ended.task)
+        generation = 0
+        if task is not None and (
+            (task.runner is entry and task.run == ended.run)
+            or (task.runner is None and ended.run > task.run)
+        ):
+            generation = context.board.end_run(task, ended, entry)
+            self._judge(task, ended)
+        entry.pending_acks.append((ended.number, generation))
+
+    def _judge(self, task: _state.TaskEntry, ended: model.EndedTask) -> None:
+        entry = self._entry
+        if ended.kind is model.EndKind.FAILED:
+            entry.failures += 1.0
+        elif ended.kind is model.EndKind.DONE:
+            entry.failures *= 0.5
+
+    def _take_running(self, item: model.RunningTask) -> None:
+        context, entry = self._context, self._entry
+        task = context.board.find_task(item.task)
+        if task is None or task.phase is _state.TaskPhase.DONE:
+            if task is None or task.runner is not entry:
+                self._orders.stop_stray(entry, item)
+            return
+        if task.runner is entry and task.run == item.run:
+            if task.phase is _state.TaskPhase.STARTING:
+                context.board.confirm_run(task, entry)
+        elif task.runner is None and item.run >= task.run:
+            task.run = item.run
+            context.board.confirm_run(task, entry)
+            context.log.info(
+                "run_adopted",
+                task=str(item.task),
+                run=item.run,
+                runner=entry.identifier,
+            )
+        else:
+            self._orders.stop_stray(entry, item)
+            return
+        task.percent = item.percent
+        if item.checkpoint:
+            task.checkpoint = item.checkpoint
+
+    def _find_missing(
+        self,
+        listed: dict[model.TaskKey, model.RunningTask],
+        sent: datetime.timedelta,
+    ) -> None:
+        for task in list(self._entry.tasks.values()):
+            item = listed.get(task.key)
+            if item is not None and item.run == task.run:
+                continue
+            if task.confirmed is not None and task.confirmed < sent:
+                self._context.board.lose_run(task, "not listed")
+
+    def _evacuate(self) -> None:
+        """Stops tasks that would not end before the runner leaves."""
+        entry = self._entry
+        remaining = entry.record.remaining
+        is_leaving = remaining is not None and remaining < _LEAVE_MARGIN
+        for task in list(entry.tasks.values()):
+            if task.step.is_lasting or is_leaving:
+                self._context.board.evict(task, "runner drains")
+
+    def _control_pace(self, report: model.RunnerReport) -> None:
+        samples = []
+        fillers = []
+        for item in report.running:
+            task = self._entry.tasks.get(item.task)
+            if task is None:
+                continue
+            if task.step.is_serving and item.percent == 100:
+                target = task.step.tail_target / datetime.timedelta(
+                    milliseconds=1
+                )
+                samples.append(placement.PaceTarget(item.sample, target))
+            elif task.step.is_filler:
+                fillers.append(task)
+        pace = self._pace.update(samples, self._context.get_now())
+        percent = round(pace * 100)
+        for task in fillers:
+            if task.pace != percent and task.confirmed is not None:
+                self._orders.set_pace(task, percent)
+
+    async def _pause(self, sent: datetime.timedelta) -> None:
+        context, entry = self._context, self._entry
+        if entry.pending_acks:
+            generation = entry.pending_acks[-1][1]
+            await context.writer.wait_for(generation, _DURABLE_WAIT)
+        while (
+            entry.pending_acks
+            and entry.pending_acks[0][1] <= context.writer.committed
+        ):
+            entry.acknowledged = entry.pending_acks.popleft()[0]
+        elapsed = context.get_now() - sent
+        if elapsed < _MIN_INTERVAL:
+            await context.clock.sleep(_MIN_INTERVAL - elapsed)
--- /dev/null
+++ b/tamarackhatch/scheduler/_state.py
@@ -0,0 +1,199 @@
+"""Jobs and tasks as the scheduler knows them."""
+
+import datetime
+import enum
+import typing
+
+import attrs
+
+from tamarackhatch import model
+from tamarackhatch import records
+
+if typing.TYPE_CHECKING:
+    from tamarackhatch.scheduler import _fleet
+
+
+class TaskPhase(enum.Enum):
+    """Where a task stands.
+
+    Attributes:
+        BLOCKED: Steps before its own are not done.
+        WAITING: It waits for a runner.
+        STARTING: A start was sent and is not confirmed.
+        RUNNING: A runner has confirmed or listed its run.
+        STOPPING: It is to be stopped, and its end is not listed yet.
+        DONE: It has ended for good.
+    """
+
+    BLOCKED = "blocked"
+    WAITING = "waiting"
+    STARTING = "starting"
+    RUNNING = "running"
+    STOPPING = "stopping"
+    DONE = "done"
+
+
+@attrs.define(eq=False)
+class TaskEntry:
+    """A task.
+
+    Attributes:
+        key: Its name.
+        step: Its step.
+        job: Its job.
+        phase: Where it stands.
+        runner: Where it runs or may run; None while no run can exist.
+        run: Number of the latest run.
+        failures: Runs that failed.
+        checkpoint: Latest checkpoint; empty for none.
+        percent: Progress that the runner last listed.
+        pace: Share of its speed at which it was last told to work, in per
+            cent.
+        since: Monotonic time at which the phase began.
+        confirmed: Monotonic time from which the runner's lists are known to
+            show the run if it exists; None while an order is unresolved.
+        failed_on: Runners on which a run failed.
+    """
+
+    key: model.TaskKey
+    step: model.Step
+    job: "JobEntry"
+    phase: TaskPhase = TaskPhase.BLOCKED
+    runner: "_fleet.RunnerEntry | None" = None
+    run: int = 0
+    failures: int = 0
+    checkpoint: str = ""
+    percent: int = 0
+    pace: int = 100
+    since: datetime.timedelta = datetime.timedelta()
+    confirmed: datetime.timedelta | None = None
+    failed_on: frozenset[str] = frozenset()
+
+    @property
+    def is_placed(self) -> bool:
+        """Whether a run of it may exist."""
+        return self.runner is not None
+
+
+@attrs.define(eq=False)
+class OccurrenceEntry:
+    """One occurrence of a job.
+
+    Attributes:
+        number: Number of the occurrence, from 0.
+        steps: Tasks by step.
+        remaining: Unfinished tasks by step.
+    """
+
+    number: int
+    steps: list[list[TaskEntry]]
+    remaining: list[int]
+
+    @property
+    def is_finished(self) -> bool:
+        """Whether all its tasks are done."""
+        return not any(self.remaining)
+
+
+@attrs.define(eq=False)
+class JobEntry:
+    """A job.
+
+    Attributes:
+        job: As it was submitted.
+        version: Version of its row.
+        state: State that callers are shown, once it is written.
+        is_cancelled: Whether a caller has cancelled it.
+        has_started: Whether any task has started.
+        occurrences: Occurrences that are due and not finished.
+        finished: All occurrences before this one are finished.
+        next_occurrence: Number of the next occurrence to come.
+        order: Sort key of its waiting tasks; lower ones go first.
+    """
+
+    job: model.Job
+    version: int
+    state: model.JobState = model.JobState.QUEUED
+    is_cancelled: bool = False
+    has_started: bool = False
+    occurrences: dict[int, OccurrenceEntry] = attrs.field(factory=dict)
+    finished: int = 0
+    next_occurrence: int = 0
+    order: tuple[float, ...] = ()
+
+    @property
+    def identifier(self) -> str:
+        """Identifier of the job."""
+        return self.job.identifier
+
+    def iterate_tasks(self) -> typing.Iterator[TaskEntry]:
+        """Yields the tasks of all known occurrences."""
+        for occurrence in self.occurrences.values():
+            for tasks in occurrence.steps:
+                yield from tasks
+
+    def summarise(self) -> records.JobProgress:
+        """Returns what is to be kept durably."""
+        if self.state.is_final:
+            return records.JobProgress(self.state)
+        return records.JobProgress(
+            self.state,
+            self.finished,
+            {
+                number: _summarise_occurrence(occurrence)
+                for number, occurrence in self.occurrences.items()
+            },
+        )
+
+
+def build_occurrence(
+    entry: JobEntry,
+    number: int,
+    progress: records.OccurrenceProgress | None,
+) -> OccurrenceEntry:
+    """Returns the tasks of an occurrence, with their known progress."""
+    job = entry.job
+    steps = []
+    remaining = []
+    for step_index, step in enumerate(job.steps):
+        done = 0 if progress is None else progress.done.get(step_index, 0)
+        tasks = []
+        for index in range(step.count):
+            key = model.TaskKey(job.identifier, number, step_index, index)
+            task = TaskEntry(key, step, entry)
+            if done >> index & 1:
+                task.phase = TaskPhase.DONE
+            history = (
+                None
+                if progress is None
+                else progress.tasks.get((step_index, index))
+            )
+            if history is not None:
+                task.run = history.run
+                task.failures = history.failures
+                task.checkpoint = history.checkpoint
+            tasks.append(task)
+        steps.append(tasks)
+        remaining.append(
+            sum(1 for task in tasks if task.phase is not TaskPhase.DONE)
+        )
+    return OccurrenceEntry(number, steps, remaining)
+
+
+def _summarise_occurrence(
+    occurrence: OccurrenceEntry,
+) -> records.OccurrenceProgress:
+    done: dict[int, int] = {}
+    histories: dict[tuple[int, int], records.TaskHistory] = {}
+    for step_index, tasks in enumerate(occurrence.steps):
+        bits = 0
+        for task in tasks:
+            if task.phase is TaskPhase.DONE:
+                bits |= 1 << task.key.index
+            elif task.failures or task.checkpoint:
+                histories[(step_index, task.key.index)] = records.TaskHistory(
+                    task.run, task.failures, task.checkpoint
+                )
+        if bits:
+            done[step_index] = bits
+    return records.OccurrenceProgress(done, histories)
--- /dev/null
+++ b/tamarackhatch/server/__init__.py
@@ -0,0 +1,6 @@
+"""One running instance."""
+
+from tamarackhatch.server._instance import Instance
+from tamarackhatch.server._run import serve
+
+__all__ = ["Instance", "serve"]
--- /dev/null
+++ b/tamarackhatch/settings/_settings.py
@@ -0,0 +1,258 @@
+"""The settings file of one instance; docs/settings.md explains it."""
+
+import datetime
+import typing
+
+import attrs
+
+from tamarackhatch import documents
+from tamarackhatch.settings import _kinds
+
+_MS = datetime.timedelta(milliseconds=1)
+_SECOND = datetime.timedelta(seconds=1)
+# Runner clocks may be 2 % slow; the rest covers the way of an answer.
+_SLOW_CLOCK_FACTOR = 1.03
+
+
+@attrs.frozen
+class Bounds:
+    """Time bounds of the deployment.
+
+    Attributes:
+        max_lease: Longest lease that a runner grants.
+        stop_timeout: Longest time that a stopped task takes to end.
+        grace: From SIGTERM to SIGKILL.
+        configuration: From the operator's change to its effect everywhere.
+        interference: How long a serving task may be over its target because
+            of filler tasks beside it.
+        status_retention: How long the state of a finished job is kept.
+        gang_timeout: How long a member of a gang waits for the others.
+        checkpoint: Between two checkpoints of a task.
+        restore: Time that a task takes to resume from a checkpoint.
+        remote_factor: Slow-down of a task far from its data.
+    """
+
+    max_lease: datetime.timedelta = 6 * _SECOND
+    stop_timeout: datetime.timedelta = 1 * _SECOND
+    grace: datetime.timedelta = 6 * _SECOND
+    configuration: datetime.timedelta = 2.5 * _SECOND
+    interference: datetime.timedelta = 4 * _SECOND
+    status_retention: datetime.timedelta = 120 * _SECOND
+    gang_timeout: datetime.timedelta = 3 * _SECOND
+    checkpoint: datetime.timedelta = 2 * _SECOND
+    restore: datetime.timedelta = 0.6 * _SECOND
+    remote_factor: float = 2.0
+
+
+@attrs.frozen
+class Scheduling:
+    """Weights and intervals of the scheduler.
+
+    Attributes:
+        lease: Lease that each renewal asks for; the bound of the deployment
+            shortens it. It must outlast a takeover, and it delays the restart
+            of the tasks of a runner that vanished.
+        leader_timeout: Silence of the active scheduler after which another
+            instance takes over.
+        leader_beat: Between two signs of life of the active scheduler.
+        authority: Time since its last confirmed sign of life after which the
+            scheduler gives no orders. A longer time bridges longer outages of
+            the store and lengthens the wait for unreachable runners after a
+            takeover.
+        pace_margin: Share of the tail target at which fillers are slowed.
+    """
+
+    lease: datetime.timedelta = 5 * _SECOND
+    leader_timeout: datetime.timedelta = 2 * _SECOND
+    leader_beat: datetime.timedelta = 0.7 * _SECOND
+    authority: datetime.timedelta = 5 * _SECOND
+    pace_margin: float = 0.8
+
+
+@attrs.frozen
+class Logging:
+    """Volume of the log.
+
+    Attributes:
+        level: Lowest level that is written.
+        lines_per_s: Most lines a second; further lines are counted only.
+    """
+
+    level: str = "info"
+    lines_per_s: int = 400
+
+
+@attrs.frozen
+class Settings:
+    """Settings of one instance.
+
+    Attributes:
+        instance: Identity of the instance, unique in the fleet.
+        data_centre: Where it runs.
+        processor_share: Share of a core that the process may use.
+        processor_speed: Speed of that core against a reference core.
+        caller_address: Where callers are served.
+        readiness_address: Where the load balancer asks for readiness.
+        metrics_address: Where counters and histograms are served.
+        store_address: The platform's metadata store.
+        advice_address: The platform's placement policy service, if any.
+        machines_address: The platform's machine service, if any.
+        interface_address: Where the project's own job interface is served;
+            None turns it off.
+        bounds: Time bounds of the deployment.
+        scheduling: Weights and intervals of the scheduler.
+        logging: Volume of the log.
+    """
+
+    instance: str
+    data_centre: str
+    caller_address: _kinds.Address
+    readiness_address: _kinds.Address
+    store_address: _kinds.Address
+    processor_share: float = 1.0
+    processor_speed: float = 1.0
+    metrics_address: _kinds.Address | None = None
+    advice_address: _kinds.Address | None = None
+    machines_address: _kinds.Address | None = None
+    interface_address: _kinds.Address | None = None
+    bounds: Bounds = Bounds()
+    scheduling: Scheduling = Scheduling()
+    logging: Logging = Logging()
+
+    @property
+    def processor(self) -> float:
+        """Processor time that the process may use, in reference cores."""
+        return self.processor_share * self.processor_speed
+
+    @property
+    def takeover_wait(self) -> datetime.timedelta:
+        """Time after a takeover in which earlier leases may last.
+
+        A scheduler that lost its term renews leases as long as its authority
+        lasts, and they last one lease longer on clocks that may be slow.
+        """
+        bound = self.scheduling.authority + self.lease
+        return bound * _SLOW_CLOCK_FACTOR
+
+    @property
+    def lease(self) -> datetime.timedelta:
+        """Lease that a renewal asks for."""
+        return min(self.scheduling.lease, self.bounds.max_lease)
+
+
+_NAME = documents.Text(
+    pattern=r"[A-Za-z0-9][A-Za-z0-9._-]*",
+    rule="a name of letters, digits, '.', '_' and '-'",
+    maximum=120,
+)
+_LEVEL = documents.Text(
+    pattern="debug|info|warning|error",
+    rule="debug, info, warning or error",
+)
+
+
+def _make_duration(
+    name: str, unit: datetime.timedelta, minimum: int, maximum: int
+) -> documents.Key:
+    suffix = "_s" if unit == _SECOND else "_ms"
+    return documents.Key(
+        name + suffix,
+        documents.Duration(unit, minimum, maximum, allows_fraction=True),
+        name,
+        is_nullable=True,
+    )
+
+
+def _make_bounds(**values: typing.Any) -> Bounds:
+    """Uses the default where the deployment has no such bound."""
+    return Bounds(
+        **{name: value for name, value in values.items() if value is not None}
+    )
+
+
+def _make_scheduling(**values: typing.Any) -> Scheduling:
+    return Scheduling(
+        **{name: value for name, value in values.items() if value is not None}
+    )
+
+
+_BOUNDS_KEYS: typing.Final = (
+    _make_duration("max_lease", _MS, 100, 600_000),
+    _make_duration("stop_timeout", _MS, 0, 600_000),
+    _make_duration("grace", _SECOND, 0, 3_600),
+    _make_duration("configuration", _MS, 100, 600_000),
+    _make_duration("interference", _MS, 100, 600_000),
+    _make_duration("status_retention", _SECOND, 1, 86_400),
+    _make_duration("gang_timeout", _MS, 100, 600_000),
+    _make_duration("checkpoint", _SECOND, 0, 3_600),
+    _make_duration("restore", _MS, 0, 600_000),
+    documents.Key(
+        "remote_factor", documents.Decimal(1, 100), is_nullable=True
+    ),
+)
+_SCHEDULING_KEYS: typing.Final = (
+    _make_duration("lease", _MS, 500, 600_000),
+    _make_duration("leader_timeout", _MS, 300, 60_000),
+    _make_duration("leader_beat", _MS, 50, 20_000),
+    _make_duration("authority", _MS, 500, 600_000),
+    documents.Key("pace_margin", documents.Decimal(0, 1)),
+)
+_LOGGING_KEYS: typing.Final = (
+    documents.Key("level", _LEVEL),
+    documents.Key("lines_per_s", documents.Integer(1, 100_000)),
+)
+SETTINGS_KEYS: typing.Final = (
+    documents.Key("instance", _NAME, is_required=True),
+    documents.Key("data_centre", _NAME, is_required=True),
+    documents.Key("processor_share", documents.Decimal(0, 1_000)),
+    documents.Key("processor_speed", documents.Decimal(0, 1_000)),
+    documents.Key("caller_address", _kinds.AddressKind(), is_required=True),
+    documents.Key("readiness_address", _kinds.AddressKind(), is_required=True),
+    documents.Key(
+        "store_address",
+        _kinds.AddressKind(minimum_port=1),
+        is_required=True,
+    ),
+    documents.Key("metrics_address", _kinds.AddressKind(), is_nullable=True),
+    documents.Key(
+        "advice_address",
+        _kinds.AddressKind(minimum_port=1),
+        is_nullable=True,
+    ),
+    documents.Key(
+        "machines_address",
+        _kinds.AddressKind(minimum_port=1),
+        is_nullable=True,
+    ),
+    documents.Key("interface_address", _kinds.AddressKind(), is_nullable=True),
+    documents.Key("bounds", documents.Nested(_make_bounds, _BOUNDS_KEYS)),
+    documents.Key(
+        "scheduling", documents.Nested(_make_scheduling, _SCHEDULING_KEYS)
+    ),
+    documents.Key("logging", documents.Nested(Logging, _LOGGING_KEYS)),
+)
+
+
+def load_settings(path: str) -> Settings:
+    """Loads a settings file.
+
+    Raises:
+        FindingsError: The file has faults; all of them are reported.
+    """
+    collector = documents.Collector()
+    node = documents.read_file(path, collector)
+    settings = None if node is None else read_settings(node, collector)
+    collector.raise_findings()
+    assert settings is not None
+    return settings
+
+
+def read_settings(
+    node: documents.Node, collector: documents.Collector
+) -> Settings | None:
+    """Returns the settings, or None after recording findings."""
+    before = len(collector.findings)
+    values = documents.read_object(node, "", SETTINGS_KEYS, collector)
+    if values is None or len(collector.findings) > before:
+        return None
+    return Settings(**values)
