Place fillers by a model of pairs of images

Cause: fillers beside serving tasks drove these over their target, and one halved pace for all fillers of a runner stopped batch work altogether. Change: pressure = 1 - base / tail is learned per pair of images from changes between samples; fillers go where no limit is passed, the most harmful ones slow down first, and serving tasks of one image share runners.

--- a/tamarackhatch/election/_election.py
+++ b/tamarackhatch/election/_election.py
@@ -195,6 +195,9 @@
             if row is not None and holder is not None:
                 if holder.incarnation == self._candidate.incarnation:
                     return _authority.Term(holder.term, row.version, began)
+                if self._beat is None or holder.term != self._beat.term:
+                    # Another candidate has just won.
+                    return None
             term = 1 if holder is None else holder.term + 1
             return await self._claim(
                 0 if row is None else row.version, term, began
--- a/tamarackhatch/placement/__init__.py
+++ b/tamarackhatch/placement/__init__.py
@@ -1,17 +1,23 @@
 """Placement of tasks on runners, and pace control of fillers."""
 
 from tamarackhatch.placement._choice import Candidate
+from tamarackhatch.placement._choice import Choice
 from tamarackhatch.placement._choice import choose_runner
 from tamarackhatch.placement._choice import is_allowed
+from tamarackhatch.placement._interference import InterferenceModel
+from tamarackhatch.placement._interference import ServingState
 from tamarackhatch.placement._load import RunnerLoad
-from tamarackhatch.placement._pace import PaceController
-from tamarackhatch.placement._pace import PaceTarget
+from tamarackhatch.placement._pace import choose_paces
+from tamarackhatch.placement._pace import FillerState
 
 __all__ = [
     "Candidate",
-    "PaceController",
-    "PaceTarget",
+    "Choice",
+    "FillerState",
+    "InterferenceModel",
     "RunnerLoad",
+    "ServingState",
+    "choose_paces",
     "choose_runner",
     "is_allowed",
 ]
--- a/tamarackhatch/placement/_load.py
+++ b/tamarackhatch/placement/_load.py
@@ -23,7 +23,7 @@
         filler_cpu: Wanted by filler tasks, in thousandths of a core.
         serving_cpu: The part of reserved_cpu that serving tasks have.
         serving_images: Serving tasks by image.
-        filler_images: Filler tasks by image.
+        filler_cpus: Wanted by filler tasks, by image.
         step_counts: Tasks by job, occurrence and step.
     """
 
@@ -39,7 +39,7 @@
     serving_images: collections.Counter[str] = attrs.field(
         factory=collections.Counter
     )
-    filler_images: collections.Counter[str] = attrs.field(
+    filler_cpus: collections.Counter[str] = attrs.field(
         factory=collections.Counter
     )
     step_counts: collections.Counter[tuple[str, int, int]] = attrs.field(
@@ -77,9 +77,9 @@
         self.reserved_accelerators += sign * needs.accelerators
         if step.is_filler:
             self.filler_cpu += sign * step.resources.cpu
-            self.filler_images[step.image] += sign
-            if not self.filler_images[step.image]:
-                del self.filler_images[step.image]
+            self.filler_cpus[step.image] += sign * step.resources.cpu
+            if not self.filler_cpus[step.image]:
+                del self.filler_cpus[step.image]
         elif step.is_serving:
             self.serving_cpu += sign * needs.cpu
             self.serving_images[step.image] += sign
--- a/tamarackhatch/placement/_pace.py
+++ b/tamarackhatch/placement/_pace.py
@@ -1,62 +1,92 @@
-"""Control of the pace of filler tasks beside serving tasks."""
+"""Pace of filler tasks beside serving tasks."""
 
 from collections.abc import Sequence
-import datetime
 
 import attrs
 
-_DECREASE = 0.5
-_INCREASE = 1.5
-_MIN_PACE = 0.05
-_RELAXED = 0.75
-# A change shows in the samples after the delay of the order and the half
-# second that a sample covers.
-_SETTLE = datetime.timedelta(milliseconds=600)
+from tamarackhatch import model
+from tamarackhatch.placement import _interference
+
+# Fillers are slowed to keep the forecast this far below the limit.
+_MARGIN = 0.04
+# The own load of a serving task is forecast this far, until the next sample
+# and the effect of an order.
+_HORIZON_S = 0.8
+_FULL = 100
+# Smaller changes are not worth an order.
+_MIN_CHANGE = 20
 
 
 @attrs.frozen
-class PaceTarget:
-    """A serving task's latest sample.
+class FillerState:
+    """A filler task on a runner.
 
     Attributes:
-        tail: Tail of its response times, in milliseconds.
-        target: Bound of that tail, in milliseconds.
+        task: The task.
+        image: Its image.
+        share: Share of the runner's processors that it uses at full pace.
+        pace: Pace that it was last told, in per cent.
     """
 
-    tail: float
-    target: float
+    task: model.TaskKey
+    image: str
+    share: float
+    pace: int
 
 
-@attrs.define
-class PaceController:
-    """Chooses one pace for all fillers of a runner from its samples.
+def forecast_own_load(state: _interference.ServingState) -> float:
+    """Returns the own load to expect until the next sample."""
+    return state.own_load + max(0.0, state.trend) * _HORIZON_S
 
-    Attributes:
-        margin: Share of the target above which fillers slow down.
-        pace: Current pace, from 0 to 1.
-        changed: When the pace last changed, in monotonic time.
+
+def choose_paces(
+    factors: _interference.InterferenceModel,
+    serving: Sequence[_interference.ServingState],
+    fillers: Sequence[FillerState],
+) -> dict[model.TaskKey, int]:
+    """Returns the paces to change, in per cent by task.
+
+    Every filler works at full pace unless a serving task would pass its
+    target; then the fillers that disturb it most slow down first.
     """
+    paces = {filler.task: 1.0 for filler in fillers}
+    for state in serving:
+        _relieve(factors, state, fillers, paces)
+    changes: dict[model.TaskKey, int] = {}
+    for filler in fillers:
+        percent = round(paces[filler.task] * _FULL)
+        is_small = abs(percent - filler.pace) < _MIN_CHANGE
+        is_bound = percent in (0, _FULL)
+        if percent == filler.pace or (is_small and not is_bound):
+            continue
+        changes[filler.task] = percent
+    return changes
+
 
-    margin: float
-    pace: float = 1.0
-    changed: datetime.timedelta = datetime.timedelta()
-
-    def update(
-        self, samples: Sequence[PaceTarget], now: datetime.timedelta
-    ) -> float:
-        """Returns the pace after taking the samples into account."""
-        if not samples:
-            self.pace = 1.0
-            return self.pace
-        if now - self.changed < _SETTLE:
-            return self.pace
-        worst = max(sample.tail / sample.target for sample in samples)
-        pace = self.pace
-        if worst > self.margin:
-            pace = max(_MIN_PACE, pace * _DECREASE)
-        elif worst < self.margin * _RELAXED:
-            pace = min(1.0, pace * _INCREASE)
-        if pace != self.pace:
-            self.pace = pace
-            self.changed = now
-        return self.pace
+def _relieve(
+    factors: _interference.InterferenceModel,
+    state: _interference.ServingState,
+    fillers: Sequence[FillerState],
+    paces: dict[model.TaskKey, float],
+) -> None:
+    terms = [
+        (factors.get_factor(state.image, filler.image), filler)
+        for filler in fillers
+    ]
+    pressure = sum(
+        factor * filler.share * paces[filler.task] for factor, filler in terms
+    )
+    excess = forecast_own_load(state) + pressure - (state.limit - _MARGIN)
+    if excess <= 0:
+        return
+    for factor, filler in sorted(
+        terms, key=lambda term: term[0], reverse=True
+    ):
+        part = factor * filler.share * paces[filler.task]
+        if part <= 0:
+            continue
+        kept = max(0.0, part - excess)
+        excess -= part - kept
+        paces[filler.task] *= kept / part
+        if excess <= 0:
+            return
--- a/tamarackhatch/scheduler/_context.py
+++ b/tamarackhatch/scheduler/_context.py
@@ -8,6 +8,7 @@
 from tamarackhatch import clock
 from tamarackhatch import election
 from tamarackhatch import observability
+from tamarackhatch import placement
 from tamarackhatch import platform
 from tamarackhatch import settings
 from tamarackhatch.scheduler import _board
@@ -29,6 +30,7 @@
         writer: Writes durable progress.
         log: Log of the scheduler.
         metrics: Measurements of the process.
+        factors: How fillers disturb serving tasks.
         wake: Set when tasks wait or room has become free.
     """
 
@@ -41,6 +43,7 @@
     writer: _writer.ProgressWriter
     log: observability.Log
     metrics: observability.Metrics
+    factors: placement.InterferenceModel
     wake: asyncio.Event
 
     @property
--- a/tamarackhatch/scheduler/_dispatcher.py
+++ b/tamarackhatch/scheduler/_dispatcher.py
@@ -14,6 +14,9 @@
 # Runners become usable again without an event.
 _MAX_INTERVAL = datetime.timedelta(milliseconds=250)
 
+# A filler waits this long for a runner where it harms no serving task.
+_PATIENCE = datetime.timedelta(milliseconds=1500)
+
 Group = dict[int, _state.TaskEntry]
 
 
@@ -81,7 +84,9 @@
         for entry in self._context.fleet.values():
             if entry.is_usable(now):
                 candidates.setdefault(entry.record.service, []).append(
-                    placement.Candidate(entry.load, entry.failures)
+                    placement.Candidate(
+                        entry.load, entry.failures, entry.serving
+                    )
                 )
         return candidates
 
@@ -129,12 +134,22 @@
         self, task: _state.TaskEntry, candidates: list[placement.Candidate]
     ) -> placement.Candidate | None:
         key, step = task.key, task.step
-        chosen = None
+        factors = self._context.factors
+        chosen: placement.Choice | None = None
         if task.failed_on:
             chosen = placement.choose_runner(
-                key, step, candidates, task.failed_on.__contains__
+                key, step, candidates, factors, task.failed_on.__contains__
             )
-        return chosen or placement.choose_runner(key, step, candidates)
+        if chosen is None:
+            chosen = placement.choose_runner(key, step, candidates, factors)
+        if chosen is None:
+            return None
+        if (
+            chosen.harm > 0
+            and self._context.get_now() - task.since < _PATIENCE
+        ):
+            return None
+        return chosen.candidate
 
     def _start(
         self, task: _state.TaskEntry, chosen: placement.Candidate
--- a/tamarackhatch/scheduler/_fleet.py
+++ b/tamarackhatch/scheduler/_fleet.py
@@ -37,6 +37,7 @@
         acknowledged: Number of the last end that is kept durably.
         pending_acks: Ends that are not durable yet, as pairs of their number
             and the writer's generation that makes them so.
+        serving: States of the serving tasks, from the last report.
         silent_calls: Renewals in a row that got no answer.
         failures: Failed runs there, beyond those of other runners; decays.
         avoid_until: Monotonic time until which it gets no new tasks.
@@ -56,6 +57,7 @@
     pending_acks: collections.deque[tuple[int, int]] = attrs.field(
         factory=collections.deque
     )
+    serving: tuple[placement.ServingState, ...] = ()
     silent_calls: int = 0
     failures: float = 0.0
     avoid_until: datetime.timedelta = datetime.timedelta()
--- a/tamarackhatch/scheduler/_link.py
+++ b/tamarackhatch/scheduler/_link.py
@@ -14,6 +14,9 @@
 _IDLE_WAIT = datetime.timedelta(milliseconds=1500)
 # Where fillers work beside serving tasks, samples are needed more often.
 _SAMPLING_WAIT = datetime.timedelta(milliseconds=400)
+_MILLISECOND = datetime.timedelta(milliseconds=1)
+# Percentage that a lasting task shows once it is at work.
+_AT_WORK = 100
 _RETRY_PAUSE = datetime.timedelta(milliseconds=200)
 # Between two renewals of a runner; each look at a runner is priced.
 _MIN_INTERVAL = datetime.timedelta(milliseconds=100)
@@ -37,9 +40,6 @@
         self._context = context
         self._entry = entry
         self._orders = orders
-        self._pace = placement.PaceController(
-            context.settings.scheduling.pace_margin
-        )
         self._has_reported = False
         self._began = context.get_now()
 
@@ -103,7 +103,7 @@
 
     def _choose_wait(self) -> datetime.timedelta:
         load = self._entry.load
-        if load.serving_images and load.filler_images:
+        if load.serving_images and load.filler_cpus:
             return _SAMPLING_WAIT
         return _IDLE_WAIT
 
@@ -237,24 +237,60 @@
                 self._context.board.evict(task, "runner drains")
 
     def _control_pace(self, report: model.RunnerReport) -> None:
-        samples = []
-        fillers = []
+        context, entry = self._context, self._entry
+        fillers = self._list_fillers()
+        self._observe(report)
+        if not fillers:
+            return
+        paces = placement.choose_paces(context.factors, entry.serving, fillers)
+        for key, percent in paces.items():
+            self._orders.set_pace(entry.tasks[key], percent)
+
+    def _observe(self, report: model.RunnerReport) -> None:
+        """Takes the samples of the serving tasks into the model."""
+        context, entry = self._context, self._entry
+        capacity = max(1, entry.load.capacity.cpu)
+        shares: dict[str, float] = {}
+        for item in report.running:
+            task = entry.tasks.get(item.task)
+            if task is not None and task.step.is_filler:
+                image = task.step.image
+                share = item.sample / capacity
+                shares[image] = shares.get(image, 0.0) + share
+        states = []
         for item in report.running:
-            task = self._entry.tasks.get(item.task)
-            if task is None:
+            task = entry.tasks.get(item.task)
+            if task is None or not task.step.is_serving:
                 continue
-            if task.step.is_serving and item.percent == 100:
-                target = task.step.tail_target / datetime.timedelta(
-                    milliseconds=1
+            if item.percent < _AT_WORK or not item.sample:
+                continue
+            states.append(
+                context.factors.observe(
+                    item.task,
+                    task.step.image,
+                    item.sample,
+                    task.step.tail_target / _MILLISECOND,
+                    shares,
+                    context.get_now(),
                 )
-                samples.append(placement.PaceTarget(item.sample, target))
-            elif task.step.is_filler:
-                fillers.append(task)
-        pace = self._pace.update(samples, self._context.get_now())
-        percent = round(pace * 100)
-        for task in fillers:
-            if task.pace != percent and task.confirmed is not None:
-                self._orders.set_pace(task, percent)
+            )
+        entry.serving = tuple(states)
+
+    def _list_fillers(self) -> list[placement.FillerState]:
+        entry = self._entry
+        capacity = max(1, entry.load.capacity.cpu)
+        return [
+            placement.FillerState(
+                task.key,
+                task.step.image,
+                task.step.resources.cpu / capacity,
+                task.pace,
+            )
+            for task in entry.tasks.values()
+            if task.step.is_filler
+            and task.confirmed is not None
+            and task.phase is _state.TaskPhase.RUNNING
+        ]
 
     async def _pause(self, sent: datetime.timedelta) -> None:
         context, entry = self._context, self._entry
--- a/tamarackhatch/scheduler/_scheduler.py
+++ b/tamarackhatch/scheduler/_scheduler.py
@@ -7,6 +7,7 @@
 from tamarackhatch import election
 from tamarackhatch import model
 from tamarackhatch import observability
+from tamarackhatch import placement
 from tamarackhatch import platform
 from tamarackhatch import records
 from tamarackhatch import settings
@@ -72,6 +73,7 @@
             writer=self._writer,
             log=log,
             metrics=metrics,
+            factors=placement.InterferenceModel(),
             wake=asyncio.Event(),
         )
         self._orders = _orders.OrderDesk(self._context)
--- a/tamarackhatch/settings/_settings.py
+++ b/tamarackhatch/settings/_settings.py
@@ -59,14 +59,12 @@
             scheduler gives no orders. A longer time bridges longer outages of
             the store and lengthens the wait for unreachable runners after a
             takeover.
-        pace_margin: Share of the tail target at which fillers are slowed.
     """
 
     lease: datetime.timedelta = 5 * _SECOND
     leader_timeout: datetime.timedelta = 2 * _SECOND
     leader_beat: datetime.timedelta = 0.7 * _SECOND
     authority: datetime.timedelta = 5 * _SECOND
-    pace_margin: float = 0.8
 
 
 @attrs.frozen
@@ -195,7 +193,6 @@
     _make_duration("leader_timeout", _MS, 300, 60_000),
     _make_duration("leader_beat", _MS, 50, 20_000),
     _make_duration("authority", _MS, 500, 600_000),
-    documents.Key("pace_margin", documents.Decimal(0, 1)),
 )
 _LOGGING_KEYS: typing.Final = (
     documents.Key("level", _LEVEL),
