Keep ends across a takeover

Cause: four faults of the takeover. (1) Links read runner lists before the jobs were loaded, so listed ends named unknown tasks and were acknowledged. (2) Each try to reach a silent runner extended its lease on our side, so its tasks never ended and it stayed in the roster; a successor then waited the whole bound. (3) The persisted run was the latest started one, so a successor took the end of that run for one it knew and ran the task again. (4) Candidates counted silence while the store did not answer. Ruled out: ends forgotten by the runner (the numbers 41 and 42 of i-48ce097ba5 were listed and skipped).

--- a/tamarackhatch/election/_election.py
+++ b/tamarackhatch/election/_election.py
@@ -174,7 +174,8 @@
         return min(delay, _MAX_DELAY) + self._jitter
 
     def _is_vacant(self) -> bool:
-        silence = self._clock.get_monotonic() - self._changed
+        # Only answers of the store tell that there was no sign of life.
+        silence = self._answered - self._changed
         beat = self._beat
         if beat is None or beat.is_released:
             return silence >= self._delay
--- a/tamarackhatch/scheduler/_board.py
+++ b/tamarackhatch/scheduler/_board.py
@@ -233,6 +233,7 @@
         self._metrics.ends.labels("lost").inc()
         if task.runner is not None:
             task.runner.release(task)
+        task.ended_run = max(task.ended_run, task.run)
         self._requeue(task)
 
     def end_run(
@@ -247,11 +248,22 @@
             The writer's generation in which it becomes durable.
         """
         self._metrics.ends.labels(ended.kind.value).inc()
+        self._log.info(
+            "run_ended",
+            task=str(task.key),
+            run=ended.run,
+            runner=runner.identifier,
+            how=ended.kind.value,
+            number=ended.number,
+            phase=task.phase.value,
+            failures=task.failures,
+        )
         if task.runner is not None:
             task.runner.release(task)
         else:
             self._remove_waiting(task)
         task.run = max(task.run, ended.run)
+        task.ended_run = max(task.ended_run, ended.run)
         entry = task.job
         is_done = ended.kind is model.EndKind.DONE
         if task.phase is _state.TaskPhase.DONE or entry.state.is_final:
@@ -277,14 +289,6 @@
             task.failed_on |= {runner.identifier}
             if not task.step.is_lasting:
                 task.failures += 1
-        self._log.info(
-            "run_ended",
-            task=str(task.key),
-            run=ended.run,
-            runner=runner.identifier,
-            how=ended.kind.value,
-            failures=task.failures,
-        )
         limit = task.job.job.queue.max_attempts
         if task.failures >= limit:
             self._log.info(
--- a/tamarackhatch/scheduler/_dispatcher.py
+++ b/tamarackhatch/scheduler/_dispatcher.py
@@ -156,18 +156,18 @@
     ) -> None:
         context = self._context
         entry: _fleet.RunnerEntry = context.fleet[chosen.load.identifier]
+        waited = context.get_now() - task.since
+        context.board.begin_start(task, entry)
+        self._orders.start(task, entry)
         context.log.info(
             "task_placed",
             task=str(task.key),
-            run=task.run + 1,
+            run=task.run,
             runner=entry.identifier,
-            waited_ms=(context.get_now() - task.since)
-            // datetime.timedelta(milliseconds=1),
+            waited_ms=waited // datetime.timedelta(milliseconds=1),
             reserved_cpu=entry.load.reserved_cpu,
             filler_cpu=entry.load.filler_cpu,
         )
-        context.board.begin_start(task, entry)
-        self._orders.start(task, entry)
 
 
 def _get_order(group: Group) -> tuple[float, ...]:
--- a/tamarackhatch/scheduler/_fleet.py
+++ b/tamarackhatch/scheduler/_fleet.py
@@ -83,12 +83,13 @@
     def compute_lease_end(
         self, now: datetime.timedelta, lease: datetime.timedelta
     ) -> datetime.timedelta | None:
-        """Returns the end of a lease granted now; None without a clock.
+        """Returns the end of a lease granted now, and notes it.
 
-        The result is noted, because any order that carries it may be
-        carried out.
+        Any order that carries the result may be carried out. A runner that
+        does not answer gets no new lease, or its tasks would never be known
+        to have ended; None stands for that.
         """
-        if self.clock_read is None:
+        if self.clock_read is None or self.silent_calls:
             return None
         lease_end = self.clock + (now - self.clock_read) + lease
         self.lease_end = max(self.lease_end, lease_end)
--- a/tamarackhatch/scheduler/_link.py
+++ b/tamarackhatch/scheduler/_link.py
@@ -22,6 +22,9 @@
 _MIN_INTERVAL = datetime.timedelta(milliseconds=100)
 # Ends are acknowledged with the next renewal, once they are durable.
 _DURABLE_WAIT = datetime.timedelta(milliseconds=300)
+# Runs of a job that an earlier scheduler started just before it was deposed
+# may be listed before this scheduler has read the job.
+_UNREAD_JOB_TIME = datetime.timedelta(seconds=5)
 # A report lists at most this many ends; a full one may hide others.
 _MAX_LISTED_ENDS = 500
 # A draining runner stops its tasks this long before it may leave.
@@ -144,14 +147,26 @@
             entry.lease_end = report.clock + context.settings.lease * 1.05
             self._has_reported = True
         for ended in report.ended:
-            if ended.number > entry.processed:
-                self._take_end(ended)
+            if ended.number <= entry.processed:
+                continue
+            if self._may_be_unread(ended.task):
+                # Acknowledging it now would lose it.
+                break
+            self._take_end(ended)
         listed = {item.task: item for item in report.running}
         for item in report.running:
             self._take_running(item)
         if len(report.ended) < _MAX_LISTED_ENDS:
             self._find_missing(listed, sent)
 
+    def _may_be_unread(self, task: model.TaskKey) -> bool:
+        """Tells whether a task's job may not have been read yet."""
+        context = self._context
+        return (
+            not context.board.has_job(task.job)
+            and context.get_now() - self._began < _UNREAD_JOB_TIME
+        )
+
     def _meet_incarnation(self, report: model.RunnerReport) -> None:
         entry = self._entry
         if entry.born:
@@ -192,6 +207,8 @@
     def _take_running(self, item: model.RunningTask) -> None:
         context, entry = self._context, self._entry
         task = context.board.find_task(item.task)
+        if self._may_be_unread(item.task):
+            return
         if task is None or task.phase is _state.TaskPhase.DONE:
             if task is None or task.runner is not entry:
                 self._orders.stop_stray(entry, item)
--- a/tamarackhatch/scheduler/_orders.py
+++ b/tamarackhatch/scheduler/_orders.py
@@ -89,12 +89,16 @@
     ) -> None:
         context = self._context
         is_uncertain = False
+        lease_end = self._grant(entry)
+        if lease_end is None:
+            context.board.withdraw_start(task)
+            return
         while (
             task.run == run
             and task.runner is entry
             and task.phase is _state.TaskPhase.STARTING
         ):
-            outcome = await self._try_start(task, entry, run)
+            outcome = await self._try_start(task, entry, run, lease_end)
             if task.run != run or task.runner is not entry:
                 return
             if outcome is _Outcome.ACCEPTED:
@@ -113,18 +117,29 @@
             self._take_refusal(task, entry, outcome)
             return
 
+    def _grant(self, entry: _fleet.RunnerEntry) -> datetime.timedelta | None:
+        context = self._context
+        if not context.authority.is_valid:
+            return None
+        return entry.compute_lease_end(
+            context.get_now(), context.settings.lease
+        )
+
     async def _try_start(
-        self, task: _state.TaskEntry, entry: _fleet.RunnerEntry, run: int
+        self,
+        task: _state.TaskEntry,
+        entry: _fleet.RunnerEntry,
+        run: int,
+        lease_end: datetime.timedelta,
     ) -> platform.OrderOutcome | None:
-        """Returns the outcome; None if the run may start, now or later."""
+        """Returns the outcome; None if the run may start, now or later.
+
+        All tries carry the same lease end, so that the time after which
+        none of them can start the run does not move.
+        """
         context = self._context
-        lease_end = None
-        if context.authority.is_valid:
-            lease_end = entry.compute_lease_end(
-                context.get_now(), context.settings.lease
-            )
-        if lease_end is None:
-            return _Outcome.UNHEALTHY
+        if not context.authority.is_valid:
+            return None
         try:
             outcome = await context.client.start(
                 entry.record,
--- a/tamarackhatch/scheduler/_scheduler.py
+++ b/tamarackhatch/scheduler/_scheduler.py
@@ -135,13 +135,14 @@
 
     async def _start_up(self, claimed: datetime.timedelta) -> None:
         roster = await self._load_progress()
+        # Runners list runs of jobs, so that these must be known first.
+        await self._jobs.load()
         for runner in roster:
             self._unsettled.add(runner.identifier)
             self._add_runner(_make_runner(runner))
         if self._unsettled:
             self._dispatcher.hold_back(self._term.token)
         await self._runners.load()
-        await self._jobs.load()
         self._log.info(
             "scheduler_ready",
             term=self._term.number,
--- a/tamarackhatch/scheduler/_state.py
+++ b/tamarackhatch/scheduler/_state.py
@@ -44,6 +44,7 @@
         phase: Where it stands.
         runner: Where it runs or may run; None while no run can exist.
         run: Number of the latest run.
+        ended_run: Number of the highest run that is known to have ended.
         failures: Runs that failed.
         checkpoint: Latest checkpoint; empty for none.
         percent: Progress that the runner last listed.
@@ -61,6 +62,7 @@
     phase: TaskPhase = TaskPhase.BLOCKED
     runner: "_fleet.RunnerEntry | None" = None
     run: int = 0
+    ended_run: int = 0
     failures: int = 0
     checkpoint: str = ""
     percent: int = 0
@@ -169,7 +171,7 @@
                 else progress.tasks.get((step_index, index))
             )
             if history is not None:
-                task.run = history.run
+                task.run = task.ended_run = history.run
                 task.failures = history.failures
                 task.checkpoint = history.checkpoint
             tasks.append(task)
@@ -192,7 +194,7 @@
                 bits |= 1 << task.key.index
             elif task.failures or task.checkpoint:
                 histories[(step_index, task.key.index)] = records.TaskHistory(
-                    task.run, task.failures, task.checkpoint
+                    task.ended_run, task.failures, task.checkpoint
                 )
         if bits:
             done[step_index] = bits
--- a/tamarackhatch/scheduler/_writer.py
+++ b/tamarackhatch/scheduler/_writer.py
@@ -19,7 +19,8 @@
 # that come within this time share one.
 _BATCH_INTERVAL = datetime.timedelta(milliseconds=70)
 _TIMEOUT = datetime.timedelta(milliseconds=900)
-_RETRY_PAUSE = datetime.timedelta(milliseconds=120)
+# Refused calls are priced as well.
+_RETRY_PAUSE = datetime.timedelta(milliseconds=250)
 
 
 class DeposedError(errors.CodedError):
