Test takeovers in virtual time; hand over without a pause

Cause: a released term was taken over only after the usual silence, because a candidate waited for the next sign of life as if the scheduler lived, and the releasing write met a transaction whose answer was not awaited. Failed runs on two runners were counted once after a takeover. Change: a candidate waits only for what the state of the term asks; the release is retried; failures are counted by run number. Stand-ins of the published protocol run whole schedulers in virtual time, and a checker outside the package decides.

--- /dev/null
+++ b/standins/history.py
@@ -0,0 +1,164 @@
+"""What the stand-ins saw, and the rules that it must keep."""
+
+import asyncio
+
+import attrs
+
+
+@attrs.define
+class RunRecord:
+    """One run of a task on a runner."""
+
+    runner: str
+    task: str
+    run: int
+    token: int
+    started: float
+    ended: float | None = None
+    how: str = ""
+    number: int = 0
+    acknowledged: float | None = None
+
+
+@attrs.frozen
+class Violation:
+    """A broken rule."""
+
+    rule: str
+    task: str
+    detail: str
+
+
+class History:
+    """Records starts and ends of runs, and what callers were told."""
+
+    def __init__(self) -> None:
+        self.runs: list[RunRecord] = []
+        self.accepted: set[str] = set()
+        self.refused: set[str] = set()
+        self.completed: dict[str, float] = {}
+
+    def note_start(self, runner: str, task: str, run: int, token: int) -> None:
+        """Notes that a runner has started a run."""
+        now = asyncio.get_running_loop().time()
+        self.runs.append(RunRecord(runner, task, run, token, now))
+
+    def note_end(
+        self,
+        runner: str,
+        task: str,
+        run: int,
+        how: str,
+        time: float,
+        number: int = 0,
+    ) -> None:
+        """Notes that a run ended at a loop time."""
+        for record in reversed(self.runs):
+            if (record.runner, record.task, record.run) == (runner, task, run):
+                if record.ended is None:
+                    record.ended, record.how = time, how
+                    record.number = number
+                return
+
+    def note_acknowledged(self, runner: str, number: int) -> None:
+        """Notes that a scheduler has acknowledged a runner's ends."""
+        now = asyncio.get_running_loop().time()
+        for record in self.runs:
+            if record.runner == runner and 0 < record.number <= number:
+                if record.acknowledged is None:
+                    record.acknowledged = now
+
+    def check(self, max_attempts: int) -> list[Violation]:
+        """Returns all broken rules.
+
+        Args:
+            max_attempts: Failed runs after which a task must not start.
+        """
+        violations: list[Violation] = []
+        by_task: dict[str, list[RunRecord]] = {}
+        for record in self.runs:
+            by_task.setdefault(record.task, []).append(record)
+        for task, runs in by_task.items():
+            runs.sort(key=lambda record: record.started)
+            violations += _check_overlaps(task, runs)
+            violations += _check_ends(task, runs, max_attempts)
+            job = task.split(".")[0]
+            if job in self.refused and job not in self.accepted:
+                violations.append(
+                    Violation("REFUSED", task, "its job was refused")
+                )
+            if job not in self.accepted | self.refused:
+                violations.append(
+                    Violation("UNASKED", task, "nobody submitted its job")
+                )
+        return violations + self._check_completed(by_task)
+
+    def _check_completed(
+        self, by_task: dict[str, list[RunRecord]]
+    ) -> list[Violation]:
+        violations = []
+        for job, time in self.completed.items():
+            tasks = {
+                task: runs
+                for task, runs in by_task.items()
+                if task.split(".")[0] == job
+            }
+            for task, runs in tasks.items():
+                if not any(
+                    run.how == "done"
+                    and run.ended is not None
+                    and run.ended <= time
+                    for run in runs
+                ):
+                    violations.append(
+                        Violation("MIXED", task, "shown completed, not done")
+                    )
+        return violations
+
+
+def _check_overlaps(task: str, runs: list[RunRecord]) -> list[Violation]:
+    violations = []
+    for index, later in enumerate(runs):
+        for earlier in runs[:index]:
+            if earlier.ended is None or earlier.ended > later.started:
+                violations.append(
+                    Violation(
+                        "TWICE",
+                        task,
+                        f"run {later.run} on {later.runner} began while "
+                        f"run {earlier.run} on {earlier.runner} ran",
+                    )
+                )
+            if later.run <= earlier.run:
+                violations.append(
+                    Violation(
+                        "NUMBER",
+                        task,
+                        f"run {later.run} began after run {earlier.run}",
+                    )
+                )
+    return violations
+
+
+def _check_ends(
+    task: str, runs: list[RunRecord], max_attempts: int
+) -> list[Violation]:
+    violations = []
+    for index, later in enumerate(runs):
+        before = [
+            run
+            for run in runs[:index]
+            if run.ended is not None and run.acknowledged is not None
+        ]
+        if any(run.how == "done" for run in before):
+            violations.append(
+                Violation("TWICE", task, f"run {later.run} began after done")
+            )
+        failed = sum(1 for run in before if run.how == "failed")
+        if failed >= max_attempts:
+            violations.append(
+                Violation(
+                    "BUDGET", task, f"run {later.run} after {failed} failures"
+                )
+            )
+    return violations
--- /dev/null
+++ b/standins/runner.py
@@ -0,0 +1,234 @@
+"""Stand-in for a runner."""
+
+import asyncio
+import base64
+from collections.abc import Callable
+import typing
+
+import attrs
+import orjson
+
+from standins import history
+from standins import network
+from standins import store
+
+_STOP_S = 0.1
+_MAX_LEASE_MS = 10_000
+
+
+@attrs.define
+class Run:
+    """A run in progress.
+
+    Attributes:
+        task: Name of the task.
+        run: Number of the run.
+        ends: Loop time at which it ends by itself, with how.
+        how: How it then ends.
+        token: Fencing token of the start.
+    """
+
+    task: str
+    run: int
+    ends: float
+    how: str
+    token: int
+    is_stopping: bool = False
+
+
+Plan = Callable[[str, int], tuple[float, str]]
+
+
+class RunnerStandIn:
+    """Runs tasks under a lease, and lists them and their ends.
+
+    A plan says for each task and run how long it takes and how it ends.
+    """
+
+    def __init__(
+        self,
+        identifier: str,
+        address: str,
+        service: str,
+        plan: Plan,
+        record: history.History,
+        cpu: int = 16_000,
+        memory: int = 64_000,
+    ) -> None:
+        self.identifier = identifier
+        self.address = address
+        self.service = service
+        self.state = "ready"
+        self.cpu = cpu
+        self.memory = memory
+        self._plan = plan
+        self._history = record
+        self._born = 1
+        self._seq = 0
+        self._wake = asyncio.Event()
+        self._start_life()
+
+    def _start_life(self) -> None:
+        loop = asyncio.get_running_loop()
+        self._began = loop.time()
+        self._token = 0
+        self._lease_end = 0
+        self._numbers = 0
+        self._runs: dict[str, Run] = {}
+        self._ended: list[list[typing.Any]] = []
+        self._closed: dict[str, int] = {}
+        self._specs: dict[str, tuple[int, int]] = {}
+
+    @property
+    def running(self) -> list[str]:
+        """Names of the tasks that run now."""
+        self._update()
+        return sorted(self._runs)
+
+    def crash(self) -> None:
+        """Ends everything and begins a new incarnation."""
+        self._update()
+        for run in self._runs.values():
+            now = asyncio.get_running_loop().time()
+            self._history.note_end(
+                self.identifier, run.task, run.run, "crashed", now
+            )
+        self._born += 1
+        self._start_life()
+
+    def register(self, target: store.StoreStandIn) -> None:
+        """Writes the entry in the registry."""
+        self._seq += 1
+        entry = {
+            "service": self.service,
+            "address": self.address,
+            "zone": "here",
+            "version": "v1",
+            "slots": 8,
+            "state": self.state,
+            "cold_remaining_ms": 0,
+            "capacity": {"cpu": self.cpu, "mem_mb": self.memory, "gpu": 0},
+            "labels": ["a", "r1"],
+            "born": self._born,
+            "seq": self._seq,
+        }
+        value = base64.b64encode(orjson.dumps(entry)).decode()
+        target.put("servers", self.identifier, value)
+
+    async def handle(self, request: network.Request) -> network.Response:
+        """Answers one call."""
+        self._update()
+        body = request.body
+        token = body.get("fencing_token", 0)
+        if token < self._token:
+            return self._answer(409, reason="fence")
+        self._token = token
+        if request.path == "/-/hold":
+            return await self._hold(body)
+        if request.path == "/-/run-start":
+            return self._start(body)
+        if request.path == "/-/run-stop":
+            return self._stop(body)
+        if request.path == "/-/pace":
+            return self._answer(200)
+        return self._answer(404)
+
+    def _answer(self, status: int, **fields: typing.Any) -> network.Response:
+        return network.Response(
+            status, {"clock_ms": self._get_clock(), **fields}
+        )
+
+    def _get_clock(self) -> int:
+        loop = asyncio.get_running_loop()
+        return 1 + int((loop.time() - self._began) * 1000)
+
+    def _extend(self, body: network.Body) -> None:
+        limit = self._get_clock() + _MAX_LEASE_MS
+        asked = min(body.get("deadline_ms", 0), limit)
+        self._lease_end = max(self._lease_end, asked)
+
+    async def _hold(self, body: network.Body) -> network.Response:
+        loop = asyncio.get_running_loop()
+        acknowledged = body.get("ack_cursor", 0)
+        self._history.note_acknowledged(self.identifier, acknowledged)
+        self._ended = [end for end in self._ended if end[0] > acknowledged]
+        self._extend(body)
+        deadline = loop.time() + body.get("wait_ms", 0) / 1000
+        while not self._ended and loop.time() < deadline:
+            pause = min(deadline, self._get_next_end()) - loop.time()
+            try:
+                async with asyncio.timeout(max(0.001, pause)):
+                    await self._wake.wait()
+            except TimeoutError:
+                pass
+            self._update()
+        running = [
+            [run.task, run.run, "", 100, 0] for run in self._runs.values()
+        ]
+        return self._answer(
+            200, born=self._born, running=running, ended=self._ended
+        )
+
+    def _start(self, body: network.Body) -> network.Response:
+        task, number = body["task"], body["run"]
+        present = self._runs.get(task)
+        if present is not None and present.run == number:
+            self._extend(body)
+            return self._answer(200)
+        if body["deadline_ms"] <= self._get_clock():
+            return self._answer(409, reason="late")
+        if present is not None or number <= self._closed.get(task, 0):
+            self._extend(body)
+            return self._answer(409, reason="old")
+        self._extend(body)
+        duration, how = self._plan(task, number)
+        loop = asyncio.get_running_loop()
+        self._runs[task] = Run(
+            task, number, loop.time() + duration, how, body["fencing_token"]
+        )
+        self._history.note_start(
+            self.identifier, task, number, body["fencing_token"]
+        )
+        self._wake_holders()
+        return self._answer(200)
+
+    def _stop(self, body: network.Body) -> network.Response:
+        task, number = body["task"], body["run"]
+        self._closed[task] = max(self._closed.get(task, 0), number)
+        run = self._runs.get(task)
+        if run is not None and run.run <= number and not run.is_stopping:
+            run.is_stopping = True
+            run.how = "stopped"
+            run.ends = min(
+                run.ends, asyncio.get_running_loop().time() + _STOP_S
+            )
+            self._wake_holders()
+        return self._answer(200)
+
+    def _wake_holders(self) -> None:
+        self._wake.set()
+        self._wake = asyncio.Event()
+
+    def _get_next_end(self) -> float:
+        ends = [run.ends for run in self._runs.values()]
+        lease = self._began + self._lease_end / 1000
+        return min([*ends, lease if self._runs else float("inf")])
+
+    def _update(self) -> None:
+        """Ends the runs whose time has come."""
+        now = asyncio.get_running_loop().time()
+        lease = self._began + self._lease_end / 1000
+        for run in sorted(self._runs.values(), key=lambda run: run.ends):
+            if run.ends <= min(now, lease):
+                self._end(run, run.how, run.ends)
+            elif lease <= now:
+                self._end(run, "lapsed", lease)
+
+    def _end(self, run: Run, how: str, time: float) -> None:
+        del self._runs[run.task]
+        self._closed[run.task] = max(self._closed.get(run.task, 0), run.run)
+        self._numbers += 1
+        self._ended.append([self._numbers, run.task, run.run, how, ""])
+        self._history.note_end(
+            self.identifier, run.task, run.run, how, time, self._numbers
+        )
--- /dev/null
+++ b/standins/store.py
@@ -0,0 +1,167 @@
+"""Stand-in for the platform's metadata store."""
+
+import asyncio
+import typing
+
+from standins import network
+
+Key = tuple[str, str, str]
+_MAX_WAIT_S = 30.0
+
+
+class StoreStandIn:
+    """Tables of rows with a single version counter and a change feed.
+
+    Attributes:
+        is_down: Whether every call gets 503.
+        is_silent: Whether no call gets an answer.
+        answer_s: Time of an answer, in seconds.
+        writes: Number of transactions that were applied.
+    """
+
+    def __init__(self) -> None:
+        self.is_down = False
+        self.is_silent = False
+        self.answer_s = 0.003
+        self.writes = 0
+        self._rows: dict[Key, tuple[str, int]] = {}
+        self._changes: list[tuple[int, Key, str | None]] = []
+        self._version = 0
+        self._oldest = 0
+        self._changed = asyncio.Event()
+
+    def put(self, table: str, key: str, value: str, part: str = "") -> int:
+        """Writes a row directly; the value is base64 text."""
+        return self._apply([((table, part, key), value)], [])
+
+    def drop(self, table: str, key: str, part: str = "") -> None:
+        """Removes a row directly."""
+        self._apply([], [(table, part, key)])
+
+    def get(self, table: str, key: str, part: str = "") -> str | None:
+        """Returns the value of a row as base64 text, or None."""
+        row = self._rows.get((table, part, key))
+        return None if row is None else row[0]
+
+    def forget_history(self) -> None:
+        """Drops the history that feeds need."""
+        self._oldest = self._version
+        self._changes.clear()
+
+    async def handle(self, request: network.Request) -> network.Response:
+        """Answers one call."""
+        await asyncio.sleep(self.answer_s)
+        if self.is_silent:
+            raise network.Silence
+        if self.is_down:
+            return network.Response(503)
+        if request.path == "/-/rows-tx":
+            return self._transact(request.body)
+        if request.path == "/-/rows-get":
+            return self._read(request.query)
+        if request.path == "/-/rows-feed":
+            return await self._follow(request.query)
+        return network.Response(404)
+
+    def _transact(self, body: network.Body) -> network.Response:
+        expected = body.get("expected_rev", [])
+        for item in expected:
+            row = self._rows.get(_get_key(item))
+            if (0 if row is None else row[1]) != item["schema_version"]:
+                current = [
+                    self._show(_get_key(entry))
+                    for entry in expected
+                    if _get_key(entry) in self._rows
+                ]
+                return network.Response(412, {"rows": current})
+        puts = [(_get_key(item), item["value"]) for item in body["puts"]]
+        removals = [_get_key(item) for item in body.get("remove", [])]
+        parts = {key[1] for key, _ in puts} | {key[1] for key in removals}
+        if len(parts | {_get_key(item)[1] for item in expected}) > 1:
+            return network.Response(400, {"error": "several partitions"})
+        version = self._apply(puts, removals)
+        self.writes += 1
+        return network.Response(200, {"schema_version": version, "now_ms": 0})
+
+    def _apply(self, puts: list[tuple[Key, str]], removals: list[Key]) -> int:
+        self._version += 1
+        for key, value in puts:
+            self._rows[key] = (value, self._version)
+            self._changes.append((self._version, key, value))
+        for key in removals:
+            if self._rows.pop(key, None) is not None:
+                self._changes.append((self._version, key, None))
+        self._changed.set()
+        self._changed = asyncio.Event()
+        return self._version
+
+    def _read(self, query: dict[str, str]) -> network.Response:
+        keys = sorted(
+            key
+            for key in self._rows
+            if key[0] == query["table"]
+            and key[1] == query.get("part", "")
+            and query.get("from", "") <= key[2]
+            and (not query.get("to") or key[2] < query["to"])
+        )
+        limit = min(500, int(query.get("limit", "500")))
+        return network.Response(
+            200,
+            {
+                "rows": [self._show(key) for key in keys[:limit]],
+                "has_more": len(keys) > limit,
+                "schema_version": self._version,
+                "now_ms": 0,
+            },
+        )
+
+    async def _follow(self, query: dict[str, str]) -> network.Response:
+        after = int(query["after"])
+        loop = asyncio.get_running_loop()
+        wait = min(_MAX_WAIT_S, int(query.get("wait_ms", "0")) / 1000)
+        deadline = loop.time() + wait
+        while True:
+            if after < self._oldest:
+                return network.Response(410)
+            rows = self._list_changes(query["table"], after)
+            remaining = deadline - loop.time()
+            if rows or remaining <= 0:
+                return network.Response(
+                    200,
+                    {"rows": rows, "schema_version": self._version},
+                )
+            try:
+                async with asyncio.timeout(remaining):
+                    await self._changed.wait()
+            except TimeoutError:
+                continue
+
+    def _list_changes(
+        self, table: str, after: int
+    ) -> list[dict[str, typing.Any]]:
+        latest: dict[Key, dict[str, typing.Any]] = {}
+        for version, key, value in self._changes:
+            if version <= after or key[0] != table:
+                continue
+            row = {"table": key[0], "part": key[1], "key": key[2]}
+            latest[key] = {
+                **row,
+                "value": value,
+                "schema_version": version,
+                "deleted": value is None,
+            }
+        return sorted(latest.values(), key=lambda row: row["schema_version"])
+
+    def _show(self, key: Key) -> dict[str, typing.Any]:
+        value, version = self._rows[key]
+        return {
+            "table": key[0],
+            "part": key[1],
+            "key": key[2],
+            "value": value,
+            "schema_version": version,
+        }
+
+
+def _get_key(item: network.Body) -> Key:
+    return (item["table"], item["part"], item["key"])
--- a/tamarackhatch/election/_election.py
+++ b/tamarackhatch/election/_election.py
@@ -121,7 +121,7 @@
 
     async def _follow(self) -> None:
         silence = self._clock.get_monotonic() - self._changed
-        wait = self._timeout + self._delay - silence
+        wait = self._patience - silence
         wait = min(_MAX_WAIT, max(_MIN_WAIT, wait))
         try:
             page = await self._store.follow(
@@ -173,17 +173,21 @@
         delay += _DELAY_OF_ONE_CORE / max(self._candidate.processor, 0.1)
         return min(delay, _MAX_DELAY) + self._jitter
 
-    def _is_vacant(self) -> bool:
-        # Only answers of the store tell that there was no sign of life.
-        silence = self._answered - self._changed
+    @property
+    def _patience(self) -> datetime.timedelta:
+        """Silence after which this candidate campaigns."""
         beat = self._beat
         if beat is None or beat.is_released:
-            return silence >= self._delay
+            return self._delay
         if beat.instance == self._candidate.instance:
             # The holder is an earlier process of this instance, or a write
             # of this process whose answer was lost.
-            return True
-        return silence >= self._timeout + self._delay
+            return datetime.timedelta()
+        return self._timeout + self._delay
+
+    def _is_vacant(self) -> bool:
+        # Only answers of the store tell that there was no sign of life.
+        return self._answered - self._changed >= self._patience
 
     async def _campaign(self) -> _authority.Term | None:
         began = self._clock.get_boot_time()
--- a/tamarackhatch/model/_jobs.py
+++ b/tamarackhatch/model/_jobs.py
@@ -77,7 +77,7 @@
         """What a task takes from a runner's capacity."""
         if not self.is_filler:
             return self.resources
-        return attrs.evolve(self.resources, cpu=0)
+        return attrs.evolve(self.resources, processors=0)
 
 
 @attrs.frozen
--- a/tamarackhatch/model/_resources.py
+++ b/tamarackhatch/model/_resources.py
@@ -1,42 +1,40 @@
-"""Amounts of a machine's resources."""
+"""Amounts of processors, memory and accelerators."""
 
 import attrs
 
 
 @attrs.frozen
 class Resources:
-    """What a task needs or a runner has.
+    """What a task asks for, or what a worker has.
 
     Attributes:
-        cpu: Processor time, in thousandths of a core.
-        memory: Memory, in megabytes.
-        accelerators: Number of accelerators.
+        processors: Thousandths of a processor core.
+        memory_mb: Memory in MiB.
+        accelerators: Whole accelerators.
     """
 
-    cpu: int = 0
-    memory: int = 0
+    processors: int = 0
+    memory_mb: int = 0
     accelerators: int = 0
 
-    def fits_in(self, room: "Resources") -> bool:
-        """Tells whether every amount is at most that of the room."""
-        return (
-            self.cpu <= room.cpu
-            and self.memory <= room.memory
-            and self.accelerators <= room.accelerators
-        )
-
-    def add(self, other: "Resources") -> "Resources":
-        """Returns the sum."""
+    def __add__(self, other: "Resources") -> "Resources":
         return Resources(
-            self.cpu + other.cpu,
-            self.memory + other.memory,
+            self.processors + other.processors,
+            self.memory_mb + other.memory_mb,
             self.accelerators + other.accelerators,
         )
 
-    def subtract(self, other: "Resources") -> "Resources":
-        """Returns the difference, which may be negative."""
+    def __sub__(self, other: "Resources") -> "Resources":
         return Resources(
-            self.cpu - other.cpu,
-            self.memory - other.memory,
+            self.processors - other.processors,
+            self.memory_mb - other.memory_mb,
             self.accelerators - other.accelerators,
         )
+
+    def fits_in(self, available: "Resources") -> bool:
+        """Tells whether every amount is at most the available one."""
+        return (
+            self.processors <= available.processors
+            and self.memory_mb <= available.memory_mb
+            and self.accelerators <= available.accelerators
+        )
--- a/tamarackhatch/placement/_choice.py
+++ b/tamarackhatch/placement/_choice.py
@@ -125,12 +125,12 @@
 def _compute_spare_share(step: model.Step, candidate: Candidate) -> float:
     """Returns the share of the runner that stays free with a new task."""
     load = candidate.load
-    capacity = max(1, load.capacity.cpu)
+    capacity = max(1, load.capacity.processors)
     if step.is_lasting:
         used = float(load.reserved_cpu)
     else:
         used = compute_use(candidate)
-    return (capacity - used - step.resources.cpu) / capacity
+    return (capacity - used - step.resources.processors) / capacity
 
 
 def compute_use(candidate: Candidate) -> float:
@@ -151,8 +151,8 @@
 ) -> tuple[float, float]:
     """Returns the pressure beyond limits, and the largest new pressure."""
     load = candidate.load
-    capacity = max(1, load.capacity.cpu)
-    share = step.resources.cpu / capacity
+    capacity = max(1, load.capacity.processors)
+    share = step.resources.processors / capacity
     harm = 0.0
     largest = 0.0
     for state in candidate.serving:
--- a/tamarackhatch/placement/_interference.py
+++ b/tamarackhatch/placement/_interference.py
@@ -1,10 +1,10 @@
 """Model of how filler tasks disturb serving tasks.
 
 The tail of a serving task's response times is taken to be that of a queue:
-``tail = base / (1 - pressure)``. Its pressure is the sum of its own load, which
-swings by itself, and of one term for each filler beside it: the share of the
-runner's processors that the filler uses, times a factor that depends on both
-images. The factors are learned from changes between two samples of the same
+``tail = base / (1 - pressure)``. Its pressure is the sum of its own load,
+which swings by itself, and of one term for each filler beside it: the share
+of the runner's processors that the filler uses, times a factor that depends
+on both images. The factors are learned from changes between two samples of the same
 task, in which its own load hardly differs; all runners contribute.
 """
 
--- a/tamarackhatch/placement/_load.py
+++ b/tamarackhatch/placement/_load.py
@@ -64,24 +64,24 @@
         needs = step.reserved
         room = self.capacity
         return (
-            self.reserved_cpu + needs.cpu <= room.cpu
-            and self.reserved_memory + needs.memory <= room.memory
+            self.reserved_cpu + needs.processors <= room.processors
+            and self.reserved_memory + needs.memory_mb <= room.memory_mb
             and self.reserved_accelerators + needs.accelerators
             <= room.accelerators
         )
 
     def _change(self, key: model.TaskKey, step: model.Step, sign: int) -> None:
         needs = step.reserved
-        self.reserved_cpu += sign * needs.cpu
-        self.reserved_memory += sign * needs.memory
+        self.reserved_cpu += sign * needs.processors
+        self.reserved_memory += sign * needs.memory_mb
         self.reserved_accelerators += sign * needs.accelerators
         if step.is_filler:
-            self.filler_cpu += sign * step.resources.cpu
-            self.filler_cpus[step.image] += sign * step.resources.cpu
+            self.filler_cpu += sign * step.resources.processors
+            self.filler_cpus[step.image] += sign * step.resources.processors
             if not self.filler_cpus[step.image]:
                 del self.filler_cpus[step.image]
         elif step.is_serving:
-            self.serving_cpu += sign * needs.cpu
+            self.serving_cpu += sign * needs.processors
             self.serving_images[step.image] += sign
             if not self.serving_images[step.image]:
                 del self.serving_images[step.image]
--- a/tamarackhatch/platform/_registry.py
+++ b/tamarackhatch/platform/_registry.py
@@ -58,6 +58,9 @@
         _decoding.get_integer(document, "mem_mb"),
         _decoding.get_integer(document, "gpu"),
     )
-    if min(resources.cpu, resources.memory, resources.accelerators) < 0:
+    if (
+        min(resources.processors, resources.memory_mb, resources.accelerators)
+        < 0
+    ):
         raise _decoding.BadAnswerError("an amount is negative")
     return resources
--- a/tamarackhatch/records/_jobs.py
+++ b/tamarackhatch/records/_jobs.py
@@ -89,8 +89,8 @@
             document[f"{field.name}_ms"] = value // _MILLISECOND
         elif isinstance(value, model.Resources):
             document[field.name] = [
-                value.cpu,
-                value.memory,
+                value.processors,
+                value.memory_mb,
                 value.accelerators,
             ]
         else:
--- a/tamarackhatch/records/_progress.py
+++ b/tamarackhatch/records/_progress.py
@@ -22,12 +22,13 @@
 
     Attributes:
         run: Highest run number known to have ended.
-        failures: Runs that failed.
+        failed_runs: Numbers of the runs that failed. A later scheduler sees
+            their ends once more where they were not acknowledged.
         checkpoint: Latest checkpoint; empty for none.
     """
 
     run: int
-    failures: int
+    failed_runs: tuple[int, ...]
     checkpoint: str
 
 
@@ -106,7 +107,13 @@
             str(step): f"{bits:x}" for step, bits in occurrence.done.items()
         },
         "t": [
-            [step, index, history.run, history.failures, history.checkpoint]
+            [
+                step,
+                index,
+                history.run,
+                history.failed_runs,
+                history.checkpoint,
+            ]
             for (step, index), history in occurrence.tasks.items()
         ],
     }
@@ -116,7 +123,7 @@
     return OccurrenceProgress(
         {int(step): int(bits, 16) for step, bits in document["d"].items()},
         {
-            (step, index): TaskHistory(run, failures, checkpoint)
-            for step, index, run, failures, checkpoint in document["t"]
+            (step, index): TaskHistory(run, tuple(failed), checkpoint)
+            for step, index, run, failed, checkpoint in document["t"]
         },
     )
--- a/tamarackhatch/scheduler/_board.py
+++ b/tamarackhatch/scheduler/_board.py
@@ -288,21 +288,59 @@
         if ended.kind is model.EndKind.FAILED:
             task.failed_on |= {runner.identifier}
             if not task.step.is_lasting:
-                task.failures += 1
-        limit = task.job.job.queue.max_attempts
-        if task.failures >= limit:
-            self._log.info(
-                "job_failed",
-                job=task.key.job,
-                task=str(task.key),
-                failures=task.failures,
-                limit=limit,
-            )
-            self._enter(task, _state.TaskPhase.DONE)
-            self._finish_job(task.job, model.JobState.FAILED)
-        else:
+                task.failed_runs |= {ended.run}
+        if not self._fail_job_at_limit(task):
             self._requeue(task)
 
+    def note_old_end(
+        self,
+        task: _state.TaskEntry,
+        ended: model.EndedTask,
+        runner: _fleet.RunnerEntry,
+    ) -> int:
+        """Takes the end of an earlier run of a task into account.
+
+        Such an end is listed by a runner that was silent for longer than its
+        lease, or to a scheduler that reads several lists after a takeover.
+        Only a failure changes anything: it counts as an attempt.
+
+        Returns:
+            The writer's generation in which it becomes durable.
+        """
+        if (
+            ended.kind is not model.EndKind.FAILED
+            or ended.run in task.failed_runs
+            or task.step.is_lasting
+            or task.phase is _state.TaskPhase.DONE
+            or task.job.state.is_final
+        ):
+            return 0
+        task.failed_runs |= {ended.run}
+        self._log.info(
+            "old_run_failed",
+            task=str(task.key),
+            run=ended.run,
+            runner=runner.identifier,
+            failures=task.failures,
+        )
+        self._fail_job_at_limit(task)
+        return self._mark(task.job)
+
+    def _fail_job_at_limit(self, task: _state.TaskEntry) -> bool:
+        """Fails the job of a task that has used up its attempts."""
+        limit = task.job.job.queue.max_attempts
+        if task.failures < limit:
+            return False
+        self._log.info(
+            "job_failed",
+            job=task.key.job,
+            task=str(task.key),
+            failures=task.failures,
+            limit=limit,
+        )
+        self._finish_job(task.job, model.JobState.FAILED)
+        return True
+
     def _complete(self, task: _state.TaskEntry) -> None:
         self._enter(task, _state.TaskPhase.DONE)
         task.checkpoint = ""
--- a/tamarackhatch/scheduler/_link.py
+++ b/tamarackhatch/scheduler/_link.py
@@ -189,12 +189,17 @@
         entry.processed = ended.number
         task = context.board.find_task(ended.task)
         generation = 0
-        if task is not None and (
-            (task.runner is entry and task.run == ended.run)
-            or (task.runner is None and ended.run > task.run)
-        ):
-            generation = context.board.end_run(task, ended, entry)
-            self._judge(task, ended)
+        if task is not None:
+            is_latest = (
+                task.run == ended.run
+                if task.runner is entry
+                else task.runner is None and ended.run > task.ended_run
+            )
+            if is_latest:
+                generation = context.board.end_run(task, ended, entry)
+                self._judge(task, ended)
+            else:
+                generation = context.board.note_old_end(task, ended, entry)
         entry.pending_acks.append((ended.number, generation))
 
     def _judge(self, task: _state.TaskEntry, ended: model.EndedTask) -> None:
@@ -266,7 +271,7 @@
     def _observe(self, report: model.RunnerReport) -> None:
         """Takes the samples of the serving tasks into the model."""
         context, entry = self._context, self._entry
-        capacity = max(1, entry.load.capacity.cpu)
+        capacity = max(1, entry.load.capacity.processors)
         shares: dict[str, float] = {}
         for item in report.running:
             task = entry.tasks.get(item.task)
@@ -295,12 +300,12 @@
 
     def _list_fillers(self) -> list[placement.FillerState]:
         entry = self._entry
-        capacity = max(1, entry.load.capacity.cpu)
+        capacity = max(1, entry.load.capacity.processors)
         return [
             placement.FillerState(
                 task.key,
                 task.step.image,
-                task.step.resources.cpu / capacity,
+                task.step.resources.processors / capacity,
                 task.pace,
             )
             for task in entry.tasks.values()
--- a/tamarackhatch/scheduler/_scheduler.py
+++ b/tamarackhatch/scheduler/_scheduler.py
@@ -25,6 +25,8 @@
 # a pause would answer dozens of times a second.
 _REGISTRY_INTERVAL = datetime.timedelta(milliseconds=400)
 _CHECK_INTERVAL = datetime.timedelta(milliseconds=50)
+# The first try may meet a transaction whose answer was not awaited.
+_RELEASE_TRIES = 3
 _HANDOVER_WAIT = datetime.timedelta(milliseconds=400)
 
 
@@ -179,8 +181,12 @@
             await self._clock.sleep(_CHECK_INTERVAL / 5)
         for task in self._link_tasks.values():
             task.cancel()
+        is_written = False
         try:
-            is_written = await self._writer.write_batch(is_release=True)
+            for _ in range(_RELEASE_TRIES):
+                is_written = await self._writer.write_batch(is_release=True)
+                if is_written:
+                    break
         except _writer.DeposedError:
             return
         self._log.info("term_released", written=is_written)
@@ -254,8 +260,8 @@
                 "runner_seen",
                 runner=record.identifier,
                 service=record.service,
-                cpu=record.capacity.cpu,
-                memory=record.capacity.memory,
+                cpu=record.capacity.processors,
+                memory=record.capacity.memory_mb,
             )
             self._add_runner(record)
             self._write_roster()
--- a/tamarackhatch/scheduler/_state.py
+++ b/tamarackhatch/scheduler/_state.py
@@ -45,7 +45,7 @@
         runner: Where it runs or may run; None while no run can exist.
         run: Number of the latest run.
         ended_run: Number of the highest run that is known to have ended.
-        failures: Runs that failed.
+        failed_runs: Numbers of the runs that failed.
         checkpoint: Latest checkpoint; empty for none.
         percent: Progress that the runner last listed.
         pace: Share of its speed at which it was last told to work, in per
@@ -63,7 +63,7 @@
     runner: "_fleet.RunnerEntry | None" = None
     run: int = 0
     ended_run: int = 0
-    failures: int = 0
+    failed_runs: frozenset[int] = frozenset()
     checkpoint: str = ""
     percent: int = 0
     pace: int = 100
@@ -71,6 +71,11 @@
     confirmed: datetime.timedelta | None = None
     failed_on: frozenset[str] = frozenset()
 
+    @property
+    def failures(self) -> int:
+        """Number of runs that failed."""
+        return len(self.failed_runs)
+
     @property
     def is_placed(self) -> bool:
         """Whether a run of it may exist."""
@@ -172,7 +177,7 @@
             )
             if history is not None:
                 task.run = task.ended_run = history.run
-                task.failures = history.failures
+                task.failed_runs = frozenset(history.failed_runs)
                 task.checkpoint = history.checkpoint
             tasks.append(task)
         steps.append(tasks)
@@ -192,9 +197,11 @@
         for task in tasks:
             if task.phase is TaskPhase.DONE:
                 bits |= 1 << task.key.index
-            elif task.failures or task.checkpoint:
+            elif task.failed_runs or task.checkpoint:
                 histories[(step_index, task.key.index)] = records.TaskHistory(
-                    task.ended_run, task.failures, task.checkpoint
+                    task.ended_run,
+                    tuple(sorted(task.failed_runs)),
+                    task.checkpoint,
                 )
         if bits:
             done[step_index] = bits
--- /dev/null
+++ b/tamarackhatch/scheduler/tests/test_takeover.py
@@ -0,0 +1,206 @@
+"""Takeovers and faults of runners, with whole schedulers in virtual time."""
+
+import asyncio
+
+import pytest
+
+from standins import fleet as standin_fleet
+from standins import virtual_time
+from tamarackhatch import model
+
+_TASK = model.Resources(processors=1000, memory_mb=100)
+_ATTEMPTS = standin_fleet.QUEUE.max_attempts
+
+
+def _make_step(count: int, **fields: object) -> model.Step:
+    return model.Step(count=count, resources=_TASK, **fields)  # type: ignore
+
+
+async def _start_fleet(
+    **options: object,
+) -> standin_fleet.VirtualFleet:
+    fleet = standin_fleet.VirtualFleet(**options)  # type: ignore
+    for name in ("a", "b", "c"):
+        fleet.start_instance(name)
+    await fleet.wait_until(lambda: fleet.get_leader() is not None)
+    return fleet
+
+
+def test_job_completes_once() -> None:
+    """A job of two steps runs in order, each task once."""
+
+    async def play() -> None:
+        fleet = await _start_fleet()
+        await fleet.submit("00", _make_step(4), _make_step(3, after=(0,)))
+        await fleet.wait_for_state("00", model.JobState.COMPLETED)
+        assert len(fleet.history.runs) == 7
+        first = [r for r in fleet.history.runs if r.task.startswith("00.0.0.")]
+        second = [r for r in fleet.history.runs if r not in first]
+        assert max(r.ended or 0 for r in first) <= min(
+            r.started for r in second
+        )
+        assert fleet.check() == []
+
+    virtual_time.run_virtually(play())
+
+
+@pytest.mark.parametrize("delay_s", [0.05, 0.45, 0.52, 0.56, 0.6, 0.75, 1.2])
+def test_killed_scheduler_repeats_no_task(delay_s: float) -> None:
+    """Ends that the killed scheduler had not written are not lost.
+
+    Guards against reading runner lists before the jobs are known.
+    """
+
+    async def play() -> None:
+        fleet = await _start_fleet()
+        await fleet.submit("00", _make_step(9), _make_step(4, after=(0,)))
+        await asyncio.sleep(delay_s)
+        leader = fleet.get_leader()
+        assert leader is not None
+        leader.kill()
+        del fleet.instances[leader.name]
+        await fleet.wait_for_state("00", model.JobState.COMPLETED, 30)
+        assert fleet.check() == []
+        assert len(fleet.history.runs) == 13
+
+    virtual_time.run_virtually(play())
+
+
+def test_planned_stop_hands_over_at_once() -> None:
+    """A graceful stop needs no silence before the next start."""
+
+    async def play() -> None:
+        fleet = await _start_fleet()
+        leader = fleet.get_leader()
+        assert leader is not None
+        await leader.stop()
+        del fleet.instances[leader.name]
+        began = asyncio.get_running_loop().time()
+        await fleet.submit("00", _make_step(1))
+        await fleet.wait_until(lambda: bool(fleet.history.runs))
+        assert fleet.history.runs[0].started - began < 0.5
+
+    virtual_time.run_virtually(play())
+
+
+def test_takeover_after_kill_is_fast() -> None:
+    """A killed scheduler delays the next start by less than 2.5 s."""
+
+    async def play() -> None:
+        fleet = await _start_fleet()
+        await asyncio.sleep(3)
+        leader = fleet.get_leader()
+        assert leader is not None
+        leader.kill()
+        del fleet.instances[leader.name]
+        began = asyncio.get_running_loop().time()
+        await fleet.submit("00", _make_step(1))
+        await fleet.wait_until(lambda: bool(fleet.history.runs))
+        assert fleet.history.runs[0].started - began < 2.5
+
+    virtual_time.run_virtually(play())
+
+
+def test_no_takeover_while_the_store_serves_nobody() -> None:
+    """An outage of the store is no sign that the scheduler is gone.
+
+    Guards against counting silence while the store gives no answers.
+    """
+
+    async def play() -> None:
+        fleet = await _start_fleet()
+        await asyncio.sleep(2)
+        leader = fleet.get_leader()
+        fleet.store.is_down = True
+        await asyncio.sleep(4)
+        fleet.store.is_down = False
+        await asyncio.sleep(3)
+        assert fleet.get_leader() is leader
+
+    virtual_time.run_virtually(play())
+
+
+def test_silent_runner_gets_no_new_leases() -> None:
+    """Tasks of a runner that vanished restart within the lease and a second.
+
+    Guards against extending the lease, on our side, with every try to reach
+    the runner.
+    """
+
+    async def play() -> None:
+        fleet = await _start_fleet(
+            runners=2, plan=lambda task, run: (30, "done")
+        )
+        await fleet.submit("00", _make_step(4))
+        await fleet.wait_until(lambda: len(fleet.history.runs) == 4)
+        await asyncio.sleep(1)
+        lost = fleet.runners[0]
+        fleet.network.get_faults(lost.address).cut.add("*")
+        before = len(lost.running)
+        await asyncio.sleep(7.5)
+        assert len(fleet.history.runs) == 4 + before
+        assert fleet.check() == []
+
+    virtual_time.run_virtually(play())
+
+
+def test_failures_on_two_runners_count_after_a_takeover() -> None:
+    """A task does not start again after its last allowed failure.
+
+    Guards against counting only the highest failed run that lists show.
+    """
+
+    async def play() -> None:
+        fleet = await _start_fleet(
+            runners=5, plan=lambda task, run: (0.4, "failed")
+        )
+        await fleet.submit("00", _make_step(1))
+        for _ in range(_ATTEMPTS - 1):
+            started = len(fleet.history.runs)
+            await fleet.wait_until(
+                lambda: len(fleet.history.runs) > started, 5
+            )
+            # The store takes no progress from now on, so that the ends stay
+            # unacknowledged and the successor reads them from the lists.
+            fleet.store.is_down = True
+        leader = fleet.get_leader()
+        assert leader is not None
+        leader.kill()
+        del fleet.instances[leader.name]
+        await asyncio.sleep(1)
+        fleet.store.is_down = False
+        await fleet.wait_for_state("00", model.JobState.FAILED, 30)
+        assert len(fleet.history.runs) == _ATTEMPTS
+        assert fleet.check() == []
+
+    virtual_time.run_virtually(play())
+
+
+def test_deposed_scheduler_that_reaches_runners_does_no_harm() -> None:
+    """A scheduler cut off from the store gives way without a second run.
+
+    The successor cannot reach one runner that the old scheduler still
+    reaches, so it has to wait out the old authority and its leases.
+    """
+
+    async def play() -> None:
+        fleet = await _start_fleet(
+            runners=2, plan=lambda task, run: (4.0, "done")
+        )
+        await fleet.submit("00", _make_step(6))
+        await asyncio.sleep(1)
+        leader = fleet.get_leader()
+        assert leader is not None
+        others = {name for name in fleet.instances if name != leader.name}
+        fleet.network.get_faults(standin_fleet.STORE_ADDRESS).cut.add(
+            leader.name
+        )
+        fleet.network.get_faults(fleet.runners[0].address).cut |= others
+        await asyncio.sleep(25)
+        fleet.network.get_faults(fleet.runners[0].address).cut.clear()
+        fleet.network.get_faults(standin_fleet.STORE_ADDRESS).cut.clear()
+        del fleet.instances[leader.name]
+        await fleet.wait_for_state("00", model.JobState.COMPLETED, 30)
+        assert fleet.check() == []
+
+    virtual_time.run_virtually(play())
--- a/tamarackhatch/server/__init__.py
+++ b/tamarackhatch/server/__init__.py
@@ -1,6 +1,7 @@
 """One running instance."""
 
 from tamarackhatch.server._instance import Instance
+from tamarackhatch.server._role import SchedulerRole
 from tamarackhatch.server._run import serve
 
-__all__ = ["Instance", "serve"]
+__all__ = ["Instance", "SchedulerRole", "serve"]
--- a/tamarackhatch/server/_instance.py
+++ b/tamarackhatch/server/_instance.py
@@ -10,13 +10,12 @@
 from tornado import httputil
 
 from tamarackhatch import clock
-from tamarackhatch import election
 from tamarackhatch import errors
 from tamarackhatch import observability
 from tamarackhatch import platform
 from tamarackhatch import records
-from tamarackhatch import scheduler
 from tamarackhatch import service
+from tamarackhatch.server import _role
 from tamarackhatch import settings
 from tamarackhatch import transport
 
@@ -33,8 +32,6 @@
 _POLL = datetime.timedelta(milliseconds=50)
 # An instance that lost the store leaves the rotation after this time.
 _MAX_STORE_SILENCE = datetime.timedelta(milliseconds=2500)
-# The number of waiting jobs may be two seconds old.
-_MAX_PENDING_AGE = datetime.timedelta(seconds=5)
 _MAX_HEADER_BYTES = 65536
 
 
@@ -57,30 +54,28 @@
         self._log = observability.Log(sink, source, levels, "instance")
         self._metrics = observability.Metrics()
         self._stopping = asyncio.Event()
-        self._scheduler: scheduler.Scheduler | None = None
         self._store_client = transport.HttpClient(source, _STORE_CONNECTIONS)
         self._runner_client = transport.HttpClient(source, _RUNNER_CONNECTIONS)
         self._store = platform.PlatformStore(
             self._store_client, str(configured.store_address)
         )
-        self._candidate = election.Candidate(
-            configured.instance, secrets.token_hex(8), configured.processor
+        self._incarnation = secrets.token_hex(8)
+        self._role = _role.SchedulerRole(
+            self._store,
+            platform.RunnerClient(self._runner_client),
+            source,
+            configured,
+            self._incarnation,
+            self._log,
+            self._metrics,
         )
         self._configuration = service.ConfigurationWatcher(
             self._store, source, self._log.for_part("configuration")
         )
-        self._election = election.Election(
-            self._store,
-            source,
-            self._candidate,
-            configured.scheduling.leader_timeout,
-            self._lead,
-            self._log.for_part("election"),
-        )
         self._jobs = service.JobService(
             records.JobStore(self._store, source),
             self._configuration,
-            self,
+            self._role,
             source,
             self._log.for_part("service"),
             self._metrics,
@@ -88,15 +83,6 @@
         self._ingress = platform.Ingress(self._jobs, source.get_utc)
         self._servers: list[httpserver.HTTPServer] = []
 
-    def get_pending(self) -> dict[str, int] | None:
-        """Returns jobs without a start by queue; None if not known."""
-        if self._scheduler is not None:
-            return self._scheduler.pending
-        beat = self._election.beat
-        if beat is None or self._election.beat_age > _MAX_PENDING_AGE:
-            return None
-        return beat.pending
-
     @property
     def is_ready(self) -> bool:
         """Whether the load balancer may send new connections."""
@@ -115,13 +101,13 @@
         self._log.info(
             "started",
             instance=self._settings.instance,
-            incarnation=self._candidate.incarnation,
+            incarnation=self._incarnation,
             data_centre=self._settings.data_centre,
         )
         self._listen()
         tasks = [
             asyncio.create_task(self._configuration.run()),
-            asyncio.create_task(self._election.run()),
+            asyncio.create_task(self._role.run()),
             asyncio.create_task(self._watch_settings()),
         ]
         for task in tasks:
@@ -144,38 +130,18 @@
             server.listen(address.port, address.host)
             self._servers.append(server)
 
-    async def _lead(self, term: election.Term) -> None:
-        if self._stopping.is_set():
-            return
-        self._scheduler = scheduler.Scheduler(
-            self._store,
-            platform.RunnerClient(self._runner_client),
-            self._clock,
-            self._settings,
-            term,
-            self._candidate,
-            self._log.for_part("scheduler"),
-            self._metrics,
-        )
-        try:
-            await self._scheduler.run()
-        finally:
-            self._scheduler = None
-
     async def _stop(self, tasks: list[asyncio.Task[None]]) -> None:
         self._log.info("stopping", in_flight=self._ingress.in_flight)
         began = self._clock.get_monotonic()
         deadline = began + self._settings.bounds.grace - _CLOSE_MARGIN
-        self._election.withdraw()
+        self._role.stop()
         self._ingress.close()
-        if self._scheduler is not None:
-            self._scheduler.stop()
         while self._clock.get_monotonic() < deadline:
             elapsed = self._clock.get_monotonic() - began
             if (
                 elapsed >= _LEAVE_ROTATION
                 and not self._ingress.in_flight
-                and self._scheduler is None
+                and not self._role.is_active
             ):
                 break
             await self._clock.sleep(_POLL)
