--- a/tamarackhatch/model/__init__.py
+++ b/tamarackhatch/model/__init__.py
@@ -11,8 +11,8 @@
 from tamarackhatch.model._jobs import Step
 from tamarackhatch.model._jobs import TaskKey
 from tamarackhatch.model._resources import Resources
-from tamarackhatch.model._rows import Conflict
 from tamarackhatch.model._rows import Committed
+from tamarackhatch.model._rows import Conflict
 from tamarackhatch.model._rows import FeedPage
 from tamarackhatch.model._rows import HistoryLostError
 from tamarackhatch.model._rows import Put
--- a/tamarackhatch/scheduler/_context.py
+++ b/tamarackhatch/scheduler/_context.py
@@ -10,10 +10,10 @@
 from tamarackhatch import observability
 from tamarackhatch import placement
 from tamarackhatch import platform
-from tamarackhatch import settings
 from tamarackhatch.scheduler import _board
 from tamarackhatch.scheduler import _fleet
 from tamarackhatch.scheduler import _writer
+from tamarackhatch import settings
 
 
 @attrs.frozen
--- a/tamarackhatch/scheduler/_link.py
+++ b/tamarackhatch/scheduler/_link.py
@@ -265,6 +265,25 @@
         if not fillers:
             return
         paces = placement.choose_paces(context.factors, entry.serving, fillers)
+        context.log.debug(
+            "runner_sampled",
+            runner=entry.identifier,
+            listed=[
+                (str(item.task), item.sample, item.percent)
+                for item in report.running
+            ],
+            serving=[
+                (state.image, state.own_load, state.trend, state.limit)
+                for state in entry.serving
+            ],
+            fillers=[
+                (str(filler.task), filler.image, filler.share, filler.pace)
+                for filler in fillers
+            ],
+            capacity=entry.load.capacity.processors,
+            reserved=entry.load.reserved_cpu,
+            changes={str(key): pace for key, pace in paces.items()},
+        )
         for key, percent in paces.items():
             self._orders.set_pace(entry.tasks[key], percent)
 
--- a/tamarackhatch/scheduler/_scheduler.py
+++ b/tamarackhatch/scheduler/_scheduler.py
@@ -10,7 +10,6 @@
 from tamarackhatch import placement
 from tamarackhatch import platform
 from tamarackhatch import records
-from tamarackhatch import settings
 from tamarackhatch.scheduler import _board
 from tamarackhatch.scheduler import _context
 from tamarackhatch.scheduler import _dispatcher
@@ -18,6 +17,7 @@
 from tamarackhatch.scheduler import _link
 from tamarackhatch.scheduler import _orders
 from tamarackhatch.scheduler import _writer
+from tamarackhatch import settings
 
 _READ_TIMEOUT = datetime.timedelta(milliseconds=1500)
 _RETRY_PAUSE = datetime.timedelta(milliseconds=150)
--- a/tamarackhatch/server/_instance.py
+++ b/tamarackhatch/server/_instance.py
@@ -14,8 +14,8 @@
 from tamarackhatch import observability
 from tamarackhatch import platform
 from tamarackhatch import records
-from tamarackhatch import service
 from tamarackhatch.server import _role
+from tamarackhatch import service
 from tamarackhatch import settings
 from tamarackhatch import transport
 
