Take the lowest tail seen as the base of an image

Cause: the base was set to 0.78 of the lowest tail, but a task without load shows the base itself, so that own loads were overestimated by a tenth and fillers stood still at pace 0 beside calm tasks (20% of filler samples).

--- a/tamarackhatch/placement/_interference.py
+++ b/tamarackhatch/placement/_interference.py
@@ -4,8 +4,8 @@
 ``tail = base / (1 - pressure)``. Its pressure is the sum of its own load,
 which swings by itself, and of one term for each filler beside it: the share
 of the runner's processors that the filler uses, times a factor that depends
-on both images. The factors are learned from changes between two samples of the same
-task, in which its own load hardly differs; all runners contribute.
+on both images. The factors are learned from changes between two samples of
+the same task, in which its own load hardly differs; all runners contribute.
 """
 
 import datetime
@@ -14,9 +14,8 @@
 
 from tamarackhatch import model
 
-# A task without disturbance shows a tail between 1.3 and 3 times its base, so
-# the base is taken from the lowest tail seen of its image.
-_BASE_OF_LOWEST_TAIL = 0.78
+# The tail without any load, as a share of the target, until a lower tail is
+# seen. Targets are usually five times that tail.
 _BASE_OF_TARGET = 0.2
 # Before anything is known, a filler of a tenth of a runner adds this share
 # times ten to the pressure. It lies between harmless and heavy pairs, which
@@ -160,9 +159,8 @@
         lowest = self._lowest_tails.get(image)
         if tail > 0 and (lowest is None or tail < lowest):
             lowest = self._lowest_tails[image] = tail
-        if lowest is None:
-            return target * _BASE_OF_TARGET
-        return min(lowest * _BASE_OF_LOWEST_TAIL, target * _BASE_OF_TARGET)
+        usual = target * _BASE_OF_TARGET
+        return usual if lowest is None else min(lowest, usual)
 
     def _learn(
         self,
