Set the pace of fillers whose pace is not known

Cause: a successor took adopted fillers for working at full pace, though its predecessor may have slowed them, and an unanswered pace order was taken as carried out.

--- a/tamarackhatch/placement/_pace.py
+++ b/tamarackhatch/placement/_pace.py
@@ -25,13 +25,13 @@
         task: The task.
         image: Its image.
         share: Share of the runner's processors that it uses at full pace.
-        pace: Pace that it was last told, in per cent.
+        pace: Pace that it was last told, in per cent; None if not known.
     """
 
     task: model.TaskKey
     image: str
     share: float
-    pace: int
+    pace: int | None
 
 
 def forecast_own_load(state: _interference.ServingState) -> float:
@@ -55,14 +55,19 @@
     changes: dict[model.TaskKey, int] = {}
     for filler in fillers:
         percent = round(paces[filler.task] * _FULL)
-        is_small = abs(percent - filler.pace) < _MIN_CHANGE
-        is_bound = percent in (0, _FULL)
-        if percent == filler.pace or (is_small and not is_bound):
-            continue
-        changes[filler.task] = percent
+        if _is_worth_an_order(filler.pace, percent):
+            changes[filler.task] = percent
     return changes
 
 
+def _is_worth_an_order(current: int | None, wanted: int) -> bool:
+    if current is None:
+        return True
+    if wanted in (0, _FULL):
+        return wanted != current
+    return abs(wanted - current) >= _MIN_CHANGE
+
+
 def _relieve(
     factors: _interference.InterferenceModel,
     state: _interference.ServingState,
--- a/tamarackhatch/scheduler/_board.py
+++ b/tamarackhatch/scheduler/_board.py
@@ -185,6 +185,8 @@
         if task.runner is None:
             self._remove_waiting(task)
             runner.assign(task)
+            # An earlier scheduler has started it, and may have slowed it.
+            task.pace = None
         task.confirmed = self._clock.get_monotonic()
         if task.phase is _state.TaskPhase.STOPPING:
             return
--- a/tamarackhatch/scheduler/_orders.py
+++ b/tamarackhatch/scheduler/_orders.py
@@ -60,7 +60,9 @@
         """Lets a run work at a share of its speed, in per cent."""
         if task.runner is not None:
             task.pace = percent
-            self._spawn(self._deliver_pace(task, task.runner, task.run))
+            self._spawn(
+                self._deliver_pace(task, task.runner, task.run, percent)
+            )
 
     def close(self) -> None:
         """Gives up all orders that are in progress."""
@@ -233,10 +235,13 @@
         return outcome in (_Outcome.ACCEPTED, _Outcome.OUTDATED)
 
     async def _deliver_pace(
-        self, task: _state.TaskEntry, entry: _fleet.RunnerEntry, run: int
+        self,
+        task: _state.TaskEntry,
+        entry: _fleet.RunnerEntry,
+        run: int,
+        percent: int,
     ) -> None:
         context = self._context
-        percent = task.pace
         for _ in range(_MAX_PACE_TRIES):
             if task.run != run or task.runner is not entry:
                 return
@@ -256,6 +261,8 @@
                 continue
             self._count("pace", outcome.value)
             return
+        if task.run == run and task.pace == percent:
+            task.pace = None
 
     def _log_failure(
         self,
--- a/tamarackhatch/scheduler/_state.py
+++ b/tamarackhatch/scheduler/_state.py
@@ -49,7 +49,7 @@
         checkpoint: Latest checkpoint; empty for none.
         percent: Progress that the runner last listed.
         pace: Share of its speed at which it was last told to work, in per
-            cent.
+            cent; None if that is not known.
         since: Monotonic time at which the phase began.
         confirmed: Monotonic time from which the runner's lists are known to
             show the run if it exists; None while an order is unresolved.
@@ -66,7 +66,7 @@
     failed_runs: frozenset[int] = frozenset()
     checkpoint: str = ""
     percent: int = 0
-    pace: int = 100
+    pace: int | None = 100
     since: datetime.timedelta = datetime.timedelta()
     confirmed: datetime.timedelta | None = None
     failed_on: frozenset[str] = frozenset()
