Let fillers wait longer for a runner where they do no harm

Cause: after 1.5 s a filler was placed at the least harmful runner, where it then stood still at pace 0 and could not use other runners' calm times.

--- a/tamarackhatch/scheduler/_dispatcher.py
+++ b/tamarackhatch/scheduler/_dispatcher.py
@@ -15,7 +15,7 @@
 _MAX_INTERVAL = datetime.timedelta(milliseconds=250)
 
 # A filler waits this long for a runner where it harms no serving task.
-_PATIENCE = datetime.timedelta(milliseconds=1500)
+_PATIENCE = datetime.timedelta(seconds=6)
 
 Group = dict[int, _state.TaskEntry]
 
