--- a/tamarackhatch/election/_authority.py
+++ b/tamarackhatch/election/_authority.py
@@ -15,11 +15,14 @@
         number: Number of the term, from 1.
         token: Fencing token of the term's orders.
         began: Boot time before the winning write was sent.
+        pending: For each queue, jobs without a start, as the scheduler
+            before said.
     """
 
     number: int
     token: int
     began: datetime.timedelta
+    pending: dict[str, int] = attrs.field(factory=dict)
 
 
 class Authority:
--- a/tamarackhatch/election/_election.py
+++ b/tamarackhatch/election/_election.py
@@ -199,7 +199,9 @@
             holder = None if row is None else records.decode_beat(row.value)
             if row is not None and holder is not None:
                 if holder.incarnation == self._candidate.incarnation:
-                    return _authority.Term(holder.term, row.version, began)
+                    return _authority.Term(
+                        holder.term, row.version, began, holder.pending
+                    )
                 if self._beat is None or holder.term != self._beat.term:
                     # Another candidate has just won.
                     return None
@@ -220,8 +222,14 @@
     async def _claim(
         self, version: int, number: int, began: datetime.timedelta
     ) -> _authority.Term | None:
+        # Callers are told the last known numbers until this scheduler has
+        # read the jobs.
+        pending = {} if self._beat is None else self._beat.pending
         beat = records.Beat(
-            self._candidate.instance, self._candidate.incarnation, number
+            self._candidate.instance,
+            self._candidate.incarnation,
+            number,
+            pending=pending,
         )
         value = records.encode_beat(beat)
         result = await self._store.write(
@@ -238,4 +246,4 @@
             self._log.info("campaign_lost", term=number)
             return None
         self._log.info("campaign_won", term=number, token=result.version)
-        return _authority.Term(number, result.version, began)
+        return _authority.Term(number, result.version, began, pending)
--- a/tamarackhatch/scheduler/_scheduler.py
+++ b/tamarackhatch/scheduler/_scheduler.py
@@ -61,7 +61,7 @@
                 candidate.instance, candidate.incarnation, term.number
             ),
             configured.scheduling.leader_beat,
-            board.count_pending,
+            self._count_pending,
             log,
             metrics,
         )
@@ -88,6 +88,7 @@
         self._progress: dict[str, records.JobProgress] = {}
         self._unsettled: set[str] = set()
         self._stopping = asyncio.Event()
+        self._has_jobs = False
         self._jobs = records.TableWatcher(
             store,
             source,
@@ -110,7 +111,7 @@
     @property
     def pending(self) -> dict[str, int]:
         """For each queue, jobs of which no task has started yet."""
-        return self._context.board.count_pending()
+        return self._count_pending()
 
     def stop(self) -> None:
         """Asks for a planned end: the term is handed over."""
@@ -135,10 +136,16 @@
             self._metrics.is_scheduler.set(0)
             self._log.info("term_ended", term=self._term.number)
 
+    def _count_pending(self) -> dict[str, int]:
+        if not self._has_jobs:
+            return self._term.pending
+        return self._context.board.count_pending()
+
     async def _start_up(self, claimed: datetime.timedelta) -> None:
         roster = await self._load_progress()
         # Runners list runs of jobs, so that these must be known first.
         await self._jobs.load()
+        self._has_jobs = True
         for runner in roster:
             self._unsettled.add(runner.identifier)
             self._add_runner(_make_runner(runner))
--- a/tamarackhatch/scheduler/tests/test_takeover.py
+++ b/tamarackhatch/scheduler/tests/test_takeover.py
@@ -204,3 +204,28 @@
         assert fleet.check() == []
 
     virtual_time.run_virtually(play())
+
+
+def test_successor_inherits_the_number_of_waiting_jobs() -> None:
+    """Callers are not told 0 before the successor has read the jobs."""
+
+    async def play() -> None:
+        fleet = await _start_fleet(runners=0)
+        for number in range(5):
+            await fleet.submit(f"0{number}", _make_step(1))
+        await asyncio.sleep(2)
+        leader = fleet.get_leader()
+        assert leader is not None
+        leader.kill()
+        del fleet.instances[leader.name]
+        told = set()
+        for _ in range(500):
+            await asyncio.sleep(0.01)
+            for instance in fleet.instances.values():
+                pending = instance.role.get_pending()
+                if pending is not None:
+                    told.add(pending.get(standin_fleet.QUEUE.name, 0))
+        assert told == {5}
+        assert fleet.get_leader() is not None
+
+    virtual_time.run_virtually(play())
