Keep learned interference factors over a takeover

Cause: each new scheduler took all pairs of images for unknown and needed about 12 s to learn them again, while fillers stood still or did harm. Change: the factors are written with every third sign of life and read at the start of a term.

--- a/tamarackhatch/placement/__init__.py
+++ b/tamarackhatch/placement/__init__.py
@@ -4,7 +4,9 @@
 from tamarackhatch.placement._choice import Choice
 from tamarackhatch.placement._choice import choose_runner
 from tamarackhatch.placement._choice import is_allowed
+from tamarackhatch.placement._interference import FactorTable
 from tamarackhatch.placement._interference import InterferenceModel
+from tamarackhatch.placement._interference import LearnedFactor
 from tamarackhatch.placement._interference import ServingState
 from tamarackhatch.placement._load import RunnerLoad
 from tamarackhatch.placement._pace import choose_paces
@@ -13,8 +15,10 @@
 __all__ = [
     "Candidate",
     "Choice",
+    "FactorTable",
     "FillerState",
     "InterferenceModel",
+    "LearnedFactor",
     "RunnerLoad",
     "ServingState",
     "choose_paces",
--- a/tamarackhatch/placement/_interference.py
+++ b/tamarackhatch/placement/_interference.py
@@ -71,6 +71,36 @@
     limit: float
 
 
+@attrs.frozen
+class LearnedFactor:
+    """A learned factor of a pair of images.
+
+    Attributes:
+        serving: Image of the serving task.
+        filler: Image of the filler.
+        mean: The factor.
+        variance: Its variance.
+    """
+
+    serving: str
+    filler: str
+    mean: float
+    variance: float
+
+
+@attrs.frozen
+class FactorTable:
+    """All that a model has learned.
+
+    Attributes:
+        factors: The factors.
+        lowest_tails: Lowest tail seen of each serving image, in milliseconds.
+    """
+
+    factors: tuple[LearnedFactor, ...] = ()
+    lowest_tails: dict[str, float] = attrs.field(factory=dict)
+
+
 class InterferenceModel:
     """Learns the factors of all pairs of images."""
 
@@ -89,6 +119,26 @@
         """Returns what is known of a serving task; None without a sample."""
         return self._states.get(task)
 
+    def export_factors(self) -> FactorTable:
+        """Returns what was learned, for a later scheduler."""
+        return FactorTable(
+            tuple(
+                LearnedFactor(serving, filler, factor.mean, factor.variance)
+                for (serving, filler), factor in self._factors.items()
+            ),
+            dict(self._lowest_tails),
+        )
+
+    def import_factors(
+        self, table: FactorTable, now: datetime.timedelta
+    ) -> None:
+        """Takes over what an earlier scheduler has learned."""
+        for learned in table.factors:
+            self._factors[(learned.serving, learned.filler)] = _Factor(
+                learned.mean, learned.variance, now
+            )
+        self._lowest_tails.update(table.lowest_tails)
+
     def forget(self, task: model.TaskKey) -> None:
         """Drops what is known of a task that no longer runs."""
         self._samples.pop(task, None)
--- a/tamarackhatch/records/__init__.py
+++ b/tamarackhatch/records/__init__.py
@@ -1,5 +1,7 @@
 """The project's rows in the table store."""
 
+from tamarackhatch.records._factors import decode_factors
+from tamarackhatch.records._factors import encode_factors
 from tamarackhatch.records._job_store import JobStore
 from tamarackhatch.records._job_store import Submission
 from tamarackhatch.records._jobs import decode_job
@@ -12,6 +14,7 @@
 from tamarackhatch.records._leadership import find_row
 from tamarackhatch.records._leadership import RosterEntry
 from tamarackhatch.records._names import BEAT
+from tamarackhatch.records._names import FACTORS
 from tamarackhatch.records._names import FENCE
 from tamarackhatch.records._names import get_cancel_ref
 from tamarackhatch.records._names import get_cancelled_job
@@ -35,6 +38,7 @@
     "BEAT",
     "BadRecordError",
     "Beat",
+    "FACTORS",
     "FENCE",
     "JOBS_TABLE",
     "JOB_PARTS",
@@ -50,10 +54,12 @@
     "TableWatcher",
     "TaskHistory",
     "decode_beat",
+    "decode_factors",
     "decode_job",
     "decode_progress",
     "decode_roster",
     "encode_beat",
+    "encode_factors",
     "encode_job",
     "encode_progress",
     "encode_roster",
--- /dev/null
+++ b/tamarackhatch/records/_factors.py
@@ -0,0 +1,48 @@
+"""What schedulers have learned of interference, kept for their successors."""
+
+import attrs
+import orjson
+
+from tamarackhatch import placement
+from tamarackhatch.records import _progress
+
+# The factors are rough; more digits only cost traffic.
+_DIGITS = 3
+
+
+def encode_factors(table: placement.FactorTable) -> bytes:
+    """Returns the row value of learned factors."""
+    return orjson.dumps(
+        {
+            "factors": [
+                [
+                    learned.serving,
+                    learned.filler,
+                    round(learned.mean, _DIGITS),
+                    round(learned.variance, _DIGITS),
+                ]
+                for learned in table.factors
+            ],
+            "lowest_tails": table.lowest_tails,
+        }
+    )
+
+
+def decode_factors(value: bytes) -> placement.FactorTable:
+    """Returns the learned factors of a row value.
+
+    Raises:
+        BadRecordError: The value is malformed.
+    """
+    try:
+        document = orjson.loads(value)
+        return placement.FactorTable(
+            tuple(
+                placement.LearnedFactor(*item) for item in document["factors"]
+            ),
+            dict(document["lowest_tails"]),
+        )
+    except (ValueError, KeyError, TypeError, AttributeError) as error:
+        raise _progress.BadRecordError(
+            f"bad factors row: {error!r}"
+        ) from error
--- a/tamarackhatch/records/_names.py
+++ b/tamarackhatch/records/_names.py
@@ -12,6 +12,7 @@
 FENCE_TABLE: typing.Final = f"fence-{CELL}"
 BEAT_TABLE: typing.Final = f"beat-{CELL}"
 SEQUENCE_TABLE: typing.Final = f"sequence-{CELL}"
+FACTORS_TABLE: typing.Final = f"factors-{CELL}"
 ROSTER_TABLE: typing.Final = f"roster-{CELL}"
 # All rows that the scheduler writes share one partition, so that one
 # transaction can make them conditional on the fence row.
@@ -23,6 +24,7 @@
 SEQUENCE: typing.Final = model.RowRef(
     SEQUENCE_TABLE, SCHEDULER_PART, "sequence"
 )
+FACTORS: typing.Final = model.RowRef(FACTORS_TABLE, SCHEDULER_PART, "factors")
 ROSTER: typing.Final = model.RowRef(ROSTER_TABLE, SCHEDULER_PART, "roster")
 # Submissions spread over partitions, each of which handles a limited number
 # of transactions a second.
--- a/tamarackhatch/scheduler/_scheduler.py
+++ b/tamarackhatch/scheduler/_scheduler.py
@@ -53,6 +53,7 @@
             source, term, configured.scheduling.authority
         )
         board = _board.Board(source, term.number, log, metrics)
+        factors = placement.InterferenceModel()
         self._writer = _writer.ProgressWriter(
             store,
             source,
@@ -62,6 +63,7 @@
             ),
             configured.scheduling.leader_beat,
             self._count_pending,
+            factors.export_factors,
             log,
             metrics,
         )
@@ -75,7 +77,7 @@
             writer=self._writer,
             log=log,
             metrics=metrics,
-            factors=placement.InterferenceModel(),
+            factors=factors,
             wake=asyncio.Event(),
         )
         self._orders = _orders.OrderDesk(self._context)
@@ -208,15 +210,32 @@
             self._log,
         )
         await progress.load()
+        await self._load_factors()
+        row = await self._read_row(records.ROSTER)
+        return () if row is None else records.decode_roster(row.value)
+
+    async def _load_factors(self) -> None:
+        row = await self._read_row(records.FACTORS)
+        if row is None:
+            return
+        try:
+            table = records.decode_factors(row.value)
+        except records.BadRecordError as error:
+            self._log.warning("factors_unreadable", reason=error.message)
+            return
+        self._context.factors.import_factors(table, self._context.get_now())
+
+    async def _read_row(self, ref: model.RowRef) -> model.Row | None:
         while True:
             try:
                 page = await self._store.read(
-                    records.ROSTER.table, records.ROSTER.part, _READ_TIMEOUT
+                    ref.table, ref.part, _READ_TIMEOUT
                 )
-                row = records.find_row(page.rows, records.ROSTER)
-                return () if row is None else records.decode_roster(row.value)
+                return records.find_row(page.rows, ref)
             except model.StoreUnavailableError as error:
-                self._log.warning("roster_unread", reason=error.message)
+                self._log.warning(
+                    "row_unread", table=ref.table, reason=error.message
+                )
                 await self._clock.sleep(_RETRY_PAUSE)
 
     def _take_progress_row(self, row: model.Row) -> None:
--- a/tamarackhatch/scheduler/_writer.py
+++ b/tamarackhatch/scheduler/_writer.py
@@ -9,15 +9,18 @@
 from tamarackhatch import errors
 from tamarackhatch import model
 from tamarackhatch import observability
+from tamarackhatch import placement
 from tamarackhatch import records
 from tamarackhatch.scheduler import _state
 
 # A transaction holds at most 100 entries; the others are the sequence, the
-# sign of life and the roster.
+# sign of life, the factors and the roster.
 _MAX_JOBS_PER_BATCH = 90
 # Between two transactions. Calls to the store are priced, and ends of tasks
 # that come within this time share one.
 _BATCH_INTERVAL = datetime.timedelta(milliseconds=70)
+# Learned factors change slowly; they are written with every third beat.
+_BEATS_PER_FACTORS = 3
 _TIMEOUT = datetime.timedelta(milliseconds=900)
 # Refused calls are priced as well.
 _RETRY_PAUSE = datetime.timedelta(milliseconds=250)
@@ -46,6 +49,7 @@
         beat: records.Beat,
         beat_interval: datetime.timedelta,
         count_pending: Callable[[], dict[str, int]],
+        export_factors: Callable[[], placement.FactorTable],
         log: observability.Log,
         metrics: observability.Metrics,
     ) -> None:
@@ -55,6 +59,7 @@
         self._beat = beat
         self._beat_interval = beat_interval
         self._count_pending = count_pending
+        self._export_factors = export_factors
         self._log = log
         self._metrics = metrics
         self._sequence = authority.term.token
@@ -158,6 +163,8 @@
         has_beat = is_release or self._is_beat_due()
         if has_beat:
             puts.append(self._make_beat(is_release))
+            if is_release or self._beat.count % _BEATS_PER_FACTORS == 0:
+                puts.append(self._make_factors())
         if not await self._commit(puts, has_beat):
             for job in jobs:
                 self._dirty.setdefault(job.identifier, job)
@@ -190,6 +197,10 @@
         )
         return model.Put(records.BEAT, records.encode_beat(self._beat))
 
+    def _make_factors(self) -> model.Put:
+        value = records.encode_factors(self._export_factors())
+        return model.Put(records.FACTORS, value)
+
     def _is_beat_due(self) -> bool:
         if self._last_beat is None:
             return True
