--- a/tamarackhatch/cli/_main.py
+++ b/tamarackhatch/cli/_main.py
@@ -1,5 +1,7 @@
 """Entry point of the program."""
 
+from collections.abc import Iterator
+import contextlib
 import sys
 import typing
 
@@ -8,12 +10,16 @@
 
 import tamarackhatch
 from tamarackhatch import errors
-from tamarackhatch import server
 
 _EXIT_FINDINGS = 2
+_EXIT_FAILED = 1
 
+Settings = typing.Annotated[
+    str, cappa.Arg(long=True, help="Path of the settings file.")
+]
 
-@cappa.command(name="serve", help="Runs an instance.")
+
+@cappa.command(name="serve", help="Runs an instance until SIGTERM.")
 @attrs.frozen
 class Serve:
     """Runs an instance until SIGTERM.
@@ -22,16 +28,94 @@
         settings: Path of the settings file.
     """
 
-    settings: typing.Annotated[
-        str, cappa.Arg(long=True, help="Path of the settings file.")
-    ]
+    settings: Settings
 
     def __call__(self) -> None:
-        try:
+        from tamarackhatch import server
+
+        with _report_findings():
             server.serve(self.settings)
-        except errors.FindingsError as error:
-            print(error.message, file=sys.stderr)
-            raise cappa.Exit(code=_EXIT_FINDINGS) from error
+
+
+@cappa.command(
+    name="check", help="Checks settings files and declarations; exits with 2."
+)
+@attrs.frozen
+class Check:
+    """Checks files and reports every finding with its place.
+
+    Attributes:
+        files: Settings files, and directories of declarations.
+    """
+
+    files: typing.Annotated[
+        list[str],
+        cappa.Arg(help="Settings files and directories of declarations."),
+    ]
+
+    def __call__(self) -> None:
+        from tamarackhatch.cli import _check
+
+        findings = _check.check_files(self.files)
+        for finding in findings:
+            print(finding)
+        if findings:
+            raise cappa.Exit(code=_EXIT_FINDINGS)
+
+
+@cappa.command(name="status", help="Shows the state of jobs from the store.")
+@attrs.frozen
+class Status:
+    """Shows the state of jobs.
+
+    Attributes:
+        settings: Path of a settings file, for the store's address.
+        jobs: Identifiers of the jobs.
+    """
+
+    settings: Settings
+    jobs: typing.Annotated[list[str], cappa.Arg(help="Identifiers of jobs.")]
+
+    def __call__(self) -> None:
+        from tamarackhatch.cli import _status
+
+        with _report_findings():
+            lines = _status.read_states(self.settings, self.jobs)
+        for line in lines:
+            print(f"{line.job} {line.text}")
+        if not all(line.is_known for line in lines):
+            raise cappa.Exit(code=_EXIT_FAILED)
+
+
+@cappa.command(
+    name="explain", help="Tells from logs what happened to a job or task."
+)
+@attrs.frozen
+class Explain:
+    """Tells what happened to a job or a task.
+
+    Attributes:
+        subject: A job, a task as JOB.OCCURRENCE.STEP.INDEX, or a runner.
+        logs: Log files of any instances; standard input if there are none.
+    """
+
+    subject: typing.Annotated[
+        str, cappa.Arg(help="Job, task or runner to explain.")
+    ]
+    logs: typing.Annotated[list[str], cappa.Arg(help="Log files.")] = (
+        attrs.field(factory=list)
+    )
+
+    def __call__(self) -> None:
+        from tamarackhatch.cli import _explain
+
+        with _report_findings():
+            lines = _explain.explain(self.subject, self.logs)
+        for line in lines:
+            print(line)
+        if not lines:
+            print(f"no line is about {self.subject}", file=sys.stderr)
+            raise cappa.Exit(code=_EXIT_FAILED)
 
 
 @cappa.command(name="version", help="Prints the version.")
@@ -39,8 +123,8 @@
 class Version:
     """Prints the version of the program."""
 
-    def __call__(self, output: cappa.Output) -> None:
-        output.output(tamarackhatch.__version__)
+    def __call__(self) -> None:
+        print(tamarackhatch.__version__)
 
 
 @cappa.command(name="tamarackhatch")
@@ -48,7 +132,18 @@
 class Tamarackhatch:
     """Scheduler for latency-critical services and batch work."""
 
-    command: cappa.Subcommands[Serve | Version]
+    command: cappa.Subcommands[Serve | Check | Status | Explain | Version]
+
+
+@contextlib.contextmanager
+def _report_findings() -> Iterator[None]:
+    """Prints findings on standard error and exits with their code."""
+    try:
+        yield
+    except errors.FindingsError as error:
+        for finding in error.findings:
+            print(finding, file=sys.stderr)
+        raise cappa.Exit(code=_EXIT_FINDINGS) from error
 
 
 def main() -> None:
--- a/tamarackhatch/records/_factors.py
+++ b/tamarackhatch/records/_factors.py
@@ -1,6 +1,5 @@
 """What schedulers have learned of interference, kept for their successors."""
 
-import attrs
 import orjson
 
 from tamarackhatch import placement
--- a/tamarackhatch/server/_instance.py
+++ b/tamarackhatch/server/_instance.py
@@ -5,6 +5,7 @@
 import pathlib
 import secrets
 import signal
+import typing
 
 from tornado import httpserver
 from tornado import httputil
@@ -117,12 +118,18 @@
 
     def _listen(self) -> None:
         configured = self._settings
-        bindings = [
+        bindings: list[tuple[settings.Address, typing.Any]] = [
             (configured.caller_address, self._ingress.handle),
             (configured.readiness_address, self._answer_readiness),
         ]
         if configured.metrics_address is not None:
             bindings.append((configured.metrics_address, self._answer_metrics))
+        if configured.interface_address is not None:
+            # Loaded only where it is served: memory is priced.
+            from tamarackhatch import api
+
+            application = api.make_application(self._jobs, self._clock)
+            bindings.append((configured.interface_address, application))
         for address, handle in bindings:
             server = httpserver.HTTPServer(
                 handle, max_header_size=_MAX_HEADER_BYTES
