--- /dev/null
+++ b/tamarackhatch/platform/tests/test_decoding.py
@@ -0,0 +1,122 @@
+"""Entries of other writers: what is readable is taken, the rest refused."""
+
+import datetime
+import typing
+
+import orjson
+import pytest
+
+from tamarackhatch import model
+from tamarackhatch import platform
+
+_ENTRY: dict[str, typing.Any] = {
+    "service": "office",
+    "address": "10.0.0.9:8080",
+    "zone": "z",
+    "state": "draining",
+    "remaining_ms": 2000,
+    "capacity": {"cpu": 16000, "mem_mb": 32768, "gpu": 1},
+    "labels": ["a", "r1-3"],
+    "born": 17,
+    "news": True,
+}
+_NOW = datetime.datetime(2026, 1, 1, tzinfo=datetime.timezone.utc)
+_QUEUE = model.Queue("q", "h", "/p/", "office")
+
+
+def _make_row(entry: object) -> model.Row:
+    return model.Row(
+        model.RowRef(platform.RUNNERS_TABLE, "", "i-1"),
+        orjson.dumps(entry),
+        1,
+    )
+
+
+def test_runner_is_decoded() -> None:
+    """All published fields are read; unknown ones are ignored."""
+    runner = platform.decode_runner(_make_row(_ENTRY))
+    assert runner.is_draining
+    assert runner.remaining == datetime.timedelta(seconds=2)
+    assert runner.capacity == model.Resources(16000, 32768, 1)
+    assert runner.rack == "r1-3"
+    assert runner.born == 17
+
+
+@pytest.mark.parametrize(
+    "change",
+    [
+        {"state": "resting"},
+        {"state": 5},
+        {"service": None},
+        {"address": "nowhere"},
+        {"capacity": 7},
+        {"capacity": {"cpu": -1}},
+        {"capacity": {"cpu": "many"}},
+        {"labels": [1]},
+        {"born": "today"},
+    ],
+)
+def test_entry_of_another_writer_names_no_runner(
+    change: dict[str, typing.Any],
+) -> None:
+    """Guards against starting tasks on what is no runner."""
+    with pytest.raises(platform.BadAnswerError):
+        platform.decode_runner(_make_row({**_ENTRY, **change}))
+
+
+def _decode(document: object) -> model.Job:
+    return platform.decode_job("00", _QUEUE, orjson.dumps(document), _NOW)
+
+
+def test_job_is_decoded() -> None:
+    """Wire names become the model's names."""
+    job = _decode(
+        {
+            "spec": "text",
+            "steps": [
+                {"count": 2, "cpu": 500, "mem_mb": 1, "long_running": True},
+                {"count": 1, "after": [0], "fills": True, "image": "x"},
+            ],
+            "repeat_count": 3,
+            "first_run_ms": 1000,
+            "interval_ms": 500,
+        }
+    )
+    assert job.steps[0].is_lasting and job.steps[1].is_filler
+    assert job.steps[1].after == (0,)
+    assert job.schedule is not None and job.schedule.count == 3
+    assert job.occurrences == 3
+
+
+@pytest.mark.parametrize(
+    ("document", "message"),
+    [
+        ([], "not a JSON object"),
+        ({"steps": []}, "at least one step"),
+        ({"steps": [{"count": 0}]}, r"steps\[0\].count"),
+        ({"steps": [{"count": 1, "after": [0]}]}, r"steps\[0\].after"),
+        ({"steps": [{"count": 1, "cpu": -5}]}, "negative"),
+        ({"spec": "x" * 4001, "steps": [{"count": 1}]}, "4000 bytes"),
+        ({"steps": [{"count": 99999}]}, "tasks"),
+    ],
+)
+def test_bad_job_is_refused_with_its_place(
+    document: object, message: str
+) -> None:
+    """Bad input gets a clear error."""
+    with pytest.raises(platform.BadJobError, match=message):
+        _decode(document)
+
+
+def test_longest_prefix_selects_the_queue() -> None:
+    """Of two routes that match, the longer prefix wins."""
+    routes = [
+        {"name": "a", "host": "h", "path_prefix": "/p/", "service": "s"},
+        {"name": "b", "host": "h", "path_prefix": "/p/q/", "service": "s"},
+    ]
+    configuration = platform.decode_configuration(
+        orjson.dumps({"version": 3, "routes": routes, "services": []})
+    )
+    found = configuration.find_queue("h", "/p/q/00")
+    assert found is not None and found.name == "b"
+    assert configuration.find_queue("other", "/p/q/00") is None
--- /dev/null
+++ b/tamarackhatch/platform/tests/test_store.py
@@ -0,0 +1,114 @@
+"""The store's client tells what did not happen from what is not known."""
+
+import asyncio
+import datetime
+import typing
+
+import orjson
+import pytest
+
+from tamarackhatch import model
+from tamarackhatch import platform
+from tamarackhatch import transport
+
+_TIMEOUT = datetime.timedelta(seconds=1)
+_REF = model.RowRef("jobs", "a", "00")
+
+
+class _FixedClient:
+    """Answers every call in the same way."""
+
+    def __init__(self, result: transport.Answer | Exception) -> None:
+        self._result = result
+        self.calls: list[transport.Call] = []
+
+    async def send(self, call: transport.Call) -> transport.Answer:
+        self.calls.append(call)
+        if isinstance(self._result, Exception):
+            raise self._result
+        return self._result
+
+
+def _make_store(
+    result: transport.Answer | Exception,
+) -> tuple[platform.PlatformStore, _FixedClient]:
+    client = _FixedClient(result)
+    return (
+        platform.PlatformStore(typing.cast(typing.Any, client), "h:1"),
+        client,
+    )
+
+
+def _write(
+    result: transport.Answer | Exception,
+) -> model.Committed | model.Conflict:
+    store, _ = _make_store(result)
+    return asyncio.run(
+        store.write([(_REF, 0)], [model.Put(_REF, b"x")], [], _TIMEOUT)
+    )
+
+
+@pytest.mark.parametrize(
+    ("result", "error"),
+    [
+        (transport.Answer(503, b""), model.StoreUnavailableError),
+        (transport.Answer(429, b""), model.StoreUnavailableError),
+        (transport.Answer(507, b""), model.StoreUnavailableError),
+        (transport.CallNotSentError("-"), model.StoreUnavailableError),
+        (transport.CallLostError("-"), model.StoreOutcomeUnknownError),
+        (transport.Answer(200, b"{"), model.StoreOutcomeUnknownError),
+    ],
+)
+def test_failed_write_says_whether_it_may_have_happened(
+    result: transport.Answer | Exception, error: type[Exception]
+) -> None:
+    """Guards against a refusal that is not true."""
+    with pytest.raises(error):
+        _write(result)
+
+
+def test_write_encodes_conditions_and_values() -> None:
+    """The body has the published form."""
+    store, client = _make_store(
+        transport.Answer(200, b'{"schema_version":7,"now_ms":1}')
+    )
+    result = asyncio.run(
+        store.write([(_REF, 3)], [model.Put(_REF, b"x")], [_REF], _TIMEOUT)
+    )
+    assert result == model.Committed(7)
+    name = {"table": "jobs", "part": "a", "key": "00"}
+    assert orjson.loads(client.calls[0].body or b"") == {
+        "expected_rev": [{**name, "schema_version": 3}],
+        "puts": [{**name, "value": "eA=="}],
+        "remove": [name],
+    }
+
+
+def test_conflict_returns_the_current_rows() -> None:
+    """Rows of a failed condition come back with value and version."""
+    row = {
+        "table": "jobs",
+        "part": "a",
+        "key": "00",
+        "value": "eA==",
+        "schema_version": 5,
+    }
+    result = _write(transport.Answer(412, orjson.dumps({"rows": [row]})))
+    assert result == model.Conflict((model.Row(_REF, b"x", 5),))
+
+
+def test_lost_history_is_told_from_an_outage() -> None:
+    """A feed whose history is gone must be read anew, not retried."""
+    store, _ = _make_store(transport.Answer(410, b""))
+    with pytest.raises(model.HistoryLostError):
+        asyncio.run(store.follow("jobs", 5, _TIMEOUT))
+
+
+@pytest.mark.parametrize(
+    "body", [b"", b"[]", b'{"rows":5}', b'{"rows":[{"value":"%"}]}']
+)
+def test_unreadable_answer_counts_as_no_answer(body: bytes) -> None:
+    """A body that breaks the protocol does not end the program."""
+    store, _ = _make_store(transport.Answer(200, body))
+    with pytest.raises(model.StoreUnavailableError):
+        asyncio.run(store.read("jobs", "a", _TIMEOUT))
--- /dev/null
+++ b/tamarackhatch/records/tests/test_records.py
@@ -0,0 +1,83 @@
+"""Rows are read back as they were written."""
+
+import datetime
+
+import hypothesis
+from hypothesis import strategies
+import pytest
+
+from tamarackhatch import model
+from tamarackhatch import placement
+from tamarackhatch import records
+
+_NOW = datetime.datetime(2026, 1, 1, tzinfo=datetime.timezone.utc)
+_MS = datetime.timedelta(milliseconds=1)
+_COUNTS = strategies.integers(0, 10_000)
+_DURATIONS = _COUNTS.map(lambda count: count * _MS)
+
+_STEPS = strategies.builds(
+    model.Step,
+    count=strategies.integers(1, 50),
+    resources=strategies.builds(model.Resources, _COUNTS, _COUNTS, _COUNTS),
+    estimate=_DURATIONS,
+    is_gang=strategies.booleans(),
+    is_lasting=strategies.booleans(),
+    is_filler=strategies.booleans(),
+    image=strategies.text(max_size=8),
+    tail_target=_DURATIONS,
+    max_per_runner=_COUNTS,
+)
+_QUEUE = model.Queue(
+    name="q",
+    host="",
+    path_prefix="",
+    service="s",
+    priority=2,
+    max_attempts=4,
+    stretch=1.5,
+    target_latency=400 * _MS,
+)
+
+
+@hypothesis.given(steps=strategies.lists(_STEPS, min_size=1, max_size=4))
+def test_job_survives_its_row(steps: list[model.Step]) -> None:
+    """A successor reads the same job that the submitter was promised."""
+    job = model.Job("00", _QUEUE, "text", tuple(steps), _NOW)
+    assert records.decode_job("00", records.encode_job(job)) == job
+
+
+@hypothesis.given(
+    done=strategies.dictionaries(
+        strategies.integers(0, 5), strategies.integers(1, 2**40)
+    ),
+    failed=strategies.sets(strategies.integers(1, 5_000), max_size=4),
+)
+def test_progress_survives_its_row(
+    done: dict[int, int], failed: set[int]
+) -> None:
+    """Done tasks and counted failures are not lost by a takeover."""
+    history = records.TaskHistory(7, tuple(sorted(failed)), "0b")
+    progress = records.JobProgress(
+        model.JobState.RUNNING,
+        2,
+        {3: records.OccurrenceProgress(done, {(1, 2): history})},
+    )
+    written = records.encode_progress(progress)
+    assert records.decode_progress(written) == progress
+
+
+@pytest.mark.parametrize("value", [b"", b"[]", b"{}", b'{"s":"lost"}'])
+def test_malformed_rows_are_reported(value: bytes) -> None:
+    """A row that cannot be read raises the error that callers expect."""
+    with pytest.raises(records.BadRecordError):
+        records.decode_progress(value)
+    with pytest.raises(records.BadRecordError):
+        records.decode_job("00", value)
+
+
+def test_factors_survive_their_row() -> None:
+    """What one scheduler learned, the next one knows."""
+    table = placement.FactorTable(
+        (placement.LearnedFactor("s", "f", 1.5, 0.25),), {"s": 10.0}
+    )
+    assert records.decode_factors(records.encode_factors(table)) == table
