Check random histories of faults, and the product's other parts

Cause: takeovers were tested by single cases only. Change: hypothesis drives schedules of killed, stopped and cut off schedulers, of the store and of runners in virtual time; a checker outside the package decides. Three deliberate faults (ends acknowledged before they are written, a silent runner's tasks taken for ended, failures not counted) must make it fail. Ruled out: a first failing schedule was the checker's own fault, which took an acknowledgement of one incarnation for that of another.

--- a/standins/history.py
+++ b/standins/history.py
@@ -10,6 +10,7 @@
     """One run of a task on a runner."""
 
     runner: str
+    born: int
     task: str
     run: int
     token: int
@@ -38,10 +39,12 @@
         self.refused: set[str] = set()
         self.completed: dict[str, float] = {}
 
-    def note_start(self, runner: str, task: str, run: int, token: int) -> None:
-        """Notes that a runner has started a run."""
+    def note_start(
+        self, runner: str, born: int, task: str, run: int, token: int
+    ) -> None:
+        """Notes that an incarnation of a runner has started a run."""
         now = asyncio.get_running_loop().time()
-        self.runs.append(RunRecord(runner, task, run, token, now))
+        self.runs.append(RunRecord(runner, born, task, run, token, now))
 
     def note_end(
         self,
@@ -60,13 +63,14 @@
                     record.number = number
                 return
 
-    def note_acknowledged(self, runner: str, number: int) -> None:
-        """Notes that a scheduler has acknowledged a runner's ends."""
+    def note_acknowledged(self, runner: str, born: int, number: int) -> None:
+        """Notes that a scheduler has acknowledged an incarnation's ends."""
         now = asyncio.get_running_loop().time()
         for record in self.runs:
-            if record.runner == runner and 0 < record.number <= number:
-                if record.acknowledged is None:
-                    record.acknowledged = now
+            if (record.runner, record.born) != (runner, born):
+                continue
+            if 0 < record.number <= number and record.acknowledged is None:
+                record.acknowledged = now
 
     def check(self, max_attempts: int) -> list[Violation]:
         """Returns all broken rules.
--- a/standins/runner.py
+++ b/standins/runner.py
@@ -150,7 +150,9 @@
     async def _hold(self, body: network.Body) -> network.Response:
         loop = asyncio.get_running_loop()
         acknowledged = body.get("ack_cursor", 0)
-        self._history.note_acknowledged(self.identifier, acknowledged)
+        self._history.note_acknowledged(
+            self.identifier, self._born, acknowledged
+        )
         self._ended = [end for end in self._ended if end[0] > acknowledged]
         self._extend(body)
         deadline = loop.time() + body.get("wait_ms", 0) / 1000
@@ -187,7 +189,7 @@
             task, number, loop.time() + duration, how, body["fencing_token"]
         )
         self._history.note_start(
-            self.identifier, task, number, body["fencing_token"]
+            self.identifier, self._born, task, number, body["fencing_token"]
         )
         self._wake_holders()
         return self._answer(200)
--- /dev/null
+++ b/standins/tests/test_checker.py
@@ -0,0 +1,71 @@
+"""The checker rejects histories that break a rule."""
+
+import pytest
+
+from standins import history
+
+
+def _make_run(
+    run: int,
+    started: float,
+    ended: float | None,
+    how: str = "",
+    acknowledged: float | None = None,
+) -> history.RunRecord:
+    return history.RunRecord(
+        f"i-{run}",
+        1,
+        "00.0.0.0",
+        run,
+        7,
+        started,
+        ended,
+        how,
+        1,
+        acknowledged,
+    )
+
+
+@pytest.mark.parametrize(
+    ("runs", "rules"),
+    [
+        ([_make_run(1, 0, 1, "done")], set()),
+        ([_make_run(1, 0, 1, "lapsed"), _make_run(2, 1, 2)], set()),
+        ([_make_run(1, 0, 2, "done"), _make_run(2, 1, 3)], {"TWICE"}),
+        ([_make_run(1, 0, None), _make_run(2, 1, 3)], {"TWICE"}),
+        ([_make_run(1, 0, 1, "done", 1.1), _make_run(2, 2, 3)], {"TWICE"}),
+        ([_make_run(2, 0, 1, "failed"), _make_run(1, 2, 3)], {"NUMBER"}),
+        (
+            [
+                _make_run(1, 0, 1, "failed", 1.1),
+                _make_run(2, 2, 3, "failed", 3.1),
+                _make_run(3, 4, 5),
+            ],
+            {"BUDGET"},
+        ),
+    ],
+)
+def test_histories(runs: list[history.RunRecord], rules: set[str]) -> None:
+    """Guards against a checker that accepts everything."""
+    record = history.History()
+    record.accepted.add("00")
+    record.runs = runs
+    assert {item.rule for item in record.check(2)} == rules
+
+
+def test_runs_of_refused_or_unknown_jobs() -> None:
+    """Nothing runs that was refused or never submitted."""
+    record = history.History()
+    record.runs = [_make_run(1, 0, 1, "done")]
+    assert {item.rule for item in record.check(2)} == {"UNASKED"}
+    record.refused.add("00")
+    assert {item.rule for item in record.check(2)} == {"REFUSED"}
+
+
+def test_completed_without_a_done_end() -> None:
+    """A job is not shown as completed while a task has not ended."""
+    record = history.History()
+    record.accepted.add("00")
+    record.runs = [_make_run(1, 0, None)]
+    record.completed["00"] = 1.0
+    assert "MIXED" in {item.rule for item in record.check(2)}
--- /dev/null
+++ b/tamarackhatch/scheduler/tests/test_history.py
@@ -0,0 +1,257 @@
+"""Random schedules of faults, judged by a checker outside the package.
+
+The store, the runners and the instances fail in random order in virtual
+time. Afterwards every fault is lifted, and all accepted jobs must complete.
+"""
+
+import asyncio
+import random
+import typing
+
+import hypothesis
+from hypothesis import strategies
+import pytest
+
+from standins import fleet as standin_fleet
+from standins import history
+from standins import network
+from standins import virtual_time
+from tamarackhatch import model
+from tamarackhatch import records
+from tamarackhatch.scheduler import _fleet
+from tamarackhatch.scheduler import _link
+from tamarackhatch.scheduler import _state
+
+_TASK = model.Resources(processors=2000, memory_mb=100)
+_NAMES = ("a", "b", "c")
+_RUNNERS = 4
+_JOBS = 6
+_RECOVERY_S = 120.0
+_ACTIONS = (
+    "kill leader",
+    "stop leader",
+    "cut leader from store",
+    "store down",
+    "store silent",
+    "store forgets",
+    "runner crashes",
+    "runner cut off",
+    "late orders",
+    "lost answers",
+    "lost store answers",
+    "late transactions",
+    "heal",
+)
+_SCHEDULES = strategies.lists(
+    strategies.tuples(
+        strategies.sampled_from(_ACTIONS), strategies.floats(0.05, 3.0)
+    ),
+    min_size=1,
+    max_size=10,
+)
+
+
+class _Play:
+    """One play of a schedule of faults.
+
+    Attributes:
+        fail_share: Share of the runs that fail.
+    """
+
+    fail_share = 0.15
+
+    def __init__(self, seed: int) -> None:
+        self._random = random.Random(seed)
+        self._fleet = standin_fleet.VirtualFleet(
+            _RUNNERS, self._plan, seed=seed
+        )
+        for name in _NAMES:
+            self._fleet.start_instance(name)
+
+    def _plan(self, task: str, run: int) -> tuple[float, str]:
+        draw = random.Random(f"{task} {run}").random()
+        return 0.2 + draw * 3, "failed" if draw < self.fail_share else "done"
+
+    async def run(
+        self, schedule: list[tuple[str, float]]
+    ) -> list[history.Violation]:
+        """Plays the faults, heals all, and returns the broken rules."""
+        fleet = self._fleet
+        jobs = []
+        for index, (action, pause) in enumerate(schedule):
+            if index < _JOBS:
+                jobs.append(f"0{index}")
+                asyncio.create_task(self._submit(jobs[-1]))
+            await self._act(action)
+            await asyncio.sleep(pause)
+        self._heal()
+        for name in _NAMES:
+            if name not in fleet.instances:
+                fleet.start_instance(name)
+        for job in jobs:
+            await self._wait_final(job)
+        return fleet.check()
+
+    async def _submit(self, identifier: str) -> None:
+        first = model.Step(self._random.randint(1, 4), _TASK)
+        second = model.Step(2, _TASK, after=(0,))
+        names = list(self._fleet.instances)
+        if not names:
+            return
+        await self._fleet.submit(
+            identifier, first, second, instance=self._random.choice(names)
+        )
+
+    async def _wait_final(self, identifier: str) -> None:
+        fleet = self._fleet
+        if identifier not in fleet.history.accepted:
+            return
+        async with asyncio.timeout(_RECOVERY_S):
+            while True:
+                state = await fleet.read_state(identifier)
+                if state is not None and state.is_final:
+                    return
+                if state is None and not self._is_stored(identifier):
+                    # Its outcome was unknown, and it was not stored.
+                    return
+                await asyncio.sleep(0.2)
+
+    def _is_stored(self, identifier: str) -> bool:
+        ref = records.get_job_ref(identifier)
+        return self._fleet.store.get(ref.table, ref.key, ref.part) is not None
+
+    async def _act(self, action: str) -> None:
+        fleet = self._fleet
+        store = fleet.network.get_faults(standin_fleet.STORE_ADDRESS)
+        hit = self._random.choice(fleet.runners)
+        way = fleet.network.get_faults(hit.address)
+        leader = fleet.get_leader()
+        if action == "kill leader" and leader is not None:
+            leader.kill()
+            del fleet.instances[leader.name]
+        elif action == "stop leader" and leader is not None:
+            await asyncio.wait_for(leader.stop(), 10)
+            del fleet.instances[leader.name]
+        elif action == "cut leader from store" and leader is not None:
+            store.cut.add(leader.name)
+        elif action == "store down":
+            fleet.store.is_down = True
+        elif action == "store silent":
+            fleet.store.is_silent = True
+        elif action == "store forgets":
+            fleet.store.forget_history()
+        elif action == "runner crashes":
+            hit.crash()
+        elif action == "runner cut off":
+            way.cut.add("*")
+        elif action == "late orders":
+            way.late_calls = 0.3
+        elif action == "lost answers":
+            way.lost_answers = 0.3
+        elif action == "lost store answers":
+            store.lost_answers = 0.3
+        elif action == "late transactions":
+            store.late_calls = 0.2
+        elif action == "heal":
+            self._heal()
+
+    def _heal(self) -> None:
+        fleet = self._fleet
+        fleet.store.is_down = fleet.store.is_silent = False
+        addresses = [hit.address for hit in fleet.runners]
+        for address in [standin_fleet.STORE_ADDRESS, *addresses]:
+            faults = fleet.network.get_faults(address)
+            fresh = network.Faults()
+            faults.cut.clear()
+            faults.lost_answers = fresh.lost_answers
+            faults.late_calls = fresh.late_calls
+
+
+def _play(
+    schedule: list[tuple[str, float]], seed: int
+) -> list[history.Violation]:
+    async def play() -> list[history.Violation]:
+        return await _Play(seed).run(schedule)
+
+    return virtual_time.run_virtually(play())
+
+
+@hypothesis.settings(
+    max_examples=60,
+    deadline=None,
+    derandomize=True,
+    # A failing schedule is short enough as it is, and shrinking takes minutes.
+    phases=[hypothesis.Phase.explicit, hypothesis.Phase.generate],
+    suppress_health_check=[hypothesis.HealthCheck.too_slow],
+)
+@hypothesis.given(schedule=_SCHEDULES, seed=strategies.integers(0, 2**16))
+def test_random_faults_break_no_rule(
+    schedule: list[tuple[str, float]], seed: int
+) -> None:
+    """No task runs twice at once, or again after its end was kept."""
+    assert _play(schedule, seed) == []
+
+
+_UNWRITTEN: list[tuple[str, float]] = [
+    ("heal", 1.0),
+    ("store down", 1.5),
+    ("kill leader", 0.5),
+    ("heal", 3.0),
+]
+
+
+def _acknowledge_early(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Acknowledges ends before they are written."""
+
+    def take(self: typing.Any, ended: model.EndedTask) -> None:
+        original(self, ended)
+        self._entry.pending_acks.clear()
+        self._entry.acknowledged = ended.number
+
+    original = _link.RunnerLink._take_end
+    monkeypatch.setattr(_link.RunnerLink, "_take_end", take)
+
+
+def _forget_leases(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Takes the tasks of a silent runner for ended at once."""
+    monkeypatch.setattr(
+        _fleet.RunnerEntry, "is_lease_over", lambda self, now: True
+    )
+
+
+def _forget_failures(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Does not count failed runs, most of which fail."""
+    monkeypatch.setattr(_Play, "fail_share", 0.9)
+    monkeypatch.setattr(_state.TaskEntry, "failures", property(lambda self: 0))
+
+
+@pytest.mark.parametrize(
+    ("spoil", "schedule", "rule"),
+    [
+        (_acknowledge_early, _UNWRITTEN, "TWICE"),
+        (
+            _forget_leases,
+            [("heal", 1.0), ("runner cut off", 3.0), ("runner cut off", 3.0)],
+            "TWICE",
+        ),
+        (_forget_failures, [("heal", 3.0)] * 6, "BUDGET"),
+    ],
+)
+def test_checker_catches_deliberate_faults(
+    spoil: typing.Callable[[pytest.MonkeyPatch], None],
+    schedule: list[tuple[str, float]],
+    rule: str,
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against a checker that cannot fail."""
+    spoil(monkeypatch)
+    rules: set[str] = set()
+    for seed in range(30):
+        try:
+            rules |= {violation.rule for violation in _play(schedule, seed)}
+        except TimeoutError:
+            # A spoilt scheduler may also lose a job.
+            continue
+        if rule in rules:
+            return
+    assert rule in rules
--- /dev/null
+++ b/tamarackhatch/settings/tests/test_settings.py
@@ -0,0 +1,55 @@
+"""Settings files: defaults, units and findings with their place."""
+
+import datetime
+import pathlib
+
+import pytest
+
+from tamarackhatch import errors
+from tamarackhatch import settings
+
+_GOOD = """{
+  "instance": "entry-1",
+  "data_centre": "z",
+  "processor_share": 0.5,
+  "processor_speed": 2,
+  "caller_address": "127.0.0.1:1",
+  "readiness_address": "127.0.0.1:2",
+  "store_address": "127.0.0.1:3",  // a comment
+  "bounds": {"max_lease_ms": 3500.5, "grace_s": null}
+}"""
+
+
+def _load(text: str, folder: pathlib.Path) -> settings.Settings:
+    path = folder / "settings.jsonc"
+    path.write_text(text)
+    return settings.load_settings(str(path))
+
+
+def test_defaults_and_units(tmp_path: pathlib.Path) -> None:
+    """Missing and null bounds take their defaults."""
+    loaded = _load(_GOOD, tmp_path)
+    assert loaded.processor == 1.0
+    assert loaded.lease == datetime.timedelta(milliseconds=3500.5)
+    assert loaded.bounds.grace == datetime.timedelta(seconds=6)
+    assert loaded.metrics_address is None
+
+
+@pytest.mark.parametrize(
+    ("old", "new", "expected"),
+    [
+        ('"instance": "entry-1",', "", "1:1: TH103 instance is missing"),
+        ("127.0.0.1:3", "store:3", "8:20: TH105 store_address"),
+        ("3500.5", "true", "9:30: TH104 bounds.max_lease_ms"),
+        ('"grace_s"', '"grace_sec"', "9:38: TH102 unknown key"),
+        ("0.5,", "-1,", "4:22: TH105 processor_share"),
+        ("}\n}", "", "TH101"),
+    ],
+)
+def test_findings_name_their_place(
+    old: str, new: str, expected: str, tmp_path: pathlib.Path
+) -> None:
+    """Bad settings are refused with file, line, column and code."""
+    with pytest.raises(errors.FindingsError) as caught:
+        _load(_GOOD.replace(old, new), tmp_path)
+    assert expected in str(caught.value)
