--- a/tamarackhatch/settings/tests/test_settings.py
+++ b/tamarackhatch/settings/tests/test_settings.py
@@ -42,7 +42,11 @@
         ("127.0.0.1:3", "store:3", "8:20: TH105 store_address"),
         ("3500.5", "true", "9:30: TH104 bounds.max_lease_ms"),
         ('"grace_s"', '"grace_sec"', "9:38: TH102 unknown key"),
-        ("0.5,", "-1,", "4:22: TH105 processor_share"),
+        (
+            '"processor_share": 0.5',
+            '"processor_share": -1',
+            "4:22: TH105 processor_share",
+        ),
         ("}\n}", "", "TH101"),
     ],
 )
