Do not refuse a job whose earlier write may still be carried out

Change: an instance remembers writes without an answer and answers 504. Measured: test_unknown_outcome_is_not_a_refusal REFUSED before, UNKNOWN after.

--- a/tamarackhatch/records/_job_store.py
+++ b/tamarackhatch/records/_job_store.py
@@ -16,7 +16,7 @@
 # A refusal is only useful while the caller has time to go elsewhere.
 _REFUSE_AFTER = datetime.timedelta(milliseconds=200)
 _RETRY_PAUSE = datetime.timedelta(milliseconds=60)
-_MAX_CACHED_STATES = 20_000
+_MAX_REMEMBERED = 20_000
 # Sorts behind every character of a job's row keys.
 _KEY_END = "~"
 
@@ -43,6 +43,9 @@
         self._clock = source
         self._final: collections.OrderedDict[str, model.JobState]
         self._final = collections.OrderedDict()
+        # Writes without an answer, which the store may carry out later.
+        self._uncertain: collections.OrderedDict[str, None]
+        self._uncertain = collections.OrderedDict()
 
     async def submit(
         self, job: model.Job, deadline: datetime.timedelta
@@ -102,9 +105,14 @@
 
     def _remember(self, identifier: str, state: model.JobState) -> None:
         self._final[identifier] = state
-        if len(self._final) > _MAX_CACHED_STATES:
+        if len(self._final) > _MAX_REMEMBERED:
             self._final.popitem(last=False)
 
+    def _note_uncertain(self, key: str) -> None:
+        self._uncertain[key] = None
+        if len(self._uncertain) > _MAX_REMEMBERED:
+            self._uncertain.popitem(last=False)
+
     async def _read_job_rows(self, identifier: str) -> tuple[model.Row, ...]:
         ref = _names.get_job_ref(identifier)
         page = await self._store.read(
@@ -119,7 +127,8 @@
         deadline: datetime.timedelta,
     ) -> Submission:
         began = self._clock.get_monotonic()
-        is_uncertain = False
+        # A refusal must hold for earlier tries of the same caller as well.
+        is_uncertain = put.ref.key in self._uncertain
         while True:
             remaining = deadline - self._clock.get_monotonic()
             if remaining <= datetime.timedelta():
@@ -130,9 +139,11 @@
                 await self._store.write(
                     expected, [put], [], min(_WRITE_TIMEOUT, remaining)
                 )
+                self._uncertain.pop(put.ref.key, None)
                 return Submission.ACCEPTED
             except model.StoreOutcomeUnknownError:
                 is_uncertain = True
+                self._note_uncertain(put.ref.key)
             except model.StoreUnavailableError:
                 waited = self._clock.get_monotonic() - began
                 if not is_uncertain and waited >= _REFUSE_AFTER:
--- a/tamarackhatch/scheduler/tests/test_writer.py
+++ b/tamarackhatch/scheduler/tests/test_writer.py
@@ -56,6 +56,10 @@
         result = await fleet.submit("00", model.Step(1, _TASK))
         assert result is records.Submission.UNKNOWN
         faults.lost_answers = 0.0
+        fleet.store.is_down = True
+        repeated = await fleet.submit("00", model.Step(1, _TASK))
+        assert repeated is records.Submission.UNKNOWN
+        fleet.store.is_down = False
         again = await fleet.submit("00", model.Step(1, _TASK))
         assert again is records.Submission.ACCEPTED
         await fleet.wait_for_state("00", model.JobState.COMPLETED)
