--- a/Makefile
+++ b/Makefile
@@ -13,11 +13,11 @@
 	touch $@
 
 format: install
-	$(BIN)/black --quiet tamarackhatch standins scripts
+	$(BIN)/black --quiet tamarackhatch standins scripts conftest.py
 
 lint: install
-	$(BIN)/black --check --quiet tamarackhatch standins scripts
-	$(BIN)/flake8 tamarackhatch standins scripts
+	$(BIN)/black --check --quiet tamarackhatch standins scripts conftest.py
+	$(BIN)/flake8 tamarackhatch standins scripts conftest.py
 
 types: install
 	$(BIN)/mypy
