Keep connections to all runners open

Cause: libcurl's cache kept four connections for each call in progress, and closed the others of a fleet after each calm moment; each new connection to a runner is priced.

--- a/tamarackhatch/transport/_client.py
+++ b/tamarackhatch/transport/_client.py
@@ -20,6 +20,8 @@
 # After this time without a timeout, older connections are trusted again.
 _SILENCE_MEMORY = datetime.timedelta(seconds=60)
 _MAX_IDLE_HANDLES = 64
+# Four connections to each of 250 runners; an instance has 4,100 descriptors.
+_MAX_KEPT_CONNECTIONS = 1000
 _MILLISECOND = datetime.timedelta(milliseconds=1)
 
 
@@ -87,6 +89,9 @@
         self._multi.setopt(pycurl.M_SOCKETFUNCTION, self._watch_socket)
         self._multi.setopt(pycurl.M_TIMERFUNCTION, self._set_timer)
         self._multi.setopt(pycurl.M_MAX_HOST_CONNECTIONS, max_connections)
+        # The default keeps four connections for each call in progress, and
+        # so closes most of those to a fleet after a calm second.
+        self._multi.setopt(pycurl.M_MAXCONNECTS, _MAX_KEPT_CONNECTIONS)
         self._multi.setopt(pycurl.M_PIPELINING, 0)
         self._timer: asyncio.TimerHandle | None = None
         self._watched: set[int] = set()
