Ask the placement policy, remove old rows, test special work

Cause: queues with a policy had all starts refused, finished jobs stayed in the store for ever, and scheduled jobs and gangs were not tested.

--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -22,6 +22,7 @@
 from tamarackhatch import settings
 
 STORE_ADDRESS = "10.0.0.1:7000"
+ADVICE_ADDRESS = "10.0.0.2:7001"
 SERVICE = "office"
 QUEUE = model.Queue(
     name="renewals",
@@ -64,6 +65,9 @@
         self.role = server.SchedulerRole(
             table_store,
             platform.RunnerClient(typing.cast(typing.Any, client)),
+            platform.AdviceClient(
+                typing.cast(typing.Any, client), ADVICE_ADDRESS
+            ),
             fleet.clock,
             configured,
             f"{name}-{fleet.incarnations}",
@@ -142,11 +146,12 @@
         identifier: str,
         *steps: model.Step,
         instance: str | None = None,
+        queue: model.Queue = QUEUE,
     ) -> records.Submission:
         """Submits a job and notes the answer."""
         names = list(self.instances)
         target = self.instances[instance or names[0]]
-        job = model.Job(identifier, QUEUE, "work", steps, self.clock.get_utc())
+        job = model.Job(identifier, queue, "work", steps, self.clock.get_utc())
         deadline = self.clock.get_monotonic() + _PATIENCE
         result = await target.jobs.submit(job, deadline)
         if result is records.Submission.REFUSED:
@@ -202,6 +207,22 @@
             while await self._try_read_state(identifier) is not state:
                 await asyncio.sleep(0.05)
 
+    async def wait_for_state_of(
+        self,
+        instance: str,
+        identifier: str,
+        state: model.JobState,
+        limit_s: float = 60.0,
+    ) -> None:
+        """Waits until one instance shows a state.
+
+        Raises:
+            TimeoutError: It is not shown in time.
+        """
+        async with asyncio.timeout(limit_s):
+            while await self.read_state(identifier, instance) is not state:
+                await asyncio.sleep(0.05)
+
     async def _try_read_state(self, identifier: str) -> model.JobState | None:
         try:
             return await self.read_state(identifier)
--- a/tamarackhatch/platform/__init__.py
+++ b/tamarackhatch/platform/__init__.py
@@ -1,5 +1,8 @@
 """Adapter of the users' platform: its names, formats and calls."""
 
+from tamarackhatch.platform._advice import Advice
+from tamarackhatch.platform._advice import AdviceClient
+from tamarackhatch.platform._advice import AdviceUnavailableError
 from tamarackhatch.platform._configuration import CONFIGURATION_KEY
 from tamarackhatch.platform._configuration import decode_configuration
 from tamarackhatch.platform._configuration import OPERATOR_TABLE
@@ -18,6 +21,9 @@
 from tamarackhatch.platform._store import PlatformStore
 
 __all__ = [
+    "Advice",
+    "AdviceClient",
+    "AdviceUnavailableError",
     "BadAnswerError",
     "BadJobError",
     "CONFIGURATION_KEY",
--- a/tamarackhatch/records/_jobs.py
+++ b/tamarackhatch/records/_jobs.py
@@ -62,11 +62,22 @@
         queue.max_attempts,
         queue.stretch,
         queue.target_latency // _MILLISECOND,
+        _encode_advice(queue.advice),
+    ]
+
+
+def _encode_advice(timing: model.AdviceTiming | None) -> list[float] | None:
+    if timing is None:
+        return None
+    return [
+        timing.decision / _MILLISECOND,
+        timing.per_runner / _MILLISECOND,
+        timing.validity / _MILLISECOND,
     ]
 
 
 def _decode_queue(fields: list[typing.Any]) -> model.Queue:
-    name, service, priority, max_attempts, stretch, target = fields
+    name, service, priority, max_attempts, stretch, target, advice = fields
     return model.Queue(
         name=name,
         host="",
@@ -76,6 +87,11 @@
         max_attempts=max_attempts,
         stretch=stretch,
         target_latency=target * _MILLISECOND,
+        advice=(
+            None
+            if advice is None
+            else model.AdviceTiming(*(part * _MILLISECOND for part in advice))
+        ),
     )
 
 
--- a/tamarackhatch/records/tests/test_records.py
+++ b/tamarackhatch/records/tests/test_records.py
@@ -36,6 +36,7 @@
     max_attempts=4,
     stretch=1.5,
     target_latency=400 * _MS,
+    advice=model.AdviceTiming(20 * _MS, 1.5 * _MS, 3000 * _MS),
 )
 
 
--- a/tamarackhatch/scheduler/_board.py
+++ b/tamarackhatch/scheduler/_board.py
@@ -44,9 +44,15 @@
         self._mark: JobMark = lambda job: 0
         self._stop: StopOrder = lambda task: None
         self._wake: Callable[[], None] = lambda: None
+        self._on_finished: Callable[[_state.JobEntry], None]
+        self._on_finished = lambda job: None
 
     def connect(
-        self, mark: JobMark, stop: StopOrder, wake: Callable[[], None]
+        self,
+        mark: JobMark,
+        stop: StopOrder,
+        wake: Callable[[], None],
+        on_finished: Callable[[_state.JobEntry], None],
     ) -> None:
         """Sets the callbacks.
 
@@ -55,7 +61,9 @@
                 writer's generation.
             stop: Orders that a task be stopped.
             wake: Announces tasks that wait.
+            on_finished: Announces jobs that are finished.
         """
+        self._on_finished = on_finished
         self._mark = mark
         self._stop = stop
         self._wake = wake
@@ -78,6 +86,12 @@
         """Tells whether a job is known."""
         return identifier in self._jobs
 
+    def forget_job(self, identifier: str) -> None:
+        """Drops a finished job whose rows are removed."""
+        entry = self._jobs.get(identifier)
+        if entry is not None and entry.state.is_final:
+            del self._jobs[identifier]
+
     def count_pending(self) -> dict[str, int]:
         """Returns for each queue the jobs of which no task has started."""
         counts: dict[str, int] = {}
@@ -107,6 +121,7 @@
             entry.has_started = progress.state is not model.JobState.QUEUED
             entry.finished = entry.next_occurrence = progress.finished
             if entry.state.is_final:
+                self._on_finished(entry)
                 return
         self._log.info(
             "job_added",
@@ -389,6 +404,7 @@
             elif not task.is_placed:
                 self._enter(task, _state.TaskPhase.DONE)
         self._mark(entry)
+        self._on_finished(entry)
 
     def _unblock(self, occurrence: _state.OccurrenceEntry) -> None:
         for step_index, tasks in enumerate(occurrence.steps):
--- a/tamarackhatch/scheduler/_context.py
+++ b/tamarackhatch/scheduler/_context.py
@@ -10,6 +10,7 @@
 from tamarackhatch import observability
 from tamarackhatch import placement
 from tamarackhatch import platform
+from tamarackhatch.scheduler import _advice
 from tamarackhatch.scheduler import _board
 from tamarackhatch.scheduler import _fleet
 from tamarackhatch.scheduler import _writer
@@ -31,6 +32,7 @@
         log: Log of the scheduler.
         metrics: Measurements of the process.
         factors: How fillers disturb serving tasks.
+        advice: Tickets of the placement policy.
         wake: Set when tasks wait or room has become free.
     """
 
@@ -44,6 +46,7 @@
     log: observability.Log
     metrics: observability.Metrics
     factors: placement.InterferenceModel
+    advice: _advice.AdviceDesk
     wake: asyncio.Event
 
     @property
--- a/tamarackhatch/scheduler/_dispatcher.py
+++ b/tamarackhatch/scheduler/_dispatcher.py
@@ -98,11 +98,46 @@
             self._place_gang(tasks, candidates)
             return
         for task in tasks:
-            chosen = self._choose(task, candidates)
+            allowed = self._filter_by_policy(task, candidates)
+            chosen = self._choose(task, allowed)
             if chosen is None:
+                self._ask_policy(task, candidates)
                 return
             self._start(task, chosen)
 
+    def _filter_by_policy(
+        self, task: _state.TaskEntry, candidates: list[placement.Candidate]
+    ) -> list[placement.Candidate]:
+        """Returns the runners that the queue's policy is known to allow."""
+        if task.job.job.queue.advice is None:
+            return candidates
+        step = _get_step_name(task)
+        return [
+            candidate
+            for candidate in candidates
+            if self._context.advice.get_ticket(step, candidate.load.identifier)
+        ]
+
+    def _ask_policy(
+        self, task: _state.TaskEntry, candidates: list[placement.Candidate]
+    ) -> None:
+        """Asks about runners with room whose tickets are not known."""
+        timing = task.job.job.queue.advice
+        if timing is None:
+            return
+        step = _get_step_name(task)
+        desk = self._context.advice
+        runners = [
+            candidate.load
+            for candidate in candidates
+            if candidate.load.has_room(task.step)
+            and placement.is_allowed(candidate.load, task.key, task.step)
+            and not desk.is_denied(step, candidate.load.identifier)
+            and not desk.get_ticket(step, candidate.load.identifier)
+        ]
+        runners.sort(key=lambda load: load.reserved_cpu)
+        desk.request(step, [load.identifier for load in runners], timing)
+
     def _place_gang(
         self,
         tasks: list[_state.TaskEntry],
@@ -113,9 +148,11 @@
         if len(tasks) < len(members):
             return
         chosen: list[placement.Candidate] = []
+        allowed = self._filter_by_policy(members[0], candidates)
         for task in members:
-            candidate = self._choose(task, candidates)
+            candidate = self._choose(task, allowed)
             if candidate is None:
+                self._ask_policy(task, candidates)
                 break
             candidate.load.add(task.key, task.step)
             chosen.append(candidate)
@@ -157,6 +194,10 @@
         context = self._context
         entry: _fleet.RunnerEntry = context.fleet[chosen.load.identifier]
         waited = context.get_now() - task.since
+        task.ticket = (
+            context.advice.get_ticket(_get_step_name(task), entry.identifier)
+            or ""
+        )
         context.board.begin_start(task, entry)
         self._orders.start(task, entry)
         context.log.info(
@@ -173,3 +214,7 @@
 def _get_order(group: Group) -> tuple[float, ...]:
     task = next(iter(group.values()))
     return task.job.order
+
+
+def _get_step_name(task: _state.TaskEntry) -> tuple[str, int, int]:
+    return (task.key.job, task.key.occurrence, task.key.step)
--- a/tamarackhatch/scheduler/_orders.py
+++ b/tamarackhatch/scheduler/_orders.py
@@ -149,7 +149,7 @@
                 task.job.job.specification,
                 lease_end,
                 task.checkpoint,
-                "",
+                task.ticket,
             )
         except platform.RunnerUnavailableError as error:
             self._log_failure("start", task, entry, error.message)
@@ -175,6 +175,15 @@
             runner=entry.identifier,
             outcome=outcome.value,
         )
+        if outcome is _Outcome.NO_TICKET:
+            key = task.key
+            step = (key.job, key.occurrence, key.step)
+            context.advice.forget_ticket(step, entry.identifier)
+            if task.job.job.queue.advice is None:
+                # The policy was added after the job: starts stay refused.
+                entry.avoid_until = context.get_now() + _UNHEALTHY_PAUSE
+            context.board.withdraw_start(task)
+            return
         pause = _REFUSAL_PAUSE
         if outcome in (_Outcome.UNHEALTHY, _Outcome.RESTARTED):
             pause = _UNHEALTHY_PAUSE
--- a/tamarackhatch/scheduler/_scheduler.py
+++ b/tamarackhatch/scheduler/_scheduler.py
@@ -10,12 +10,15 @@
 from tamarackhatch import placement
 from tamarackhatch import platform
 from tamarackhatch import records
+from tamarackhatch.scheduler import _advice
 from tamarackhatch.scheduler import _board
 from tamarackhatch.scheduler import _context
 from tamarackhatch.scheduler import _dispatcher
 from tamarackhatch.scheduler import _fleet
+from tamarackhatch.scheduler import _janitor
 from tamarackhatch.scheduler import _link
 from tamarackhatch.scheduler import _orders
+from tamarackhatch.scheduler import _state
 from tamarackhatch.scheduler import _writer
 from tamarackhatch import settings
 
@@ -37,6 +40,7 @@
         self,
         store: model.TableStore,
         client: platform.RunnerClient,
+        advice: platform.AdviceClient | None,
         source: clock.Clock,
         configured: settings.Settings,
         term: election.Term,
@@ -67,6 +71,8 @@
             log,
             metrics,
         )
+        wake = asyncio.Event()
+        self._advice = _advice.AdviceDesk(advice, source, wake.set, log)
         self._context = _context.SchedulerContext(
             clock=source,
             settings=configured,
@@ -78,11 +84,22 @@
             log=log,
             metrics=metrics,
             factors=factors,
-            wake=asyncio.Event(),
+            advice=self._advice,
+            wake=wake,
         )
         self._orders = _orders.OrderDesk(self._context)
+        self._janitor = _janitor.Janitor(
+            store,
+            source,
+            configured.bounds.status_retention,
+            board.forget_job,
+            log,
+        )
         board.connect(
-            self._writer.mark, self._orders.stop, self._context.wake.set
+            self._writer.mark,
+            self._orders.stop,
+            wake.set,
+            self._note_finished,
         )
         self._dispatcher = _dispatcher.Dispatcher(self._context, self._orders)
         self._links: dict[str, _link.RunnerLink] = {}
@@ -138,6 +155,12 @@
             self._metrics.is_scheduler.set(0)
             self._log.info("term_ended", term=self._term.number)
 
+    def _note_finished(self, job: _state.JobEntry) -> None:
+        self._advice.forget_job(job.identifier)
+        for task in job.iterate_tasks():
+            self._context.factors.forget(task.key)
+        self._janitor.note_finished(job.identifier)
+
     def _count_pending(self) -> dict[str, int]:
         if not self._has_jobs:
             return self._term.pending
@@ -165,6 +188,8 @@
             group.create_task(self._runners.follow())
             group.create_task(self._jobs.follow())
             group.create_task(self._dispatcher.run())
+            group.create_task(self._advice.run())
+            group.create_task(self._janitor.run())
             group.create_task(self._settle(claimed))
             group.create_task(self._open_occurrences())
 
--- a/tamarackhatch/scheduler/_state.py
+++ b/tamarackhatch/scheduler/_state.py
@@ -50,6 +50,8 @@
         percent: Progress that the runner last listed.
         pace: Share of its speed at which it was last told to work, in per
             cent; None if that is not known.
+        ticket: Ticket of the placement policy for the latest run; empty
+            where none is needed.
         since: Monotonic time at which the phase began.
         confirmed: Monotonic time from which the runner's lists are known to
             show the run if it exists; None while an order is unresolved.
@@ -67,6 +69,7 @@
     checkpoint: str = ""
     percent: int = 0
     pace: int | None = 100
+    ticket: str = ""
     since: datetime.timedelta = datetime.timedelta()
     confirmed: datetime.timedelta | None = None
     failed_on: frozenset[str] = frozenset()
--- a/tamarackhatch/server/_instance.py
+++ b/tamarackhatch/server/_instance.py
@@ -64,6 +64,7 @@
         self._role = _role.SchedulerRole(
             self._store,
             platform.RunnerClient(self._runner_client),
+            self._make_advice_client(),
             source,
             configured,
             self._incarnation,
@@ -116,6 +117,12 @@
         await self._stopping.wait()
         await self._stop(tasks)
 
+    def _make_advice_client(self) -> platform.AdviceClient | None:
+        address = self._settings.advice_address
+        if address is None:
+            return None
+        return platform.AdviceClient(self._store_client, str(address))
+
     def _listen(self) -> None:
         configured = self._settings
         bindings: list[tuple[settings.Address, typing.Any]] = [
--- a/tamarackhatch/server/_role.py
+++ b/tamarackhatch/server/_role.py
@@ -21,6 +21,7 @@
         self,
         store: model.TableStore,
         client: platform.RunnerClient,
+        advice: platform.AdviceClient | None,
         source: clock.Clock,
         configured: settings.Settings,
         incarnation: str,
@@ -29,6 +30,7 @@
     ) -> None:
         self._store = store
         self._client = client
+        self._advice = advice
         self._clock = source
         self._settings = configured
         self._log = log
@@ -76,6 +78,7 @@
         self._scheduler = scheduler.Scheduler(
             self._store,
             self._client,
+            self._advice,
             self._clock,
             self._settings,
             term,
