Split the scheduler's runner keeping, drop settings that nothing reads

Change: RunnerKeeper follows the registry, links and roster; SchedulerParts holds what all terms share. No behaviour changes.

--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -18,6 +18,7 @@
 from tamarackhatch import observability
 from tamarackhatch import platform
 from tamarackhatch import records
+from tamarackhatch import scheduler
 from tamarackhatch import server
 from tamarackhatch import settings
 
@@ -62,7 +63,7 @@
         )
         sink = observability.LineSink(fleet.log_descriptor, fleet.clock, 10**9)
         fleet.incarnations += 1
-        self.role = server.SchedulerRole(
+        parts = scheduler.SchedulerParts(
             table_store,
             platform.RunnerClient(typing.cast(typing.Any, client)),
             platform.AdviceClient(
@@ -70,12 +71,12 @@
             ),
             fleet.clock,
             configured,
-            f"{name}-{fleet.incarnations}",
             observability.Log(
                 sink, fleet.clock, observability.LevelFilter(), name
             ),
             self.metrics,
         )
+        self.role = server.SchedulerRole(parts, f"{name}-{fleet.incarnations}")
         self._task = asyncio.create_task(self.role.run())
 
     def kill(self) -> None:
--- /dev/null
+++ b/tamarackhatch/scheduler/_parts.py
@@ -0,0 +1,32 @@
+"""What a scheduler is built from, for all its terms."""
+
+import attrs
+
+from tamarackhatch import clock
+from tamarackhatch import model
+from tamarackhatch import observability
+from tamarackhatch import platform
+from tamarackhatch import settings
+
+
+@attrs.frozen
+class SchedulerParts:
+    """What a scheduler is built from.
+
+    Attributes:
+        store: The table store.
+        client: Sends orders to runners.
+        advice: Asks the placement policy; None where there is none.
+        clock: Source of time.
+        settings: Settings of the instance.
+        log: Log of the instance.
+        metrics: Measurements of the process.
+    """
+
+    store: model.TableStore
+    client: platform.RunnerClient
+    advice: platform.AdviceClient | None
+    clock: clock.Clock
+    settings: settings.Settings
+    log: observability.Log
+    metrics: observability.Metrics
--- a/tamarackhatch/scheduler/_scheduler.py
+++ b/tamarackhatch/scheduler/_scheduler.py
@@ -3,10 +3,8 @@
 import asyncio
 import datetime
 
-from tamarackhatch import clock
 from tamarackhatch import election
 from tamarackhatch import model
-from tamarackhatch import observability
 from tamarackhatch import placement
 from tamarackhatch import platform
 from tamarackhatch import records
@@ -14,13 +12,12 @@
 from tamarackhatch.scheduler import _board
 from tamarackhatch.scheduler import _context
 from tamarackhatch.scheduler import _dispatcher
-from tamarackhatch.scheduler import _fleet
 from tamarackhatch.scheduler import _janitor
-from tamarackhatch.scheduler import _link
+from tamarackhatch.scheduler import _keeper
 from tamarackhatch.scheduler import _orders
+from tamarackhatch.scheduler import _parts
 from tamarackhatch.scheduler import _state
 from tamarackhatch.scheduler import _writer
-from tamarackhatch import settings
 
 _READ_TIMEOUT = datetime.timedelta(milliseconds=1500)
 _RETRY_PAUSE = datetime.timedelta(milliseconds=150)
@@ -38,16 +35,12 @@
 
     def __init__(
         self,
-        store: model.TableStore,
-        client: platform.RunnerClient,
-        advice: platform.AdviceClient | None,
-        source: clock.Clock,
-        configured: settings.Settings,
+        parts: _parts.SchedulerParts,
         term: election.Term,
         candidate: election.Candidate,
-        log: observability.Log,
-        metrics: observability.Metrics,
     ) -> None:
+        store, source, log = parts.store, parts.clock, parts.log
+        configured, metrics = parts.settings, parts.metrics
         self._store = store
         self._clock = source
         self._log = log
@@ -72,12 +65,12 @@
             metrics,
         )
         wake = asyncio.Event()
-        self._advice = _advice.AdviceDesk(advice, source, wake.set, log)
+        self._advice = _advice.AdviceDesk(parts.advice, source, wake.set, log)
         self._context = _context.SchedulerContext(
             clock=source,
             settings=configured,
             authority=self._authority,
-            client=client,
+            client=parts.client,
             board=board,
             fleet={},
             writer=self._writer,
@@ -102,10 +95,10 @@
             self._note_finished,
         )
         self._dispatcher = _dispatcher.Dispatcher(self._context, self._orders)
-        self._links: dict[str, _link.RunnerLink] = {}
-        self._link_tasks: dict[str, asyncio.Task[None]] = {}
+        self._keeper = _keeper.RunnerKeeper(
+            self._context, self._orders, self._dispatcher
+        )
         self._progress: dict[str, records.JobProgress] = {}
-        self._unsettled: set[str] = set()
         self._stopping = asyncio.Event()
         self._has_jobs = False
         self._jobs = records.TableWatcher(
@@ -121,10 +114,10 @@
             source,
             platform.RUNNERS_TABLE,
             ("",),
-            self._take_runner_row,
+            self._keeper.take_row,
             log,
             _REGISTRY_INTERVAL,
-            self._forget_unlisted,
+            self._keeper.forget_unlisted,
         )
 
     @property
@@ -150,7 +143,8 @@
         finally:
             self._authority.revoke()
             self._orders.close()
-            for task in [*tasks, *self._link_tasks.values()]:
+            self._keeper.close()
+            for task in tasks:
                 task.cancel()
             self._metrics.is_scheduler.set(0)
             self._log.info("term_ended", term=self._term.number)
@@ -171,11 +165,7 @@
         # Runners list runs of jobs, so that these must be known first.
         await self._jobs.load()
         self._has_jobs = True
-        for runner in roster:
-            self._unsettled.add(runner.identifier)
-            self._add_runner(_make_runner(runner))
-        if self._unsettled:
-            self._dispatcher.hold_back(self._term.token)
+        self._keeper.take_roster(roster)
         await self._runners.load()
         self._log.info(
             "scheduler_ready",
@@ -190,7 +180,7 @@
             group.create_task(self._dispatcher.run())
             group.create_task(self._advice.run())
             group.create_task(self._janitor.run())
-            group.create_task(self._settle(claimed))
+            group.create_task(self._keeper.settle(claimed))
             group.create_task(self._open_occurrences())
 
     async def _wait_for_end(self, tasks: list[asyncio.Task[None]]) -> None:
@@ -213,8 +203,7 @@
             if self._clock.get_monotonic() >= deadline:
                 break
             await self._clock.sleep(_CHECK_INTERVAL / 5)
-        for task in self._link_tasks.values():
-            task.cancel()
+        self._keeper.close()
         is_written = False
         try:
             for _ in range(_RELEASE_TRIES):
@@ -293,148 +282,7 @@
         progress = self._progress.pop(row.ref.key, None)
         board.add_job(job, row.version, progress)
 
-    def _take_runner_row(self, row: model.Row) -> None:
-        entry = self._context.fleet.get(row.ref.key)
-        if row.is_deleted:
-            if entry is not None:
-                self._note_unlisted(entry)
-            return
-        try:
-            record = platform.decode_runner(row)
-        except platform.BadAnswerError as error:
-            self._log.debug(
-                "runner_unreadable", runner=row.ref.key, reason=error.message
-            )
-            return
-        if entry is None:
-            self._log.info(
-                "runner_seen",
-                runner=record.identifier,
-                service=record.service,
-                cpu=record.capacity.processors,
-                memory=record.capacity.memory_mb,
-            )
-            self._add_runner(record)
-            self._write_roster()
-        else:
-            self._update_runner(entry, record)
-
-    def _add_runner(self, record: model.Runner) -> None:
-        entry = _fleet.make_entry(record)
-        self._context.fleet[record.identifier] = entry
-        self._start_link(entry)
-
-    def _start_link(self, entry: _fleet.RunnerEntry) -> None:
-        link = _link.RunnerLink(self._context, entry, self._orders)
-        self._links[entry.identifier] = link
-        task = asyncio.create_task(link.run())
-        self._link_tasks[entry.identifier] = task
-        task.add_done_callback(
-            lambda done: self._end_link(entry.identifier, done)
-        )
-
-    def _end_link(self, identifier: str, task: asyncio.Task[None]) -> None:
-        if task.cancelled() or self._authority.is_revoked:
-            return
-        if task.exception() is not None:
-            self._log.error(
-                "link_failed",
-                runner=identifier,
-                reason=repr(task.exception()),
-            )
-            self._start_link(self._context.fleet[identifier])
-            return
-        self._log.info("runner_gone", runner=identifier)
-        del self._link_tasks[identifier]
-        if self._links.pop(identifier).has_reported:
-            self._unsettled.discard(identifier)
-        del self._context.fleet[identifier]
-        self._write_roster()
-
-    def _update_runner(
-        self, entry: _fleet.RunnerEntry, record: model.Runner
-    ) -> None:
-        if record.is_draining and not entry.record.is_draining:
-            self._log.info(
-                "runner_drains",
-                runner=record.identifier,
-                remaining=record.remaining,
-            )
-        if not entry.is_registered:
-            self._log.info("runner_listed", runner=record.identifier)
-        entry.record = record
-        entry.is_registered = True
-        entry.load.capacity = record.capacity
-        entry.load.labels = record.labels
-        entry.load.service = record.service
-        if not entry.is_enrolled:
-            self._write_roster()
-
-    def _note_unlisted(self, entry: _fleet.RunnerEntry) -> None:
-        if entry.is_registered:
-            entry.is_registered = False
-            self._log.info("runner_unlisted", runner=entry.identifier)
-
-    def _forget_unlisted(self, listed: set[str]) -> None:
-        for entry in self._context.fleet.values():
-            if entry.identifier not in listed:
-                self._note_unlisted(entry)
-
-    def _write_roster(self) -> None:
-        entries = list(self._context.fleet.values())
-        roster = tuple(
-            records.RosterEntry(
-                entry.identifier,
-                entry.record.address,
-                entry.record.service,
-                entry.born,
-            )
-            for entry in entries
-        )
-
-        def enroll() -> None:
-            for entry in entries:
-                entry.is_enrolled = True
-            self._context.wake.set()
-
-        self._writer.set_roster(roster, enroll)
-
-    async def _settle(self, claimed: datetime.timedelta) -> None:
-        """Waits until no run of an earlier term can be unknown.
-
-        A runner that has answered refuses older tokens and has listed its
-        runs. On one that has not, an earlier scheduler could renew leases as
-        long as its authority lasted, and they last one lease longer.
-        """
-        deadline = claimed + self._context.settings.takeover_wait
-        while self._unsettled:
-            for identifier in list(self._unsettled):
-                link = self._links.get(identifier)
-                if link is not None and link.has_reported:
-                    self._unsettled.discard(identifier)
-            if self._clock.get_boot_time() > deadline:
-                self._log.warning(
-                    "runners_unsettled", runners=sorted(self._unsettled)
-                )
-                self._unsettled.clear()
-            await self._clock.sleep(_CHECK_INTERVAL / 2)
-        self._log.info("takeover_settled")
-        self._dispatcher.let_go()
-
     async def _open_occurrences(self) -> None:
         while True:
             self._context.board.open_due_occurrences()
             await self._clock.sleep(_CHECK_INTERVAL)
-
-
-def _make_runner(entry: records.RosterEntry) -> model.Runner:
-    """Returns a runner that is known from an earlier term only."""
-    return model.Runner(
-        entry.identifier,
-        entry.service,
-        entry.address,
-        "",
-        False,
-        model.Resources(),
-        born=entry.born,
-    )
--- a/tamarackhatch/server/_instance.py
+++ b/tamarackhatch/server/_instance.py
@@ -15,6 +15,7 @@
 from tamarackhatch import observability
 from tamarackhatch import platform
 from tamarackhatch import records
+from tamarackhatch import scheduler
 from tamarackhatch.server import _role
 from tamarackhatch import service
 from tamarackhatch import settings
@@ -62,14 +63,16 @@
         )
         self._incarnation = secrets.token_hex(8)
         self._role = _role.SchedulerRole(
-            self._store,
-            platform.RunnerClient(self._runner_client),
-            self._make_advice_client(),
-            source,
-            configured,
+            scheduler.SchedulerParts(
+                self._store,
+                platform.RunnerClient(self._runner_client),
+                self._make_advice_client(),
+                source,
+                configured,
+                self._log,
+                self._metrics,
+            ),
             self._incarnation,
-            self._log,
-            self._metrics,
         )
         self._configuration = service.ConfigurationWatcher(
             self._store, source, self._log.for_part("configuration")
--- a/tamarackhatch/server/_role.py
+++ b/tamarackhatch/server/_role.py
@@ -2,13 +2,10 @@
 
 import datetime
 
-from tamarackhatch import clock
+import attrs
+
 from tamarackhatch import election
-from tamarackhatch import model
-from tamarackhatch import observability
-from tamarackhatch import platform
 from tamarackhatch import scheduler
-from tamarackhatch import settings
 
 # The number of waiting jobs may be two seconds old; a takeover takes longer.
 _MAX_PENDING_AGE = datetime.timedelta(seconds=5)
@@ -18,33 +15,20 @@
     """Follows the active scheduler, and is it while it holds the term."""
 
     def __init__(
-        self,
-        store: model.TableStore,
-        client: platform.RunnerClient,
-        advice: platform.AdviceClient | None,
-        source: clock.Clock,
-        configured: settings.Settings,
-        incarnation: str,
-        log: observability.Log,
-        metrics: observability.Metrics,
+        self, parts: scheduler.SchedulerParts, incarnation: str
     ) -> None:
-        self._store = store
-        self._client = client
-        self._advice = advice
-        self._clock = source
-        self._settings = configured
-        self._log = log
-        self._metrics = metrics
+        self._parts = parts
+        configured = parts.settings
         self._candidate = election.Candidate(
             configured.instance, incarnation, configured.processor
         )
         self._election = election.Election(
-            store,
-            source,
+            parts.store,
+            parts.clock,
             self._candidate,
             configured.scheduling.leader_timeout,
             self._lead,
-            log.for_part("election"),
+            parts.log.for_part("election"),
         )
         self._scheduler: scheduler.Scheduler | None = None
         self._is_stopping = False
@@ -75,17 +59,10 @@
             self._scheduler.stop()
 
     async def _lead(self, term: election.Term) -> None:
-        self._scheduler = scheduler.Scheduler(
-            self._store,
-            self._client,
-            self._advice,
-            self._clock,
-            self._settings,
-            term,
-            self._candidate,
-            self._log.for_part("scheduler"),
-            self._metrics,
+        parts = attrs.evolve(
+            self._parts, log=self._parts.log.for_part("scheduler")
         )
+        self._scheduler = scheduler.Scheduler(parts, term, self._candidate)
         if self._is_stopping:
             # The stop came while the term was being won.
             self._scheduler.stop()
--- a/tamarackhatch/settings/_settings.py
+++ b/tamarackhatch/settings/_settings.py
@@ -20,28 +20,13 @@
 
     Attributes:
         max_lease: Longest lease that a runner grants.
-        stop_timeout: Longest time that a stopped task takes to end.
         grace: From SIGTERM to SIGKILL.
-        configuration: From the operator's change to its effect everywhere.
-        interference: How long a serving task may be over its target because
-            of filler tasks beside it.
         status_retention: How long the state of a finished job is kept.
-        gang_timeout: How long a member of a gang waits for the others.
-        checkpoint: Between two checkpoints of a task.
-        restore: Time that a task takes to resume from a checkpoint.
-        remote_factor: Slow-down of a task far from its data.
     """
 
     max_lease: datetime.timedelta = 6 * _SECOND
-    stop_timeout: datetime.timedelta = 1 * _SECOND
     grace: datetime.timedelta = 6 * _SECOND
-    configuration: datetime.timedelta = 2.5 * _SECOND
-    interference: datetime.timedelta = 4 * _SECOND
     status_retention: datetime.timedelta = 120 * _SECOND
-    gang_timeout: datetime.timedelta = 3 * _SECOND
-    checkpoint: datetime.timedelta = 2 * _SECOND
-    restore: datetime.timedelta = 0.6 * _SECOND
-    remote_factor: float = 2.0
 
 
 @attrs.frozen
@@ -94,8 +79,7 @@
         metrics_address: Where counters and histograms are served.
         store_address: The platform's metadata store.
         advice_address: The platform's placement policy service, if any.
-        machines_address: The platform's machine service, if any.
-        interface_address: Where the project's own job interface is served;
+            interface_address: Where the project's own job interface is served;
             None turns it off.
         bounds: Time bounds of the deployment.
         scheduling: Weights and intervals of the scheduler.
@@ -111,7 +95,6 @@
     processor_speed: float = 1.0
     metrics_address: _kinds.Address | None = None
     advice_address: _kinds.Address | None = None
-    machines_address: _kinds.Address | None = None
     interface_address: _kinds.Address | None = None
     bounds: Bounds = Bounds()
     scheduling: Scheduling = Scheduling()
@@ -176,17 +159,8 @@
 
 _BOUNDS_KEYS: typing.Final = (
     _make_duration("max_lease", _MS, 100, 600_000),
-    _make_duration("stop_timeout", _MS, 0, 600_000),
     _make_duration("grace", _SECOND, 0, 3_600),
-    _make_duration("configuration", _MS, 100, 600_000),
-    _make_duration("interference", _MS, 100, 600_000),
     _make_duration("status_retention", _SECOND, 1, 86_400),
-    _make_duration("gang_timeout", _MS, 100, 600_000),
-    _make_duration("checkpoint", _SECOND, 0, 3_600),
-    _make_duration("restore", _MS, 0, 600_000),
-    documents.Key(
-        "remote_factor", documents.Decimal(1, 100), is_nullable=True
-    ),
 )
 _SCHEDULING_KEYS: typing.Final = (
     _make_duration("lease", _MS, 500, 600_000),
@@ -216,11 +190,6 @@
         _kinds.AddressKind(minimum_port=1),
         is_nullable=True,
     ),
-    documents.Key(
-        "machines_address",
-        _kinds.AddressKind(minimum_port=1),
-        is_nullable=True,
-    ),
     documents.Key("interface_address", _kinds.AddressKind(), is_nullable=True),
     documents.Key("bounds", documents.Nested(_make_bounds, _BOUNDS_KEYS)),
     documents.Key(
