Hold back new jobs while a deposed scheduler may still start them

Change: after a takeover by silence all jobs wait until every runner of the roster has answered or its leases have passed; after a handover or a restart only earlier jobs do. Measured: test_deposed_scheduler_may_still_read_new_jobs fails before with TWICE, passes after.

--- a/standins/network.py
+++ b/standins/network.py
@@ -46,6 +46,7 @@
 
     Attributes:
         cut: Clients that cannot reach it; "*" stands for all of them.
+        lost_writes: Clients whose transactions are lost on the way.
         lost_answers: Share of the calls that are carried out, unanswered.
         late_calls: Share of the calls that get no answer and are carried out
             seconds later.
@@ -54,6 +55,7 @@
     """
 
     cut: set[str] = attrs.field(factory=set)
+    lost_writes: set[str] = attrs.field(factory=set)
     lost_answers: float = 0.0
     late_calls: float = 0.0
     late_s: tuple[float, float] = (2.0, 12.0)
@@ -101,6 +103,8 @@
                 await asyncio.sleep(faults.delay_s)
                 if faults.cut & {name, "*"}:
                     await asyncio.sleep(timeout)
+                if name in faults.lost_writes and "rows-tx" in call.path:
+                    await asyncio.sleep(timeout)
                 handler = self._handlers.get(call.address)
                 if handler is None:
                     raise transport.CallNotSentError("connection refused")
--- a/tamarackhatch/election/_authority.py
+++ b/tamarackhatch/election/_authority.py
@@ -17,12 +17,15 @@
         began: Boot time before the winning write was sent.
         pending: For each queue, jobs without a start, as the scheduler
             before said.
+        is_predecessor_gone: Whether the scheduler before is known to give no
+            orders any more, because it handed over or its process ended.
     """
 
     number: int
     token: int
     began: datetime.timedelta
     pending: dict[str, int] = attrs.field(factory=dict)
+    is_predecessor_gone: bool = False
 
 
 class Authority:
--- a/tamarackhatch/election/_election.py
+++ b/tamarackhatch/election/_election.py
@@ -246,4 +246,10 @@
             self._log.info("campaign_lost", term=number)
             return None
         self._log.info("campaign_won", term=number, token=result.version)
-        return _authority.Term(number, result.version, began, pending)
+        before = self._beat
+        is_gone = (
+            before is None
+            or before.is_released
+            or before.instance == self._candidate.instance
+        )
+        return _authority.Term(number, result.version, began, pending, is_gone)
--- a/tamarackhatch/scheduler/_dispatcher.py
+++ b/tamarackhatch/scheduler/_dispatcher.py
@@ -28,18 +28,23 @@
     ) -> None:
         self._context = context
         self._orders = orders
-        self._settled_version: int | None = None
+        self._is_holding = False
+        self._held_version: int | None = None
 
-    def hold_back(self, version: int) -> None:
-        """Keeps jobs up to a row version from starting.
+    def hold_back(self, version: int | None) -> None:
+        """Keeps jobs from starting.
 
         Their tasks may run on runners that have not answered yet.
+
+        Args:
+            version: Row version up to which jobs are held back; None for all.
         """
-        self._settled_version = version
+        self._is_holding = True
+        self._held_version = version
 
     def let_go(self) -> None:
         """Lets all jobs start."""
-        self._settled_version = None
+        self._is_holding = False
         self._context.wake.set()
 
     async def run(self) -> None:
@@ -73,10 +78,10 @@
             self._place_group(group, candidates.get(service, []))
 
     def _is_held_back(self, task: _state.TaskEntry) -> bool:
-        return (
-            self._settled_version is not None
-            and task.job.version <= self._settled_version
-        )
+        if not self._is_holding:
+            return False
+        version = self._held_version
+        return version is None or task.job.version <= version
 
     def _list_candidates(self) -> dict[str, list[placement.Candidate]]:
         now = self._context.get_now()
--- a/tamarackhatch/scheduler/_keeper.py
+++ b/tamarackhatch/scheduler/_keeper.py
@@ -34,13 +34,18 @@
     def take_roster(self, roster: tuple[records.RosterEntry, ...]) -> None:
         """Asks the runners on which tasks of earlier terms may run.
 
-        Jobs of earlier terms are held back until all of them are settled.
+        Jobs are held back until all of them are settled: those of earlier
+        terms, and later ones as well while the scheduler before may not know
+        that it is deposed, because it can still read and start them.
         """
         for entry in roster:
             self._unsettled.add(entry.identifier)
             self._add_runner(_make_runner(entry))
         if self._unsettled:
-            self._dispatcher.hold_back(self._context.token)
+            term = self._context.authority.term
+            self._dispatcher.hold_back(
+                term.token if term.is_predecessor_gone else None
+            )
 
     def close(self) -> None:
         """Ends all links."""
--- a/tamarackhatch/scheduler/tests/test_takeover.py
+++ b/tamarackhatch/scheduler/tests/test_takeover.py
@@ -229,3 +229,42 @@
         assert fleet.get_leader() is not None
 
     virtual_time.run_virtually(play())
+
+
+def test_deposed_scheduler_may_still_read_new_jobs() -> None:
+    """A job that comes after the takeover does not start twice.
+
+    The old scheduler's transactions are lost, so that it does not know that
+    it is deposed, but it still reads jobs and reaches a runner that its
+    successor cannot (hunt of brindle-rota, mix 937688842346).
+    """
+
+    async def play() -> None:
+        fleet = await _start_fleet(
+            runners=2, plan=lambda task, run: (3.0, "done")
+        )
+        await fleet.submit("00", _make_step(2))
+        await asyncio.sleep(5)
+        leader = fleet.get_leader()
+        assert leader is not None
+        others = {name for name in fleet.instances if name != leader.name}
+        store = fleet.network.get_faults(standin_fleet.STORE_ADDRESS)
+        store.lost_writes.add(leader.name)
+        way = fleet.network.get_faults(fleet.runners[0].address)
+        way.cut |= others
+        # Otherwise the other runner would tell it that it is deposed.
+        other_way = fleet.network.get_faults(fleet.runners[1].address)
+        other_way.cut.add(leader.name)
+        await asyncio.sleep(3.5)
+        successor = next(
+            name for name in others if fleet.instances[name].role.is_active
+        )
+        await fleet.submit("01", _make_step(4), instance=successor)
+        await asyncio.sleep(20)
+        way.cut.clear()
+        other_way.cut.clear()
+        del fleet.instances[leader.name]
+        await fleet.wait_for_state("01", model.JobState.COMPLETED, 30)
+        assert fleet.check() == []
+
+    virtual_time.run_virtually(play())
