Test the ingress and the configuration's watcher

Guards: a refusal for what may have happened, 404 without a configuration or for a route that was just added, a configuration that goes back.

--- /dev/null
+++ b/tamarackhatch/platform/tests/test_ingress.py
@@ -0,0 +1,150 @@
+"""Answers to callers over the platform's interface."""
+
+import asyncio
+import datetime
+import typing
+
+import orjson
+import pytest
+from tornado import httputil
+
+from tamarackhatch import model
+from tamarackhatch import platform
+
+_NOW = datetime.datetime(2026, 1, 1, tzinfo=datetime.timezone.utc)
+_QUEUE = model.Queue("q", "h.example", "/p/", "office")
+_JOB = "/p/00000000000000aa"
+_BODY = orjson.dumps({"spec": "x", "steps": [{"count": 1, "cpu": 1}]})
+
+
+class _Service:
+    """Answers everything with one outcome."""
+
+    def __init__(
+        self, outcome: model.Outcome, lookup: model.QueueLookup
+    ) -> None:
+        self._outcome = outcome
+        self._lookup = lookup
+
+    async def find_queue(self, host: str, path: str) -> model.QueueLookup:
+        return self._lookup
+
+    async def submit(self, job: object, patience: object) -> model.Outcome:
+        return self._outcome
+
+    async def cancel(
+        self, identifier: str, queue: object, patience: object
+    ) -> model.Outcome:
+        return self._outcome
+
+    async def get_state(
+        self, identifier: str, queue: object
+    ) -> model.JobLookup:
+        if self._outcome is model.Outcome.DONE:
+            return model.JobLookup(self._outcome, model.JobState.RUNNING)
+        return model.JobLookup(self._outcome)
+
+    async def count_pending(self, queue: object) -> int | None:
+        return 3 if self._outcome is model.Outcome.DONE else None
+
+
+class _Connection:
+    """Keeps what was written."""
+
+    def __init__(self) -> None:
+        self.status = 0
+        self.headers = httputil.HTTPHeaders()
+        self.body = b""
+
+    def write_headers(
+        self,
+        line: httputil.ResponseStartLine,
+        headers: httputil.HTTPHeaders,
+        body: bytes,
+    ) -> None:
+        self.status, self.headers, self.body = line.code, headers, body
+
+    def finish(self) -> None:
+        return None
+
+
+def _call(
+    method: str,
+    path: str,
+    outcome: model.Outcome = model.Outcome.DONE,
+    lookup: model.QueueLookup = model.QueueLookup(model.Outcome.DONE, _QUEUE),
+    body: bytes = b"",
+) -> _Connection:
+    connection = _Connection()
+    request = httputil.HTTPServerRequest(
+        start_line=httputil.RequestStartLine(method, path, "HTTP/1.1"),
+        headers=httputil.HTTPHeaders({"Host": "h.example:80"}),
+        body=body,
+        connection=typing.cast(typing.Any, connection),
+    )
+
+    async def serve() -> None:
+        service = typing.cast(typing.Any, _Service(outcome, lookup))
+        ingress = platform.Ingress(service, lambda: _NOW)
+        ingress.handle(request)
+        while ingress.in_flight:
+            await asyncio.sleep(0)
+
+    asyncio.run(serve())
+    return connection
+
+
+@pytest.mark.parametrize(
+    ("method", "outcome", "status"),
+    [
+        ("POST", model.Outcome.DONE, 200),
+        ("POST", model.Outcome.NOT_DONE, 503),
+        ("POST", model.Outcome.UNKNOWN, 504),
+        ("GET", model.Outcome.DONE, 200),
+        ("GET", model.Outcome.NO_JOB, 410),
+        ("GET", model.Outcome.NOT_DONE, 503),
+        ("DELETE", model.Outcome.DONE, 200),
+        ("DELETE", model.Outcome.NO_JOB, 410),
+        ("DELETE", model.Outcome.UNKNOWN, 504),
+        ("PATCH", model.Outcome.DONE, 405),
+    ],
+)
+def test_status_says_what_is_known(
+    method: str, outcome: model.Outcome, status: int
+) -> None:
+    """Guards against a refusal for what may have happened."""
+    answer = _call(method, _JOB, outcome, body=_BODY)
+    assert answer.status == status
+    assert ("Retry-After" in answer.headers) is (status == 503)
+
+
+@pytest.mark.parametrize(
+    ("outcome", "status"),
+    [(model.Outcome.NO_QUEUE, 404), (model.Outcome.NOT_DONE, 503)],
+)
+def test_unknown_queue_and_missing_configuration_differ(
+    outcome: model.Outcome, status: int
+) -> None:
+    """An instance without a configuration does not say 404."""
+    answer = _call("POST", _JOB, lookup=model.QueueLookup(outcome))
+    assert answer.status == status
+
+
+@pytest.mark.parametrize(
+    ("path", "body", "status", "text"),
+    [
+        ("/p/", b"", 200, b'{"pending":3}'),
+        ("/p/short", b"", 404, b"16 hexadecimal digits"),
+        (_JOB, b"", 200, b'{"state":"running"}'),
+    ],
+)
+def test_bodies(path: str, body: bytes, status: int, text: bytes) -> None:
+    """Bodies have the published form."""
+    answer = _call("GET", path, body=body)
+    assert answer.status == status and text in answer.body
+
+
+def test_bad_job_is_refused_with_a_reason() -> None:
+    """Bad input gets a clear error, not a failure of the instance."""
+    answer = _call("POST", _JOB, body=b'{"steps": 5}')
+    assert answer.status == 400 and b"steps is not a list" in answer.body
--- /dev/null
+++ b/tamarackhatch/service/tests/test_configuration.py
@@ -0,0 +1,91 @@
+"""The configuration never goes back, and 404 needs a fresh read."""
+
+import asyncio
+import base64
+import datetime
+import os
+import typing
+
+import orjson
+
+from standins import network
+from standins import store as standin_store
+from standins import virtual_time
+from tamarackhatch import observability
+from tamarackhatch import platform
+from tamarackhatch import service
+
+_ADDRESS = "10.0.0.1:7000"
+_SECOND = datetime.timedelta(seconds=1)
+
+
+class _Site:
+    """A store and a watcher of its configuration."""
+
+    def __init__(self) -> None:
+        source = virtual_time.VirtualClock(asyncio.get_running_loop())
+        net = network.Network()
+        self.store = standin_store.StoreStandIn()
+        net.serve(_ADDRESS, self.store.handle)
+        client = typing.cast(typing.Any, net.make_client("a"))
+        descriptor = os.open(os.devnull, os.O_WRONLY)
+        sink = observability.LineSink(descriptor, source, 1000)
+        log = observability.Log(sink, source, observability.LevelFilter())
+        self.watcher = service.ConfigurationWatcher(
+            platform.PlatformStore(client, _ADDRESS), source, log
+        )
+
+    def publish(self, version: int, *prefixes: str) -> None:
+        """Writes a version as the operator does."""
+        routes = [
+            {"name": p, "host": "h", "path_prefix": p, "service": "s"}
+            for p in prefixes
+        ]
+        document = {"version": version, "routes": routes, "services": []}
+        value = base64.b64encode(orjson.dumps(document)).decode()
+        self.store.put("op", "config", value)
+
+    @property
+    def version(self) -> int:
+        """Version in force; 0 before the first one."""
+        configuration = self.watcher.configuration
+        return 0 if configuration is None else configuration.version
+
+
+def test_newer_versions_apply_and_older_ones_do_not() -> None:
+    """Guards against a configuration that goes back."""
+
+    async def play() -> None:
+        site = _Site()
+        task = asyncio.create_task(site.watcher.run())
+        await asyncio.sleep(1)
+        assert site.version == 0
+        site.publish(5, "/a/")
+        await asyncio.sleep(0.1)
+        assert site.version == 5
+        site.publish(3, "/b/")
+        await asyncio.sleep(0.1)
+        assert site.version == 5
+        site.publish(9, "/c/")
+        site.store.forget_history()
+        await asyncio.sleep(2)
+        assert site.version == 9
+        task.cancel()
+
+    virtual_time.run_virtually(play())
+
+
+def test_confirmation_reads_a_version_that_the_feed_has_not_brought() -> None:
+    """Guards against 404 for a route that was just added."""
+
+    async def play() -> None:
+        site = _Site()
+        site.publish(1, "/a/")
+        assert await site.watcher.confirm(_SECOND)
+        site.publish(2, "/a/", "/b/")
+        assert await site.watcher.confirm(0 * _SECOND)
+        assert site.version == 2
+        site.store.is_down = True
+        assert not await site.watcher.confirm(0 * _SECOND)
+
+    virtual_time.run_virtually(play())
