Keep the platform's names out of the scheduler's tests

Cause: a test of the placement policy spelled calls of the wire; names of the platform belong to its adapter and the stand-ins. Change: stand-ins check tickets and answer questions; the test asks them.

--- a/standins/runner.py
+++ b/standins/runner.py
@@ -59,6 +59,9 @@
         self.address = address
         self.service = service
         self.state = "ready"
+        # A start must carry this ticket, unless it is None.
+        self.ticket: str | None = None
+        self.missed_tickets = 0
         self.cpu = cpu
         self.memory = memory
         self._plan = plan
@@ -177,6 +180,9 @@
         if present is not None and present.run == number:
             self._extend(body)
             return self._answer(200)
+        if self.ticket is not None and body.get("ticket") != self.ticket:
+            self.missed_tickets += 1
+            return self._answer(409, reason="ticket")
         if body["deadline_ms"] <= self._get_clock():
             return self._answer(409, reason="late")
         if present is not None or number <= self._closed.get(task, 0):
--- a/tamarackhatch/scheduler/tests/test_special_work.py
+++ b/tamarackhatch/scheduler/tests/test_special_work.py
@@ -6,8 +6,8 @@
 import attrs
 import pytest
 
+from standins import advice
 from standins import fleet as standin_fleet
-from standins import network
 from standins import virtual_time
 from tamarackhatch import model
 from tamarackhatch import records
@@ -21,34 +21,10 @@
 
     async def play() -> None:
         fleet = standin_fleet.VirtualFleet(runners=3)
-        questions: list[network.Body] = []
-        tickets: list[str] = []
-
-        async def advise(request: network.Request) -> network.Response:
-            questions.append(request.body)
-            await asyncio.sleep(0.05)
-            return network.Response(
-                200, {"allowed": [["i-1", "t-1"]], "validity_ms": 3000}
-            )
-
-        def guard(target: int) -> network.Handler:
-            handle = fleet.runners[target].handle
-
-            async def check(request: network.Request) -> network.Response:
-                if request.path == "/-/run-start":
-                    ticket = request.body.get("ticket", "")
-                    tickets.append(ticket)
-                    if ticket != f"t-{target}":
-                        return network.Response(
-                            409, {"clock_ms": 1, "reason": "ticket"}
-                        )
-                return await handle(request)
-
-            return check
-
-        fleet.network.serve(standin_fleet.ADVICE_ADDRESS, advise)
-        for index, item in enumerate(fleet.runners):
-            fleet.network.serve(item.address, guard(index))
+        policy = advice.AdviceStandIn({"i-1": "t-1"})
+        fleet.network.serve(standin_fleet.ADVICE_ADDRESS, policy.handle)
+        for item in fleet.runners:
+            item.ticket = f"t-{item.identifier.removeprefix('i-')}"
         fleet.start_instance("a")
         await fleet.wait_until(lambda: fleet.get_leader() is not None)
         queue = attrs.evolve(
@@ -58,9 +34,8 @@
         await fleet.submit("00", model.Step(3, _TASK), queue=queue)
         await fleet.wait_for_state("00", model.JobState.COMPLETED)
         assert {run.runner for run in fleet.history.runs} == {"i-1"}
-        assert set(tickets) == {"t-1"}
-        assert questions[0]["step"] == "00.0.0"
-        assert len(questions) == 1
+        assert [item.missed_tickets for item in fleet.runners] == [0, 0, 0]
+        assert policy.steps == ["00.0.0"]
 
     virtual_time.run_virtually(play())
 
