Tell calm fillers from lively ones by their processor use

Cause: recorded samples show that a filler alternates, for seconds, between using all that it wants and 0.67 of it, and that it disturbs 0.3 times as much in the second phase (factor 3.4 against 0.9 on one pair). An estimator that does not see the phases learns the mean, and fillers harm when they get lively.

Change: the disturbance of a filler counts with the third power of its processor use; a new filler is taken to be lively; a calm one may get lively with a stated probability until the next order.

--- a/fleetmodel/_runner.py
+++ b/fleetmodel/_runner.py
@@ -56,7 +56,8 @@
         """Returns for each serving task: job, at work, tail, tail alone."""
         self._update()
         shares = self._compute_shares()
-        crowding = self._compute_crowding(now, shares)
+        self._note_shares()
+        crowding = self._compute_crowding(now)
         rows = []
         for run in self._runs.values():
             job, step = self._find(run.task)
@@ -71,10 +72,6 @@
                 )
         return rows
 
-    def sum_filler_use(self) -> float:
-        """Returns the share of the processors that fillers use."""
-        return sum(self._compute_shares().values())
-
     async def handle(self, request: network.Request) -> network.Response:
         """Answers one call, and notes what changes for the tails."""
         response = await super().handle(request)
@@ -119,23 +116,25 @@
         return now - run.started >= startup and not run.is_stopping
 
     def _compute_shares(self) -> dict[str, float]:
+        now = asyncio.get_running_loop().time()
         shares: dict[str, float] = {}
         for run in self._runs.values():
             _, step = self._find(run.task)
             if step.is_filler:
                 share = step.resources.processors * run.pace / self.cpu
+                share *= self._sharing.get_intensity(run.task, now)
                 shares[step.image] = shares.get(step.image, 0.0) + share
         return shares
 
-    def _compute_crowding(self, now: float, shares: dict[str, float]) -> float:
-        used = sum(shares.values()) * self.cpu
+    def _compute_crowding(self, now: float) -> float:
+        used = 0.0
         for run in self._runs.values():
             job, step = self._find(run.task)
             if step.is_lasting:
                 load = self._sharing.compute_own_load(job, now)
                 used += load * step.resources.processors
-            elif not step.is_filler:
-                used += step.resources.processors
+            else:
+                used += step.resources.processors * run.pace
         return max(0.0, used / self.cpu - 1.0)
 
     def _note_shares(self) -> None:
@@ -148,7 +147,7 @@
         self, job: _work.GeneratedJob, now: float
     ) -> float:
         """Returns the mean tail, with weights that fall into the past."""
-        crowding = self._compute_crowding(now, self._shares[-1][1])
+        crowding = self._compute_crowding(now)
         total = weights = 0.0
         history = list(reversed(self._shares))
         for step in range(_LAG_STEPS):
--- a/fleetmodel/_sharing.py
+++ b/fleetmodel/_sharing.py
@@ -12,8 +12,8 @@
 from fleetmodel import _profile
 from fleetmodel import _work
 
-_LIGHT = (0.0, 0.2)
-_HEAVY = (1.2, 3.2)
+_LIGHT = (0.08, 0.3)
+_HEAVY = (1.4, 4.0)
 _MOST_PRESSURE = 0.98
 _CROWDING_FACTOR = 0.5
 # Reported figures are rough: a few per cent off, and sometimes far off.
@@ -22,8 +22,11 @@
 _SPIKE_S = 2.0
 _SPIKE_SHARE = 0.04
 _SPIKE_FACTOR = (1.3, 1.7)
-_USE_OUTLIERS = 0.33
-_USE_OUTLIER_FACTOR = 0.68
+# A filler is calm for seconds, uses less, and disturbs far less.
+_PHASE_S = 3.0
+_CALM_SHARE = 0.4
+_CALM_USE = 0.67
+_CALM_DISTURBANCE = 0.3
 _WINDOW_S = 0.5
 
 
@@ -33,6 +36,8 @@
     def __init__(self, profile: _profile.Profile, seed: int) -> None:
         self._profile = profile
         self._seed = seed
+        self._calm: dict[tuple[str, int], bool] = {}
+        self._calm_offsets: dict[str, float] = {}
         draw = random.Random(f"factors {seed}")
         fillers = {kind.images for kind in profile.batch}
         self._factors = {
@@ -65,8 +70,8 @@
         Args:
             job: Its job.
             time: Loop time.
-            shares: Share of the runner's processors that fillers of each
-                image use.
+            shares: Share of the runner's processors with which fillers of
+                each image disturb.
             crowding: Processors that are wanted beyond those that there are,
                 as a share of these.
         """
@@ -90,10 +95,24 @@
 
     def report_use(self, task: str, time: float, use: float) -> int:
         """Returns what a runner reports of a filler's processor use."""
-        draw = self._draw("use", task, time)
-        if draw.random() < _USE_OUTLIERS:
-            use *= _USE_OUTLIER_FACTOR
-        return round(use * draw.gauss(1.0, 0.02))
+        if self.is_calm(task, time):
+            use *= _CALM_USE
+        return round(use * self._draw("use", task, time).gauss(1.0, 0.03))
+
+    def is_calm(self, task: str, time: float) -> bool:
+        """Tells whether a filler is in a calm phase."""
+        if task not in self._calm_offsets:
+            self._calm_offsets[task] = self._draw("offset", task, 0).random()
+        shifted = time + self._calm_offsets[task] * _PHASE_S
+        key = (task, int(shifted / _PHASE_S))
+        if key not in self._calm:
+            draw = self._draw("calm", task, shifted, _PHASE_S)
+            self._calm[key] = draw.random() < _CALM_SHARE
+        return self._calm[key]
+
+    def get_intensity(self, task: str, time: float) -> float:
+        """Returns how much a filler disturbs, as a share of the most."""
+        return _CALM_DISTURBANCE if self.is_calm(task, time) else 1.0
 
     def _draw(
         self, kind: str, task: str, time: float, window_s: float = _WINDOW_S
--- a/tamarackhatch/placement/_candidate.py
+++ b/tamarackhatch/placement/_candidate.py
@@ -66,10 +66,18 @@
 
     def refresh(self) -> None:
         """Counts the fillers anew after a task was added."""
+        if not self.rooms:
+            return
+        calm = self.load.mix.calm
+        lasting_calm = 1 - self._policy.relapse
+        wanted = {
+            filler: processors - calm.get(filler, 0.0) * lasting_calm
+            for filler, processors in self.load.filler_cpus.items()
+        }
         for room in self.rooms:
             room.fillers = sum(
-                self.estimate_factor(room.image, filler) * wanted
-                for filler, wanted in self.load.filler_cpus.items()
+                self.estimate_factor(room.image, filler) * processors
+                for filler, processors in wanted.items()
             )
             room.fillers /= self.processors
 
--- a/tamarackhatch/placement/_mix.py
+++ b/tamarackhatch/placement/_mix.py
@@ -1,4 +1,8 @@
-"""Fillers that work on one runner, now and in the last moments."""
+"""Fillers that work on one runner, now and in the last moments.
+
+A filler has calm phases of some seconds, in which it uses less of the
+processors than it wants and disturbs others far less.
+"""
 
 import collections
 import datetime
@@ -11,24 +15,52 @@
 Shares = dict[str, float]
 # Samples cover the last half second; older mixes say nothing about them.
 _MEMORY = datetime.timedelta(seconds=1)
+# A filler that uses this share of what it wants is not calm.
+_FULL_USE = 0.9
+# The disturbance falls with this power of the processor use: recorded
+# fillers use 0.67 of what they want when calm, and disturb 0.3 times as much.
+_USE_EXPONENT = 3
 
 
 @attrs.define
 class _Worker:
-    """A filler at work."""
+    """A filler at work.
+
+    Attributes:
+        image: Its image.
+        processors: What it wants, in thousandths of a core.
+        pace: Share of its speed at which it may work.
+        intensity: How much it disturbs, as a share of the most.
+    """
 
     image: str
     processors: int
     pace: float = 1.0
+    intensity: float = 1.0
 
 
 class FillerMix:
-    """Processors of a runner that fillers use, by image."""
+    """How much fillers disturb a runner, by image, in processors.
+
+    A filler that works at full pace and is not calm counts with all the
+    processors that it wants.
+    """
 
     def __init__(self) -> None:
         self._workers: dict[model.TaskKey, _Worker] = {}
         self._history: collections.deque[tuple[datetime.timedelta, Shares]]
         self._history = collections.deque()
+        self._calm: Shares = {}
+
+    @property
+    def calm(self) -> Shares:
+        """Processors that do not count now, because fillers are calm."""
+        return self._calm
+
+    def get_intensity(self, key: model.TaskKey) -> float:
+        """Returns how much a filler disturbs, as a share of the most."""
+        worker = self._workers.get(key)
+        return 1.0 if worker is None else worker.intensity
 
     def start(
         self,
@@ -42,7 +74,7 @@
         Args:
             key: The filler.
             image: Its image.
-            processors: What it uses, in thousandths of a core.
+            processors: What it wants, in thousandths of a core.
             now: Monotonic time.
         """
         self._workers[key] = _Worker(image, processors)
@@ -57,6 +89,25 @@
             worker.pace = pace
             self._note(now)
 
+    def observe(
+        self, uses: dict[model.TaskKey, int], now: datetime.timedelta
+    ) -> None:
+        """Takes what fillers used lately, in thousandths of a core."""
+        is_changed = False
+        for key, used in uses.items():
+            worker = self._workers.get(key)
+            if worker is None or not used or not worker.pace:
+                continue
+            ratio = used / (worker.processors * worker.pace)
+            intensity = (
+                1.0 if ratio >= _FULL_USE else round(ratio**_USE_EXPONENT, 2)
+            )
+            if intensity != worker.intensity:
+                worker.intensity = intensity
+                is_changed = True
+        if is_changed:
+            self._note(now)
+
     def end(self, key: model.TaskKey, now: datetime.timedelta) -> None:
         """Notes that a filler does not work any more."""
         if self._workers.pop(key, None) is not None:
@@ -90,10 +141,16 @@
 
     def _note(self, now: datetime.timedelta) -> None:
         shares: Shares = {}
+        calm: Shares = {}
         for worker in self._workers.values():
-            used = worker.processors * worker.pace
-            if used:
-                shares[worker.image] = shares.get(worker.image, 0.0) + used
+            image, intensity = worker.image, worker.intensity
+            counted = worker.processors * worker.pace * intensity
+            if counted:
+                shares[image] = shares.get(image, 0.0) + counted
+            if intensity < 1:
+                unused = worker.processors * (1 - intensity)
+                calm[image] = calm.get(image, 0.0) + unused
+        self._calm = calm
         self._history.append((now, shares))
         while len(self._history) > 1 and now - self._history[1][0] > _MEMORY:
             self._history.popleft()
--- a/tamarackhatch/placement/_pace.py
+++ b/tamarackhatch/placement/_pace.py
@@ -20,7 +20,8 @@
     Attributes:
         task: The task.
         image: Its image.
-        share: Share of the runner's processors that it uses at full pace.
+        share: Share of the runner's processors that it wants.
+        intensity: How much it disturbs at full pace, as a share of the most.
         pace: Pace that it was last told, in per cent; None if not known.
     """
 
@@ -28,6 +29,12 @@
     image: str
     share: float
     pace: int | None
+    intensity: float = 1.0
+
+    @property
+    def disturbance(self) -> float:
+        """Share of the processors that counts for its disturbance."""
+        return self.share * self.intensity
 
 
 @attrs.frozen
@@ -96,7 +103,8 @@
         for filler in fillers
     ]
     pressure = sum(
-        factor * filler.share * paces[filler.task] for factor, filler in terms
+        factor * filler.disturbance * paces[filler.task]
+        for factor, filler in terms
     )
     excess = state.own_load + pressure - state.limit
     if excess <= 0:
@@ -104,7 +112,7 @@
     for factor, filler in sorted(
         terms, key=lambda term: term[0], reverse=True
     ):
-        part = factor * filler.share * paces[filler.task]
+        part = factor * filler.disturbance * paces[filler.task]
         if part <= 0:
             continue
         kept = max(0.0, part - excess)
--- a/tamarackhatch/placement/_policy.py
+++ b/tamarackhatch/placement/_policy.py
@@ -22,6 +22,8 @@
             of images which is not known well.
         horizon: For which time a new filler must not do harm; about as long
             as it works.
+        relapse: Probability that a calm filler gets lively within that time.
+        pace_relapse: The same for the time until the next order.
         pace_horizon: Time until the next report and the effect of an order.
         patience: How long a filler waits for a runner where it can work at
             full pace without harm to serving tasks.
@@ -45,6 +47,8 @@
     margin: float = 0.03
     caution: float = 1.0
     horizon: datetime.timedelta = 2.5 * _SECOND
+    relapse: float = 0.5
+    pace_relapse: float = 0.15
     pace_horizon: datetime.timedelta = 700 * _MS
     patience: datetime.timedelta = 2 * _SECOND
     least_pace: float = 0.4
--- a/tamarackhatch/scheduler/_link.py
+++ b/tamarackhatch/scheduler/_link.py
@@ -267,11 +267,14 @@
         if not entry.load.capacity.processors:
             # Known from an earlier term only; the registry was not read yet.
             return
-        fillers = self._list_fillers()
-        if all(filler.pace is not None for filler in fillers):
+        if all(
+            task.pace is not None or not task.step.is_filler
+            for task in entry.tasks.values()
+        ):
             # Paces that a predecessor ordered are not known, so that samples
             # would teach wrong factors.
             self._observe(report)
+        fillers = self._list_fillers()
         if not fillers:
             return
         serving = self._list_serving()
@@ -304,9 +307,14 @@
         context, entry = self._context, self._entry
         now = context.get_now()
         tails: dict[str, list[int]] = {}
+        uses: dict[model.TaskKey, int] = {}
         for item in report.running:
             task = entry.tasks.get(item.task)
-            if task is None or not task.step.is_serving:
+            if task is None:
+                continue
+            if task.step.is_filler:
+                uses[item.task] = item.sample
+            if not task.step.is_serving:
                 continue
             if item.percent < _AT_WORK or not item.sample:
                 continue
@@ -326,6 +334,7 @@
                     group.target,
                 )
             )
+        entry.load.mix.observe(uses, now)
         shares = entry.load.mix.compute_shares(
             now - _SAMPLE_WINDOW, now, entry.load.capacity.processors
         )
@@ -351,18 +360,26 @@
     def _list_fillers(self) -> list[placement.FillerState]:
         entry = self._entry
         capacity = entry.load.capacity.processors
-        return [
-            placement.FillerState(
-                task.key,
-                task.step.image,
-                task.step.resources.processors / capacity,
-                task.pace,
+        relapse = self._context.policy.pace_relapse
+        states = []
+        for task in entry.tasks.values():
+            if (
+                not task.step.is_filler
+                or task.confirmed is None
+                or task.phase is not _state.TaskPhase.RUNNING
+            ):
+                continue
+            intensity = entry.load.mix.get_intensity(task.key)
+            states.append(
+                placement.FillerState(
+                    task.key,
+                    task.step.image,
+                    task.step.resources.processors / capacity,
+                    task.pace,
+                    intensity + (1 - intensity) * relapse,
+                )
             )
-            for task in entry.tasks.values()
-            if task.step.is_filler
-            and task.confirmed is not None
-            and task.phase is _state.TaskPhase.RUNNING
-        ]
+        return states
 
     async def _pause(self, sent: datetime.timedelta) -> None:
         context, entry = self._context, self._entry
