--- a/fleetmodel/_play.py
+++ b/fleetmodel/_play.py
@@ -87,7 +87,7 @@
         if violations:
             raise RuntimeError(f"broken rules: {violations[:3]}")
         instance.kill()
-        return scorer.compute(self._jobs, self._completed, self._counts)
+        return scorer.compute(self._jobs, self._completed, self._counts, end)
 
     def _make_runner(
         self, fleet: standin_fleet.VirtualFleet, number: int
--- a/fleetmodel/_score.py
+++ b/fleetmodel/_score.py
@@ -114,8 +114,17 @@
         jobs: Sequence[_work.GeneratedJob],
         completed: dict[str, float],
         counts: collections.Counter[str],
+        end: float,
     ) -> Score:
-        """Returns the figures of the day."""
+        """Returns the figures of the day.
+
+        Args:
+            jobs: All jobs.
+            completed: Loop times at which jobs were completed.
+            counts: Orders by kind.
+            end: Loop time at which the day ended; jobs that were not late
+                by then do not count.
+        """
         earned: dict[str, float] = collections.defaultdict(float)
         owed: dict[str, float] = collections.defaultdict(float)
         unserved: collections.Counter[str] = collections.Counter()
@@ -125,8 +134,10 @@
             kind = job.kind
             if not isinstance(kind, _profile.BatchClass):
                 continue
-            requests += 1
             latency = completed.get(job.identifier, math.inf) - job.submitted
+            if math.isinf(latency) and job.submitted + job.objective_s > end:
+                continue
+            requests += 1
             if math.isfinite(latency):
                 latencies[kind.name].append(latency)
             credit = _rate_latency(latency, job, kind)
--- a/fleetmodel/tests/test_fleetmodel.py
+++ b/fleetmodel/tests/test_fleetmodel.py
@@ -1,11 +1,15 @@
 """The model plays days, and the policies that it compares differ."""
 
+import collections
+import math
+
 import attrs
 import pytest
 
 from fleetmodel import _experiment
 from fleetmodel import _play
 from fleetmodel import _profile
+from fleetmodel import _score
 from fleetmodel import _sharing
 from fleetmodel import _work
 
@@ -35,6 +39,30 @@
     assert _play.play_day(calm, 1, _DEFAULT).whole > 0.95
 
 
+@pytest.mark.parametrize(
+    ("end", "completed", "whole"),
+    [
+        pytest.param(5.0, {}, 0.5, id="overdue at the end"),
+        pytest.param(3.0, {}, 1.0, id="not due by the end"),
+        pytest.param(3.0, {"late": 2.5}, 1.0, id="completed in time"),
+    ],
+)
+def test_job_counts_from_its_objective(
+    end: float, completed: dict[str, float], whole: float
+) -> None:
+    """Guards against days that end before a job could be done."""
+    kind = _SMALL.batch[0]
+    jobs = [
+        _work.GeneratedJob(name, kind, 1.0, math.inf, (), (), 3.0, 0.0, 1.0)
+        for name in ("late", "early")
+    ]
+    scorer = _score.Scorer(_SMALL)
+    score = scorer.compute(
+        jobs, {"early": 1.5, **completed}, collections.Counter(), end
+    )
+    assert score.whole == whole
+
+
 def test_reckless_policy_harms_serving_tasks() -> None:
     """Guards against a model in which placement does not matter."""
     reckless = _experiment.parse_variant("margin=-5,most_use=9").policy
