Place small batch jobs first, lasting tasks after 5 s

Change: within a priority, batch groups are ordered by the processors their job still wants; lasting tasks come after them until they waited 5 s; a batch task that waited 60 s keeps its place by age. Test: test_order.py, two of its cases fail with the former order.

--- a/tamarackhatch/placement/_policy.py
+++ b/tamarackhatch/placement/_policy.py
@@ -42,6 +42,12 @@
             kept for fillers that disturb every serving image.
         failure_weight: Weight of each run that failed lately on a runner.
         far_weight: Weight of a runner away from a task's data.
+        lasting_patience: How long lasting tasks let batch tasks of the same
+            priority go first. A batch task gives its room back in seconds,
+            a lasting task keeps it; one second of a batch task in time earns
+            four times as much as one of a lasting task.
+        batch_patience: How long a batch task lets smaller jobs of the same
+            priority go first, so that no stream of small jobs starves it.
     """
 
     margin: float = 0.03
@@ -62,3 +68,5 @@
     free_runner_cost: float = 0.03
     failure_weight: float = 0.5
     far_weight: float = 0.5
+    lasting_patience: datetime.timedelta = 5 * _SECOND
+    batch_patience: datetime.timedelta = 60 * _SECOND
--- a/tamarackhatch/scheduler/_dispatcher.py
+++ b/tamarackhatch/scheduler/_dispatcher.py
@@ -65,7 +65,7 @@
         context.metrics.waiting.set(sum(map(len, waiting.values())))
         if not waiting:
             return
-        groups = sorted((group for group in waiting.values()), key=_get_order)
+        groups = sorted(waiting.values(), key=self._get_order)
         candidates = self._list_candidates()
         for group in groups:
             first = next(iter(group.values()))
@@ -74,6 +74,18 @@
             service = first.job.job.queue.service
             self._place_group(group, candidates.get(service, []))
 
+    def _get_order(self, group: Group) -> tuple[float, ...]:
+        task = next(iter(group.values()))
+        policy = self._context.policy
+        priority, accepted = task.job.order
+        waited = self._context.get_now() - task.since
+        if task.step.is_lasting:
+            is_late = waited >= policy.lasting_patience
+            return (priority, 0 if is_late else 2, 0, accepted)
+        if waited >= policy.batch_patience:
+            return (priority, 1, 0, accepted)
+        return (priority, 1, task.job.compute_demand(), accepted)
+
     def _is_held_back(self, task: _state.TaskEntry) -> bool:
         if not self._is_holding:
             return False
@@ -233,10 +245,5 @@
         )
 
 
-def _get_order(group: Group) -> tuple[float, ...]:
-    task = next(iter(group.values()))
-    return (not task.step.is_lasting, *task.job.order)
-
-
 def _get_step_name(task: _state.TaskEntry) -> tuple[str, int, int]:
     return (task.key.job, task.key.occurrence, task.key.step)
--- a/tamarackhatch/scheduler/_state.py
+++ b/tamarackhatch/scheduler/_state.py
@@ -145,6 +145,14 @@
             for tasks in occurrence.steps:
                 yield from tasks
 
+    def compute_demand(self) -> int:
+        """Returns the processors that its unfinished tasks want together."""
+        return sum(
+            task.step.resources.processors
+            for task in self.iterate_tasks()
+            if task.phase is not TaskPhase.DONE
+        )
+
     def summarise(self) -> records.JobProgress:
         """Returns what is to be kept durably."""
         if self.state.is_final:
--- /dev/null
+++ b/tamarackhatch/scheduler/tests/test_order.py
@@ -0,0 +1,94 @@
+"""The order in which waiting tasks get room."""
+
+import asyncio
+import datetime
+
+import attrs
+import pytest
+
+from standins import fleet as standin_fleet
+from standins import virtual_time
+from tamarackhatch import model
+from tamarackhatch import placement
+
+_SECOND = datetime.timedelta(seconds=1)
+# A runner has room for one at a time.
+_WIDE = model.Resources(processors=16_000, memory_mb=100)
+_BATCH = model.Step(1, _WIDE)
+_LARGE = model.Step(3, _WIDE)
+_LASTING = model.Step(1, _WIDE, is_lasting=True)
+_URGENT = standin_fleet.QUEUE
+_LATER = attrs.evolve(standin_fleet.QUEUE, priority=3)
+_PATIENCE = placement.PlacementPolicy()
+_BLOCKER = "00"
+_BLOCKED_S = 4.0
+
+Submission = tuple[str, model.Step, model.Queue, float]
+
+
+def _plan(task: str, _number: int) -> tuple[float, str]:
+    if task.startswith(_BLOCKER):
+        return _BLOCKED_S, "done"
+    if task.startswith("lasting"):
+        return 100.0, "done"
+    return 0.2, "done"
+
+
+@pytest.mark.parametrize(
+    ("submissions", "policy", "expected"),
+    [
+        pytest.param(
+            (("large", _LARGE, _URGENT, 0), ("small", _BATCH, _URGENT, 1)),
+            _PATIENCE,
+            ["small", "large"],
+            id="small job before large job",
+        ),
+        pytest.param(
+            (("large", _LARGE, _URGENT, 0), ("small", _BATCH, _LATER, 1)),
+            _PATIENCE,
+            ["large", "small"],
+            id="urgent job before small job",
+        ),
+        pytest.param(
+            (("large", _LARGE, _URGENT, 0), ("small", _BATCH, _URGENT, 3)),
+            attrs.evolve(_PATIENCE, batch_patience=2 * _SECOND),
+            ["large", "small"],
+            id="large job is not starved",
+        ),
+        pytest.param(
+            (("lasting", _LASTING, _URGENT, 0), ("small", _BATCH, _URGENT, 1)),
+            _PATIENCE,
+            ["small", "lasting"],
+            id="batch task before lasting task",
+        ),
+        pytest.param(
+            (("lasting", _LASTING, _URGENT, 0), ("small", _BATCH, _URGENT, 3)),
+            attrs.evolve(_PATIENCE, lasting_patience=2 * _SECOND),
+            ["lasting"],
+            id="lasting task is not starved",
+        ),
+    ],
+)
+def test_order_of_waiting_jobs(
+    submissions: tuple[Submission, ...],
+    policy: placement.PlacementPolicy,
+    expected: list[str],
+) -> None:
+    """Guards against large or lasting work that keeps small jobs waiting."""
+
+    async def play() -> list[str]:
+        fleet = standin_fleet.VirtualFleet(1, _plan, policy=policy)
+        fleet.start_instance("a")
+        await fleet.wait_until(lambda: fleet.get_leader() is not None)
+        await fleet.submit(_BLOCKER, _BATCH)
+        begin = asyncio.get_running_loop().time()
+        for name, step, queue, after_s in submissions:
+            await asyncio.sleep(
+                begin + after_s - asyncio.get_running_loop().time()
+            )
+            await fleet.submit(name, step, queue=queue)
+        await asyncio.sleep(8.0)
+        jobs = [run.task.split(".")[0] for run in fleet.history.runs[1:]]
+        return list(dict.fromkeys(jobs))
+
+    assert virtual_time.run_virtually(play()) == expected
