After a takeover, hold back only what another scheduler may have started

Two runners were dark, so the successor waited out the old scheduler's authority and leases (5 s each), and held every task back meanwhile, though few of them could run on those runners. Ruled out: the election (ready 0.65 s after the loss), the store, room (231 starts once it let go). Change: a task is not held back if no scheduler before can have started it. (1) It waits because of the end of a run that this term's scheduler has seen at work: a runner that it reached refuses older tokens, so only it heard that end. (2) Its job's row carries a term as late as its own: the instance that accepts a job stamps the latest term it follows, and a scheduler that reads a later term than its own stands down. Kept as it was: everything else waits for authority plus lease, also if the process before is known to be gone, because an order may be carried out 2 to 12 s late. Tests: test_silent_runner_delays_only_what_may_run_there failed before. Faults put in by hand: without the check of a later term, test_deposed_scheduler_may_still_read_new_jobs fails; with every end taken as new, test_step_that_an_earlier_scheduler_may_have_opened_waits fails.

--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -52,7 +52,9 @@
         table_store = platform.PlatformStore(
             typing.cast(typing.Any, client), STORE_ADDRESS
         )
-        self.jobs = records.JobStore(table_store, fleet.clock)
+        self.jobs = records.JobStore(
+            table_store, fleet.clock, lambda: self.role.term
+        )
         self.metrics = observability.Metrics()
         address = settings.Address("127.0.0.1", 1)
         configured = settings.Settings(
--- a/tamarackhatch/model/_jobs.py
+++ b/tamarackhatch/model/_jobs.py
@@ -110,6 +110,8 @@
         steps: The steps, by index.
         schedule: Times of a job that repeats, else None.
         accepted: When an instance accepted it, in UTC.
+        term: Latest term of a scheduler that this instance knew of; a
+            scheduler of an earlier term must not start it.
     """
 
     identifier: str
@@ -118,6 +120,7 @@
     steps: tuple[Step, ...]
     accepted: datetime.datetime
     schedule: Schedule | None = None
+    term: int = 0
 
     @property
     def occurrences(self) -> int:
--- a/tamarackhatch/records/_job_store.py
+++ b/tamarackhatch/records/_job_store.py
@@ -1,9 +1,12 @@
 """Submission, cancellation and state of jobs in the table store."""
 
 import collections
+from collections.abc import Callable
 import datetime
 import enum
 
+import attrs
+
 from tamarackhatch import clock
 from tamarackhatch import model
 from tamarackhatch.records import _jobs
@@ -38,8 +41,21 @@
 class JobStore:
     """Reads and writes the rows of jobs on behalf of callers."""
 
-    def __init__(self, store: model.TableStore, source: clock.Clock) -> None:
+    def __init__(
+        self,
+        store: model.TableStore,
+        source: clock.Clock,
+        get_term: Callable[[], int] = lambda: 0,
+    ) -> None:
+        """Serves one instance.
+
+        Args:
+            store: The table store.
+            source: Source of time.
+            get_term: Returns the latest term that the instance knows of.
+        """
         self._store = store
+        self._get_term = get_term
         self._clock = source
         self._final: collections.OrderedDict[str, model.JobState]
         self._final = collections.OrderedDict()
@@ -57,7 +73,8 @@
             deadline: When the caller stops waiting, in monotonic time.
         """
         ref = _names.get_job_ref(job.identifier)
-        put = model.Put(ref, _jobs.encode_job(job))
+        stored = attrs.evolve(job, term=self._get_term())
+        put = model.Put(ref, _jobs.encode_job(stored))
         return await self._write([(ref, 0)], put, deadline)
 
     async def cancel(
--- a/tamarackhatch/records/_jobs.py
+++ b/tamarackhatch/records/_jobs.py
@@ -20,6 +20,7 @@
         "specification": job.specification,
         "steps": [_encode_step(step) for step in job.steps],
         "accepted_ms": (job.accepted - _EPOCH) // _MILLISECOND,
+        "term": job.term,
     }
     if job.schedule is not None:
         document["schedule"] = {
@@ -46,6 +47,7 @@
             tuple(_decode_step(step) for step in document["steps"]),
             _EPOCH + document["accepted_ms"] * _MILLISECOND,
             None if schedule is None else _decode_schedule(schedule),
+            int(document.get("term", 0)),
         )
     except (ValueError, KeyError, TypeError, AttributeError) as error:
         raise _progress.BadRecordError(
--- a/tamarackhatch/scheduler/_context.py
+++ b/tamarackhatch/scheduler/_context.py
@@ -56,6 +56,11 @@
         """Fencing token of the term."""
         return self.authority.term.token
 
+    @property
+    def term(self) -> int:
+        """Number of the term."""
+        return self.authority.term.number
+
     def get_now(self) -> datetime.timedelta:
         """Returns monotonic time."""
         return self.clock.get_monotonic()
--- a/tamarackhatch/scheduler/_dispatcher.py
+++ b/tamarackhatch/scheduler/_dispatcher.py
@@ -70,13 +70,13 @@
         is_gathering = self._is_gathering(groups)
         candidates = self._list_candidates()
         for group in groups:
-            first = next(iter(group.values()))
-            if self._is_held_back(first):
+            tasks = [
+                task for task in group.values() if not self._is_held_back(task)
+            ]
+            if not tasks or (is_gathering and _is_new(tasks[0])):
                 continue
-            if is_gathering and _is_new(first):
-                continue
-            service = first.job.job.queue.service
-            self._place_group(group, candidates.get(service, []))
+            service = tasks[0].job.job.queue.service
+            self._place_group(tasks, candidates.get(service, []))
 
     def _is_gathering(self, groups: list[Group]) -> bool:
         """Tells whether new lasting tasks still wait for others."""
@@ -109,6 +109,8 @@
     def _is_held_back(self, task: _state.TaskEntry) -> bool:
         if not self._is_holding:
             return False
+        if task.is_fresh or task.job.job.term >= self._context.term:
+            return False
         version = self._held_version
         return version is None or task.job.version <= version
 
@@ -130,9 +132,10 @@
         return candidates
 
     def _place_group(
-        self, group: Group, candidates: list[placement.Candidate]
+        self,
+        tasks: list[_state.TaskEntry],
+        candidates: list[placement.Candidate],
     ) -> None:
-        tasks = list(group.values())
         first = tasks[0]
         if first.step.is_gang:
             self._place_gang(tasks, candidates)
--- a/tamarackhatch/scheduler/_scheduler.py
+++ b/tamarackhatch/scheduler/_scheduler.py
@@ -121,6 +121,11 @@
             self._keeper.forget_unlisted,
         )
 
+    @property
+    def term(self) -> int:
+        """Number of its term."""
+        return self._term.number
+
     @property
     def pending(self) -> dict[str, int]:
         """For each queue, jobs of which no task has started yet."""
@@ -279,6 +284,12 @@
                 "job_unreadable", job=row.ref.key, reason=error.message
             )
             return
+        if job.term > self._term.number:
+            # The instance that accepted it follows another scheduler, which
+            # relies on it that no earlier one starts such jobs.
+            self._log.info("term_overtaken", job=job.identifier, term=job.term)
+            self._authority.revoke()
+            return
         progress = self._progress.pop(row.ref.key, None)
         board.add_job(job, row.version, progress)
 
--- a/tamarackhatch/scheduler/tests/test_takeover.py
+++ b/tamarackhatch/scheduler/tests/test_takeover.py
@@ -231,6 +231,76 @@
     virtual_time.run_virtually(play())
 
 
+def test_silent_runner_delays_only_what_may_run_there() -> None:
+    """New jobs and the next steps of running jobs start after a takeover.
+
+    Guards against a fleet that waits for ten seconds because one runner is
+    dark (brindle-rota trouble-3, seconds 4 to 14).
+    """
+
+    async def play() -> None:
+        fleet = await _start_fleet(plan=lambda task, run: (4.0, "done"))
+        await asyncio.sleep(2)
+        way = fleet.network.get_faults(fleet.runners[0].address)
+        way.cut |= set(fleet.instances)
+        await asyncio.sleep(2)
+        begin = asyncio.get_running_loop().time()
+        await fleet.submit("00", _make_step(2), _make_step(1, after=(0,)))
+        await asyncio.sleep(1)
+        leader = fleet.get_leader()
+        assert leader is not None
+        leader.kill()
+        del fleet.instances[leader.name]
+        await asyncio.sleep(2.8)
+        assert fleet.get_leader() is not None
+        await fleet.submit("01", _make_step(1))
+        await asyncio.sleep(2)
+        starts = {run.task: run.started - begin for run in fleet.history.runs}
+        assert starts["00.0.1.0"] < 4.7
+        assert starts["01.0.0.0"] < 4.7
+        way.cut.clear()
+        await fleet.wait_for_state("00", model.JobState.COMPLETED)
+        await fleet.wait_for_state("01", model.JobState.COMPLETED)
+        assert fleet.check() == []
+
+    virtual_time.run_virtually(play())
+
+
+def test_step_that_an_earlier_scheduler_may_have_opened_waits() -> None:
+    """An end that two schedulers heard does not start the next step twice.
+
+    The old scheduler hears the end, cannot write it, and starts the next
+    step also on a runner that its successor cannot reach.
+    """
+
+    def plan(task: str, _run: int) -> tuple[float, str]:
+        return (3.0 if task.startswith("00.0.0.") else 20.0), "done"
+
+    async def play() -> None:
+        fleet = await _start_fleet(runners=2, plan=plan)
+        leader = fleet.get_leader()
+        assert leader is not None
+        way = fleet.network.get_faults(fleet.runners[0].address)
+        way.cut |= set(fleet.instances)
+        await asyncio.sleep(2)
+        await fleet.submit("00", _make_step(1), _make_step(10, after=(0,)))
+        await asyncio.sleep(1)
+        way.cut.discard(leader.name)
+        await asyncio.sleep(1.8)
+        store = fleet.network.get_faults(standin_fleet.STORE_ADDRESS)
+        store.lost_writes.add(leader.name)
+        await asyncio.sleep(0.7)
+        hidden = [r for r in fleet.history.runs if r.runner == "i-0"]
+        assert len(hidden) >= 3
+        await asyncio.sleep(20)
+        way.cut.clear()
+        del fleet.instances[leader.name]
+        await fleet.wait_for_state("00", model.JobState.COMPLETED)
+        assert fleet.check() == []
+
+    virtual_time.run_virtually(play())
+
+
 def test_deposed_scheduler_may_still_read_new_jobs() -> None:
     """A job that comes after the takeover does not start twice.
 
--- a/tamarackhatch/server/_instance.py
+++ b/tamarackhatch/server/_instance.py
@@ -78,7 +78,7 @@
             self._store, source, self._log.for_part("configuration")
         )
         self._jobs = service.JobService(
-            records.JobStore(self._store, source),
+            records.JobStore(self._store, source, lambda: self._role.term),
             self._configuration,
             self._role,
             source,
--- a/tamarackhatch/server/_role.py
+++ b/tamarackhatch/server/_role.py
@@ -38,6 +38,14 @@
         """Whether this instance is the active scheduler."""
         return self._scheduler is not None
 
+    @property
+    def term(self) -> int:
+        """The latest term that is known here; 0 for none."""
+        if self._scheduler is not None:
+            return self._scheduler.term
+        beat = self._election.beat
+        return 0 if beat is None else beat.term
+
     def get_pending(self) -> dict[str, int] | None:
         """Returns jobs without a start by queue; None if not known."""
         if self._scheduler is not None:
