--- a/tamarackhatch/placement/_policy.py
+++ b/tamarackhatch/placement/_policy.py
@@ -59,7 +59,7 @@
     pace_relapse: float = 0.15
     pace_horizon: datetime.timedelta = 700 * _MS
     patience: datetime.timedelta = 2 * _SECOND
-    least_pace: float = 0.4
+    least_pace: float = 0.85
     pace_weight: float = 1.0
     packing: float = 0.5
     batch_packing: float = -0.5
