Keep the paces of fillers that a takeover finds at work

Change: the first sample of an adopted filler tells its pace; that pace is ordered, so that it is known, and control begins with the next sample. Test: test_successor_keeps_the_paces_of_fillers fails before.

--- a/tamarackhatch/placement/__init__.py
+++ b/tamarackhatch/placement/__init__.py
@@ -11,6 +11,7 @@
 from tamarackhatch.placement._load import RunnerLoad
 from tamarackhatch.placement._pace import choose_paces
 from tamarackhatch.placement._pace import FillerState
+from tamarackhatch.placement._pace import infer_pace
 from tamarackhatch.placement._pace import ServingState
 from tamarackhatch.placement._policy import PlacementPolicy
 
@@ -27,5 +28,6 @@
     "ServingState",
     "choose_paces",
     "choose_runners",
+    "infer_pace",
     "is_allowed",
 ]
--- a/tamarackhatch/placement/_pace.py
+++ b/tamarackhatch/placement/_pace.py
@@ -11,6 +11,8 @@
 # A smaller rise is not worth an order; a target that would be passed is.
 _MIN_RISE = 20
 _MIN_FALL = 5
+# A filler at full pace uses 0.67 of what it wants while it is calm.
+_LEAST_FULL_USE = 0.6
 
 
 @attrs.frozen
@@ -80,6 +82,17 @@
     return changes
 
 
+def infer_pace(wanted: int, used: int) -> int:
+    """Returns the pace, in per cent, that a filler's processor use suggests.
+
+    Args:
+        wanted: Processors that it wants.
+        used: Processors that it uses.
+    """
+    ratio = used / max(1, wanted)
+    return _FULL if ratio >= _LEAST_FULL_USE else round(ratio * _FULL)
+
+
 def _is_worth_an_order(current: int | None, wanted: int) -> bool:
     if current is None:
         return True
--- a/tamarackhatch/scheduler/_link.py
+++ b/tamarackhatch/scheduler/_link.py
@@ -274,6 +274,10 @@
             # Paces that a predecessor ordered are not known, so that samples
             # would teach wrong factors.
             self._observe(report)
+        if self._confirm_paces(report):
+            # Own loads are not known yet: the paces that a predecessor chose
+            # are better than what follows from the highest own loads.
+            return
         fillers = self._list_fillers()
         if not fillers:
             return
@@ -302,6 +306,30 @@
         for key, percent in paces.items():
             self._orders.set_pace(entry.tasks[key], percent)
 
+    def _confirm_paces(self, report: model.RunnerReport) -> bool:
+        """Orders the paces at which adopted fillers seem to work.
+
+        Returns:
+            Whether there were any.
+        """
+        is_any = False
+        for item in report.running:
+            task = self._entry.tasks.get(item.task)
+            if (
+                task is None
+                or task.pace is not None
+                or not task.step.is_filler
+                or task.phase is not _state.TaskPhase.RUNNING
+                or not item.sample
+            ):
+                continue
+            pace = placement.infer_pace(
+                task.step.resources.processors, item.sample
+            )
+            self._orders.set_pace(task, pace)
+            is_any = True
+        return is_any
+
     def _observe(self, report: model.RunnerReport) -> None:
         """Takes the samples of the serving tasks into the model."""
         context, entry = self._context, self._entry
--- /dev/null
+++ b/tamarackhatch/scheduler/tests/test_adoption.py
@@ -0,0 +1,91 @@
+"""What a scheduler does with the fillers that it finds at work."""
+
+import asyncio
+import datetime
+import typing
+
+import pytest
+
+from standins import fleet as standin_fleet
+from standins import network
+from standins import runner
+from standins import virtual_time
+from tamarackhatch import model
+
+_FILLER_CPU = 3000
+_FILLER = model.Step(
+    4,
+    model.Resources(_FILLER_CPU, 100),
+    is_filler=True,
+    image="filler",
+)
+_SERVING = model.Step(
+    1,
+    model.Resources(8000, 100),
+    is_lasting=True,
+    image="serving",
+    tail_target=datetime.timedelta(milliseconds=50),
+)
+# A third of the target, so that no filler does harm.
+_TAIL_MS = 15
+
+
+class _SamplingRunner(runner.RunnerStandIn):
+    """Reports tails and processor use, and notes paces."""
+
+    paces: list[int]
+
+    def slow_fillers(self, pace: float) -> None:
+        """Changes the pace of all fillers, as the scheduler before did."""
+        now = asyncio.get_running_loop().time()
+        for run in self._runs.values():
+            if not run.task.startswith("lasting"):
+                run.change_pace(now, pace)
+
+    def _list_run(self, run: runner.Run) -> list[typing.Any]:
+        is_serving = run.task.startswith("lasting")
+        sample = _TAIL_MS if is_serving else round(_FILLER_CPU * run.pace)
+        return [run.task, run.run, "", 100, sample]
+
+    def _change_pace(self, body: network.Body) -> network.Response:
+        self.paces.append(body["percent"])
+        return super()._change_pace(body)
+
+
+@pytest.mark.parametrize("pace", [1.0, 0.5])
+def test_successor_keeps_the_paces_of_fillers(pace: float) -> None:
+    """Guards against slow fillers after each takeover.
+
+    The successor does not know own loads yet, and the highest ones would
+    leave the fillers little.
+    """
+
+    async def play() -> list[int]:
+        fleet = standin_fleet.VirtualFleet(runners=0)
+        sampling = _SamplingRunner(
+            "i-0",
+            "10.1.0.1:8000",
+            standin_fleet.SERVICE,
+            lambda task, run: (60.0, "done"),
+            fleet.history,
+        )
+        sampling.paces = []
+        fleet.adopt_runner(sampling)
+        for name in ("a", "b"):
+            fleet.start_instance(name)
+        await fleet.wait_until(lambda: fleet.get_leader() is not None)
+        await fleet.submit("lasting", _SERVING)
+        await asyncio.sleep(1)
+        await fleet.submit("00", _FILLER)
+        await asyncio.sleep(5)
+        leader = fleet.get_leader()
+        assert leader is not None
+        leader.kill()
+        del fleet.instances[leader.name]
+        sampling.slow_fillers(pace)
+        sampling.paces.clear()
+        await fleet.wait_until(lambda: len(sampling.paces) >= _FILLER.count)
+        return sampling.paces[: _FILLER.count]
+
+    paces = virtual_time.run_virtually(play())
+    assert paces == [round(pace * 100)] * _FILLER.count
