Take emptied runners out of the roster, and enrol none too early

Cause 2, found while testing: a roster write that ended called the latest callback, not its own. A runner that came while a roster was written counted as enrolled before the roster with it was durable; its first tasks could be unknown to a successor. Change: a runner that drains or does not answer, has no task and no end that is not durable yet is withdrawn: it gets no task, and the next roster does not name it. When it is ready again it is enrolled anew. A roster write carries its own callback.

--- a/tamarackhatch/scheduler/_fleet.py
+++ b/tamarackhatch/scheduler/_fleet.py
@@ -27,6 +27,8 @@
         load: What runs there.
         is_registered: Whether the registry lists it at present.
         is_enrolled: Whether the durable roster names it.
+        is_withdrawn: Whether the roster is to name it no more. It gets no
+            task, so that no later scheduler has to ask it.
         born: Incarnation that last answered; 0 before the first answer.
         tasks: Tasks that run there or may run there.
         lease_end: Latest lease end that any order has carried, on the
@@ -46,6 +48,7 @@
     load: placement.RunnerLoad
     is_registered: bool = True
     is_enrolled: bool = False
+    is_withdrawn: bool = False
     born: int = 0
     tasks: dict[model.TaskKey, _state.TaskEntry] = attrs.field(factory=dict)
     lease_end: datetime.timedelta = datetime.timedelta()
@@ -88,6 +91,11 @@
         self.load.remove(task.key, task.step)
         self.load.mix.end(task.key, now)
 
+    @property
+    def is_idle(self) -> bool:
+        """Whether nothing can run here and all ends are kept durably."""
+        return not self.tasks and not self.pending_acks
+
     def compute_lease_end(
         self, now: datetime.timedelta, lease: datetime.timedelta
     ) -> datetime.timedelta | None:
@@ -115,6 +123,7 @@
         return (
             self.is_registered
             and self.is_enrolled
+            and not self.is_withdrawn
             and not self.record.is_draining
             and self.clock_read is not None
             and self.silent_calls == 0
--- a/tamarackhatch/scheduler/_keeper.py
+++ b/tamarackhatch/scheduler/_keeper.py
@@ -113,7 +113,9 @@
         self._start_link(entry)
 
     def _start_link(self, entry: _fleet.RunnerEntry) -> None:
-        link = _link.RunnerLink(self._context, entry, self._orders)
+        link = _link.RunnerLink(
+            self._context, entry, self._orders, self._withdraw
+        )
         self._links[entry.identifier] = link
         task = asyncio.create_task(link.run())
         self._link_tasks[entry.identifier] = task
@@ -155,16 +157,28 @@
         entry.load.capacity = record.capacity
         entry.load.labels = record.labels
         entry.load.service = record.service
-        if not entry.is_enrolled:
+        is_leaving = record.is_draining or entry.silent_calls > 0
+        if entry.is_withdrawn and (entry.tasks or not is_leaving):
+            entry.is_withdrawn = entry.is_enrolled = False
+        if not entry.is_enrolled and not entry.is_withdrawn:
             self._write_roster()
 
+    def _withdraw(self, entry: _fleet.RunnerEntry) -> None:
+        entry.is_withdrawn = True
+        self._context.log.info("runner_withdrawn", runner=entry.identifier)
+        self._write_roster()
+
     def _note_unlisted(self, entry: _fleet.RunnerEntry) -> None:
         if entry.is_registered:
             entry.is_registered = False
             self._context.log.info("runner_unlisted", runner=entry.identifier)
 
     def _write_roster(self) -> None:
-        entries = list(self._context.fleet.values())
+        entries = [
+            entry
+            for entry in self._context.fleet.values()
+            if not entry.is_withdrawn
+        ]
         roster = tuple(
             records.RosterEntry(
                 entry.identifier,
--- a/tamarackhatch/scheduler/_link.py
+++ b/tamarackhatch/scheduler/_link.py
@@ -1,5 +1,6 @@
 """One task for each runner: renews its lease and follows its lists."""
 
+from collections.abc import Callable
 import datetime
 import statistics
 
@@ -29,6 +30,8 @@
 # Runs of a job that an earlier scheduler started just before it was deposed
 # may be listed before this scheduler has read the job.
 _UNREAD_JOB_TIME = datetime.timedelta(seconds=5)
+# Renewals in a row without an answer after which a runner counts as lost.
+_LOST_CALLS = 2
 # A report lists at most this many ends; a full one may hide others.
 _MAX_LISTED_ENDS = 500
 # A draining runner stops its tasks this long before it may leave.
@@ -43,10 +46,20 @@
         context: _context.SchedulerContext,
         entry: _fleet.RunnerEntry,
         orders: _orders.OrderDesk,
+        withdraw: Callable[[_fleet.RunnerEntry], None],
     ) -> None:
+        """Follows one runner.
+
+        Args:
+            context: Parts of the scheduler.
+            entry: The runner.
+            orders: Sends orders.
+            withdraw: Takes the runner out of the roster.
+        """
         self._context = context
         self._entry = entry
         self._orders = orders
+        self._withdraw = withdraw
         self._has_reported = False
         self._began = context.get_now()
 
@@ -67,11 +80,14 @@
             if report is None:
                 if self._is_gone():
                     return
+                if entry.silent_calls >= _LOST_CALLS:
+                    self._withdraw_if_idle()
                 await context.clock.sleep(_RETRY_PAUSE)
                 continue
             self._apply(report, sent)
             if entry.record.is_draining:
                 self._evacuate()
+                self._withdraw_if_idle()
             else:
                 self._control_pace(report)
             context.wake.set()
@@ -262,6 +278,15 @@
             if task.step.is_lasting or is_leaving:
                 self._context.board.evict(task, "runner drains")
 
+    def _withdraw_if_idle(self) -> None:
+        """Spares later schedulers the wait for a runner that leaves.
+
+        It refuses the orders of earlier schedulers since it has answered.
+        """
+        entry = self._entry
+        if self._has_reported and entry.is_idle and not entry.is_withdrawn:
+            self._withdraw(entry)
+
     def _control_pace(self, report: model.RunnerReport) -> None:
         context, entry = self._context, self._entry
         if not entry.load.capacity.processors:
--- a/tamarackhatch/scheduler/_writer.py
+++ b/tamarackhatch/scheduler/_writer.py
@@ -4,6 +4,8 @@
 from collections.abc import Callable
 import datetime
 
+import attrs
+
 from tamarackhatch import clock
 from tamarackhatch import election
 from tamarackhatch import errors
@@ -33,6 +35,14 @@
         super().__init__(errors.ErrorCode.SCHEDULER_FENCED, message)
 
 
+@attrs.frozen
+class _RosterWrite:
+    """A roster to be written, and what is called once it is durable."""
+
+    entries: tuple[records.RosterEntry, ...]
+    on_enrolled: Callable[[], None]
+
+
 class ProgressWriter:
     """Writes the progress of jobs, signs of life and the roster.
 
@@ -65,8 +75,7 @@
         self._sequence = authority.term.token
         self._batches = 0
         self._dirty: dict[str, _state.JobEntry] = {}
-        self._roster: tuple[records.RosterEntry, ...] | None = None
-        self._on_enrolled: Callable[[], None] = lambda: None
+        self._roster: _RosterWrite | None = None
         self._generation = 1
         self._committed = 0
         self._last_beat: datetime.timedelta | None = None
@@ -98,9 +107,13 @@
         roster: tuple[records.RosterEntry, ...],
         on_enrolled: Callable[[], None],
     ) -> None:
-        """Requests that the roster be written."""
-        self._roster = roster
-        self._on_enrolled = on_enrolled
+        """Requests that the roster be written.
+
+        Args:
+            roster: The runners.
+            on_enrolled: Called once this roster is durable.
+        """
+        self._roster = _RosterWrite(roster, on_enrolled)
         self._wake.set()
 
     async def wait_for(
@@ -158,7 +171,7 @@
             for job in jobs
         ]
         if roster is not None:
-            value = records.encode_roster(roster)
+            value = records.encode_roster(roster.entries)
             puts.append(model.Put(records.ROSTER, value))
         has_beat = is_release or self._is_beat_due()
         if has_beat:
@@ -173,7 +186,7 @@
             return False
         self._note_commit(generation, is_complete=not self._dirty)
         if roster is not None:
-            self._on_enrolled()
+            roster.on_enrolled()
         return True
 
     def _note_commit(self, generation: int, is_complete: bool) -> None:
--- /dev/null
+++ b/tamarackhatch/scheduler/tests/test_roster.py
@@ -0,0 +1,117 @@
+"""The durable list of runners that a successor has to ask."""
+
+import asyncio
+import base64
+from collections.abc import Sequence
+import functools
+
+import pytest
+
+from standins import fleet as standin_fleet
+from standins import virtual_time
+from tamarackhatch import model
+from tamarackhatch import records
+
+_TASK = model.Resources(processors=8000, memory_mb=100)
+_RUNNER = "i-1"
+
+
+def _read_roster(fleet: standin_fleet.VirtualFleet) -> set[str]:
+    ref = records.ROSTER
+    value = fleet.store.get(ref.table, ref.key, ref.part)
+    assert value is not None
+    roster = records.decode_roster(base64.b64decode(value))
+    return {entry.identifier for entry in roster}
+
+
+def _is_longer(items: Sequence[object], count: int) -> bool:
+    return len(items) > count
+
+
+def _set_state(fleet: standin_fleet.VirtualFleet, state: str) -> None:
+    for item in fleet.runners:
+        if item.identifier == _RUNNER:
+            item.state = state
+
+
+@pytest.mark.parametrize("pause_s", [0.05, 0.15, 0.25, 0.35, 0.45, 0.55])
+def test_runner_gets_tasks_once_the_roster_names_it(pause_s: float) -> None:
+    """Guards against a start that no successor would ask for.
+
+    A second runner comes while the roster with the first one is written; the
+    store answers slowly.
+    """
+
+    async def play() -> None:
+        fleet = standin_fleet.VirtualFleet(1, lambda task, run: (60.0, "done"))
+        fleet.start_instance("a")
+        await fleet.wait_until(lambda: fleet.get_leader() is not None)
+        await fleet.submit("00", model.Step(20, _TASK))
+        await fleet.wait_until(lambda: len(fleet.history.runs) == 2)
+        store = fleet.network.get_faults(standin_fleet.STORE_ADDRESS)
+        store.delay_s = 0.3
+        for index in (1, 2):
+            fleet.add_runner(lambda task, run: (60.0, "done"), index)
+            await asyncio.sleep(pause_s)
+        runs = fleet.history.runs
+        while len(runs) < 6:
+            count = len(runs)
+            await fleet.wait_until(functools.partial(_is_longer, runs, count))
+            started = {run.runner for run in runs}
+            assert started <= _read_roster(fleet)
+
+    virtual_time.run_virtually(play())
+
+
+def test_emptied_runner_is_taken_out_and_comes_back() -> None:
+    """Guards against successors that wait for runners that have left."""
+
+    async def play() -> None:
+        fleet = standin_fleet.VirtualFleet(2)
+        fleet.start_instance("a")
+        await fleet.wait_until(lambda: fleet.get_leader() is not None)
+        await fleet.submit("00", model.Step(4, _TASK))
+        await asyncio.sleep(0.3)
+        assert _RUNNER in _read_roster(fleet)
+        _set_state(fleet, "draining")
+        await asyncio.sleep(3)
+        assert _RUNNER not in _read_roster(fleet)
+        count = len(fleet.history.runs)
+        await fleet.submit("01", model.Step(4, _TASK))
+        await fleet.wait_for_state("01", model.JobState.COMPLETED)
+        assert {run.runner for run in fleet.history.runs[count:]} == {"i-0"}
+        _set_state(fleet, "ready")
+        await asyncio.sleep(3)
+        assert _RUNNER in _read_roster(fleet)
+        await fleet.submit("02", model.Step(4, _TASK))
+        await fleet.wait_for_state("02", model.JobState.COMPLETED)
+        assert _RUNNER in {run.runner for run in fleet.history.runs[-4:]}
+        assert fleet.check() == []
+
+    virtual_time.run_virtually(play())
+
+
+def test_successor_does_not_wait_for_a_runner_that_has_left() -> None:
+    """Guards against ten seconds without starts (brindle-rota trouble-3)."""
+
+    async def play() -> None:
+        fleet = standin_fleet.VirtualFleet(2)
+        for name in ("a", "b"):
+            fleet.start_instance(name)
+        await fleet.wait_until(lambda: fleet.get_leader() is not None)
+        await asyncio.sleep(1)
+        _set_state(fleet, "draining")
+        await asyncio.sleep(3)
+        leader = fleet.get_leader()
+        assert leader is not None
+        way = fleet.network.get_faults(fleet.runners[1].address)
+        way.cut |= set(fleet.instances)
+        await asyncio.sleep(1)
+        leader.kill()
+        del fleet.instances[leader.name]
+        # The instance does not know of a later term yet.
+        await fleet.submit("00", model.Step(1, _TASK))
+        await fleet.wait_for_state("00", model.JobState.COMPLETED, 4.5)
+        assert fleet.check() == []
+
+    virtual_time.run_virtually(play())
