Log orders on pace; test the choice of runners against a naive one

Cause: read as a newcomer. An order on pace left no line in the log, though each decision is to leave one. Pace control looked at the serving samples twice and had a command that also answered; groups of waiting tasks were sorted by bare tuples with numbers for ranks; is_fresh did not say what it means; a factor of 1.05 on earlier leases had no name.

--- a/tamarackhatch/placement/_policy.py
+++ b/tamarackhatch/placement/_policy.py
@@ -44,11 +44,11 @@
         far_weight: Weight of a runner away from a task's data.
         harm_patience: How long a serving task may be reported over its
             target before all fillers beside it stop, whatever the model says.
-            Four seconds break a rule; reports lag by half a second.
+            The platform tolerates less than four seconds over the target;
+            reports lag by half a second.
         lasting_patience: How long lasting tasks let batch tasks of the same
-            priority go first. A batch task gives its room back in seconds,
-            a lasting task keeps it; one second of a batch task in time earns
-            four times as much as one of a lasting task.
+            priority go first. A batch task gives its room back in seconds;
+            a lasting task keeps it.
         batch_patience: How long a batch task lets smaller jobs of the same
             priority go first, so that no stream of small jobs starves it.
         gathering: How long new lasting tasks wait for others, so that tasks
--- /dev/null
+++ b/tamarackhatch/placement/tests/test_naive.py
@@ -0,0 +1,142 @@
+"""The choice of runners against a naive version, on random fleets.
+
+The naive version rates every runner anew for every task.
+"""
+
+from collections.abc import Sequence
+import datetime
+
+import attrs
+import hypothesis
+from hypothesis import strategies
+
+from tamarackhatch import model
+from tamarackhatch import placement
+from tamarackhatch.placement import _choice
+
+_NOW = datetime.timedelta(seconds=100)
+_POLICY = placement.PlacementPolicy()
+_IMAGES = strategies.sampled_from(["one", "two"])
+_RESOURCES = strategies.builds(
+    model.Resources,
+    processors=strategies.sampled_from([500, 3000, 8000]),
+    memory_mb=strategies.sampled_from([100, 9000, 30_000]),
+    accelerators=strategies.sampled_from([0, 0, 1]),
+)
+_BATCH = strategies.builds(
+    model.Step,
+    count=strategies.integers(1, 9),
+    resources=_RESOURCES,
+    max_per_runner=strategies.integers(0, 2),
+    preferred_rack=strategies.sampled_from(["", "r1"]),
+    required_label=strategies.sampled_from(["", "", "big"]),
+)
+_FILLER = strategies.builds(
+    model.Step,
+    count=strategies.integers(1, 9),
+    resources=_RESOURCES,
+    is_filler=strategies.just(True),
+    image=_IMAGES,
+)
+_SERVING = strategies.builds(
+    model.Step,
+    count=strategies.integers(1, 4),
+    resources=_RESOURCES,
+    is_lasting=strategies.just(True),
+    image=_IMAGES,
+    tail_target=strategies.just(datetime.timedelta(milliseconds=50)),
+)
+_STEPS = strategies.one_of(_BATCH, _FILLER, _SERVING)
+
+
+@attrs.frozen
+class _Runner:
+    """A runner before the choice: its room, its labels and its tasks."""
+
+    capacity: model.Resources
+    labels: tuple[str, ...]
+    steps: tuple[model.Step, ...]
+
+
+_RUNNERS = strategies.lists(
+    strategies.builds(
+        _Runner,
+        capacity=strategies.builds(
+            model.Resources,
+            processors=strategies.sampled_from([16_000, 32_000]),
+            memory_mb=strategies.sampled_from([32_000, 64_000]),
+            accelerators=strategies.integers(0, 2),
+        ),
+        labels=strategies.sampled_from([("small", "r1"), ("big", "r2")]),
+        steps=strategies.lists(_STEPS, max_size=4).map(tuple),
+    ),
+    min_size=1,
+    max_size=6,
+)
+
+
+def _build(runners: Sequence[_Runner]) -> list[placement.Candidate]:
+    factors = placement.InterferenceModel()
+    candidates = []
+    for index, runner in enumerate(runners):
+        load = placement.RunnerLoad(
+            f"i-{index}", "s", runner.capacity, runner.labels
+        )
+        for number, step in enumerate(runner.steps):
+            if load.has_room(step):
+                load.add(model.TaskKey(f"0{number}", 0, 0, index), step)
+        candidates.append(placement.Candidate(load, factors, _POLICY, _NOW))
+    return candidates
+
+
+def _choose_naively(
+    keys: Sequence[model.TaskKey],
+    step: model.Step,
+    candidates: Sequence[placement.Candidate],
+    least_pace: float,
+) -> list[tuple[model.TaskKey, str, float]]:
+    chosen = []
+    for key in keys:
+        best: placement.Candidate | None = None
+        best_rating = _choice.Rating(0.0)
+        for candidate in candidates:
+            load = candidate.load
+            if not load.has_room(step):
+                continue
+            if not placement.is_allowed(load, key, step):
+                continue
+            rating = _choice.rate(step, candidate, _POLICY)
+            if rating.pace < least_pace:
+                continue
+            if best is None or rating.score > best_rating.score:
+                best, best_rating = candidate, rating
+        if best is None:
+            break
+        best.load.add(key, step)
+        best.refresh()
+        chosen.append((key, best.load.identifier, best_rating.pace))
+    return chosen
+
+
+@hypothesis.given(
+    runners=_RUNNERS, step=_STEPS, least_pace=strategies.sampled_from([0.4, 1])
+)
+def test_choice_equals_the_naive_one(
+    runners: list[_Runner], step: model.Step, least_pace: float
+) -> None:
+    """Guards against ratings that are stale, and against overcommitment."""
+    keys = [model.TaskKey("new", 0, 0, index) for index in range(step.count)]
+    candidates = _build(runners)
+    choices = placement.choose_runners(
+        keys, step, candidates, _POLICY, least_pace
+    )
+    naive = _choose_naively(keys, step, _build(runners), least_pace)
+    assert [
+        (choice.key, choice.candidate.load.identifier, choice.pace)
+        for choice in choices
+    ] == naive
+    for candidate in candidates:
+        load = candidate.load
+        assert load.reserved_cpu <= load.capacity.processors
+        assert load.reserved_memory <= load.capacity.memory_mb
+        assert load.reserved_accelerators <= load.capacity.accelerators
--- a/tamarackhatch/scheduler/_board.py
+++ b/tamarackhatch/scheduler/_board.py
@@ -278,7 +278,7 @@
             phase=task.phase.value,
             failures=task.failures,
         )
-        task.is_fresh = task.runner is runner
+        task.is_opened_in_term = task.runner is runner
         if task.runner is not None:
             task.runner.release(task, self._clock.get_monotonic())
         else:
@@ -379,7 +379,7 @@
         else:
             occurrence.remaining[task.key.step] -= 1
         if occurrence.remaining[task.key.step] == 0:
-            occurrence.is_fresh = task.is_fresh
+            occurrence.is_opened_in_term = task.is_opened_in_term
             self._unblock(occurrence)
             self._close_finished(entry)
 
@@ -418,7 +418,7 @@
                 continue
             for task in tasks:
                 if task.phase is _state.TaskPhase.BLOCKED:
-                    task.is_fresh = occurrence.is_fresh
+                    task.is_opened_in_term = occurrence.is_opened_in_term
                     self._requeue(task)
 
     def _requeue(self, task: _state.TaskEntry) -> None:
--- a/tamarackhatch/scheduler/_dispatcher.py
+++ b/tamarackhatch/scheduler/_dispatcher.py
@@ -2,7 +2,9 @@
 
 import asyncio
 import datetime
-import typing
+import enum
+
+import attrs
 
 from tamarackhatch import placement
 from tamarackhatch.scheduler import _context
@@ -18,6 +20,43 @@
 Group = dict[int, _state.TaskEntry]
 
 
+class _Rank(enum.IntEnum):
+    """Which tasks of one priority go first.
+
+    Attributes:
+        STARVED: Lasting tasks that let batch tasks go first for too long.
+        BATCH: Batch tasks, those of small jobs first.
+        LASTING: Lasting tasks, image by image.
+    """
+
+    STARVED = 0
+    BATCH = 1
+    LASTING = 2
+
+
+@attrs.frozen(order=True)
+class _Turn:
+    """Sort key of a group of waiting tasks; lower ones go first.
+
+    Attributes:
+        priority: Priority of the queue.
+        rank: Kind of the tasks.
+        demand: Processors that a batch job still wants.
+        is_unlimited: Whether lasting tasks may share a runner. Those that may
+            not need the most runners of their image; the others fill these
+            up.
+        image: Image of lasting tasks.
+        accepted: When the job was accepted, in seconds since the epoch.
+    """
+
+    priority: float
+    rank: _Rank
+    demand: int
+    is_unlimited: bool
+    image: str
+    accepted: float
+
+
 class Dispatcher:
     """Runs placement passes when tasks wait or room has become free."""
 
@@ -66,7 +105,7 @@
         context.metrics.waiting.set(sum(map(len, waiting.values())))
         if not waiting:
             return
-        groups = sorted(waiting.values(), key=self._get_order)
+        groups = sorted(waiting.values(), key=self._get_turn)
         is_gathering = self._is_gathering(groups)
         candidates = self._list_candidates()
         for group in groups:
@@ -90,26 +129,27 @@
             self._context.policy.gathering
         )
 
-    def _get_order(self, group: Group) -> tuple[typing.Any, ...]:
+    def _get_turn(self, group: Group) -> _Turn:
         task = next(iter(group.values()))
         policy = self._context.policy
         priority, accepted = task.job.order
         waited = self._context.get_now() - task.since
         if not task.step.is_lasting:
-            if waited >= policy.batch_patience:
-                return (priority, 1, 0, accepted)
-            return (priority, 1, task.job.compute_demand(), accepted)
+            is_patient = waited < policy.batch_patience
+            demand = task.job.compute_demand() if is_patient else 0
+            return _Turn(priority, _Rank.BATCH, demand, False, "", accepted)
         if waited >= policy.lasting_patience:
-            return (priority, 0, accepted)
-        # Tasks that must not share a runner need the most runners of their
-        # image; the others fill these up.
-        is_free = not task.step.max_per_runner
-        return (priority, 2, is_free, task.step.image, accepted)
+            return _Turn(priority, _Rank.STARVED, 0, False, "", accepted)
+        step = task.step
+        is_unlimited = not step.max_per_runner
+        return _Turn(
+            priority, _Rank.LASTING, 0, is_unlimited, step.image, accepted
+        )
 
     def _is_held_back(self, task: _state.TaskEntry) -> bool:
         if not self._is_holding:
             return False
-        if task.is_fresh or task.job.job.term >= self._context.term:
+        if task.is_opened_in_term or task.job.job.term >= self._context.term:
             return False
         version = self._held_version
         return version is None or task.job.version <= version
--- a/tamarackhatch/scheduler/_link.py
+++ b/tamarackhatch/scheduler/_link.py
@@ -23,6 +23,9 @@
 # Runs of a job that an earlier scheduler started just before it was deposed
 # may be listed before this scheduler has read the job.
 _UNREAD_JOB_TIME = datetime.timedelta(seconds=5)
+# By how much a lease of an earlier scheduler may be longer, because that
+# scheduler's estimate of the runner's clock may be ahead.
+_EARLIER_LEASE_EXCESS = 0.05
 # Renewals in a row without an answer after which a runner counts as lost.
 _LOST_CALLS = 2
 # A report lists at most this many ends; a full one may hide others.
@@ -158,7 +161,9 @@
         entry.clock, entry.clock_read = report.clock, now
         if not self._has_reported:
             # An earlier scheduler may have granted a lease just before.
-            entry.lease_end = report.clock + context.settings.lease * 1.05
+            entry.lease_end = report.clock + context.settings.lease * (
+                1 + _EARLIER_LEASE_EXCESS
+            )
             self._has_reported = True
         for ended in report.ended:
             if ended.number <= entry.processed:
--- a/tamarackhatch/scheduler/_pacing.py
+++ b/tamarackhatch/scheduler/_pacing.py
@@ -1,5 +1,7 @@
 """Pace of the fillers on one runner, from the samples that it reports."""
 
+from collections.abc import Iterator
+from collections.abc import Sequence
 import datetime
 import statistics
 
@@ -48,20 +50,45 @@
             # Paces that a predecessor ordered are not known, so that samples
             # would teach wrong factors.
             self._observe(report)
-        if self._confirm_paces(report):
+        adopted = self._infer_paces(report)
+        if adopted:
             # Own loads are not known yet: the paces that a predecessor chose
             # are better than what follows from the highest own loads.
+            self._order(adopted, "adopted")
             return
         fillers = self._list_fillers()
         if not fillers:
             return
         serving = self._list_serving()
-        if self._is_harmful():
+        self._log_samples(report, serving, fillers)
+        if self._is_over_for_long():
             paces = {item.task: 0 for item in fillers if item.pace != 0}
-        else:
-            paces = placement.choose_paces(
-                context.factors, serving, fillers, context.policy.caution
-            )
+            self._order(paces, "over target")
+            return
+        paces = placement.choose_paces(
+            context.factors, serving, fillers, context.policy.caution
+        )
+        self._order(paces, "forecast")
+
+    def _order(self, paces: dict[model.TaskKey, int], reason: str) -> None:
+        if not paces:
+            return
+        self._context.log.info(
+            "paces_ordered",
+            runner=self._entry.identifier,
+            reason=reason,
+            paces={str(key): percent for key, percent in paces.items()},
+        )
+        for key, percent in paces.items():
+            self._orders.set_pace(self._entry.tasks[key], percent)
+
+    def _log_samples(
+        self,
+        report: model.RunnerReport,
+        serving: Sequence[placement.ServingState],
+        fillers: Sequence[placement.FillerState],
+    ) -> None:
+        context, entry = self._context, self._entry
         context.log.debug(
             "runner_sampled",
             runner=entry.identifier,
@@ -78,18 +105,13 @@
             ],
             capacity=entry.load.capacity.processors,
             reserved=entry.load.reserved_cpu,
-            changes={str(key): pace for key, pace in paces.items()},
         )
-        for key, percent in paces.items():
-            self._orders.set_pace(entry.tasks[key], percent)
-
-    def _confirm_paces(self, report: model.RunnerReport) -> bool:
-        """Orders the paces at which adopted fillers seem to work.
 
-        Returns:
-            Whether there were any.
-        """
-        is_any = False
+    def _infer_paces(
+        self, report: model.RunnerReport
+    ) -> dict[model.TaskKey, int]:
+        """Returns the paces at which adopted fillers seem to work."""
+        paces: dict[model.TaskKey, int] = {}
         for item in report.running:
             task = self._entry.tasks.get(item.task)
             if (
@@ -100,33 +122,26 @@
                 or not item.sample
             ):
                 continue
-            pace = placement.infer_pace(
+            paces[item.task] = placement.infer_pace(
                 task.step.resources.processors, item.sample
             )
-            self._orders.set_pace(task, pace)
-            is_any = True
-        return is_any
+        return paces
 
     def _observe(self, report: model.RunnerReport) -> None:
         """Takes the samples of the serving tasks into the model."""
         context, entry = self._context, self._entry
         now = context.get_now()
         tails: dict[str, list[int]] = {}
-        uses: dict[model.TaskKey, int] = {}
-        for item in report.running:
-            task = entry.tasks.get(item.task)
-            if task is None:
-                continue
-            if task.step.is_filler:
-                uses[item.task] = item.sample
-            if not task.step.is_serving:
-                continue
-            if item.percent < _AT_WORK or not item.sample:
-                continue
+        for task, tail in self._iterate_tails(report):
             if task.at_work is None:
                 task.at_work = now
             if now - task.at_work >= _WARM_UP:
-                tails.setdefault(item.task.job, []).append(item.sample)
+                tails.setdefault(task.key.job, []).append(tail)
+        uses: dict[model.TaskKey, int] = {}
+        for item in report.running:
+            filler = entry.tasks.get(item.task)
+            if filler is not None and filler.step.is_filler:
+                uses[item.task] = item.sample
         samples = []
         for job, values in tails.items():
             group = entry.load.serving[job]
@@ -149,17 +164,23 @@
         """Notes which serving tasks are over their targets, and since when."""
         now = self._context.get_now()
         over: dict[model.TaskKey, datetime.timedelta] = {}
+        for task, tail in self._iterate_tails(report):
+            if tail * _MILLISECOND > task.step.tail_target:
+                over[task.key] = self._over.get(task.key, now)
+        self._over = over
+
+    def _iterate_tails(
+        self, report: model.RunnerReport
+    ) -> Iterator[tuple[_state.TaskEntry, int]]:
+        """Yields the serving tasks at work, with their tails in ms."""
         for item in report.running:
             task = self._entry.tasks.get(item.task)
             if task is None or not task.step.is_serving:
                 continue
-            if item.percent < _AT_WORK:
-                continue
-            if item.sample * _MILLISECOND > task.step.tail_target:
-                over[item.task] = self._over.get(item.task, now)
-        self._over = over
+            if item.percent >= _AT_WORK and item.sample:
+                yield task, item.sample
 
-    def _is_harmful(self) -> bool:
+    def _is_over_for_long(self) -> bool:
         """Tells whether a serving task is over its target for too long."""
         limit = self._context.get_now() - self._context.policy.harm_patience
         return any(since <= limit for since in self._over.values())
--- a/tamarackhatch/scheduler/_state.py
+++ b/tamarackhatch/scheduler/_state.py
@@ -58,9 +58,9 @@
         failed_on: Runners on which a run failed.
         at_work: Monotonic time since which the latest run is seen at work, if
             it lasts; None before.
-        is_fresh: Whether it waits because of the end of a run that was at
-            work when this term began or later, so that no scheduler before
-            can have started it again.
+        is_opened_in_term: Whether it waits because of the end of a run that
+            was at work when this term began or later, so that no scheduler
+            before can have started it again.
     """
 
     key: model.TaskKey
@@ -79,7 +79,7 @@
     confirmed: datetime.timedelta | None = None
     failed_on: frozenset[str] = frozenset()
     at_work: datetime.timedelta | None = None
-    is_fresh: bool = False
+    is_opened_in_term: bool = False
 
     @property
     def failures(self) -> int:
@@ -100,14 +100,14 @@
         number: Number of the occurrence, from 0.
         steps: Tasks by step.
         remaining: Unfinished tasks by step.
-        is_fresh: Whether the end that opened the latest steps was seen by
-            this term's scheduler first; see the attribute of a task.
+        is_opened_in_term: Whether the end that opened the latest steps was
+            seen by this term's scheduler first; see the attribute of a task.
     """
 
     number: int
     steps: list[list[TaskEntry]]
     remaining: list[int]
-    is_fresh: bool = False
+    is_opened_in_term: bool = False
 
     @property
     def is_finished(self) -> bool:
--- a/tamarackhatch/scheduler/tests/test_pacing.py
+++ b/tamarackhatch/scheduler/tests/test_pacing.py
@@ -58,6 +58,19 @@
         return super()._change_pace(body)
 
 
+def _adopt_runner(fleet: standin_fleet.VirtualFleet) -> _SamplingRunner:
+    sampling = _SamplingRunner(
+        "i-0",
+        "10.1.0.1:8000",
+        standin_fleet.SERVICE,
+        lambda task, run: (60.0, "done"),
+        fleet.history,
+    )
+    sampling.paces = []
+    fleet.adopt_runner(sampling)
+    return sampling
+
+
 @pytest.mark.parametrize("pace", [1.0, 0.5])
 def test_successor_keeps_the_paces_of_fillers(pace: float) -> None:
     """Guards against slow fillers after each takeover.
@@ -72,15 +85,7 @@
             patience=datetime.timedelta(), least_pace=0.0
         )
         fleet = standin_fleet.VirtualFleet(runners=0, policy=policy)
-        sampling = _SamplingRunner(
-            "i-0",
-            "10.1.0.1:8000",
-            standin_fleet.SERVICE,
-            lambda task, run: (60.0, "done"),
-            fleet.history,
-        )
-        sampling.paces = []
-        fleet.adopt_runner(sampling)
+        sampling = _adopt_runner(fleet)
         for name in ("a", "b"):
             fleet.start_instance(name)
         await fleet.wait_until(lambda: fleet.get_leader() is not None)
@@ -102,7 +107,7 @@
 
 
 def test_fillers_stop_beside_a_task_that_suffers_for_long() -> None:
-    """Guards against four seconds over the target, which break a rule.
+    """Guards against four seconds over the target, a violation.
 
     One task of a job suffers and the others do not, so that neither the
     median nor the model tells of it (hunt of bazar-zholy, scale-1,
@@ -111,15 +116,7 @@
 
     async def play() -> None:
         fleet = standin_fleet.VirtualFleet(runners=0)
-        sampling = _SamplingRunner(
-            "i-0",
-            "10.1.0.1:8000",
-            standin_fleet.SERVICE,
-            lambda task, run: (60.0, "done"),
-            fleet.history,
-        )
-        sampling.paces = []
-        fleet.adopt_runner(sampling)
+        sampling = _adopt_runner(fleet)
         fleet.start_instance("a")
         await fleet.wait_until(lambda: fleet.get_leader() is not None)
         small = model.Resources(2000, 100)
