Answer 504, never 503, when a submission cannot be written

Ruled out: keeping 503 for first attempts. No instance can tell a first attempt from a repeated one. Change: a submission is tried for half a second, its first write with a timeout of 0.3 s, and then answered 504 at once. WriteOutcome and the cache of unknown outcomes are removed.

--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -174,22 +174,22 @@
         *steps: model.Step,
         instance: str | None = None,
         queue: model.Queue = QUEUE,
-    ) -> records.WriteOutcome:
-        """Submits a job and records the answer.
+        timeout: datetime.timedelta = _SUBMIT_TIMEOUT,
+    ) -> model.Outcome:
+        """Submits a job and returns DONE or UNKNOWN.
 
-        Unless the job is refused, it counts as accepted, since it may be
-        stored.
+        The job counts as accepted either way, since it may be stored.
         """
         names = list(self.instances)
         target = self.instances[instance or names[0]]
         job = model.Job(identifier, queue, "work", steps, self.clock.get_utc())
-        deadline = self.clock.get_monotonic() + _SUBMIT_TIMEOUT
-        result = await target.jobs.submit(job, deadline)
-        if result is records.WriteOutcome.REFUSED:
-            self.history.refused.add(identifier)
-        else:
-            self.history.accepted.add(identifier)
-        return result
+        deadline = self.clock.get_monotonic() + timeout
+        self.history.accepted.add(identifier)
+        try:
+            await target.jobs.submit(job, deadline)
+        except model.StoreOutcomeUnknownError:
+            return model.Outcome.UNKNOWN
+        return model.Outcome.DONE
 
     async def read_state(
         self, identifier: str, instance: str | None = None
--- a/tamarackhatch/records/__init__.py
+++ b/tamarackhatch/records/__init__.py
@@ -3,7 +3,6 @@
 from tamarackhatch.records._interference import decode_interference
 from tamarackhatch.records._interference import encode_interference
 from tamarackhatch.records._job_store import JobStore
-from tamarackhatch.records._job_store import WriteOutcome
 from tamarackhatch.records._jobs import decode_job
 from tamarackhatch.records._jobs import encode_job
 from tamarackhatch.records._leadership import decode_leader_heartbeat
@@ -52,7 +51,6 @@
     "TableWatcher",
     "TaskHistory",
     "TrackedRunner",
-    "WriteOutcome",
     "decode_interference",
     "decode_job",
     "decode_leader_heartbeat",
--- a/tamarackhatch/records/_job_store.py
+++ b/tamarackhatch/records/_job_store.py
@@ -3,7 +3,6 @@
 import collections
 from collections.abc import Callable
 import datetime
-import enum
 
 import attrs
 
@@ -13,12 +12,16 @@
 from tamarackhatch.records import _names
 from tamarackhatch.records import _progress
 
-# The store normally answers within 4 ms, and can be 60 times slower.
-_WRITE_TIMEOUT = datetime.timedelta(milliseconds=700)
+# The store normally answers within 4 ms, and can be 60 times slower. A lost
+# answer costs the first timeout; the second attempt then shows that the row is
+# stored.
+_FIRST_WRITE_TIMEOUT = datetime.timedelta(milliseconds=300)
+_WRITE_TIMEOUT = datetime.timedelta(milliseconds=500)
 _READ_TIMEOUT = datetime.timedelta(milliseconds=700)
-# A write that certainly failed is retried for this long before the request is
-# refused. A refusal is only useful while the caller has time to go elsewhere.
-_MAX_RETRY_TIME = datetime.timedelta(milliseconds=200)
+# A failed write is tried again for this long. Then the caller is answered, so
+# that it can ask an instance that reaches the store. Callers ask up to five
+# times within three seconds, so a longer time would not bridge more outages.
+_MAX_RETRY_TIME = datetime.timedelta(milliseconds=500)
 _RETRY_DELAY = datetime.timedelta(milliseconds=60)
 _MAX_CACHED_KEYS = 20_000
 # Ends the range of keys that start with a job's identifier, because it sorts
@@ -26,20 +29,6 @@
 _KEY_RANGE_END = "~"
 
 
-class WriteOutcome(enum.Enum):
-    """Outcome of a submission or cancellation.
-
-    Attributes:
-        ACCEPTED: The row is stored.
-        REFUSED: The row is not stored and never will be.
-        UNKNOWN: The row may be stored, now or later.
-    """
-
-    ACCEPTED = "accepted"
-    REFUSED = "refused"
-    UNKNOWN = "unknown"
-
-
 class JobStore:
     """Reads and writes the rows of jobs on behalf of callers."""
 
@@ -62,36 +51,40 @@
         self._clock = time_source
         self._final_states: collections.OrderedDict[str, model.JobState]
         self._final_states = collections.OrderedDict()
-        # Keys of rows whose write got no answer. The store may still apply
-        # these writes later.
-        self._unknown_outcomes: collections.OrderedDict[str, None]
-        self._unknown_outcomes = collections.OrderedDict()
 
     async def submit(
         self, job: model.Job, deadline: datetime.timedelta
-    ) -> WriteOutcome:
+    ) -> None:
         """Stores a job, unless a job with its identifier is stored.
 
         Args:
             job: The job.
             deadline: Monotonic time at which the caller stops waiting.
+
+        Raises:
+            StoreOutcomeUnknownError: The job may be stored, now or later, by
+                this or an earlier submission.
         """
         ref = _names.get_job_ref(job.identifier)
         stored = attrs.evolve(job, term=self._get_latest_term())
         put = model.Put(ref, _jobs.encode_job(stored))
-        return await self._write([(ref, 0)], put, deadline)
+        await self._write_if_absent(put, deadline)
 
     async def cancel(
         self, identifier: str, deadline: datetime.timedelta
-    ) -> WriteOutcome:
+    ) -> None:
         """Marks a stored job as cancelled; a repeated call changes nothing.
 
         Args:
             identifier: Identifier of the job.
             deadline: Monotonic time at which the caller stops waiting.
+
+        Raises:
+            StoreOutcomeUnknownError: The job may be marked, now or later, by
+                this or an earlier call.
         """
         ref = _names.get_cancel_ref(identifier)
-        return await self._write([(ref, 0)], model.Put(ref, b"{}"), deadline)
+        await self._write_if_absent(model.Put(ref, b"{}"), deadline)
 
     async def is_stored(self, identifier: str) -> bool:
         """Returns whether a job is stored.
@@ -140,11 +133,6 @@
         if len(self._final_states) > _MAX_CACHED_KEYS:
             self._final_states.popitem(last=False)
 
-    def _record_unknown_outcome(self, key: str) -> None:
-        self._unknown_outcomes[key] = None
-        if len(self._unknown_outcomes) > _MAX_CACHED_KEYS:
-            self._unknown_outcomes.popitem(last=False)
-
     async def _read_job_rows(self, identifier: str) -> tuple[model.Row, ...]:
         ref = _names.get_job_ref(identifier)
         page = await self._store.read(
@@ -156,38 +144,38 @@
         )
         return page.rows
 
-    async def _write(
-        self,
-        expected: list[tuple[model.RowRef, int]],
-        put: model.Put,
-        deadline: datetime.timedelta,
-    ) -> WriteOutcome:
+    async def _write_if_absent(
+        self, put: model.Put, deadline: datetime.timedelta
+    ) -> None:
+        """Writes a row unless it exists.
+
+        A failure never says that the row is not stored, even if the store
+        certainly did not apply this write: an earlier request of the caller
+        may have gone through another instance, whose write the store may
+        still apply.
+        """
         started_at = self._clock.get_monotonic()
-        # A refusal says that the row is never stored, so it must also hold for
-        # earlier attempts of the same caller.
-        is_outcome_unknown = put.ref.key in self._unknown_outcomes
+        last_failure = "no time left for a write"
+        timeout = _FIRST_WRITE_TIMEOUT
         while True:
-            remaining = deadline - self._clock.get_monotonic()
-            if remaining <= datetime.timedelta():
-                break
+            now = self._clock.get_monotonic()
+            remaining = deadline - now
+            if (
+                remaining <= datetime.timedelta()
+                or now - started_at >= _MAX_RETRY_TIME
+            ):
+                raise model.StoreOutcomeUnknownError(last_failure)
             try:
                 # A conflict also counts as success: the row exists, because
                 # an earlier attempt, perhaps of another instance, stored it.
                 await self._store.write(
-                    expected, [put], [], min(_WRITE_TIMEOUT, remaining)
+                    [(put.ref, 0)], [put], [], min(timeout, remaining)
                 )
-                self._unknown_outcomes.pop(put.ref.key, None)
-                return WriteOutcome.ACCEPTED
-            except model.StoreOutcomeUnknownError:
-                is_outcome_unknown = True
-                self._record_unknown_outcome(put.ref.key)
-            except model.StoreUnavailableError:
-                elapsed = self._clock.get_monotonic() - started_at
-                if not is_outcome_unknown and elapsed >= _MAX_RETRY_TIME:
-                    return WriteOutcome.REFUSED
-                await self._clock.sleep(_RETRY_DELAY)
-        return (
-            WriteOutcome.UNKNOWN
-            if is_outcome_unknown
-            else WriteOutcome.REFUSED
-        )
+                return
+            except (
+                model.StoreOutcomeUnknownError,
+                model.StoreUnavailableError,
+            ) as error:
+                last_failure = error.message
+            timeout = _WRITE_TIMEOUT
+            await self._clock.sleep(_RETRY_DELAY)
--- a/tamarackhatch/service/_jobs.py
+++ b/tamarackhatch/service/_jobs.py
@@ -16,13 +16,6 @@
 _MAX_CONFIGURATION_AGE = datetime.timedelta(milliseconds=300)
 
 
-_OUTCOME_BY_WRITE_OUTCOME = {
-    records.WriteOutcome.ACCEPTED: model.Outcome.DONE,
-    records.WriteOutcome.REFUSED: model.Outcome.NOT_DONE,
-    records.WriteOutcome.UNKNOWN: model.Outcome.UNKNOWN,
-}
-
-
 class PendingJobsSource(typing.Protocol):
     """Source of the number of pending jobs."""
 
@@ -116,10 +109,14 @@
             timeout: How long the caller waits for the answer.
         """
         started_at = self._clock.get_monotonic()
-        result = await self._store.submit(
-            job, started_at + timeout - _ANSWER_MARGIN
-        )
-        outcome = _OUTCOME_BY_WRITE_OUTCOME[result]
+        outcome = model.Outcome.DONE
+        try:
+            await self._store.submit(
+                job, started_at + timeout - _ANSWER_MARGIN
+            )
+        except model.StoreOutcomeUnknownError as error:
+            self._log_failed_write(job.identifier, error)
+            outcome = model.Outcome.UNKNOWN
         self._record_request(
             "submit", job.identifier, job.queue.name, outcome, started_at
         )
@@ -136,14 +133,17 @@
             timeout: How long the caller waits for the answer.
         """
         started_at = self._clock.get_monotonic()
+        outcome = model.Outcome.DONE
         try:
-            if not await self._store.is_stored(identifier):
-                outcome = model.Outcome.NO_JOB
-            else:
-                result = await self._store.cancel(
+            if await self._store.is_stored(identifier):
+                await self._store.cancel(
                     identifier, started_at + timeout - _ANSWER_MARGIN
                 )
-                outcome = _OUTCOME_BY_WRITE_OUTCOME[result]
+            else:
+                outcome = model.Outcome.NO_JOB
+        except model.StoreOutcomeUnknownError as error:
+            self._log_failed_write(identifier, error)
+            outcome = model.Outcome.UNKNOWN
         except model.StoreUnavailableError as error:
             self._log.info(
                 "job_read_failed", job=identifier, reason=error.message
@@ -188,6 +188,13 @@
         )
         return model.JobLookup(outcome, state)
 
+    def _log_failed_write(
+        self, identifier: str, error: model.StoreOutcomeUnknownError
+    ) -> None:
+        self._log.info(
+            "job_write_failed", job=identifier, reason=error.message
+        )
+
     def _record_request(
         self,
         kind: str,
