Do not read a large configuration again, nor give up slow or late answers

Reads were given up after 0.8 s and feeds after 2.4 s, and began anew. Submissions, heartbeats and the next versions waited behind them. Besides, libcurl ended calls whose answer had arrived while the scheduler's core was full: runners were taken for silent, and new connections made the core fuller. Ruled out: a scheduler on an instance of half a core (it ran on 2.15 cores). The call PUT /instances/... at the store's address is not ours: this program sends only POST to runners and the store, and GET; the names are those of runners. Change: the configuration is checked with a poll of its feed, and requests at the same time share it; reads and feeds may take 8 s more while bytes arrive; timeouts are timers of the event loop, which handles sockets first; queues are found by host. Tests: test_client.py (2 of 11 fail on: the answer that arrived while the process was late, the slow answer), test_configuration.py (2 of 5 fail: the row read again, 20 reads for 20 requests).

--- a/tamarackhatch/model/_configuration.py
+++ b/tamarackhatch/model/_configuration.py
@@ -98,16 +98,26 @@
     queues: tuple[Queue, ...] = ()
     services: tuple[Service, ...] = ()
     limits: RequestLimits = RequestLimits()
+    _queues_by_host: dict[str, list[Queue]] = attrs.field(
+        init=False, eq=False, repr=False
+    )
+
+    @_queues_by_host.default
+    def _group_queues_by_host(self) -> dict[str, list[Queue]]:
+        """Returns the queues of each host, those with long prefixes first."""
+        groups: dict[str, list[Queue]] = {}
+        for queue in self.queues:
+            groups.setdefault(queue.host, []).append(queue)
+        for group in groups.values():
+            group.sort(key=lambda queue: -len(queue.path_prefix))
+        return groups
 
     def find_queue(self, host: str, path: str) -> Queue | None:
         """Returns the queue that a request's host and path select, or None."""
-        best: Queue | None = None
-        for queue in self.queues:
-            if queue.host != host or not path.startswith(queue.path_prefix):
-                continue
-            if best is None or len(queue.path_prefix) > len(best.path_prefix):
-                best = queue
-        return best
+        for queue in self._queues_by_host.get(host, ()):
+            if path.startswith(queue.path_prefix):
+                return queue
+        return None
 
     def get_queue(self, name: str) -> Queue | None:
         """Returns the queue with the given name, or None."""
--- a/tamarackhatch/platform/_store.py
+++ b/tamarackhatch/platform/_store.py
@@ -17,6 +17,8 @@
 _CONDITION_FAILED = 412
 # Time beyond the wait of a feed, for network latency and a slow store.
 _FEED_ANSWER_ALLOWANCE = datetime.timedelta(milliseconds=900)
+# A row can have hundreds of kilobytes, and an instance's link 5 Mbit/s.
+_READ_TRANSFER_TIME = datetime.timedelta(seconds=8)
 
 
 class PlatformStore:
@@ -125,7 +127,13 @@
         self, path: str, query: dict[str, str], timeout: datetime.timedelta
     ) -> dict[str, typing.Any]:
         path = f"{path}?{urllib.parse.urlencode(query)}"
-        call = transport.Call("GET", self._address, path, timeout)
+        call = transport.Call(
+            "GET",
+            self._address,
+            path,
+            timeout,
+            transfer_time=_READ_TRANSFER_TIME,
+        )
         try:
             answer = await self._client.send(call)
         except (
--- a/tamarackhatch/records/_watcher.py
+++ b/tamarackhatch/records/_watcher.py
@@ -104,14 +104,35 @@
             if self._is_feed_lost:
                 self._is_feed_lost = False
                 self._log.info("feed_restored", table=self._table)
-            self._last_answer = self._clock.get_monotonic()
-            self._version = page.version
-            for row in page.rows:
-                self._on_row(row)
+            self._apply_page(page)
             elapsed = self._clock.get_monotonic() - started_at
             if elapsed < self._interval:
                 await self._clock.sleep(self._interval - elapsed)
 
+    async def poll(self) -> None:
+        """Passes on the changes up to now; the table must be loaded.
+
+        May run beside `follow` if on_row ignores rows that it has seen.
+        Transfers only rows that have changed, which costs far less than
+        reading a table with large rows.
+
+        Raises:
+            HistoryLostError: The store has discarded changes.
+            StoreUnavailableError: The store could not be read.
+        """
+        self._apply_page(
+            await self._store.follow(
+                self._table, self._version, datetime.timedelta()
+            )
+        )
+
+    def _apply_page(self, page: model.FeedPage) -> None:
+        self._last_answer = self._clock.get_monotonic()
+        # A poll beside the feed may already have passed on later changes.
+        self._version = max(self._version, page.version)
+        for row in page.rows:
+            self._on_row(row)
+
     async def _read_partition(
         self, partition: str
     ) -> tuple[list[model.Row], int]:
--- a/tamarackhatch/service/_configuration.py
+++ b/tamarackhatch/service/_configuration.py
@@ -1,5 +1,6 @@
 """Watches the operator's configuration."""
 
+import asyncio
 import datetime
 
 from tamarackhatch import clock
@@ -32,6 +33,7 @@
         self._log = log
         self._configuration: model.Configuration | None = None
         self._last_refresh = datetime.timedelta()
+        self._refresh_in_progress: asyncio.Task[bool] | None = None
         self._table = records.TableWatcher(
             store,
             time_source,
@@ -59,7 +61,8 @@
     async def refresh(self, max_age: datetime.timedelta) -> bool:
         """Reads the configuration, which may be newer than the feed's.
 
-        Does nothing if an earlier call read it less than max_age ago.
+        Does nothing if an earlier call read it less than max_age ago. Calls at
+        the same time share one read.
 
         Args:
             max_age: Maximum age of the result of an earlier call.
@@ -67,27 +70,49 @@
         Returns:
             False if the store could not be read or has no configuration.
         """
-        started_at = self._clock.get_monotonic()
         if self._configuration is not None and (
-            started_at - self._last_refresh < max_age
+            self._clock.get_monotonic() - self._last_refresh < max_age
         ):
             return True
+        task = self._refresh_in_progress
+        if task is None:
+            task = asyncio.create_task(self._refresh())
+            task.add_done_callback(self._handle_refresh_end)
+            self._refresh_in_progress = task
+        return await asyncio.shield(task)
+
+    def _handle_refresh_end(self, task: asyncio.Task[bool]) -> None:
+        self._refresh_in_progress = None
+
+    async def _refresh(self) -> bool:
+        started_at = self._clock.get_monotonic()
         try:
-            page = await self._store.read(
-                platform.OPERATOR_TABLE,
-                "",
-                _READ_TIMEOUT,
-                platform.CONFIGURATION_KEY,
-                platform.CONFIGURATION_KEY + "\0",
-            )
+            await self._read_changes()
         except model.StoreUnavailableError as error:
             self._log.info("configuration_read_failed", reason=error.message)
             return False
-        for row in page.rows:
-            self._apply_row(row)
         self._last_refresh = started_at
         return self._configuration is not None
 
+    async def _read_changes(self) -> None:
+        if self._configuration is not None:
+            try:
+                # The row can have hundreds of kilobytes, too many to read it
+                # at each request for a queue that does not exist.
+                await self._table.poll()
+                return
+            except model.HistoryLostError as error:
+                self._log.info("feed_history_lost", reason=error.message)
+        page = await self._store.read(
+            platform.OPERATOR_TABLE,
+            "",
+            _READ_TIMEOUT,
+            platform.CONFIGURATION_KEY,
+            platform.CONFIGURATION_KEY + "\0",
+        )
+        for row in page.rows:
+            self._apply_row(row)
+
     def _apply_row(self, row: model.Row) -> None:
         if row.ref.key != platform.CONFIGURATION_KEY or row.is_deleted:
             return
--- a/tamarackhatch/service/tests/test_configuration.py
+++ b/tamarackhatch/service/tests/test_configuration.py
@@ -11,6 +11,7 @@
 from standins import network
 from standins import store as standin_store
 from standins import virtual_time
+from tamarackhatch import model
 from tamarackhatch import observability
 from tamarackhatch import platform
 from tamarackhatch import service
@@ -25,8 +26,9 @@
     def __init__(self) -> None:
         time_source = virtual_time.VirtualClock(asyncio.get_running_loop())
         net = network.Network()
+        self.reads = 0
         self.store = standin_store.StoreStandIn()
-        net.serve(_ADDRESS, self.store.handle)
+        net.serve(_ADDRESS, self._handle_call)
         client = typing.cast(typing.Any, net.make_client("a"))
         descriptor = os.open(os.devnull, os.O_WRONLY)
         sink = observability.LineSink(descriptor, time_source, 1000)
@@ -35,6 +37,11 @@
             platform.PlatformStore(client, _ADDRESS), time_source, log
         )
 
+    async def _handle_call(self, request: network.Request) -> network.Response:
+        response = await self.store.handle(request)
+        self.reads += len(response.body.get("rows", ()))
+        return response
+
     def publish(self, version: int, *prefixes: str) -> None:
         """Writes a configuration version as the operator does."""
         routes = [
@@ -94,3 +101,67 @@
         assert not await fixture.watcher.refresh(0 * _SECOND)
 
     virtual_time.run_virtually(run_scenario())
+
+
+def test_refresh_transfers_a_configuration_only_once() -> None:
+    """Guards against reading a large row at each request for a missing queue.
+
+    On a slow link such reads delay everything else, and the next version.
+    """
+
+    async def run_scenario() -> None:
+        fixture = _WatcherFixture()
+        fixture.publish(1, "/a/")
+        task = asyncio.create_task(fixture.watcher.run())
+        await asyncio.sleep(1)
+        fixture.reads = 0
+        for _ in range(5):
+            assert await fixture.watcher.refresh(0 * _SECOND)
+        assert fixture.reads == 0
+        fixture.publish(2, "/a/", "/b/")
+        assert await fixture.watcher.refresh(0 * _SECOND)
+        assert fixture.version == 2
+        fixture.store.discard_history()
+        fixture.publish(3, "/a/")
+        assert await fixture.watcher.refresh(0 * _SECOND)
+        assert fixture.version == 3
+        task.cancel()
+
+    virtual_time.run_virtually(run_scenario())
+
+
+def test_refreshes_at_the_same_time_share_one_read() -> None:
+    """Guards against one call to the store for each waiting request."""
+
+    async def run_scenario() -> None:
+        fixture = _WatcherFixture()
+        fixture.publish(1, "/a/")
+        results = await asyncio.gather(
+            *(fixture.watcher.refresh(0 * _SECOND) for _ in range(20))
+        )
+        assert results == [True] * 20
+        assert fixture.reads == 1
+
+    virtual_time.run_virtually(run_scenario())
+
+
+def test_longest_prefix_of_the_host_selects_the_queue() -> None:
+    """Guards against a queue of another host or of a shorter prefix."""
+    queues = tuple(
+        model.Queue(name, host, prefix, "s")
+        for name, host, prefix in (
+            ("short", "h", "/a/"),
+            ("long", "h", "/a/b/"),
+            ("other", "i", "/a/b/c/"),
+        )
+    )
+    configuration = model.Configuration(1, queues)
+    for host, path, name in (
+        ("h", "/a/x", "short"),
+        ("h", "/a/b/c/x", "long"),
+        ("i", "/a/b/c/x", "other"),
+    ):
+        queue = configuration.find_queue(host, path)
+        assert queue is not None and queue.name == name
+    assert configuration.find_queue("i", "/a/x") is None
+    assert configuration.find_queue("j", "/a/x") is None
--- a/tamarackhatch/transport/_client.py
+++ b/tamarackhatch/transport/_client.py
@@ -20,6 +20,10 @@
 # For this time after a call that timed out, connections that were opened
 # before it are not used again.
 _NO_REUSE_PERIOD = datetime.timedelta(seconds=60)
+# libcurl ends calls that are this late, if this process does not do it.
+_MAX_LATENESS = datetime.timedelta(seconds=30)
+# Longest time without another byte of an answer that has begun to arrive.
+_MAX_TRANSFER_PAUSE = datetime.timedelta(seconds=1)
 _MAX_IDLE_HANDLES = 64
 # Four connections to each of 250 runners; an instance may have 4,100 file
 # descriptors.
@@ -45,6 +49,8 @@
         path: Path with query string, percent-encoded.
         timeout: Longest time for the whole call, including the wait for a
             connection.
+        transfer_time: Further time for an answer whose first byte arrived
+            within the timeout, while more bytes arrive at least once a second.
         body: Body of a POST or PUT, else None.
         headers: Further headers, each as ``Name: value``.
     """
@@ -55,6 +61,7 @@
     timeout: datetime.timedelta
     body: bytes | None = None
     headers: tuple[str, ...] = ()
+    transfer_time: datetime.timedelta = datetime.timedelta()
 
 
 @attrs.frozen
@@ -73,6 +80,7 @@
         self.answer = answer
         self.body_buffer = io.BytesIO()
         self.is_sent = False
+        self.timer: asyncio.TimerHandle | None = None
 
     def mark_sent(self, *_: object) -> int:
         """Records that the request is sent; libcurl calls this just before."""
@@ -125,9 +133,20 @@
         self._configure_handle(handle, transfer)
         self._transfers[handle] = transfer
         self._multi.add_handle(handle)
+        # This timer, unlike libcurl's own timeout, cannot end a call whose
+        # answer has arrived while this process was late: the event loop
+        # handles sockets before timers.
+        transfer.timer = self._loop.call_later(
+            call.timeout.total_seconds(),
+            self._end_if_stalled,
+            handle,
+            transfer,
+            0,
+        )
         try:
             return await transfer.answer
         except asyncio.CancelledError:
+            transfer.timer.cancel()
             if self._transfers.pop(handle, None) is not None:
                 self._multi.remove_handle(handle)
                 handle.close()
@@ -139,6 +158,8 @@
         for handle, transfer in list(self._transfers.items()):
             self._multi.remove_handle(handle)
             handle.close()
+            if transfer.timer is not None:
+                transfer.timer.cancel()
             if not transfer.answer.done():
                 transfer.answer.set_exception(
                     CallLostError("HTTP client was closed during the call")
@@ -159,11 +180,14 @@
     ) -> None:
         call = transfer.call
         handle.setopt(pycurl.URL, f"http://{call.address}{call.path}")
-        timeout_ms = max(1, call.timeout // _MILLISECOND)
-        handle.setopt(pycurl.TIMEOUT_MS, timeout_ms)
+        handle.setopt(
+            pycurl.TIMEOUT_MS,
+            (call.timeout + call.transfer_time + _MAX_LATENESS)
+            // _MILLISECOND,
+        )
         handle.setopt(
             pycurl.CONNECTTIMEOUT_MS,
-            min(timeout_ms, _CONNECT_TIMEOUT // _MILLISECOND),
+            max(1, min(call.timeout, _CONNECT_TIMEOUT) // _MILLISECOND),
         )
         if call.body is None:
             handle.setopt(pycurl.HTTPGET, 1)
@@ -179,6 +203,31 @@
         handle.setopt(pycurl.PREREQFUNCTION, transfer.mark_sent)
         self._limit_connection_age(handle, call.address)
 
+    def _end_if_stalled(
+        self, handle: pycurl.Curl, transfer: _Transfer, received: int
+    ) -> None:
+        """Ends a call unless its answer still arrives.
+
+        Args:
+            handle: The handle of the call.
+            transfer: The call.
+            received: Size of the answer's part that had arrived when the timer
+                was set, in bytes.
+        """
+        total = transfer.body_buffer.tell()
+        if transfer.call.transfer_time and total > received:
+            transfer.timer = self._loop.call_later(
+                _MAX_TRANSFER_PAUSE.total_seconds(),
+                self._end_if_stalled,
+                handle,
+                transfer,
+                total,
+            )
+            return
+        self._finish_transfer(
+            handle, (pycurl.E_OPERATION_TIMEDOUT, "no answer in time")
+        )
+
     def _limit_connection_age(self, handle: pycurl.Curl, address: str) -> None:
         # After a call has timed out, every older connection to the address may
         # be dead, and each use of one would cost one more timeout.
@@ -256,6 +305,8 @@
         if transfer is None:
             handle.close()
             return
+        if transfer.timer is not None:
+            transfer.timer.cancel()
         result: Answer | Exception
         if failure is None:
             status = handle.getinfo(pycurl.RESPONSE_CODE)
--- /dev/null
+++ b/tamarackhatch/transport/tests/test_client.py
@@ -0,0 +1,187 @@
+"""Tests the HTTP client against a raw TCP server in another thread."""
+
+import asyncio
+from collections.abc import Callable
+from collections.abc import Iterator
+import contextlib
+import datetime
+import socket
+import threading
+import time
+
+import pytest
+
+from tamarackhatch import clock
+from tamarackhatch import transport
+
+_MS = datetime.timedelta(milliseconds=1)
+_HEAD = b"HTTP/1.1 200 OK\r\nContent-Length: 40\r\n\r\n"
+_BODY = b"x" * 40
+
+# Answers one request that was read from a connection.
+Handler = Callable[[socket.socket], None]
+
+
+@contextlib.contextmanager
+def _serve(handle: Handler) -> Iterator[str]:
+    """Serves each connection in a thread, and yields the server's address."""
+    listener = socket.create_server(("127.0.0.1", 0))
+    is_stopped = threading.Event()
+    connections: list[socket.socket] = []
+
+    def serve_connection(connection: socket.socket) -> None:
+        with contextlib.suppress(OSError):
+            while connection.recv(65536):
+                handle(connection)
+
+    def accept() -> None:
+        while not is_stopped.is_set():
+            with contextlib.suppress(OSError):
+                connection, _ = listener.accept()
+                connections.append(connection)
+                threading.Thread(
+                    target=serve_connection, args=(connection,), daemon=True
+                ).start()
+
+    thread = threading.Thread(target=accept, daemon=True)
+    thread.start()
+    try:
+        yield f"127.0.0.1:{listener.getsockname()[1]}"
+    finally:
+        is_stopped.set()
+        listener.shutdown(socket.SHUT_RDWR)
+        listener.close()
+        for connection in connections:
+            connection.close()
+        thread.join(5)
+
+
+def _answer_at_once(connection: socket.socket) -> None:
+    connection.sendall(_HEAD + _BODY)
+
+
+def _answer_slowly(connection: socket.socket) -> None:
+    connection.sendall(_HEAD)
+    for index in range(8):
+        time.sleep(0.1)
+        connection.sendall(_BODY[index * 5 : index * 5 + 5])
+
+
+def _stall(connection: socket.socket) -> None:
+    connection.sendall(_HEAD + _BODY[:5])
+
+
+def _stay_silent(connection: socket.socket) -> None:
+    return None
+
+
+def _close(connection: socket.socket) -> None:
+    connection.shutdown(socket.SHUT_RDWR)
+
+
+def _send_garbage(connection: socket.socket) -> None:
+    connection.sendall(b"\x00\xff garbage\r\n\r\n")
+    connection.shutdown(socket.SHUT_RDWR)
+
+
+def _cut_answer(connection: socket.socket) -> None:
+    connection.sendall(_HEAD + _BODY[:5])
+    connection.shutdown(socket.SHUT_RDWR)
+
+
+async def _send(
+    address: str, transfer_time: datetime.timedelta = 0 * _MS
+) -> transport.Answer:
+    client = transport.HttpClient(clock.SystemClock(), 4)
+    try:
+        return await client.send(
+            transport.Call(
+                "GET", address, "/", 300 * _MS, transfer_time=transfer_time
+            )
+        )
+    finally:
+        client.close()
+
+
+def test_answer_that_arrived_while_the_process_was_late_is_used() -> None:
+    """Guards against taking a server for silent because this process slept.
+
+    The answer is in the socket before the timeout, and the event loop runs
+    again only after it.
+    """
+
+    async def call_and_block(address: str) -> transport.Answer:
+        sending = asyncio.create_task(_send(address))
+        await asyncio.sleep(0.02)
+        time.sleep(0.8)
+        return await sending
+
+    def answer_late(connection: socket.socket) -> None:
+        time.sleep(0.15)
+        _answer_at_once(connection)
+
+    with _serve(answer_late) as address:
+        answer = asyncio.run(call_and_block(address))
+    assert answer == transport.Answer(200, _BODY)
+
+
+def test_slow_answer_is_read_while_bytes_arrive() -> None:
+    """Guards against giving up large answers on slow links each time."""
+    with _serve(_answer_slowly) as address:
+        answer = asyncio.run(_send(address, 3000 * _MS))
+    assert answer == transport.Answer(200, _BODY)
+
+
+@pytest.mark.parametrize(
+    ("handle", "transfer_time", "max_seconds"),
+    [
+        (_answer_slowly, 0 * _MS, 0.6),
+        (_stay_silent, 0 * _MS, 0.6),
+        (_stay_silent, 3000 * _MS, 0.6),
+        (_stall, 3000 * _MS, 1.9),
+        (_close, 0 * _MS, 0.2),
+        (_send_garbage, 0 * _MS, 0.2),
+        (_cut_answer, 3000 * _MS, 0.2),
+    ],
+)
+def test_call_without_a_complete_answer_is_lost_in_time(
+    handle: Handler, transfer_time: datetime.timedelta, max_seconds: float
+) -> None:
+    """Guards against waiting long for an answer, and against part of one."""
+    with _serve(handle) as address:
+        began = time.monotonic()
+        with pytest.raises(transport.CallLostError):
+            asyncio.run(_send(address, transfer_time))
+        assert time.monotonic() - began < max_seconds
+
+
+def test_refused_connection_means_that_nothing_was_sent() -> None:
+    """Guards against taking a call for carried out that was never sent."""
+    with socket.create_server(("127.0.0.1", 0)) as listener:
+        port = listener.getsockname()[1]
+    with pytest.raises(transport.CallNotSentError):
+        asyncio.run(_send(f"127.0.0.1:{port}"))
+
+
+def test_client_is_usable_after_a_call_that_was_lost() -> None:
+    """Guards against a handle or connection that a lost call leaves behind."""
+    is_silent = True
+
+    def handle(connection: socket.socket) -> None:
+        if not is_silent:
+            _answer_at_once(connection)
+
+    async def send_both(address: str) -> list[transport.Answer]:
+        nonlocal is_silent
+        client = transport.HttpClient(clock.SystemClock(), 1)
+        call = transport.Call("GET", address, "/", 200 * _MS)
+        with pytest.raises(transport.CallLostError):
+            await client.send(call)
+        is_silent = False
+        answers = [await client.send(call) for _ in range(3)]
+        client.close()
+        return answers
+
+    with _serve(handle) as address:
+        answers = asyncio.run(send_both(address))
+    assert answers == [transport.Answer(200, _BODY)] * 3
