Skip malformed entries one by one, and keep runs of jobs not read yet

Cause: a malformed row in a runner's report failed the whole report and restarted its reconciler; a malformed 409 ended a command, and its task stayed in its phase for good; durations beyond the range of timedelta raised errors that nothing caught; a background task that failed stopped the process. Change: entries are decoded one by one; a malformed rejection is an unknown outcome, and a start is no longer repeated once its lease has passed on the runner's clock; stored rows are checked for their types; unknown fields of a heartbeat are ignored; a malformed fence row is replaced by the next term; unreadable tracked runners cost the longest takeover wait; a job with unreadable progress is not started; at most 100 occurrences of a job are open; a request that fails unexpectedly is answered 500; background tasks are supervised. Exits and runs of unread jobs are kept until the job is read, or until the feed of jobs has answered a later request.

--- a/standins/network.py
+++ b/standins/network.py
@@ -48,6 +48,8 @@
         unreachable_from: Names of clients that cannot reach it; "*" stands
             for all.
         lost_writes: Names of clients whose transactions never reach it.
+        lost_feeds: Names of clients whose requests for changes of a table
+            never reach it, with the table.
         lost_answer_share: Share of the calls, 0 to 1, that are executed but
             get no answer.
         late_call_share: Share of the calls, 0 to 1, that get no answer and are
@@ -58,6 +60,7 @@
 
     unreachable_from: set[str] = attrs.field(factory=set)
     lost_writes: set[str] = attrs.field(factory=set)
+    lost_feeds: set[tuple[str, str]] = attrs.field(factory=set)
     lost_answer_share: float = 0.0
     late_call_share: float = 0.0
     late_delay_range_s: tuple[float, float] = (2.0, 12.0)
@@ -109,6 +112,13 @@
                     await asyncio.sleep(timeout)
                 if name in faults.lost_writes and "rows-tx" in call.path:
                     await asyncio.sleep(timeout)
+                if any(
+                    client == name
+                    and "rows-feed" in call.path
+                    and f"table={table}&" in call.path
+                    for client, table in faults.lost_feeds
+                ):
+                    await asyncio.sleep(timeout)
                 handler = self._handlers.get(call.address)
                 if handler is None:
                     raise transport.CallNotSentError("connection refused")
--- a/tamarackhatch/election/_election.py
+++ b/tamarackhatch/election/_election.py
@@ -227,28 +227,25 @@
                 records.FENCE.table, records.FENCE.partition, _READ_TIMEOUT
             )
             row = records.find_row(page.rows, records.FENCE)
-            holder = (
-                None
-                if row is None
-                else records.decode_leader_heartbeat(row.value)
-            )
-            if row is not None and holder is not None:
-                if holder.incarnation == self._candidate.incarnation:
-                    return _leader_lease.Term(
-                        holder.term, row.version, started_at, holder.pending
-                    )
-                if (
-                    self._heartbeat is None
-                    or holder.term != self._heartbeat.term
-                ):
-                    # Another candidate has won since the heartbeat was read.
-                    return None
-            term = 1 if holder is None else holder.term + 1
+            if row is None:
+                return await self._claim_term(0, 1, started_at)
+            try:
+                holder = records.decode_leader_heartbeat(row.value)
+            except records.MalformedRowError as error:
+                self._log.error("fence_row_malformed", reason=error.message)
+                return await self._claim_after_heartbeat(
+                    row.version, started_at
+                )
+            if holder.incarnation == self._candidate.incarnation:
+                return _leader_lease.Term(
+                    holder.term, row.version, started_at, holder.pending
+                )
+            if self._heartbeat is None or holder.term != self._heartbeat.term:
+                # Another candidate has won since the heartbeat was read.
+                return None
             return await self._claim_term(
-                0 if row is None else row.version, term, started_at
+                row.version, holder.term + 1, started_at
             )
-        except records.MalformedRowError as error:
-            self._log.error("fence_row_malformed", reason=error.message)
         except (
             model.StoreUnavailableError,
             model.StoreOutcomeUnknownError,
@@ -257,6 +254,21 @@
         await self._clock.sleep(_RETRY_DELAY)
         return None
 
+    async def _claim_after_heartbeat(
+        self, version: int, started_at: datetime.timedelta
+    ) -> _leader_lease.Term | None:
+        """Claims the term after that of the heartbeat, if one is known.
+
+        The heartbeat names the latest term, because one transaction writes
+        the fence row and the heartbeat when a term is claimed.
+        """
+        if self._heartbeat is None:
+            await self._clock.sleep(_RETRY_DELAY)
+            return None
+        return await self._claim_term(
+            version, self._heartbeat.term + 1, started_at
+        )
+
     async def _claim_term(
         self, version: int, number: int, started_at: datetime.timedelta
     ) -> _leader_lease.Term | None:
--- a/tamarackhatch/model/_runners.py
+++ b/tamarackhatch/model/_runners.py
@@ -47,7 +47,7 @@
     """Why a run of a task exited.
 
     The values are those that runners send. EXPIRED means that the lease
-    expired before the run was done.
+    expired before the run was done. UNKNOWN stands for every other value.
     """
 
     DONE = "done"
@@ -56,6 +56,7 @@
     EXPIRED = "lapsed"
     BROKEN = "broken"
     ALONE = "alone"
+    UNKNOWN = "unknown"
 
 
 @attrs.frozen
@@ -108,9 +109,14 @@
         clock_reading: Time on the runner's monotonic clock.
         running: All runs in progress.
         exits: Exits that are not acknowledged yet, oldest first.
+        unreadable_running: For each entry of a run in progress that could not
+            be read, the reason. A run that is not listed may be one of these.
+        unreadable_exits: The same for entries of exits.
     """
 
     incarnation: int
     clock_reading: datetime.timedelta
     running: tuple[RunningTask, ...]
     exits: tuple[RunExit, ...]
+    unreadable_running: tuple[str, ...] = ()
+    unreadable_exits: tuple[str, ...] = ()
--- a/tamarackhatch/observability/_metrics.py
+++ b/tamarackhatch/observability/_metrics.py
@@ -59,6 +59,12 @@
             buckets=_LATENCY_BUCKETS_S,
             registry=self._registry,
         )
+        self.unreadable_entries = prometheus_client.Counter(
+            "tamarackhatch_unreadable_entries",
+            "Malformed entries of other systems that were skipped, by source.",
+            ["source"],
+            registry=self._registry,
+        )
         self.waiting = prometheus_client.Gauge(
             "tamarackhatch_waiting_tasks",
             "Tasks that wait for a runner.",
--- a/tamarackhatch/platform/_advice.py
+++ b/tamarackhatch/platform/_advice.py
@@ -30,10 +30,12 @@
     Attributes:
         tickets: Ticket of each runner that may run the step.
         validity: How long the tickets are valid.
+        unreadable: Number of entries that are malformed or repeated.
     """
 
     tickets: dict[str, str]
     validity: datetime.timedelta
+    unreadable: int = 0
 
 
 class AdviceClient:
@@ -78,15 +80,25 @@
             document = _decoding.decode_object(answer.body)
             # Rows of "allowed" are [runner, ticket].
             rows = _decoding.get_list(document, "allowed")
+            tickets = {
+                row[0]: row[1] for row in rows if _is_pair_of_texts(row)
+            }
             return Advice(
-                {str(row[0]): str(row[1]) for row in rows},
+                tickets,
                 _decoding.get_duration(document, "validity_ms"),
+                len(rows) - len(tickets),
             )
         except (
             transport.CallNotSentError,
             transport.CallLostError,
             _decoding.MalformedBodyError,
-            IndexError,
-            TypeError,
         ) as error:
             raise AdviceUnavailableError(str(error)) from error
+
+
+def _is_pair_of_texts(row: object) -> bool:
+    return (
+        isinstance(row, list)
+        and len(row) == 2
+        and all(isinstance(part, str) for part in row)
+    )
--- a/tamarackhatch/platform/_decoding.py
+++ b/tamarackhatch/platform/_decoding.py
@@ -76,12 +76,15 @@
     """Returns a duration field given in milliseconds; 0 if it is missing.
 
     Raises:
-        MalformedBodyError: The field is not a number.
+        MalformedBodyError: The field is not a number, or too large.
     """
     value = document.get(name, 0)
     if isinstance(value, bool) or not isinstance(value, (int, float)):
         raise MalformedBodyError(f"{name} is not a number")
-    return value * _MILLISECOND
+    try:
+        return value * _MILLISECOND
+    except OverflowError as error:
+        raise MalformedBodyError(f"{name} is too large") from error
 
 
 def get_list(document: dict[str, typing.Any], name: str) -> list[typing.Any]:
--- a/tamarackhatch/platform/_ingress.py
+++ b/tamarackhatch/platform/_ingress.py
@@ -10,6 +10,7 @@
 from tornado import httputil
 
 from tamarackhatch import model
+from tamarackhatch import observability
 from tamarackhatch.platform import _job_body
 
 _DEFAULT_TIMEOUT = datetime.timedelta(seconds=3)
@@ -39,8 +40,10 @@
         self,
         service: model.JobService,
         get_utc: Callable[[], datetime.datetime],
+        log: observability.Log,
     ) -> None:
         self._service = service
+        self._log = log
         self._get_utc = get_utc
         self._in_flight: set[asyncio.Task[None]] = set()
         self._is_keep_alive_disabled = False
@@ -65,7 +68,18 @@
     async def _serve_request(
         self, request: httputil.HTTPServerRequest
     ) -> None:
-        reply = await self._route_request(request)
+        try:
+            reply = await self._route_request(request)
+        except Exception as error:
+            # A request that this program cannot handle must not leave its
+            # caller without an answer.
+            self._log.error(
+                "request_failed",
+                method=request.method,
+                path=request.path,
+                reason=repr(error),
+            )
+            reply = _make_reply(500, {"error": "internal error"})
         headers = httputil.HTTPHeaders(
             {
                 "Content-Type": "application/json",
--- a/tamarackhatch/platform/_job_body.py
+++ b/tamarackhatch/platform/_job_body.py
@@ -62,11 +62,18 @@
     count = _decoding.get_integer(document, "repeat_count")
     if count <= 0:
         return None
-    return model.Schedule(
-        _UNIX_EPOCH + _decoding.get_duration(document, "first_run_ms"),
-        _decoding.get_duration(document, "interval_ms"),
-        count,
-    )
+    interval = _decoding.get_duration(document, "interval_ms")
+    if interval < datetime.timedelta():
+        raise MalformedJobError("interval_ms is negative")
+    try:
+        first = _UNIX_EPOCH + _decoding.get_duration(document, "first_run_ms")
+        schedule = model.Schedule(first, interval, count)
+        schedule.get_due(count - 1)
+    except OverflowError as error:
+        raise MalformedJobError(
+            "an occurrence is due after the year 9999"
+        ) from error
+    return schedule
 
 
 def _decode_step(document: dict[str, typing.Any], index: int) -> model.Step:
--- a/tamarackhatch/platform/_registry.py
+++ b/tamarackhatch/platform/_registry.py
@@ -1,11 +1,13 @@
 """Decodes the registry entries that runners write to the platform's store."""
 
+import re
 import typing
 
 from tamarackhatch import model
 from tamarackhatch.platform import _decoding
 
 RUNNERS_TABLE: typing.Final = "servers"
+_ADDRESS_PATTERN = re.compile(r"[A-Za-z0-9._-]+:\d{1,5}", re.ASCII)
 _STATE_READY = "ready"
 _STATE_DRAINING = "draining"
 
@@ -23,8 +25,7 @@
     address = _decoding.get_text(document, "address")
     if state not in (_STATE_READY, _STATE_DRAINING):
         raise _decoding.MalformedBodyError(f"unknown runner state {state!r}")
-    host, separator, port = address.rpartition(":")
-    if not (service and host and separator and port.isdigit()):
+    if not service or not _ADDRESS_PATTERN.fullmatch(address):
         raise _decoding.MalformedBodyError(
             "service is missing, or address is not host:port"
         )
--- a/tamarackhatch/platform/_runner_client.py
+++ b/tamarackhatch/platform/_runner_client.py
@@ -1,7 +1,10 @@
 """Sends commands to runners over the platform's protocol."""
 
+from collections.abc import Callable
 import datetime
 import enum
+import functools
+import re
 import typing
 
 import attrs
@@ -23,6 +26,11 @@
 _RENEWAL_ANSWER_ALLOWANCE = datetime.timedelta(milliseconds=800)
 _COMMAND_TIMEOUT = datetime.timedelta(milliseconds=800)
 _MILLISECOND = datetime.timedelta(milliseconds=1)
+_TASK_NAME_PATTERN = re.compile(
+    r"([^.\s]{1,64})\.(\d{1,9})\.(\d{1,9})\.(\d{1,9})", re.ASCII
+)
+# Each running task is listed in about one report a second.
+_MAX_CACHED_TASK_KEYS = 65_536
 
 
 class RunnerUnavailableError(errors.CodedError):
@@ -67,6 +75,10 @@
     INVALID = "invalid"
 
 
+_Row = typing.TypeVar("_Row")
+_EXIT_REASON_BY_NAME: typing.Final = {
+    reason.value: reason for reason in model.ExitReason
+}
 _OUTCOME_BY_REASON: typing.Final = {
     "fence": CommandOutcome.FENCED,
     "old": CommandOutcome.OUTDATED,
@@ -169,7 +181,6 @@
         Raises:
             RunnerUnavailableError: The run did not start and will not.
             RunnerOutcomeUnknownError: The run may start until the lease ends.
-            MalformedBodyError: The answer does not have the published form.
         """
         body = _encode_command(command)
         body["spec"] = specification
@@ -188,7 +199,6 @@
         Raises:
             RunnerUnavailableError: The runner did not do it and will not.
             RunnerOutcomeUnknownError: The runner may do it, now or later.
-            MalformedBodyError: The answer does not have the published form.
         """
         return await self._send_command(
             runner, "/-/run-stop", _encode_command(command)
@@ -207,7 +217,6 @@
         Raises:
             RunnerUnavailableError: The runner did not do it and will not.
             RunnerOutcomeUnknownError: The runner may do it, now or later.
-            MalformedBodyError: The answer does not have the published form.
         """
         # The path "/-/pace" sets speed limits.
         body = _encode_command(command)
@@ -221,7 +230,12 @@
         if answer.status == _OK:
             return CommandOutcome.ACCEPTED
         if answer.status == _CONFLICT:
-            return _decode_rejection(answer.body)
+            try:
+                return _decode_rejection(answer.body)
+            except _decoding.MalformedBodyError as error:
+                # Without its reason, the rejection may mean that an earlier
+                # attempt was carried out.
+                raise RunnerOutcomeUnknownError(error.message) from error
         if answer.status == _MISDIRECTED_REQUEST:
             return CommandOutcome.RESTARTED
         if answer.status in _REJECTED_STATUSES:
@@ -262,20 +276,20 @@
         super().__init__(errors.ErrorCode.SCHEDULER_FENCED, message)
 
 
+@functools.lru_cache(maxsize=_MAX_CACHED_TASK_KEYS)
 def parse_task_key(text: str) -> model.TaskKey:
     """Returns the task that a wire name identifies.
 
     Raises:
         MalformedBodyError: The name is not ``JOB.OCCURRENCE.STEP.INDEX``.
     """
-    parts = text.split(".")
-    try:
-        job, occurrence, step, index = parts
-        return model.TaskKey(job, int(occurrence), int(step), int(index))
-    except ValueError as error:
+    match = _TASK_NAME_PATTERN.fullmatch(text)
+    if match is None:
         raise _decoding.MalformedBodyError(
-            f"task name {text!r} is not JOB.OCCURRENCE.STEP.INDEX"
-        ) from error
+            f"task name {text[:80]!r} is not JOB.OCCURRENCE.STEP.INDEX"
+        )
+    job, occurrence, step, index = match.groups()
+    return model.TaskKey(job, int(occurrence), int(step), int(index))
 
 
 def _encode_command(command: RunCommand) -> dict[str, typing.Any]:
@@ -296,23 +310,39 @@
     document = _decoding.decode_object(body)
     # "born" is the start of the runner's process in Unix ms, "clock_ms" the
     # reading of its steady clock, and "ended" the list of exits.
-    try:
-        return model.RunnerReport(
-            _decoding.get_integer(document, "born"),
-            _decoding.get_integer(document, "clock_ms") * _MILLISECOND,
-            tuple(
-                _decode_running(row)
-                for row in _decoding.get_list(document, "running")
-            ),
-            tuple(
-                _decode_exit(row)
-                for row in _decoding.get_list(document, "ended")
-            ),
-        )
-    except (IndexError, TypeError, ValueError) as error:
-        raise _decoding.MalformedBodyError(
-            f"malformed report of a runner: {error}"
-        ) from error
+    running, unreadable_running = _decode_rows(
+        _decode_running, _decoding.get_list(document, "running")
+    )
+    exits, unreadable_exits = _decode_rows(
+        _decode_exit, _decoding.get_list(document, "ended")
+    )
+    return model.RunnerReport(
+        _decoding.get_integer(document, "born"),
+        _decoding.get_duration(document, "clock_ms"),
+        running,
+        exits,
+        unreadable_running,
+        unreadable_exits,
+    )
+
+
+def _decode_rows(
+    decode: Callable[[typing.Any], _Row], rows: list[typing.Any]
+) -> tuple[tuple[_Row, ...], tuple[str, ...]]:
+    """Returns the decoded rows, and why each of the others is unreadable."""
+    decoded: list[_Row] = []
+    findings: list[str] = []
+    for position, row in enumerate(rows):
+        try:
+            decoded.append(decode(row))
+        except (
+            _decoding.MalformedBodyError,
+            LookupError,
+            TypeError,
+            ValueError,
+        ) as error:
+            findings.append(f"entry {position}: {error!r}")
+    return tuple(decoded), tuple(findings)
 
 
 def _decode_running(row: list[typing.Any]) -> model.RunningTask:
@@ -322,20 +352,35 @@
     sample = row[4] if len(row) > 4 else 0
     return model.RunningTask(
         parse_task_key(row[0]),
-        int(row[1]),
-        row[2] or "",
-        int(row[3]),
-        int(sample or 0),
+        _check_integer(row[1]),
+        _check_text(row[2] or ""),
+        _check_integer(row[3]),
+        _check_integer(sample or 0),
     )
 
 
 def _decode_exit(row: list[typing.Any]) -> model.RunExit:
     # Rows are [number, task, run, how, saved]: "how" is the exit reason and
     # "saved" the last checkpoint.
+    reason = _EXIT_REASON_BY_NAME.get(row[3], model.ExitReason.UNKNOWN)
     return model.RunExit(
-        int(row[0]),
+        _check_integer(row[0]),
         parse_task_key(row[1]),
-        int(row[2]),
-        model.ExitReason(row[3]),
-        row[4] or "",
+        _check_integer(row[2]),
+        reason,
+        _check_text(row[4] or ""),
     )
+
+
+def _check_integer(value: object) -> int:
+    if type(value) is int:
+        return value
+    if isinstance(value, float) and value.is_integer():
+        return int(value)
+    raise _decoding.MalformedBodyError(f"{value!r} is not a whole number")
+
+
+def _check_text(value: object) -> str:
+    if isinstance(value, str):
+        return value
+    raise _decoding.MalformedBodyError(f"{value!r} is not text")
--- a/tamarackhatch/platform/tests/test_ingress.py
+++ b/tamarackhatch/platform/tests/test_ingress.py
@@ -2,13 +2,16 @@
 
 import asyncio
 import datetime
+import os
 import typing
 
 import orjson
 import pytest
 from tornado import httputil
 
+from tamarackhatch import clock
 from tamarackhatch import model
+from tamarackhatch import observability
 from tamarackhatch import platform
 
 _NOW = datetime.datetime(2026, 1, 1, tzinfo=datetime.timezone.utc)
@@ -85,7 +88,13 @@
 
     async def serve() -> None:
         service = typing.cast(typing.Any, _FixedService(outcome, lookup))
-        ingress = platform.Ingress(service, lambda: _NOW)
+        sink = observability.LineSink(
+            os.open(os.devnull, os.O_WRONLY), clock.SystemClock(), 1
+        )
+        log = observability.Log(
+            sink, clock.SystemClock(), observability.LevelFilter()
+        )
+        ingress = platform.Ingress(service, lambda: _NOW, log)
         ingress.handle_request(request)
         while ingress.in_flight:
             await asyncio.sleep(0)
--- a/tamarackhatch/records/_interference.py
+++ b/tamarackhatch/records/_interference.py
@@ -4,6 +4,7 @@
 
 from tamarackhatch import placement
 from tamarackhatch.records import _progress
+from tamarackhatch.records import _types
 
 # The factors are rough estimates; more digits would only add traffic.
 _FACTOR_DIGITS = 3
@@ -39,7 +40,7 @@
     """
     try:
         document = orjson.loads(value)
-        return placement.InterferenceTable(
+        table = placement.InterferenceTable(
             tuple(
                 placement.InterferenceFactor(*item)
                 for item in document["factors"]
@@ -47,6 +48,8 @@
             dict(document["lowest_tails"]),
             dict(document["peaks"]),
         )
+        _types.check_types(table)
+        return table
     except (ValueError, KeyError, TypeError, AttributeError) as error:
         raise _progress.MalformedRowError(
             f"malformed interference factors in row factors: {error!r}"
--- a/tamarackhatch/records/_jobs.py
+++ b/tamarackhatch/records/_jobs.py
@@ -8,6 +8,7 @@
 
 from tamarackhatch import model
 from tamarackhatch.records import _progress
+from tamarackhatch.records import _types
 
 _EPOCH = datetime.datetime(1970, 1, 1, tzinfo=datetime.timezone.utc)
 _MILLISECOND = datetime.timedelta(milliseconds=1)
@@ -51,21 +52,46 @@
     try:
         document = orjson.loads(value)
         schedule = document.get("schedule")
-        return model.Job(
+        job = model.Job(
             identifier,
             _decode_queue(document["queue"]),
             document["specification"],
             tuple(_decode_step(step) for step in document["steps"]),
             _EPOCH + document["accepted_ms"] * _MILLISECOND,
             None if schedule is None else _decode_schedule(schedule),
-            int(document.get("term", 0)),
+            document.get("term", 0),
         )
-    except (ValueError, KeyError, TypeError, AttributeError) as error:
+        _types.check_types(job)
+        _check_steps(job.steps)
+        return job
+    except (
+        ArithmeticError,
+        AttributeError,
+        KeyError,
+        TypeError,
+        ValueError,
+    ) as error:
         raise _progress.MalformedRowError(
             f"malformed job row {identifier}: {error!r}"
         ) from error
 
 
+def _check_steps(steps: tuple[model.Step, ...]) -> None:
+    """Checks what a scheduler relies on.
+
+    Raises:
+        ValueError: A job has no steps, a step has no tasks, or it depends on
+            itself or a later step.
+    """
+    if not steps:
+        raise ValueError("a job without steps")
+    for index, step in enumerate(steps):
+        if step.count < 1 or any(
+            not 0 <= before < index for before in step.after
+        ):
+            raise ValueError(f"step {index} is invalid")
+
+
 def _encode_queue(queue: model.Queue) -> list[typing.Any]:
     """Returns the settings that the job needs even if its queue is removed."""
     return [
--- a/tamarackhatch/records/_leadership.py
+++ b/tamarackhatch/records/_leadership.py
@@ -5,6 +5,7 @@
 
 from tamarackhatch import model
 from tamarackhatch.records import _progress
+from tamarackhatch.records import _types
 
 
 @attrs.frozen
@@ -32,6 +33,11 @@
     pending: dict[str, int] = attrs.field(factory=dict)
 
 
+_HEARTBEAT_FIELDS = tuple(
+    field.name for field in attrs.fields(LeaderHeartbeat)
+)
+
+
 @attrs.frozen
 class TrackedRunner:
     """A runner that may hold runs of earlier terms.
@@ -63,7 +69,18 @@
         MalformedRowError: The value is malformed.
     """
     try:
-        return LeaderHeartbeat(**orjson.loads(value))
+        document = orjson.loads(value)
+        # A newer build may add fields. It must be possible to take over from
+        # it.
+        heartbeat = LeaderHeartbeat(
+            **{
+                name: document[name]
+                for name in _HEARTBEAT_FIELDS
+                if name in document
+            }
+        )
+        _types.check_types(heartbeat)
+        return heartbeat
     except (ValueError, TypeError) as error:
         raise _progress.MalformedRowError(
             f"malformed leader heartbeat in row beat or fence: {error!r}"
@@ -84,7 +101,10 @@
         MalformedRowError: The value is malformed.
     """
     try:
-        return tuple(TrackedRunner(*entry) for entry in orjson.loads(value))
+        runners = tuple(TrackedRunner(*entry) for entry in orjson.loads(value))
+        for runner in runners:
+            _types.check_types(runner)
+        return runners
     except (ValueError, TypeError) as error:
         raise _progress.MalformedRowError(
             f"malformed tracked runners in row roster: {error!r}"
--- a/tamarackhatch/records/_progress.py
+++ b/tamarackhatch/records/_progress.py
@@ -7,6 +7,7 @@
 
 from tamarackhatch import errors
 from tamarackhatch import model
+from tamarackhatch.records import _types
 
 
 class MalformedRowError(errors.CodedError):
@@ -90,7 +91,7 @@
     """
     try:
         document = orjson.loads(value)
-        return JobProgress(
+        progress = JobProgress(
             model.JobState(document["s"]),
             document.get("f", 0),
             {
@@ -98,6 +99,8 @@
                 for number, occurrence in document.get("o", {}).items()
             },
         )
+        _types.check_types(progress)
+        return progress
     except (ValueError, KeyError, TypeError, AttributeError) as error:
         raise MalformedRowError(
             f"malformed job progress in a progress row: {error!r}"
--- a/tamarackhatch/records/_watcher.py
+++ b/tamarackhatch/records/_watcher.py
@@ -26,6 +26,7 @@
         log: observability.Log,
         interval: datetime.timedelta = datetime.timedelta(),
         on_reload: Callable[[set[str]], None] = lambda keys: None,
+        on_synced: Callable[[datetime.timedelta], None] = lambda time: None,
     ) -> None:
         """Creates a watcher.
 
@@ -41,6 +42,8 @@
                 changes in between arrive with the next request.
             on_reload: Called with all keys each time that the whole table
                 was read.
+            on_synced: Called with a monotonic time after all changes that the
+                store made before that time were passed on.
         """
         self._store = store
         self._clock = time_source
@@ -50,6 +53,7 @@
         self._log = log
         self._interval = interval
         self._on_reload = on_reload
+        self._on_synced = on_synced
         self._version = 0
         self._is_feed_lost = False
         self._last_answer = time_source.get_monotonic()
@@ -62,6 +66,7 @@
     async def load(self) -> None:
         """Reads the whole table; retries until it succeeds."""
         while True:
+            started_at = self._clock.get_monotonic()
             try:
                 pages = await asyncio.gather(
                     *(
@@ -81,6 +86,7 @@
         for row in rows:
             self._on_row(row)
         self._on_reload({row.ref.key for row in rows})
+        self._on_synced(started_at)
 
     async def follow(self) -> None:
         """Passes on changes of the table until cancelled.
@@ -105,6 +111,7 @@
                 self._is_feed_lost = False
                 self._log.info("feed_restored", table=self._table)
             self._apply_page(page)
+            self._on_synced(started_at)
             elapsed = self._clock.get_monotonic() - started_at
             if elapsed < self._interval:
                 await self._clock.sleep(self._interval - elapsed)
--- a/tamarackhatch/scheduler/_commands.py
+++ b/tamarackhatch/scheduler/_commands.py
@@ -138,6 +138,11 @@
                 return
             if outcome is None:
                 is_uncertain = True
+                if entry.has_clock_passed(lease_end, context.get_now()):
+                    # No attempt can start the run any more. Reports to later
+                    # renewals list the run only if one has started it.
+                    task.confirmed = context.get_now()
+                    return
                 await context.clock.sleep(_RETRY_PAUSE)
                 continue
             if is_uncertain:
--- a/tamarackhatch/scheduler/_fleet.py
+++ b/tamarackhatch/scheduler/_fleet.py
@@ -1,6 +1,5 @@
 """The scheduler's in-memory state of runners."""
 
-import collections
 import datetime
 
 import attrs
@@ -39,8 +38,12 @@
             the first answer.
         processed_exit: Number of the last exit that was processed.
         acknowledged_exit: Number of the last exit that is durable.
-        pending_acks: Exits that are not durable yet, as pairs of the exit's
-            number and the writer's generation that makes it durable.
+        pending_acks: For the number of each exit that is not durable yet, in
+            their order, the writer's generation that makes it durable; None
+            for an unread exit.
+        unread_exits: Exits of jobs that may be stored and not be read yet, by
+            number, with the time at which the runner first listed them.
+        unread_running: The same for runs in progress, by task.
         missed_renewals: Renewals in a row without an answer.
         failure_score: Score of failed runs on the runner: each failure adds 1,
             each successful run halves the score.
@@ -59,9 +62,13 @@
     clock_read: datetime.timedelta | None = None
     processed_exit: int = 0
     acknowledged_exit: int = 0
-    pending_acks: collections.deque[tuple[int, int]] = attrs.field(
-        factory=collections.deque
+    pending_acks: dict[int, int | None] = attrs.field(factory=dict)
+    unread_exits: dict[int, tuple[model.RunExit, datetime.timedelta]] = (
+        attrs.field(factory=dict)
     )
+    unread_running: dict[
+        model.TaskKey, tuple[model.RunningTask, datetime.timedelta]
+    ] = attrs.field(factory=dict)
     missed_renewals: int = 0
     failure_score: float = 0.0
     avoid_until: datetime.timedelta = datetime.timedelta()
@@ -101,6 +108,18 @@
         """Whether no task can run here and all exits are durable."""
         return not self.tasks and not self.pending_acks
 
+    def acknowledge_durable_exits(self, generation: int) -> None:
+        """Advances acknowledged_exit over all exits that are durable.
+
+        Args:
+            generation: The writer's generation up to which all is durable.
+        """
+        for number, required in list(self.pending_acks.items()):
+            if required is None or required > generation:
+                return
+            self.acknowledged_exit = number
+            del self.pending_acks[number]
+
     def compute_lease_end(
         self, now: datetime.timedelta, lease: datetime.timedelta
     ) -> datetime.timedelta | None:
@@ -129,10 +148,16 @@
         Allows for clock drift, so that an unexpired lease never counts as
         expired.
         """
+        return self.has_clock_passed(self.lease_end, now)
+
+    def has_clock_passed(
+        self, reading: datetime.timedelta, now: datetime.timedelta
+    ) -> bool:
+        """Returns whether the runner's clock is certainly past a reading."""
         if self.clock_read is None:
             return False
         elapsed = (now - self.clock_read) * (1 - _MAX_CLOCK_DRIFT_SHARE)
-        return self.clock + elapsed > self.lease_end + _EXPIRY_MARGIN
+        return self.clock + elapsed > reading + _EXPIRY_MARGIN
 
     def is_schedulable(self, now: datetime.timedelta) -> bool:
         """Returns whether new tasks may be placed on the runner."""
--- a/tamarackhatch/scheduler/_job_tracker.py
+++ b/tamarackhatch/scheduler/_job_tracker.py
@@ -15,6 +15,10 @@
 # does not know all runs that its predecessors started.
 _RUNS_PER_TERM = 1000
 
+# Further occurrences of a job wait until some are finished. A job whose
+# occurrences are due faster than they run must not fill the memory.
+_MAX_OPEN_OCCURRENCES = 100
+
 StepName = tuple[str, int, int]
 StopCommand = Callable[[_state.TaskEntry], None]
 WriteRequest = Callable[[_state.JobEntry], int]
@@ -41,6 +45,7 @@
         self._jobs: dict[str, _state.JobEntry] = {}
         self._waiting: dict[StepName, dict[int, _state.TaskEntry]] = {}
         self._scheduled: set[str] = set()
+        self._synced_until: datetime.timedelta | None = None
         self._request_write: WriteRequest = lambda job: 0
         self._stop_task: StopCommand = lambda task: None
         self._wake: Callable[[], None] = lambda: None
@@ -86,6 +91,21 @@
         """Returns whether a job is known."""
         return identifier in self._jobs
 
+    def mark_synced(self, time: datetime.timedelta) -> None:
+        """Records that all jobs stored before a monotonic time were read."""
+        self._synced_until = time
+
+    def may_be_unread(self, identifier: str, time: datetime.timedelta) -> bool:
+        """Returns whether an unknown job may have existed at a time.
+
+        Args:
+            identifier: Identifier of the job.
+            time: Monotonic time.
+        """
+        return identifier not in self._jobs and (
+            self._synced_until is None or self._synced_until <= time
+        )
+
     def remove_job(self, identifier: str) -> None:
         """Removes a finished job whose rows were removed."""
         entry = self._jobs.get(identifier)
@@ -160,6 +180,7 @@
             while (
                 not entry.state.is_final
                 and entry.next_occurrence < schedule.count
+                and len(entry.occurrences) < _MAX_OPEN_OCCURRENCES
                 and schedule.get_due(entry.next_occurrence) <= now
             ):
                 self._open_occurrence(entry, entry.next_occurrence, None)
--- a/tamarackhatch/scheduler/_runner_manager.py
+++ b/tamarackhatch/scheduler/_runner_manager.py
@@ -13,6 +13,8 @@
 from tamarackhatch.scheduler import _runner_reconciler
 
 _CHECK_INTERVAL = datetime.timedelta(milliseconds=25)
+# Stands for runners whose identifiers are not known; never reconciled.
+_UNKNOWN_RUNNERS = "(unknown)"
 
 
 class RunnerManager:
@@ -32,7 +34,7 @@
         self._unreconciled: set[str] = set()
 
     def restore_tracked_runners(
-        self, tracked_runners: tuple[records.TrackedRunner, ...]
+        self, tracked_runners: tuple[records.TrackedRunner, ...] | None
     ) -> None:
         """Starts reconciling the runners on which earlier tasks may run.
 
@@ -40,8 +42,14 @@
         earlier terms are always paused. Later jobs are paused as well if the
         previous scheduler may not know that it is superseded, because it can
         still read and start them.
+
+        Args:
+            tracked_runners: The runners; None if they are not known, so that
+                starts are paused until no earlier task can run.
         """
-        for entry in tracked_runners:
+        if tracked_runners is None:
+            self._unreconciled.add(_UNKNOWN_RUNNERS)
+        for entry in tracked_runners or ():
             self._unreconciled.add(entry.identifier)
             self._add_runner(_make_runner(entry))
         if self._unreconciled:
@@ -84,6 +92,11 @@
         else:
             self._update_runner(entry, record)
 
+    def apply_unread_runs(self, job: str) -> None:
+        """Applies what runners have listed before a job was read."""
+        for reconciler in self._reconcilers.values():
+            reconciler.apply_unread_runs(job)
+
     def mark_unlisted_runners(self, listed: set[str]) -> None:
         """Marks runners that the registry no longer lists."""
         for entry in self._context.fleet.values():
--- a/tamarackhatch/scheduler/_runner_reconciler.py
+++ b/tamarackhatch/scheduler/_runner_reconciler.py
@@ -22,9 +22,6 @@
 # The next renewal waits this long for exits to become durable, so that it can
 # acknowledge them.
 _MAX_DURABILITY_WAIT = datetime.timedelta(milliseconds=300)
-# A runner may report runs that an earlier scheduler started just before it was
-# superseded, before this scheduler has read their job.
-_UNREAD_JOB_TIMEOUT = datetime.timedelta(seconds=5)
 # A lease of an earlier scheduler may be longer by this share, because that
 # scheduler's estimate of the runner's clock may be ahead.
 _EARLIER_LEASE_EXCESS_SHARE = 0.05
@@ -163,6 +160,7 @@
         entry.missed_renewals = 0
         if report.incarnation != entry.incarnation:
             self._apply_new_incarnation(report)
+        self._log_unreadable_entries(report)
         entry.clock, entry.clock_read = report.clock_reading, now
         if not self._has_reported:
             # An earlier scheduler may have granted a lease just before this
@@ -174,23 +172,73 @@
         for run_exit in report.exits:
             if run_exit.number <= entry.processed_exit:
                 continue
-            if self._has_unread_job(run_exit.task):
+            entry.processed_exit = run_exit.number
+            if context.job_tracker.has_job(run_exit.task.job):
+                self._apply_exit(run_exit)
+            else:
                 # Acknowledging the exit before its job is read would lose it.
-                break
-            self._apply_exit(run_exit)
+                entry.unread_exits[run_exit.number] = (run_exit, now)
+                entry.pending_acks[run_exit.number] = None
         listed = {item.task: item for item in report.running}
+        entry.unread_running = {
+            key: unread
+            for key, unread in entry.unread_running.items()
+            if key in listed
+        }
         for item in report.running:
-            self._apply_running_task(item)
-        if len(report.exits) < _MAX_LISTED_EXITS:
+            if context.job_tracker.has_job(item.task.job):
+                self._apply_running_task(item)
+            else:
+                _, first_seen = entry.unread_running.get(
+                    item.task, (item, now)
+                )
+                entry.unread_running[item.task] = (item, first_seen)
+        self._drop_runs_of_absent_jobs()
+        exit_count = len(report.exits) + len(report.unreadable_exits)
+        if exit_count < _MAX_LISTED_EXITS and not report.unreadable_running:
             self._record_missing_runs(listed, sent)
 
-    def _has_unread_job(self, task: model.TaskKey) -> bool:
-        """Returns whether a task's job may exist but not be read yet."""
-        context = self._context
-        return (
-            not context.job_tracker.has_job(task.job)
-            and context.get_now() - self._started < _UNREAD_JOB_TIMEOUT
-        )
+    def _log_unreadable_entries(self, report: model.RunnerReport) -> None:
+        findings = report.unreadable_running + report.unreadable_exits
+        if findings:
+            context = self._context
+            context.metrics.unreadable_entries.labels("report").inc(
+                len(findings)
+            )
+            context.log.warning(
+                "report_entries_unreadable",
+                runner=self._entry.identifier,
+                count=len(findings),
+                first=findings[0],
+            )
+
+    def apply_unread_runs(self, job: str) -> None:
+        """Applies what the runner has listed before a job was read.
+
+        Must be called as soon as the job is read: until then its tasks appear
+        to wait, and would be started a second time.
+        """
+        entry = self._entry
+        for number, (run_exit, _) in list(entry.unread_exits.items()):
+            if run_exit.task.job == job:
+                del entry.unread_exits[number]
+                self._apply_exit(run_exit)
+        for key, (item, _) in list(entry.unread_running.items()):
+            if key.job == job:
+                del entry.unread_running[key]
+                self._apply_running_task(item)
+
+    def _drop_runs_of_absent_jobs(self) -> None:
+        """Stops runs and acknowledges exits of jobs that do not exist."""
+        entry, job_tracker = self._entry, self._context.job_tracker
+        for number, (run_exit, first_seen) in list(entry.unread_exits.items()):
+            if not job_tracker.may_be_unread(run_exit.task.job, first_seen):
+                del entry.unread_exits[number]
+                self._apply_exit(run_exit)
+        for key, (item, first_seen) in list(entry.unread_running.items()):
+            if not job_tracker.may_be_unread(key.job, first_seen):
+                del entry.unread_running[key]
+                self._apply_running_task(item)
 
     def _apply_new_incarnation(self, report: model.RunnerReport) -> None:
         entry = self._entry
@@ -203,6 +251,8 @@
         entry.incarnation = report.incarnation
         entry.processed_exit = entry.acknowledged_exit = 0
         entry.pending_acks.clear()
+        entry.unread_exits.clear()
+        entry.unread_running.clear()
         entry.lease_end = report.clock_reading + self._context.settings.lease
         runs = {(item.task, item.run) for item in report.running}
         for task in list(entry.tasks.values()):
@@ -214,7 +264,6 @@
 
     def _apply_exit(self, run_exit: model.RunExit) -> None:
         context, entry = self._context, self._entry
-        entry.processed_exit = run_exit.number
         task = context.job_tracker.find_task(run_exit.task)
         generation = 0
         if task is not None:
@@ -233,7 +282,7 @@
                 generation = context.job_tracker.record_earlier_exit(
                     task, run_exit, entry
                 )
-        entry.pending_acks.append((run_exit.number, generation))
+        entry.pending_acks[run_exit.number] = generation
 
     def _update_failure_score(
         self, task: _state.TaskEntry, run_exit: model.RunExit
@@ -247,8 +296,6 @@
     def _apply_running_task(self, item: model.RunningTask) -> None:
         context, entry = self._context, self._entry
         task = context.job_tracker.find_task(item.task)
-        if self._has_unread_job(item.task):
-            return
         if task is None or task.phase is _state.TaskPhase.DONE:
             if task is None or task.runner is not entry:
                 self._commands.stop_orphan(entry, item)
@@ -309,16 +356,16 @@
 
     async def _wait_before_renewal(self, sent: datetime.timedelta) -> None:
         context, entry = self._context, self._entry
-        if entry.pending_acks:
-            generation = entry.pending_acks[-1][1]
+        generations = [
+            generation
+            for generation in entry.pending_acks.values()
+            if generation is not None
+        ]
+        if generations:
             await context.writer.wait_until_durable(
-                generation, _MAX_DURABILITY_WAIT
+                max(generations), _MAX_DURABILITY_WAIT
             )
-        while (
-            entry.pending_acks
-            and entry.pending_acks[0][1] <= context.writer.committed_generation
-        ):
-            entry.acknowledged_exit = entry.pending_acks.popleft()[0]
+        entry.acknowledge_durable_exits(context.writer.committed_generation)
         elapsed = context.get_now() - sent
         if elapsed < _MIN_RENEWAL_INTERVAL:
             await context.clock.sleep(_MIN_RENEWAL_INTERVAL - elapsed)
--- a/tamarackhatch/scheduler/_scheduler.py
+++ b/tamarackhatch/scheduler/_scheduler.py
@@ -111,6 +111,7 @@
             self._context, self._commands, self._dispatcher
         )
         self._progress: dict[str, records.JobProgress] = {}
+        self._jobs_without_progress: set[str] = set()
         self._stopping = asyncio.Event()
         self._has_loaded_jobs = False
         self._job_watcher = records.TableWatcher(
@@ -120,6 +121,7 @@
             records.JOB_PARTITIONS,
             self._apply_job_row,
             log,
+            on_synced=job_tracker.mark_synced,
         )
         self._runner_watcher = records.TableWatcher(
             store,
@@ -187,7 +189,7 @@
             "scheduler_ready",
             term=self._term.number,
             token=self._term.token,
-            tracked_runners=len(tracked_runners),
+            tracked_runners=tracked_runners and len(tracked_runners),
             runners=len(self._context.fleet),
         )
         async with asyncio.TaskGroup() as group:
@@ -234,7 +236,15 @@
             return
         self._log.info("term_released", written=is_written)
 
-    async def _load_progress(self) -> tuple[records.TrackedRunner, ...]:
+    async def _load_progress(
+        self,
+    ) -> tuple[records.TrackedRunner, ...] | None:
+        """Loads what earlier schedulers stored.
+
+        Returns:
+            The runners on which earlier tasks may run; None if they cannot be
+            read.
+        """
         watcher = records.TableWatcher(
             self._store,
             self._clock,
@@ -246,7 +256,13 @@
         await watcher.load()
         await self._load_interference()
         row = await self._read_row(records.TRACKED_RUNNERS)
-        return () if row is None else records.decode_tracked_runners(row.value)
+        if row is None:
+            return ()
+        try:
+            return records.decode_tracked_runners(row.value)
+        except records.MalformedRowError as error:
+            self._log.error("tracked_runners_unreadable", reason=error.message)
+            return None
 
     async def _load_interference(self) -> None:
         row = await self._read_row(records.INTERFERENCE)
@@ -281,6 +297,7 @@
             self._log.error(
                 "progress_unreadable", job=row.ref.key, reason=error.message
             )
+            self._jobs_without_progress.add(row.ref.key)
             return
         self._progress[row.ref.key] = progress
 
@@ -294,6 +311,10 @@
             return
         if job_tracker.has_job(row.ref.key):
             return
+        if row.ref.key in self._jobs_without_progress:
+            # Tasks that are done would run again.
+            self._log.error("job_not_scheduled", job=row.ref.key)
+            return
         try:
             job = records.decode_job(row.ref.key, row.value)
         except records.MalformedRowError as error:
@@ -311,6 +332,7 @@
             return
         progress = self._progress.pop(row.ref.key, None)
         job_tracker.add_job(job, row.version, progress)
+        self._runner_manager.apply_unread_runs(job.identifier)
 
     async def _open_occurrences(self) -> None:
         while True:
--- a/tamarackhatch/scheduler/_tickets.py
+++ b/tamarackhatch/scheduler/_tickets.py
@@ -156,6 +156,7 @@
             step=request.step[2],
             requested=len(request.runners),
             granted=len(advice.tickets),
+            unreadable=advice.unreadable,
         )
         # The validity starts at some moment after the request was sent.
         expires = asked + advice.validity
--- a/tamarackhatch/scheduler/tests/test_takeover.py
+++ b/tamarackhatch/scheduler/tests/test_takeover.py
@@ -7,6 +7,7 @@
 from standins import fleet as standin_fleet
 from standins import virtual_time
 from tamarackhatch import model
+from tamarackhatch import records
 
 _TASK = model.Resources(processors=1000, memory_mb=100)
 _ATTEMPTS = standin_fleet.QUEUE.max_attempts
@@ -349,3 +350,62 @@
         assert fleet.check() == []
 
     virtual_time.run_virtually(simulate())
+
+
+@pytest.mark.parametrize("duration_s", [0.3, 4.0])
+def test_runs_of_a_job_that_the_successor_reads_late(
+    duration_s: float,
+) -> None:
+    """Guards against running tasks again, over and over, after a takeover.
+
+    The superseded scheduler starts a job that its successor reads seconds
+    later. Until then the runners' exits of other jobs must count, and then its
+    own runs must be known before any of its tasks is started.
+    """
+
+    async def simulate() -> None:
+        fleet = await _start_fleet(
+            runners=2,
+            plan=lambda task, run: (
+                duration_s if task.startswith("unread") else 5.0,
+                "done",
+            ),
+        )
+        await asyncio.sleep(3)
+        leader = fleet.get_leader()
+        assert leader is not None
+        await fleet.submit("00", _make_step(6), instance=leader.name)
+        await fleet.wait_until(lambda: len(fleet.history.runs) == 6, 2)
+        successor, follower = (n for n in fleet.instances if n != leader.name)
+        store_faults = fleet.network.get_faults(standin_fleet.STORE_ADDRESS)
+        # The leader still reads jobs and reaches the runners, and the follower
+        # does not learn of the takeover.
+        store_faults.lost_writes.add(leader.name)
+        store_faults.lost_feeds |= {
+            (follower, records.LEADER_HEARTBEAT.table),
+            (successor, records.JOBS_TABLE),
+        }
+        for stand_in in fleet.runners:
+            faults = fleet.network.get_faults(stand_in.address)
+            faults.unreachable_from.add(successor)
+        await fleet.wait_until(
+            lambda: fleet.instances[successor].role.is_active
+        )
+        await asyncio.sleep(0.3)
+        await fleet.submit("unread", _make_step(2), instance=follower)
+        await fleet.wait_until(lambda: len(fleet.history.runs) == 8, 2)
+        for stand_in in fleet.runners:
+            faults = fleet.network.get_faults(stand_in.address)
+            faults.unreachable_from.discard(successor)
+        await asyncio.sleep(7)
+        store_faults.lost_feeds.clear()
+        store_faults.lost_writes.clear()
+        for job, count in (("unread", 2), ("00", 6)):
+            await fleet.wait_for_state_of(
+                successor, job, model.JobState.COMPLETED, 30
+            )
+            runs = [r for r in fleet.history.runs if r.task.startswith(job)]
+            assert len(runs) == count
+        assert fleet.check() == []
+
+    virtual_time.run_virtually(simulate())
--- a/tamarackhatch/server/_instance.py
+++ b/tamarackhatch/server/_instance.py
@@ -17,6 +17,7 @@
 from tamarackhatch import records
 from tamarackhatch import scheduler
 from tamarackhatch.server import _role
+from tamarackhatch.server import _supervision
 from tamarackhatch import service
 from tamarackhatch import settings
 from tamarackhatch import transport
@@ -105,7 +106,9 @@
             self._metrics,
         )
         self._ingress = platform.Ingress(
-            self._job_service, time_source.get_utc
+            self._job_service,
+            time_source.get_utc,
+            self._log.for_component("ingress"),
         )
         self._servers: list[httpserver.HTTPServer] = []
 
@@ -120,10 +123,7 @@
         )
 
     async def run(self) -> None:
-        """Serves until SIGTERM or SIGINT, then stops gracefully.
-
-        A failed background task stops the instance too.
-        """
+        """Serves until SIGTERM or SIGINT, then stops gracefully."""
         loop = asyncio.get_running_loop()
         loop.add_signal_handler(signal.SIGTERM, self._stop_requested.set)
         loop.add_signal_handler(signal.SIGINT, self._stop_requested.set)
@@ -136,12 +136,15 @@
         )
         self._start_servers()
         tasks = [
-            asyncio.create_task(self._configuration_watcher.run()),
-            asyncio.create_task(self._role.run()),
-            asyncio.create_task(self._watch_settings()),
+            asyncio.create_task(
+                _supervision.run_supervised(name, run, self._clock, self._log)
+            )
+            for name, run in (
+                ("configuration", self._configuration_watcher.run),
+                ("role", self._role.run),
+                ("settings", self._watch_settings),
+            )
         ]
-        for task in tasks:
-            task.add_done_callback(self._stop_on_failure)
         await self._stop_requested.wait()
         await self._shut_down(tasks)
 
@@ -204,15 +207,6 @@
         self._runner_client.close()
         self._log.info("stopped", in_flight=self._ingress.in_flight)
 
-    def _stop_on_failure(self, task: asyncio.Task[None]) -> None:
-        """Stops the instance if a background task has failed."""
-        if task.cancelled() or task.exception() is None:
-            return
-        self._log.error(
-            "background_task_failed", reason=repr(task.exception())
-        )
-        self._stop_requested.set()
-
     async def _watch_settings(self) -> None:
         modified_ns = _get_modification_time_ns(self._path)
         while True:
