Check the leader lease again just before a command is sent

Cause: the scheduler checks its lease and then hands the command to the HTTP client. A process that is suspended in between, or a command that waits for one of the four connections, was sent after the lease had run out. Change: a call carries its permission, which libcurl's callback before the request checks; commands and renewals that grant a lease need the valid leader lease.

--- a/standins/network.py
+++ b/standins/network.py
@@ -122,6 +122,8 @@
                 handler = self._handlers.get(call.address)
                 if handler is None:
                     raise transport.CallNotSentError("connection refused")
+                if not call.is_permitted():
+                    raise transport.CallNotSentError("not permitted")
                 request = _decode(call)
                 fault_draw = self._random.random()
                 if fault_draw < faults.late_call_share:
--- a/tamarackhatch/platform/__init__.py
+++ b/tamarackhatch/platform/__init__.py
@@ -12,6 +12,7 @@
 from tamarackhatch.platform._job_body import MalformedJobError
 from tamarackhatch.platform._registry import decode_runner
 from tamarackhatch.platform._registry import RUNNERS_TABLE
+from tamarackhatch.platform._runner_client import Authority
 from tamarackhatch.platform._runner_client import CommandOutcome
 from tamarackhatch.platform._runner_client import FencedError
 from tamarackhatch.platform._runner_client import RunCommand
@@ -24,6 +25,7 @@
     "Advice",
     "AdviceClient",
     "AdviceUnavailableError",
+    "Authority",
     "CONFIGURATION_KEY",
     "CommandOutcome",
     "FencedError",
--- a/tamarackhatch/platform/_runner_client.py
+++ b/tamarackhatch/platform/_runner_client.py
@@ -95,12 +95,23 @@
     Attributes:
         task: The task.
         run: Number of the run.
-        token: Fencing token of the scheduler.
     """
 
     task: model.TaskKey
     run: int
+
+
+@attrs.frozen
+class Authority:
+    """Authority of a scheduler to send commands.
+
+    Attributes:
+        token: Fencing token of the scheduler.
+        is_valid: Returns whether commands may be sent now.
+    """
+
     token: int
+    is_valid: Callable[[], bool]
 
 
 class RunnerClient:
@@ -112,7 +123,7 @@
     async def renew(
         self,
         runner: model.Runner,
-        token: int,
+        authority: Authority,
         acknowledged_exit: int,
         lease_end: datetime.timedelta | None,
         wait: datetime.timedelta,
@@ -121,10 +132,10 @@
 
         Args:
             runner: The runner.
-            token: Fencing token of the scheduler.
+            authority: Authority of the scheduler.
             acknowledged_exit: Number of the last exit that is stored durably.
             lease_end: End of the lease on the runner's clock; None reads the
-                report without a renewal.
+                report without a renewal, which needs no valid authority.
             wait: How long the runner may wait for an exit before it answers.
 
         Raises:
@@ -135,15 +146,21 @@
         # "ack_cursor" is the last acknowledged exit, "deadline_ms" the end of
         # the lease. The path "/-/hold" renews leases.
         body: dict[str, typing.Any] = {
-            "fencing_token": token,
+            "fencing_token": authority.token,
             "ack_cursor": acknowledged_exit,
             "wait_ms": _decoding.count_milliseconds(wait),
         }
+        is_permitted: Callable[[], bool] = lambda: True
         if lease_end is not None:
             body["deadline_ms"] = _decoding.count_milliseconds(lease_end)
+            is_permitted = authority.is_valid
         try:
             answer = await self._send(
-                runner, "/-/hold", body, wait + _RENEWAL_ANSWER_ALLOWANCE
+                runner,
+                "/-/hold",
+                body,
+                wait + _RENEWAL_ANSWER_ALLOWANCE,
+                is_permitted,
             )
         except RunnerOutcomeUnknownError as error:
             raise RunnerUnavailableError(error.message) from error
@@ -162,6 +179,7 @@
     async def start(
         self,
         runner: model.Runner,
+        authority: Authority,
         command: RunCommand,
         specification: str,
         lease_end: datetime.timedelta,
@@ -172,6 +190,7 @@
 
         Args:
             runner: The runner.
+            authority: Authority of the scheduler.
             command: The run.
             specification: Text of the job for its tasks.
             lease_end: End of the lease on the runner's clock.
@@ -182,17 +201,22 @@
             RunnerUnavailableError: The run did not start and will not.
             RunnerOutcomeUnknownError: The run may start until the lease ends.
         """
-        body = _encode_command(command)
+        body = _encode_command(authority, command)
         body["spec"] = specification
         body["deadline_ms"] = _decoding.count_milliseconds(lease_end)
         if checkpoint:
             body["checkpoint"] = checkpoint
         if ticket:
             body["ticket"] = ticket
-        return await self._send_command(runner, "/-/run-start", body)
+        return await self._send_command(
+            runner, authority, "/-/run-start", body
+        )
 
     async def stop(
-        self, runner: model.Runner, command: RunCommand
+        self,
+        runner: model.Runner,
+        authority: Authority,
+        command: RunCommand,
     ) -> CommandOutcome:
         """Stops a run, or prevents its start.
 
@@ -201,16 +225,24 @@
             RunnerOutcomeUnknownError: The runner may do it, now or later.
         """
         return await self._send_command(
-            runner, "/-/run-stop", _encode_command(command)
+            runner,
+            authority,
+            "/-/run-stop",
+            _encode_command(authority, command),
         )
 
     async def set_speed_limit(
-        self, runner: model.Runner, command: RunCommand, percent: int
+        self,
+        runner: model.Runner,
+        authority: Authority,
+        command: RunCommand,
+        percent: int,
     ) -> CommandOutcome:
         """Sets the speed limit of a run.
 
         Args:
             runner: The runner.
+            authority: Authority of the scheduler.
             command: The run.
             percent: Speed limit, 0 to 100 percent of the run's full speed.
 
@@ -219,14 +251,20 @@
             RunnerOutcomeUnknownError: The runner may do it, now or later.
         """
         # The path "/-/pace" sets speed limits.
-        body = _encode_command(command)
+        body = _encode_command(authority, command)
         body["percent"] = percent
-        return await self._send_command(runner, "/-/pace", body)
+        return await self._send_command(runner, authority, "/-/pace", body)
 
     async def _send_command(
-        self, runner: model.Runner, path: str, body: dict[str, typing.Any]
+        self,
+        runner: model.Runner,
+        authority: Authority,
+        path: str,
+        body: dict[str, typing.Any],
     ) -> CommandOutcome:
-        answer = await self._send(runner, path, body, _COMMAND_TIMEOUT)
+        answer = await self._send(
+            runner, path, body, _COMMAND_TIMEOUT, authority.is_valid
+        )
         if answer.status == _OK:
             return CommandOutcome.ACCEPTED
         if answer.status == _CONFLICT:
@@ -252,6 +290,7 @@
         path: str,
         body: dict[str, typing.Any],
         timeout: datetime.timedelta,
+        is_permitted: Callable[[], bool],
     ) -> transport.Answer:
         call = transport.Call(
             "POST",
@@ -260,6 +299,7 @@
             timeout,
             orjson.dumps(body),
             (f"X-Expect-Instance: {runner.identifier}",),
+            is_permitted=is_permitted,
         )
         try:
             return await self._client.send(call)
@@ -292,11 +332,13 @@
     return model.TaskKey(job, int(occurrence), int(step), int(index))
 
 
-def _encode_command(command: RunCommand) -> dict[str, typing.Any]:
+def _encode_command(
+    authority: Authority, command: RunCommand
+) -> dict[str, typing.Any]:
     return {
         "task": str(command.task),
         "run": command.run,
-        "fencing_token": command.token,
+        "fencing_token": authority.token,
     }
 
 
--- a/tamarackhatch/platform/tests/test_fuzz.py
+++ b/tamarackhatch/platform/tests/test_fuzz.py
@@ -27,7 +27,8 @@
 _RUNNER = model.Runner(
     "i-1", "office", "10.0.0.9:8080", "z", False, model.Resources()
 )
-_COMMAND = platform.RunCommand(model.TaskKey("00", 0, 0, 0), 1, 1)
+_AUTHORITY = platform.Authority(1, lambda: True)
+_COMMAND = platform.RunCommand(model.TaskKey("00", 0, 0, 0), 1)
 _JSON = strategies.recursive(
     strategies.none()
     | strategies.booleans()
@@ -173,14 +174,14 @@
 def _renew(status: int) -> Callable[[bytes], object]:
     return lambda body: asyncio.run(
         platform.RunnerClient(_make_client(status, body)).renew(
-            _RUNNER, 1, 0, _SECOND, _SECOND
+            _RUNNER, _AUTHORITY, 0, _SECOND, _SECOND
         )
     )
 
 
 def _stop(body: bytes) -> object:
     client = platform.RunnerClient(_make_client(409, body))
-    return asyncio.run(client.stop(_RUNNER, _COMMAND))
+    return asyncio.run(client.stop(_RUNNER, _AUTHORITY, _COMMAND))
 
 
 def _request_tickets(body: bytes) -> object:
--- a/tamarackhatch/scheduler/_commands.py
+++ b/tamarackhatch/scheduler/_commands.py
@@ -69,9 +69,7 @@
             run=listed.run,
             runner=entry.identifier,
         )
-        command = platform.RunCommand(
-            listed.task, listed.run, self._context.token
-        )
+        command = platform.RunCommand(listed.task, listed.run)
         self._spawn_delivery(self._send_stop(entry, command))
 
     def set_speed_limit(self, task: _state.TaskEntry, percent: int) -> None:
@@ -183,7 +181,8 @@
         try:
             outcome = await context.client.start(
                 entry.record,
-                platform.RunCommand(task.key, run, context.token),
+                context.authority,
+                platform.RunCommand(task.key, run),
                 task.job.job.specification,
                 lease_end,
                 task.checkpoint,
@@ -191,6 +190,8 @@
             )
         except platform.RunnerUnavailableError as error:
             self._log_unanswered("start", task, entry, error.message)
+            if not context.leader_lease.is_valid:
+                return None
             outcome = _Outcome.UNHEALTHY
         except platform.RunnerOutcomeUnknownError as error:
             self._log_unanswered("start", task, entry, error.message)
@@ -247,7 +248,7 @@
     async def _deliver_stop(
         self, task: _state.TaskEntry, entry: _fleet.RunnerEntry, run: int
     ) -> None:
-        command = platform.RunCommand(task.key, run, self._context.token)
+        command = platform.RunCommand(task.key, run)
         while task.run == run and task.runner is entry:
             if await self._send_stop(entry, command):
                 if task.run == run and task.runner is entry:
@@ -264,7 +265,9 @@
         if not context.leader_lease.is_valid:
             return False
         try:
-            outcome = await context.client.stop(entry.record, command)
+            outcome = await context.client.stop(
+                entry.record, context.authority, command
+            )
         except (
             platform.RunnerUnavailableError,
             platform.RunnerOutcomeUnknownError,
@@ -300,10 +303,10 @@
                 or not context.leader_lease.is_valid
             ):
                 return
-            command = platform.RunCommand(task.key, run, context.token)
+            command = platform.RunCommand(task.key, run)
             try:
                 outcome = await context.client.set_speed_limit(
-                    entry.record, command, percent
+                    entry.record, context.authority, command, percent
                 )
             except (
                 platform.RunnerUnavailableError,
--- a/tamarackhatch/scheduler/_context.py
+++ b/tamarackhatch/scheduler/_context.py
@@ -25,6 +25,7 @@
         clock: Source of time.
         settings: Settings of the instance.
         leader_lease: Time-bounded right to send commands.
+        authority: The same right, as the client checks it before it sends.
         client: Sends commands to runners.
         job_tracker: State of unfinished jobs and tasks.
         fleet: Runners by identifier.
@@ -41,6 +42,7 @@
     clock: clock.Clock
     settings: settings.Settings
     leader_lease: election.LeaderLease
+    authority: platform.Authority
     client: platform.RunnerClient
     job_tracker: _job_tracker.JobTracker
     fleet: dict[str, _fleet.RunnerEntry]
@@ -52,11 +54,6 @@
     tickets: _tickets.TicketCache
     wake: asyncio.Event
 
-    @property
-    def token(self) -> int:
-        """Fencing token of the term."""
-        return self.leader_lease.term.token
-
     @property
     def term(self) -> int:
         """Number of the term."""
--- a/tamarackhatch/scheduler/_runner_reconciler.py
+++ b/tamarackhatch/scheduler/_runner_reconciler.py
@@ -104,7 +104,7 @@
         try:
             report = await context.client.renew(
                 entry.record,
-                context.token,
+                context.authority,
                 entry.acknowledged_exit,
                 lease_end,
                 wait,
--- a/tamarackhatch/transport/_client.py
+++ b/tamarackhatch/transport/_client.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+from collections.abc import Callable
 import datetime
 import io
 import typing
@@ -62,6 +63,7 @@
     body: bytes | None = None
     headers: tuple[str, ...] = ()
     transfer_time: datetime.timedelta = datetime.timedelta()
+    is_permitted: Callable[[], bool] = lambda: True
 
 
 @attrs.frozen
@@ -82,8 +84,10 @@
         self.is_sent = False
         self.timer: asyncio.TimerHandle | None = None
 
-    def mark_sent(self, *_: object) -> int:
-        """Records that the request is sent; libcurl calls this just before."""
+    def prepare_sending(self, *_: object) -> int:
+        """Decides whether to send; libcurl calls this just before."""
+        if not self.call.is_permitted():
+            return int(pycurl.PREREQFUNC_ABORT)
         self.is_sent = True
         return int(pycurl.PREREQFUNC_OK)
 
@@ -200,7 +204,7 @@
             ["Content-Type: application/json", "Expect:", *call.headers],
         )
         handle.setopt(pycurl.WRITEDATA, transfer.body_buffer)
-        handle.setopt(pycurl.PREREQFUNCTION, transfer.mark_sent)
+        handle.setopt(pycurl.PREREQFUNCTION, transfer.prepare_sending)
         self._limit_connection_age(handle, call.address)
 
     def _end_if_stalled(
