--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -284,6 +284,9 @@
         self, registered: runner.RunnerStandIn
     ) -> None:
         while True:
-            if not self.store.is_down and not self.store.is_unresponsive:
+            is_store_up = not (
+                self.store.is_down or self.store.is_unresponsive
+            )
+            if is_store_up and registered.is_registering:
                 registered.register(self.store)
             await asyncio.sleep(_REGISTRATION_INTERVAL_S)
--- a/standins/runner.py
+++ b/standins/runner.py
@@ -86,6 +86,7 @@
         address: ``host:port`` of the runner.
         service: Service to which the runner belongs.
         state: State that it registers, such as "ready".
+        is_registering: Whether it registers.
         ticket: Ticket that each start must have; None accepts all starts.
         starts_without_ticket: Number of starts refused for lack of the ticket.
         cpu: Thousandths of a processor core.
@@ -106,6 +107,7 @@
         self.address = address
         self.service = service
         self.state = "ready"
+        self.is_registering = True
         self.ticket: str | None = None
         self.starts_without_ticket = 0
         self.cpu = cpu
--- a/standins/suspending.py
+++ b/standins/suspending.py
@@ -28,7 +28,7 @@
             os.kill(os.getpid(), signal.SIGSTOP)
         return await send(client, call)
 
-    transport.HttpClient.send = suspend_and_send  # type: ignore[method-assign]
+    setattr(transport.HttpClient, "send", suspend_and_send)
     cli.main()
 
 
--- a/tamarackhatch/election/_election.py
+++ b/tamarackhatch/election/_election.py
@@ -167,7 +167,12 @@
         self, wait: datetime.timedelta = datetime.timedelta()
     ) -> None:
         now = self._clock.get_monotonic()
-        if now - self._last_answer > wait + _MAX_ANSWER_GAP:
+        is_released = self._heartbeat is not None and (
+            self._heartbeat.is_released
+        )
+        if now - self._last_answer > wait + _MAX_ANSWER_GAP and not (
+            is_released
+        ):
             self._election_timer_start = now
         self._last_answer = now
 
--- a/tamarackhatch/scheduler/_scheduler.py
+++ b/tamarackhatch/scheduler/_scheduler.py
@@ -228,6 +228,10 @@
             if self._clock.get_monotonic() >= deadline:
                 break
             await self._clock.sleep(_CHECK_INTERVAL / 5)
+        # The successor may act as soon as the release is stored, which may be
+        # long before this process learns of it.
+        self._leader_lease.revoke()
+        self._commands.close()
         self._runner_manager.close()
         is_written = False
         try:
