Log the scheduler's load once a second

Cause: on large fleets it is not visible what binds: the logs do not say how late the scheduler is, how long placement takes, and what tasks wait for. Change: an event scheduler_load with lateness, passes and their time, tasks placed, renewals, and waiting tasks by reason; a gauge of the lateness.

--- a/tamarackhatch/observability/_log.py
+++ b/tamarackhatch/observability/_log.py
@@ -131,6 +131,11 @@
         if self._levels.minimum <= _LEVELS["info"]:
             self._logger.info(event, **fields)
 
+    def summary(self, event: str, **fields: typing.Any) -> None:
+        """Logs a periodic summary at level info, whatever the line rate."""
+        if self._levels.minimum <= _LEVELS["info"]:
+            self._logger.msg(event, **fields)
+
     def warning(self, event: str, **fields: typing.Any) -> None:
         """Logs an error that the program recovers from."""
         if self._levels.minimum <= _LEVELS["warning"]:
@@ -148,12 +153,15 @@
     ) -> typing.MutableMapping[str, typing.Any]:
         time = self._clock.get_utc()
         event["time"] = time.isoformat(timespec="milliseconds")
-        event["level"] = level
+        event["level"] = "info" if level == "msg" else level
         return event
 
 
 class _SinkLogger:
-    """Passes rendered lines to the sink; warnings and errors are urgent."""
+    """Passes rendered lines to the sink.
+
+    Summaries, warnings and errors are urgent.
+    """
 
     def __init__(self, sink: LineSink) -> None:
         self._sink = sink
@@ -167,6 +175,7 @@
         self._sink.write(line, True)
 
     error = warning
+    msg = warning
 
 
 def _render(
--- a/tamarackhatch/observability/_metrics.py
+++ b/tamarackhatch/observability/_metrics.py
@@ -70,6 +70,11 @@
             "Tasks that wait for a runner.",
             registry=self._registry,
         )
+        self.loop_lateness = prometheus_client.Gauge(
+            "tamarackhatch_loop_lateness_seconds",
+            "Time by which the scheduler's last periodic timer was late.",
+            registry=self._registry,
+        )
         self.is_scheduler = prometheus_client.Gauge(
             "tamarackhatch_is_scheduler",
             "1 while this process is the active scheduler.",
--- a/tamarackhatch/scheduler/_context.py
+++ b/tamarackhatch/scheduler/_context.py
@@ -12,6 +12,7 @@
 from tamarackhatch import platform
 from tamarackhatch.scheduler import _fleet
 from tamarackhatch.scheduler import _job_tracker
+from tamarackhatch.scheduler import _load_monitor
 from tamarackhatch.scheduler import _tickets
 from tamarackhatch.scheduler import _writer
 from tamarackhatch import settings
@@ -36,6 +37,7 @@
             tasks.
         policy: Weights and limits of placement.
         tickets: Requests and caches tickets of the placement policy service.
+        load_monitor: Counts the work of the scheduler.
         wake: Set when tasks wait or capacity becomes free.
     """
 
@@ -52,6 +54,7 @@
     interference: placement.InterferenceModel
     policy: placement.PlacementPolicy
     tickets: _tickets.TicketCache
+    load_monitor: _load_monitor.LoadMonitor
     wake: asyncio.Event
 
     @property
--- a/tamarackhatch/scheduler/_dispatcher.py
+++ b/tamarackhatch/scheduler/_dispatcher.py
@@ -10,6 +10,7 @@
 from tamarackhatch.scheduler import _commands
 from tamarackhatch.scheduler import _context
 from tamarackhatch.scheduler import _fleet
+from tamarackhatch.scheduler import _load_monitor
 from tamarackhatch.scheduler import _state
 
 # Events within this time share one placement pass.
@@ -108,19 +109,41 @@
         context = self._context
         waiting = context.job_tracker.waiting
         context.metrics.waiting.set(sum(map(len, waiting.values())))
+        context.load_monitor.waiting = _load_monitor.WaitingTasks()
         if not waiting:
             return
+        began = context.get_now()
         groups = sorted(waiting.values(), key=self._get_scheduling_key)
         is_grouping = self._is_grouping(groups)
         candidates = self._list_candidates()
         for group in groups:
-            tasks = [
-                task for task in group.values() if not self._is_paused(task)
-            ]
-            if not tasks or (is_grouping and _is_new(tasks[0])):
-                continue
-            service = tasks[0].job.job.queue.service
-            self._place_group(tasks, candidates.get(service, []))
+            self._run_group(group, is_grouping, candidates)
+        counters = context.load_monitor.counters
+        counters.passes += 1
+        counters.pass_time += context.get_now() - began
+
+    def _run_group(
+        self,
+        group: Group,
+        is_grouping: bool,
+        candidates: dict[str, list[placement.CandidateRunner]],
+    ) -> None:
+        result = self._context.load_monitor.waiting
+        tasks = [task for task in group.values() if not self._is_paused(task)]
+        result.paused += len(group) - len(tasks)
+        if not tasks:
+            return
+        if is_grouping and _is_new(tasks[0]):
+            result.grouped += len(tasks)
+            return
+        first = tasks[0]
+        service = first.job.job.queue.service
+        placed = self._place_group(tasks, candidates.get(service, []))
+        self._context.load_monitor.counters.placed += placed
+        if first.step.is_best_effort:
+            result.best_effort += len(tasks) - placed
+        else:
+            result.reserving += len(tasks) - placed
 
     def _is_grouping(self, groups: list[Group]) -> bool:
         """Returns whether new long-running tasks are still being collected.
@@ -191,11 +214,11 @@
         self,
         tasks: list[_state.TaskEntry],
         candidates: list[placement.CandidateRunner],
-    ) -> None:
+    ) -> int:
+        """Starts tasks of one step, and returns their number."""
         first = tasks[0]
         if first.step.is_gang:
-            self._place_gang(tasks, candidates)
-            return
+            return self._place_gang(tasks, candidates)
         allowed = self._filter_by_ticket(first, candidates)
         failed_before = [task for task in tasks if task.failed_on]
         placed = 0
@@ -209,6 +232,7 @@
         )
         if placed < len(tasks):
             self._request_tickets(first, candidates)
+        return placed
 
     def _choose_runners(
         self,
@@ -280,11 +304,11 @@
         self,
         tasks: list[_state.TaskEntry],
         candidates: list[placement.CandidateRunner],
-    ) -> None:
+    ) -> int:
         occurrence = tasks[0].job.occurrences[tasks[0].key.occurrence]
         members = occurrence.steps[tasks[0].key.step]
         if len(tasks) < len(members):
-            return
+            return 0
         allowed = self._filter_by_ticket(members[0], candidates)
         choices = self._choose_runners(members, allowed)
         if len(choices) < len(members):
@@ -292,13 +316,13 @@
                 candidate.load.remove_task(key, members[0].step)
                 candidate.update_headrooms()
             self._request_tickets(members[0], candidates)
-            return
+            return 0
         run = max(task.run for task in members)
         checkpoint = next((t.checkpoint for t in members if t.checkpoint), "")
         for task in members:
             task.run = run
             task.checkpoint = checkpoint
-        self._start_chosen_tasks(choices)
+        return self._start_chosen_tasks(choices)
 
     def _start_chosen_tasks(self, choices: list[placement.Choice]) -> int:
         """Starts the chosen tasks and returns their number."""
--- /dev/null
+++ b/tamarackhatch/scheduler/_load_monitor.py
@@ -0,0 +1,91 @@
+"""Logs once a second how much work the scheduler has, and how late it is."""
+
+import datetime
+
+import attrs
+
+from tamarackhatch import clock
+from tamarackhatch import observability
+
+_INTERVAL = datetime.timedelta(seconds=1)
+_MILLISECOND = datetime.timedelta(milliseconds=1)
+
+
+@attrs.define
+class LoadCounters:
+    """Work of the scheduler since the last log line.
+
+    Attributes:
+        passes: Number of placement passes.
+        pass_time: Time that they took.
+        placed: Number of tasks that they placed.
+        renewals: Number of answered renewals.
+        missed_renewals: Number of renewals without an answer.
+    """
+
+    passes: int = 0
+    pass_time: datetime.timedelta = datetime.timedelta()
+    placed: int = 0
+    renewals: int = 0
+    missed_renewals: int = 0
+
+
+@attrs.define
+class WaitingTasks:
+    """Tasks that the last placement pass did not place, by the reason.
+
+    Attributes:
+        paused: Starts are paused after a takeover.
+        grouped: Long-running tasks that wait for others of their image.
+        reserving: No runner has capacity for them.
+        best_effort: No runner has memory and headroom for them.
+    """
+
+    paused: int = 0
+    grouped: int = 0
+    reserving: int = 0
+    best_effort: int = 0
+
+
+class LoadMonitor:
+    """Counts the scheduler's work and logs it.
+
+    Attributes:
+        counters: Work since the last log line; components add to it.
+        waiting: Result of the last placement pass.
+    """
+
+    def __init__(
+        self,
+        time_source: clock.Clock,
+        log: observability.Log,
+        metrics: observability.Metrics,
+    ) -> None:
+        self.counters = LoadCounters()
+        self.waiting = WaitingTasks()
+        self._clock = time_source
+        self._log = log
+        self._metrics = metrics
+
+    async def run(self) -> None:
+        """Logs until cancelled."""
+        while True:
+            due = self._clock.get_monotonic() + _INTERVAL
+            await self._clock.sleep(_INTERVAL)
+            lateness = self._clock.get_monotonic() - due
+            self._metrics.loop_lateness.set(lateness.total_seconds())
+            counters, self.counters = self.counters, LoadCounters()
+            waiting = self.waiting
+            self._log.summary(
+                "scheduler_load",
+                late_ms=lateness // _MILLISECOND,
+                passes=counters.passes,
+                pass_ms=counters.pass_time // _MILLISECOND,
+                placed=counters.placed,
+                renewals=counters.renewals,
+                missed_renewals=counters.missed_renewals,
+                paused=waiting.paused,
+                grouped=waiting.grouped,
+                reserving=waiting.reserving,
+                best_effort=waiting.best_effort,
+            )
--- a/tamarackhatch/scheduler/_runner_reconciler.py
+++ b/tamarackhatch/scheduler/_runner_reconciler.py
@@ -120,6 +120,7 @@
             self._record_missed_renewal(error.message)
             return None
         context.metrics.commands.labels("renew", "accepted").inc()
+        context.load_monitor.counters.renewals += 1
         return report
 
     def _choose_renewal_wait(self) -> datetime.timedelta:
@@ -131,6 +132,7 @@
     def _record_missed_renewal(self, reason: str) -> None:
         context, entry = self._context, self._entry
         context.metrics.commands.labels("renew", "unanswered").inc()
+        context.load_monitor.counters.missed_renewals += 1
         entry.missed_renewals += 1
         if entry.missed_renewals == 1:
             context.log.warning(
--- a/tamarackhatch/scheduler/_scheduler.py
+++ b/tamarackhatch/scheduler/_scheduler.py
@@ -14,6 +14,7 @@
 from tamarackhatch.scheduler import _dispatcher
 from tamarackhatch.scheduler import _garbage_collector
 from tamarackhatch.scheduler import _job_tracker
+from tamarackhatch.scheduler import _load_monitor
 from tamarackhatch.scheduler import _runner_manager
 from tamarackhatch.scheduler import _state
 from tamarackhatch.scheduler import _tickets
@@ -91,6 +92,7 @@
             interference=interference,
             policy=dependencies.policy,
             tickets=self._tickets,
+            load_monitor=_load_monitor.LoadMonitor(time_source, log, metrics),
             wake=wake,
         )
         self._commands = _commands.CommandSender(self._context)
@@ -205,6 +207,7 @@
                 self._runner_manager.wait_until_reconciled(claim_time)
             )
             group.create_task(self._open_occurrences())
+            group.create_task(self._context.load_monitor.run())
 
     async def _wait_for_end(self, tasks: list[asyncio.Task[None]]) -> None:
         while (
