Log and count the store's traffic by kind of call and table

Whether one kind of call fills the shared link could not be read from the logs: calls failed with timeouts, and nothing told how many bytes the others carried.

--- a/tamarackhatch/observability/_metrics.py
+++ b/tamarackhatch/observability/_metrics.py
@@ -59,6 +59,18 @@
             buckets=_LATENCY_BUCKETS_S,
             registry=self._registry,
         )
+        self.store_calls = prometheus_client.Counter(
+            "tamarackhatch_store_calls",
+            "Calls to the store by kind, table and outcome.",
+            ["kind", "table", "outcome"],
+            registry=self._registry,
+        )
+        self.store_bytes = prometheus_client.Counter(
+            "tamarackhatch_store_answer_bytes",
+            "Bytes of the store's answers by kind of call and table.",
+            ["kind", "table"],
+            registry=self._registry,
+        )
         self.unreadable_entries = prometheus_client.Counter(
             "tamarackhatch_unreadable_entries",
             "Malformed entries of other systems that were skipped, by source.",
--- a/tamarackhatch/platform/_store.py
+++ b/tamarackhatch/platform/_store.py
@@ -1,6 +1,7 @@
 """Client of the platform's metadata store."""
 
 import base64
+from collections.abc import Callable
 from collections.abc import Sequence
 import datetime
 import typing
@@ -20,6 +21,8 @@
 # A row can have hundreds of kilobytes, and an instance's link 5 Mbit/s.
 _READ_TRANSFER_TIME = datetime.timedelta(seconds=8)
 
+CallRecorder = Callable[[str, str, int | None], None]
+
 
 class PlatformStore:
     """Reads and writes the platform's table store over HTTP.
@@ -28,9 +31,23 @@
     store, and "part" is the partition.
     """
 
-    def __init__(self, client: transport.HttpClient, address: str) -> None:
+    def __init__(
+        self,
+        client: transport.HttpClient,
+        address: str,
+        record_call: CallRecorder = lambda kind, table, answer_bytes: None,
+    ) -> None:
+        """Creates a client of the store.
+
+        Args:
+            client: HTTP client.
+            address: ``host:port`` of the store.
+            record_call: Called after each call with its kind, its table and
+                the size of the answer in bytes; None for no answer.
+        """
         self._client = client
         self._address = address
+        self._record_call = record_call
 
     async def write(
         self,
@@ -59,8 +76,9 @@
         call = transport.Call(
             "POST", self._address, "/-/rows-tx", timeout, body
         )
+        table = puts[0].ref.table if puts else ""
         try:
-            answer = await self._client.send(call)
+            answer = await self._send(call, "write", table)
         except transport.CallNotSentError as error:
             raise model.StoreUnavailableError(str(error)) from error
         except transport.CallLostError as error:
@@ -95,7 +113,7 @@
             query["from"] = first
         if end:
             query["to"] = end
-        document = await self._get("/-/rows-get", query, timeout)
+        document = await self._get("read", "/-/rows-get", query, timeout)
         try:
             return model.RowPage(
                 _decode_rows(document),
@@ -115,7 +133,7 @@
             "wait_ms": str(_decoding.count_milliseconds(wait)),
         }
         document = await self._get(
-            "/-/rows-feed", query, wait + _FEED_ANSWER_ALLOWANCE
+            "feed", "/-/rows-feed", query, wait + _FEED_ANSWER_ALLOWANCE
         )
         try:
             version = _decoding.get_integer(document, "schema_version")
@@ -124,7 +142,11 @@
             raise model.StoreUnavailableError(error.message) from error
 
     async def _get(
-        self, path: str, query: dict[str, str], timeout: datetime.timedelta
+        self,
+        kind: str,
+        path: str,
+        query: dict[str, str],
+        timeout: datetime.timedelta,
     ) -> dict[str, typing.Any]:
         path = f"{path}?{urllib.parse.urlencode(query)}"
         call = transport.Call(
@@ -135,7 +157,7 @@
             transfer_time=_READ_TRANSFER_TIME,
         )
         try:
-            answer = await self._client.send(call)
+            answer = await self._send(call, kind, query["table"])
         except (
             transport.CallNotSentError,
             transport.CallLostError,
@@ -154,6 +176,17 @@
         except _decoding.MalformedBodyError as error:
             raise model.StoreUnavailableError(error.message) from error
 
+    async def _send(
+        self, call: transport.Call, kind: str, table: str
+    ) -> transport.Answer:
+        try:
+            answer = await self._client.send(call)
+        except (transport.CallNotSentError, transport.CallLostError):
+            self._record_call(kind, table, None)
+            raise
+        self._record_call(kind, table, len(answer.body))
+        return answer
+
 
 def _encode_ref(ref: model.RowRef) -> dict[str, str]:
     return {"table": ref.table, "part": ref.partition, "key": ref.key}
--- a/tamarackhatch/server/_instance.py
+++ b/tamarackhatch/server/_instance.py
@@ -74,8 +74,13 @@
         self._runner_client = transport.HttpClient(
             time_source, _MAX_RUNNER_CONNECTIONS
         )
+        self._store_traffic = observability.StoreTraffic(
+            time_source, self._log.for_component("store"), self._metrics
+        )
         self._store = platform.PlatformStore(
-            self._store_client, str(initial_settings.store_address)
+            self._store_client,
+            str(initial_settings.store_address),
+            self._store_traffic.record_call,
         )
         self._incarnation = secrets.token_hex(8)
         self._role = _role.SchedulerRole(
@@ -143,6 +148,7 @@
                 ("configuration", self._configuration_watcher.run),
                 ("role", self._role.run),
                 ("settings", self._watch_settings),
+                ("store traffic", self._store_traffic.run),
             )
         ]
         await self._stop_requested.wait()
