--- a/tamarackhatch/server/_instance.py
+++ b/tamarackhatch/server/_instance.py
@@ -74,10 +74,20 @@
         self._runner_client = transport.HttpClient(
             time_source, _MAX_RUNNER_CONNECTIONS
         )
+        self._store_traffic = observability.StoreTraffic(
+            time_source, self._log.for_component("store"), self._metrics
+        )
         self._store = platform.PlatformStore(
-            self._store_client, str(initial_settings.store_address)
+            self._store_client,
+            str(initial_settings.store_address),
+            self._store_traffic.record_call,
         )
         self._incarnation = secrets.token_hex(8)
+        self._configuration_watcher = service.ConfigurationWatcher(
+            self._store,
+            time_source,
+            self._log.for_component("configuration"),
+        )
         self._role = _role.SchedulerRole(
             scheduler.SchedulerDependencies(
                 self._store,
@@ -87,13 +97,13 @@
                 initial_settings,
                 self._log,
                 self._metrics,
+                configuration=self._configuration_watcher,
             ),
             self._incarnation,
+            self._configuration_watcher.apply_change_row,
         )
-        self._configuration_watcher = service.ConfigurationWatcher(
-            self._store,
-            time_source,
-            self._log.for_component("configuration"),
+        self._configuration_watcher.set_publications(
+            self._role, self._role.request_publication
         )
         self._job_service = service.JobService(
             records.JobStore(
@@ -143,6 +153,7 @@
                 ("configuration", self._configuration_watcher.run),
                 ("role", self._role.run),
                 ("settings", self._watch_settings),
+                ("store traffic", self._store_traffic.run),
             )
         ]
         await self._stop_requested.wait()
