After a lost feed history, let a heartbeat spare the large read

This is the same class as the reads of each version: bulk data, from all instances at once, on the link that leases share.

An instance that has a configuration now waits up to 1.8 s for a heartbeat that names its version, and only reads the table if none comes. The active scheduler reads at once, and asks without a wait after a lost feed, so that its next heartbeat can say which version is in force.

--- a/tamarackhatch/records/_watcher.py
+++ b/tamarackhatch/records/_watcher.py
@@ -102,24 +102,31 @@
         self._on_synced(started_at)
 
     async def follow(self) -> None:
-        """Passes on changes of the table until cancelled."""
+        """Passes on changes of the table until cancelled.
+
+        Reads the whole table again if the store has discarded changes.
+        """
         while True:
-            await self.follow_once()
+            try:
+                await self.follow_once()
+            except model.HistoryLostError:
+                await self.load()
 
     async def follow_once(self) -> None:
         """Passes on the next changes, or returns after a while without any.
 
-        Reads the whole table again if the store has discarded changes.
+        Raises:
+            HistoryLostError: The store has discarded changes.
         """
         started_at = self._clock.get_monotonic()
+        # After a loss, an answer without a wait tells at once that the feed
+        # works again.
+        wait = datetime.timedelta() if self._is_feed_lost else _FEED_WAIT
         try:
-            page = await self._store.follow(
-                self._table, self._version, _FEED_WAIT
-            )
+            page = await self._store.follow(self._table, self._version, wait)
         except model.HistoryLostError:
             self._log.warning("feed_history_lost", table=self._table)
-            await self.load()
-            return
+            raise
         except model.StoreUnavailableError as error:
             self._record_feed_loss(error.message)
             await self._clock.sleep(_RETRY_DELAY)
--- a/tamarackhatch/scheduler/tests/test_configuration_distribution.py
+++ b/tamarackhatch/scheduler/tests/test_configuration_distribution.py
@@ -139,6 +139,27 @@
     virtual_time.run_virtually(simulate())
 
 
+def test_lost_history_does_not_make_all_instances_read_the_large_row() -> None:
+    """Guards against a full link after an outage of the store."""
+
+    async def simulate() -> None:
+        fleet, link = await _start_fleet(16)
+        row_size = fleet.publish_configuration(3, extra=1500)
+        await asyncio.sleep(3)
+        fleet.store.is_down = True
+        await asyncio.sleep(4)
+        link.sent_bytes = 0
+        fleet.store.discard_history()
+        fleet.store.is_down = False
+        await asyncio.sleep(3)
+        assert link.sent_bytes < row_size
+        fleet.publish_configuration(4, extra=1510)
+        await asyncio.sleep(1)
+        assert _get_versions(fleet) == {4}
+
+    virtual_time.run_virtually(simulate())
+
+
 def test_refresh_reads_published_changes_without_the_large_row() -> None:
     """Guards against a large read for each request for a missing queue."""
 
--- a/tamarackhatch/service/_configuration.py
+++ b/tamarackhatch/service/_configuration.py
@@ -17,6 +17,10 @@
 _READ_INTERVAL = datetime.timedelta(milliseconds=500)
 # Time between two checks whether the active scheduler still publishes.
 _CHECK_INTERVAL = datetime.timedelta(milliseconds=200)
+# After a loss of the feed's history, before the whole table is read again. The
+# scheduler's heartbeat comes every 0.7 s, and the first one after an outage
+# may be old.
+_MAX_HEARTBEAT_WAIT = datetime.timedelta(milliseconds=1800)
 # The operator's table counts as read up to now for this long after an answer;
 # a request for changes waits up to 1.5 s.
 _MAX_TIME_SINCE_READ = datetime.timedelta(milliseconds=2400)
@@ -33,6 +37,11 @@
         """
         ...
 
+    @property
+    def is_active(self) -> bool:
+        """Whether this process is the active scheduler."""
+        ...
+
     @property
     def last_answer(self) -> datetime.timedelta:
         """Monotonic time at which the store last answered."""
@@ -131,16 +140,48 @@
         while True:
             publication = self._get_publication()
             if publication is None:
-                await self._table.follow_once()
+                await self._follow_table()
             elif self._is_behind(publication):
                 self._log.info(
                     "configuration_change_missed",
                     published=publication.version,
                 )
-                await self._table.follow_once()
+                await self._follow_table()
             else:
                 await self._clock.sleep(_CHECK_INTERVAL)
 
+    async def _follow_table(self) -> None:
+        """Reads the next changes of the operator's table.
+
+        If the store has discarded some, all instances notice it at the same
+        time. A heartbeat then tells most of them that they have missed none,
+        which avoids that all read the large row at once.
+        """
+        try:
+            await self._table.follow_once()
+        except model.HistoryLostError:
+            if not await self._wait_for_heartbeat():
+                await self._table.load()
+
+    async def _wait_for_heartbeat(self) -> bool:
+        """Waits for a publication that this process is not behind.
+
+        Returns:
+            Whether there is one.
+        """
+        publications = self._publications
+        if publications is None:
+            return False
+        deadline = self._clock.get_monotonic() + _MAX_HEARTBEAT_WAIT
+        while (
+            not publications.is_active
+            and self._clock.get_monotonic() < deadline
+        ):
+            if not self._is_behind(self._get_publication()):
+                return True
+            await self._clock.sleep(_CHECK_INTERVAL)
+        return False
+
     def apply_change_row(self, row: model.Row) -> None:
         """Applies a change that the active scheduler has published.
 
@@ -219,9 +260,12 @@
             self._table.skip_to(publication.position)
         return publication
 
-    def _is_behind(self, publication: model.Publication) -> bool:
-        return self._configuration is None or (
-            publication.version > self._configuration.version
+    def _is_behind(self, publication: model.Publication | None) -> bool:
+        """Returns whether this process may lack published changes."""
+        return (
+            publication is None
+            or self._configuration is None
+            or publication.version > self._configuration.version
         )
 
     async def _read_publication(self) -> bool:
@@ -240,8 +284,7 @@
         except model.HistoryLostError as error:
             self._log.info("feed_history_lost", reason=error.message)
             return False
-        publication = self._get_publication()
-        return publication is not None and not self._is_behind(publication)
+        return not self._is_behind(self._get_publication())
 
     async def _read_changes(self) -> None:
         if self._configuration is not None:
