Let a feed rest after large changes, in proportion to their transfer

The active scheduler reads each version of the operator's row at most twice a second.

A feed now rests for twice the time that the transfer of an answer took, which the HTTP client measures.

test_leader_behind_a_slow_link_keeps_renewing_leases failed without the rest (3,169,979 bytes in 4.4 s over a link that carries 2,750,000; the bound is half of that) and passes.

--- a/standins/network.py
+++ b/standins/network.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import Awaitable
 from collections.abc import Callable
+import datetime
 import random
 import typing
 import urllib.parse
@@ -163,9 +164,11 @@
                 if faults.unreachable_from & {name, "*"}:
                     await asyncio.sleep(timeout)
                 body = orjson.dumps(response.body)
+                began = loop.time()
                 if name in faults.answer_links:
                     await faults.answer_links[name].carry(len(body))
-                return transport.Answer(response.status, body)
+                receive_time = datetime.timedelta(seconds=loop.time() - began)
+                return transport.Answer(response.status, body, receive_time)
         except NoResponseError as error:
             await asyncio.sleep(max(0.0, deadline - loop.time()))
             raise transport.CallLostError("no answer") from error
--- a/tamarackhatch/model/_rows.py
+++ b/tamarackhatch/model/_rows.py
@@ -109,10 +109,13 @@
     Attributes:
         rows: Changed rows in ascending order of their versions.
         version: Version after which the next request continues.
+        receive_time: Time for which they occupied the network, from the first
+            byte to the last one.
     """
 
     rows: tuple[Row, ...]
     version: int
+    receive_time: datetime.timedelta = datetime.timedelta()
 
 
 class TableStore(typing.Protocol):
--- a/tamarackhatch/platform/_store.py
+++ b/tamarackhatch/platform/_store.py
@@ -113,7 +113,7 @@
             query["from"] = first
         if end:
             query["to"] = end
-        document = await self._get("read", "/-/rows-get", query, timeout)
+        document, _ = await self._get("read", "/-/rows-get", query, timeout)
         try:
             return model.RowPage(
                 _decode_rows(document),
@@ -132,12 +132,14 @@
             "after": str(after),
             "wait_ms": str(_decoding.count_milliseconds(wait)),
         }
-        document = await self._get(
+        document, receive_time = await self._get(
             "feed", "/-/rows-feed", query, wait + _FEED_ANSWER_ALLOWANCE
         )
         try:
             version = _decoding.get_integer(document, "schema_version")
-            return model.FeedPage(_decode_rows(document), max(version, after))
+            return model.FeedPage(
+                _decode_rows(document), max(version, after), receive_time
+            )
         except _decoding.MalformedBodyError as error:
             raise model.StoreUnavailableError(error.message) from error
 
@@ -147,7 +149,7 @@
         path: str,
         query: dict[str, str],
         timeout: datetime.timedelta,
-    ) -> dict[str, typing.Any]:
+    ) -> tuple[dict[str, typing.Any], datetime.timedelta]:
         path = f"{path}?{urllib.parse.urlencode(query)}"
         call = transport.Call(
             "GET",
@@ -172,7 +174,7 @@
                 f"store answered status {answer.status} to a read"
             )
         try:
-            return _decoding.decode_object(answer.body)
+            return _decoding.decode_object(answer.body), answer.receive_time
         except _decoding.MalformedBodyError as error:
             raise model.StoreUnavailableError(error.message) from error
 
--- a/tamarackhatch/records/_watcher.py
+++ b/tamarackhatch/records/_watcher.py
@@ -11,6 +11,9 @@
 _READ_TIMEOUT = datetime.timedelta(milliseconds=1500)
 _FEED_WAIT = datetime.timedelta(milliseconds=1500)
 _RETRY_DELAY = datetime.timedelta(milliseconds=150)
+# After large changes, the feed rests for this multiple of the time that their
+# transfer took, so that other traffic gets at least two thirds of the link.
+_REST_PER_RECEIVE_TIME = 2
 
 
 class TableWatcher:
@@ -137,8 +140,12 @@
         self._apply_page(page)
         self._on_synced(started_at)
         elapsed = self._clock.get_monotonic() - started_at
-        if elapsed < self._interval:
-            await self._clock.sleep(self._interval - elapsed)
+        rest = max(
+            self._interval - elapsed,
+            page.receive_time * _REST_PER_RECEIVE_TIME,
+        )
+        if rest > datetime.timedelta():
+            await self._clock.sleep(rest)
 
     async def poll(self) -> None:
         """Passes on the changes up to now; the table must be loaded.
--- a/tamarackhatch/scheduler/tests/test_configuration_distribution.py
+++ b/tamarackhatch/scheduler/tests/test_configuration_distribution.py
@@ -100,6 +100,29 @@
     virtual_time.run_virtually(simulate())
 
 
+def test_leader_behind_a_slow_link_keeps_renewing_leases() -> None:
+    """Guards against a leader whose own reads fill its link."""
+
+    async def simulate() -> None:
+        fleet, _ = await _start_fleet(1)
+        # 5 Mbit/s.
+        link = network.SharedLink(625_000.0)
+        for address in (standin_fleet.STORE_ADDRESS, _REMOTE_RUNNER):
+            faults = fleet.network.get_faults(address)
+            faults.answer_links["near"] = link
+        await fleet.submit("00", model.Step(2, _TASK, is_long_running=True))
+        await asyncio.sleep(1)
+        link.sent_bytes = 0
+        await _publish_versions(fleet, 27, extra=1500)
+        assert link.sent_bytes < 4.4 * 625_000 / 2
+        await asyncio.sleep(4)
+        assert _get_versions(fleet) == {29}
+        assert fleet.check() == []
+        assert [run.exit_reason for run in fleet.history.runs] == [""] * 2
+
+    virtual_time.run_virtually(simulate())
+
+
 @pytest.mark.parametrize("fault", ["none", "kill", "cut"])
 def test_configuration_arrives_in_time_without_the_publishing_scheduler(
     fault: str,
--- a/tamarackhatch/transport/_client.py
+++ b/tamarackhatch/transport/_client.py
@@ -68,10 +68,19 @@
 
 @attrs.frozen
 class Answer:
-    """A complete answer: its HTTP status and body."""
+    """A complete answer.
+
+    Attributes:
+        status: HTTP status.
+        body: Body.
+        receive_time: Time from its first byte to its last one.
+    """
 
     status: int
     body: bytes
+    receive_time: datetime.timedelta = attrs.field(
+        default=datetime.timedelta(), eq=False
+    )
 
 
 class _Transfer:
@@ -314,7 +323,14 @@
         result: Answer | Exception
         if failure is None:
             status = handle.getinfo(pycurl.RESPONSE_CODE)
-            result = Answer(status, transfer.body_buffer.getvalue())
+            receive_s = handle.getinfo(pycurl.TOTAL_TIME) - handle.getinfo(
+                pycurl.STARTTRANSFER_TIME
+            )
+            result = Answer(
+                status,
+                transfer.body_buffer.getvalue(),
+                datetime.timedelta(seconds=max(0.0, receive_s)),
+            )
         else:
             result = self._process_failure(transfer, *failure)
         if len(self._idle_handles) < _MAX_IDLE_HANDLES:
