Look up a queue again after the last read of the configuration

Seen: an instance answered 404 for a queue that an acknowledged version of the configuration contains.

Cause: a request for an unknown queue joined a read of the configuration that was in progress, whatever its age.

A refresh now goes on until a read that began at most max_age before the call has ended, and the queue is looked up after it.

Test: test_queue_added_during_a_slow_read_is_found failed before (NO_QUEUE instead of DONE for /b/x).

--- a/tamarackhatch/service/_configuration.py
+++ b/tamarackhatch/service/_configuration.py
@@ -62,24 +62,25 @@
         """Reads the configuration, which may be newer than the feed's.
 
         Does nothing if an earlier call read it less than max_age ago. Calls at
-        the same time share one read.
+        the same time share one read, unless it was sent before that: over a
+        slow link, a read can last longer than max_age.
 
         Args:
-            max_age: Maximum age of the result of an earlier call.
+            max_age: Maximum age of the configuration, counted from this call.
 
         Returns:
             False if the store could not be read or has no configuration.
         """
-        if self._configuration is not None and (
-            self._clock.get_monotonic() - self._last_refresh < max_age
-        ):
-            return True
-        task = self._refresh_in_progress
-        if task is None:
-            task = asyncio.create_task(self._refresh())
-            task.add_done_callback(self._handle_refresh_end)
-            self._refresh_in_progress = task
-        return await asyncio.shield(task)
+        oldest = self._clock.get_monotonic() - max_age
+        while self._configuration is None or self._last_refresh < oldest:
+            task = self._refresh_in_progress
+            if task is None:
+                task = asyncio.create_task(self._refresh())
+                task.add_done_callback(self._handle_refresh_end)
+                self._refresh_in_progress = task
+            if not await asyncio.shield(task):
+                return False
+        return True
 
     def _handle_refresh_end(self, task: asyncio.Task[bool]) -> None:
         self._refresh_in_progress = None
--- a/tamarackhatch/service/_jobs.py
+++ b/tamarackhatch/service/_jobs.py
@@ -1,5 +1,6 @@
 """Carries out requests of callers, independent of their interface."""
 
+from collections.abc import Callable
 import datetime
 import typing
 
@@ -69,27 +70,34 @@
 
     async def find_queue(self, host: str, path: str) -> model.QueueLookup:
         """Finds the queue that a request's host and path select."""
-        for _ in range(2):
-            configuration = self._configuration.configuration
-            if configuration is not None:
-                queue = configuration.find_queue(host, path)
-                if queue is not None:
-                    return model.QueueLookup(model.Outcome.DONE, queue)
-            if not await self._configuration.refresh(_MAX_CONFIGURATION_AGE):
-                return model.QueueLookup(model.Outcome.NOT_DONE)
-        return model.QueueLookup(model.Outcome.NO_QUEUE)
+        return await self._look_up_queue(
+            lambda configuration: configuration.find_queue(host, path)
+        )
 
     async def find_named_queue(self, name: str) -> model.QueueLookup:
         """Finds the queue with the given name."""
-        for _ in range(2):
-            configuration = self._configuration.configuration
-            if configuration is not None:
-                queue = configuration.get_queue(name)
-                if queue is not None:
-                    return model.QueueLookup(model.Outcome.DONE, queue)
+        return await self._look_up_queue(
+            lambda configuration: configuration.get_queue(name)
+        )
+
+    async def _look_up_queue(
+        self, select: Callable[[model.Configuration], model.Queue | None]
+    ) -> model.QueueLookup:
+        """Finds a queue, in a configuration read just now if necessary."""
+        queue = self._select_queue(select)
+        if queue is None:
             if not await self._configuration.refresh(_MAX_CONFIGURATION_AGE):
                 return model.QueueLookup(model.Outcome.NOT_DONE)
-        return model.QueueLookup(model.Outcome.NO_QUEUE)
+            queue = self._select_queue(select)
+        if queue is None:
+            return model.QueueLookup(model.Outcome.NO_QUEUE)
+        return model.QueueLookup(model.Outcome.DONE, queue)
+
+    def _select_queue(
+        self, select: Callable[[model.Configuration], model.Queue | None]
+    ) -> model.Queue | None:
+        configuration = self._configuration.configuration
+        return None if configuration is None else select(configuration)
 
     async def count_pending(self, queue: model.Queue) -> int | None:
         """Returns how many jobs of a queue have no started task yet.
--- a/tamarackhatch/service/tests/test_configuration.py
+++ b/tamarackhatch/service/tests/test_configuration.py
@@ -7,6 +7,7 @@
 import typing
 
 import orjson
+import pytest
 
 from standins import network
 from standins import store as standin_store
@@ -14,6 +15,7 @@
 from tamarackhatch import model
 from tamarackhatch import observability
 from tamarackhatch import platform
+from tamarackhatch import records
 from tamarackhatch import service
 
 _ADDRESS = "10.0.0.1:7000"
@@ -27,19 +29,30 @@
         time_source = virtual_time.VirtualClock(asyncio.get_running_loop())
         net = network.Network()
         self.reads = 0
+        self.answer_delay_s = 0.0
         self.store = standin_store.StoreStandIn()
         net.serve(_ADDRESS, self._handle_call)
         client = typing.cast(typing.Any, net.make_client("a"))
         descriptor = os.open(os.devnull, os.O_WRONLY)
         sink = observability.LineSink(descriptor, time_source, 1000)
         log = observability.Log(sink, time_source, observability.LevelFilter())
+        table_store = platform.PlatformStore(client, _ADDRESS)
         self.watcher = service.ConfigurationWatcher(
-            platform.PlatformStore(client, _ADDRESS), time_source, log
+            table_store, time_source, log
+        )
+        self.jobs = service.JobService(
+            records.JobStore(table_store, time_source, lambda: 0),
+            self.watcher,
+            typing.cast(typing.Any, None),
+            time_source,
+            log,
+            observability.Metrics(),
         )
 
     async def _handle_call(self, request: network.Request) -> network.Response:
         response = await self.store.handle(request)
         self.reads += len(response.body.get("rows", ()))
+        await asyncio.sleep(self.answer_delay_s)
         return response
 
     def publish(self, version: int, *prefixes: str) -> None:
@@ -145,6 +158,31 @@
     virtual_time.run_virtually(run_scenario())
 
 
+@pytest.mark.parametrize(
+    ("path", "outcome"),
+    [("/b/x", model.Outcome.DONE), ("/c/x", model.Outcome.NO_QUEUE)],
+)
+def test_queue_added_during_a_slow_read_is_found(
+    path: str, outcome: model.Outcome
+) -> None:
+    """Guards against answer 404 by a read that began before the request."""
+
+    async def run_scenario() -> None:
+        fixture = _WatcherFixture()
+        fixture.publish(1, "/a/")
+        assert await fixture.watcher.refresh(_SECOND)
+        await asyncio.sleep(1)
+        fixture.answer_delay_s = 0.7
+        earlier = asyncio.create_task(fixture.watcher.refresh(0 * _SECOND))
+        await asyncio.sleep(0.1)
+        fixture.publish(2, "/a/", "/b/")
+        await asyncio.sleep(0.4)
+        assert (await fixture.jobs.find_queue("h", path)).outcome is outcome
+        assert await earlier
+
+    virtual_time.run_virtually(run_scenario())
+
+
 def test_longest_prefix_of_the_host_selects_the_queue() -> None:
     """Guards against a queue of another host or of a shorter prefix."""
     queues = tuple(
