Count the wait of a task over refused starts

Cause: the wait was counted from the latest phase, which each refused start begins anew. So every refusal put a long-running task behind the batch tasks of its priority for another 5 s.

The wait now lasts from the moment at which the task could start or its last run ended, until a run is confirmed.

Test: test_refused_start_does_not_restart_the_wait failed before (not running after 9 s).

--- a/tamarackhatch/scheduler/_dispatcher.py
+++ b/tamarackhatch/scheduler/_dispatcher.py
@@ -165,7 +165,8 @@
         task = next(iter(group.values()))
         policy = self._context.policy
         priority, accepted = task.job.order
-        waited = self._context.get_now() - task.phase_since
+        now = self._context.get_now()
+        waited = max(waiting.compute_wait(now) for waiting in group.values())
         if not task.step.is_long_running:
             may_wait = waited < policy.batch_wait
             demand = task.job.compute_demand() if may_wait else 0
@@ -244,7 +245,7 @@
         if not tasks:
             return []
         policy = self._context.policy
-        waited = self._context.get_now() - tasks[0].phase_since
+        waited = tasks[0].compute_wait(self._context.get_now())
         return placement.choose_runners(
             [task.key for task in tasks],
             tasks[0].step,
@@ -342,7 +343,7 @@
     ) -> None:
         context = self._context
         entry: _fleet.RunnerEntry = context.fleet[chosen.load.identifier]
-        waited = context.get_now() - task.phase_since
+        waited = task.compute_wait(context.get_now())
         task.ticket = (
             context.tickets.get_ticket(_get_step_name(task), entry.identifier)
             or ""
--- a/tamarackhatch/scheduler/_job_tracker.py
+++ b/tamarackhatch/scheduler/_job_tracker.py
@@ -240,6 +240,7 @@
         if task.phase is _state.TaskPhase.STARTING:
             waited = task.confirmed - task.phase_since
             self._metrics.start_seconds.observe(waited.total_seconds())
+        task.waiting_since = None
         if task.phase is not _state.TaskPhase.RUNNING:
             runner.record_running_task(task, task.confirmed)
         self._enter_phase(task, _state.TaskPhase.RUNNING)
@@ -314,6 +315,7 @@
             task.runner.release_task(task, self._clock.get_monotonic())
         else:
             self._remove_waiting(task)
+        task.waiting_since = None
         task.run = max(task.run, run_exit.run)
         task.last_exited_run = max(task.last_exited_run, run_exit.run)
         entry = task.job
@@ -472,6 +474,8 @@
             self._enter_phase(task, _state.TaskPhase.BLOCKED)
             return
         self._enter_phase(task, _state.TaskPhase.WAITING)
+        if task.waiting_since is None:
+            task.waiting_since = task.phase_since
         name = (key.job, key.occurrence, key.step)
         self._waiting.setdefault(name, {})[key.index] = task
         self._wake()
--- a/tamarackhatch/scheduler/_state.py
+++ b/tamarackhatch/scheduler/_state.py
@@ -54,6 +54,9 @@
         ticket: Ticket of the placement policy for the latest run; empty
             where none is needed.
         phase_since: Monotonic time at which the phase began.
+        waiting_since: Monotonic time since which the task has waited to run;
+            refused starts do not change it. None while it cannot start or
+            runs.
         confirmed: Monotonic time; reports to renewals sent later list the run
             if it exists. None while the outcome of a command is unknown.
         failed_on: Runners on which a run failed.
@@ -77,6 +80,7 @@
     speed_limit_percent: int | None = 100
     ticket: str = ""
     phase_since: datetime.timedelta = datetime.timedelta()
+    waiting_since: datetime.timedelta | None = None
     confirmed: datetime.timedelta | None = None
     failed_on: frozenset[str] = frozenset()
     ready_since: datetime.timedelta | None = None
@@ -92,6 +96,12 @@
         """Whether a run of the task may exist."""
         return self.runner is not None
 
+    def compute_wait(self, now: datetime.timedelta) -> datetime.timedelta:
+        """Returns how long the task has waited to run, at a monotonic time."""
+        if self.waiting_since is None:
+            return datetime.timedelta()
+        return now - self.waiting_since
+
 
 @attrs.define(eq=False)
 class OccurrenceEntry:
--- a/tamarackhatch/scheduler/tests/test_order.py
+++ b/tamarackhatch/scheduler/tests/test_order.py
@@ -7,6 +7,9 @@
 import pytest
 
 from standins import fleet as standin_fleet
+from standins import history
+from standins import network
+from standins import runner
 from standins import virtual_time
 from tamarackhatch import model
 from tamarackhatch import placement
@@ -103,6 +106,54 @@
     assert virtual_time.run_virtually(simulate()) == expected
 
 
+class _RefusingRunner(runner.RunnerStandIn):
+    """Refuses the first start of each long-running task as unhealthy."""
+
+    def __init__(self) -> None:
+        super().__init__(
+            "i-0",
+            "10.1.0.1:8000",
+            standin_fleet.SERVICE,
+            _plan,
+            history.History(),
+        )
+        self._refused: set[str] = set()
+
+    async def handle(self, request: network.Request) -> network.Response:
+        """Answers one call."""
+        task = request.body.get("task", "")
+        if (
+            request.path == "/-/run-start"
+            and task.startswith("long-running")
+            and task not in self._refused
+        ):
+            self._refused.add(task)
+            return network.Response(503)
+        return await super().handle(request)
+
+
+def test_refused_start_does_not_restart_the_wait() -> None:
+    """Guards against a long-running task that waits behind batch tasks anew.
+
+    The platform tolerates that it is down for 9 s while there is capacity.
+    """
+
+    async def simulate() -> None:
+        fleet = standin_fleet.VirtualFleet(0)
+        refusing = _RefusingRunner()
+        fleet.adopt_runner(refusing)
+        fleet.start_instance("a")
+        await fleet.wait_until(lambda: fleet.get_leader() is not None)
+        await asyncio.sleep(1)
+        await fleet.submit("large", attrs.evolve(_BATCH, count=100))
+        await fleet.submit("long-running", _LONG_RUNNING)
+        await fleet.wait_until(
+            lambda: "long-running.0.0.0" in refusing.running, timeout_s=9
+        )
+
+    virtual_time.run_virtually(simulate())
+
+
 def test_images_are_not_mixed_on_a_runner() -> None:
     """Guards against image mixing, beside which few best-effort tasks fit."""
     half = model.Resources(processors=8_000, memory_mb=100)
