Answer a request whose queue is not known within the caller's time

Cause: a request for an unknown queue waits for a read of the configuration, which may go on for 8.9 s while bytes of a large row arrive.

Test: test_request_is_answered_while_the_configuration_arrives_slowly failed before (no answer after 3 s).

--- a/tamarackhatch/api/_interface.py
+++ b/tamarackhatch/api/_interface.py
@@ -52,7 +52,9 @@
         except errors.FindingsError as error:
             self._write_error(400, error.message)
             return
-        lookup = await self._service.find_named_queue(document.queue)
+        lookup = await self._service.find_named_queue(
+            document.queue, self._caller_timeout
+        )
         if lookup.queue is None:
             self._write_outcome(lookup.outcome)
             return
--- a/tamarackhatch/model/_service.py
+++ b/tamarackhatch/model/_service.py
@@ -62,12 +62,27 @@
         """Limits of requests from callers."""
         ...
 
-    async def find_queue(self, host: str, path: str) -> QueueLookup:
-        """Finds the queue that a request's host and path select."""
+    async def find_queue(
+        self, host: str, path: str, timeout: datetime.timedelta
+    ) -> QueueLookup:
+        """Finds the queue that a request's host and path select.
+
+        Args:
+            host: Host that the request names.
+            path: Path of the request.
+            timeout: How long the caller waits for the answer.
+        """
         ...
 
-    async def find_named_queue(self, name: str) -> QueueLookup:
-        """Finds the queue with the given name."""
+    async def find_named_queue(
+        self, name: str, timeout: datetime.timedelta
+    ) -> QueueLookup:
+        """Finds the queue with the given name.
+
+        Args:
+            name: Name of the queue.
+            timeout: How long the caller waits for the answer.
+        """
         ...
 
     async def submit(
--- a/tamarackhatch/platform/_ingress.py
+++ b/tamarackhatch/platform/_ingress.py
@@ -110,7 +110,9 @@
     ) -> Reply:
         path = request.path or "/"
         host = request.host.rpartition(":")[0] or request.host
-        queue_lookup = await self._service.find_queue(host, path)
+        queue_lookup = await self._service.find_queue(
+            host, path, _get_timeout(request)
+        )
         if queue_lookup.outcome is model.Outcome.NO_QUEUE:
             return _make_reply(404, {"error": "no such queue"})
         if queue_lookup.queue is None:
--- a/tamarackhatch/platform/tests/test_ingress.py
+++ b/tamarackhatch/platform/tests/test_ingress.py
@@ -29,7 +29,9 @@
         self._outcome = outcome
         self._lookup = lookup
 
-    async def find_queue(self, host: str, path: str) -> model.QueueLookup:
+    async def find_queue(
+        self, host: str, path: str, timeout: object
+    ) -> model.QueueLookup:
         return self._lookup
 
     async def submit(self, job: object, timeout: object) -> model.Outcome:
--- a/tamarackhatch/service/_jobs.py
+++ b/tamarackhatch/service/_jobs.py
@@ -1,5 +1,6 @@
 """Carries out requests of callers, independent of their interface."""
 
+import asyncio
 from collections.abc import Callable
 import datetime
 import typing
@@ -68,31 +69,50 @@
             return model.RequestLimits()
         return configuration.limits
 
-    async def find_queue(self, host: str, path: str) -> model.QueueLookup:
-        """Finds the queue that a request's host and path select."""
+    async def find_queue(
+        self, host: str, path: str, timeout: datetime.timedelta
+    ) -> model.QueueLookup:
+        """Finds a queue by host and path; see model.JobService."""
         return await self._look_up_queue(
-            lambda configuration: configuration.find_queue(host, path)
+            lambda configuration: configuration.find_queue(host, path), timeout
         )
 
-    async def find_named_queue(self, name: str) -> model.QueueLookup:
-        """Finds the queue with the given name."""
+    async def find_named_queue(
+        self, name: str, timeout: datetime.timedelta
+    ) -> model.QueueLookup:
+        """Finds a queue by its name; see model.JobService."""
         return await self._look_up_queue(
-            lambda configuration: configuration.get_queue(name)
+            lambda configuration: configuration.get_queue(name), timeout
         )
 
     async def _look_up_queue(
-        self, select: Callable[[model.Configuration], model.Queue | None]
+        self,
+        select: Callable[[model.Configuration], model.Queue | None],
+        timeout: datetime.timedelta,
     ) -> model.QueueLookup:
         """Finds a queue, in a configuration read just now if necessary."""
         queue = self._select_queue(select)
         if queue is None:
-            if not await self._configuration.refresh(_MAX_CONFIGURATION_AGE):
+            # The other half of the time is left for the request itself.
+            if not await self._refresh_configuration(timeout / 2):
                 return model.QueueLookup(model.Outcome.NOT_DONE)
             queue = self._select_queue(select)
         if queue is None:
             return model.QueueLookup(model.Outcome.NO_QUEUE)
         return model.QueueLookup(model.Outcome.DONE, queue)
 
+    async def _refresh_configuration(
+        self, timeout: datetime.timedelta
+    ) -> bool:
+        try:
+            async with asyncio.timeout(timeout.total_seconds()):
+                return await self._configuration.refresh(
+                    _MAX_CONFIGURATION_AGE
+                )
+        except TimeoutError:
+            self._log.info("configuration_read_slow")
+            return False
+
     def _select_queue(
         self, select: Callable[[model.Configuration], model.Queue | None]
     ) -> model.Queue | None:
--- a/tamarackhatch/service/tests/test_configuration.py
+++ b/tamarackhatch/service/tests/test_configuration.py
@@ -17,6 +17,7 @@
 from tamarackhatch import platform
 from tamarackhatch import records
 from tamarackhatch import service
+from tamarackhatch import transport
 
 _ADDRESS = "10.0.0.1:7000"
 _SECOND = datetime.timedelta(seconds=1)
@@ -29,14 +30,16 @@
         time_source = virtual_time.VirtualClock(asyncio.get_running_loop())
         net = network.Network()
         self.reads = 0
-        self.answer_delay_s = 0.0
+        self.transfer_s = 0.0
         self.store = standin_store.StoreStandIn()
         net.serve(_ADDRESS, self._handle_call)
-        client = typing.cast(typing.Any, net.make_client("a"))
+        self._client = net.make_client("a")
         descriptor = os.open(os.devnull, os.O_WRONLY)
         sink = observability.LineSink(descriptor, time_source, 1000)
         log = observability.Log(sink, time_source, observability.LevelFilter())
-        table_store = platform.PlatformStore(client, _ADDRESS)
+        table_store = platform.PlatformStore(
+            typing.cast(typing.Any, self), _ADDRESS
+        )
         self.watcher = service.ConfigurationWatcher(
             table_store, time_source, log
         )
@@ -49,10 +52,15 @@
             observability.Metrics(),
         )
 
+    async def send(self, call: transport.Call) -> transport.Answer:
+        """Sends a call; its answer arrives byte by byte for some time."""
+        answer = await self._client.send(call)
+        await asyncio.sleep(self.transfer_s)
+        return answer
+
     async def _handle_call(self, request: network.Request) -> network.Response:
         response = await self.store.handle(request)
         self.reads += len(response.body.get("rows", ()))
-        await asyncio.sleep(self.answer_delay_s)
         return response
 
     def publish(self, version: int, *prefixes: str) -> None:
@@ -172,17 +180,35 @@
         fixture.publish(1, "/a/")
         assert await fixture.watcher.refresh(_SECOND)
         await asyncio.sleep(1)
-        fixture.answer_delay_s = 0.7
+        fixture.transfer_s = 0.7
         earlier = asyncio.create_task(fixture.watcher.refresh(0 * _SECOND))
         await asyncio.sleep(0.1)
         fixture.publish(2, "/a/", "/b/")
         await asyncio.sleep(0.4)
-        assert (await fixture.jobs.find_queue("h", path)).outcome is outcome
+        assert (
+            await fixture.jobs.find_queue("h", path, 3 * _SECOND)
+        ).outcome is outcome
         assert await earlier
 
     virtual_time.run_virtually(run_scenario())
 
 
+def test_request_is_answered_while_the_configuration_arrives_slowly() -> None:
+    """Guards against requests without an answer until the caller gives up."""
+
+    async def run_scenario() -> None:
+        fixture = _WatcherFixture()
+        fixture.publish(1, "/a/")
+        assert await fixture.watcher.refresh(_SECOND)
+        fixture.transfer_s = 8.0
+        await asyncio.sleep(1)
+        async with asyncio.timeout(3):
+            lookup = await fixture.jobs.find_queue("h", "/b/x", 3 * _SECOND)
+        assert lookup.outcome is model.Outcome.NOT_DONE
+
+    virtual_time.run_virtually(run_scenario())
+
+
 def test_longest_prefix_of_the_host_selects_the_queue() -> None:
     """Guards against a queue of another host or of a shorter prefix."""
     queues = tuple(
