Keep a run whose start got no answer while its runner is unreachable

Cause: an attempt that was not sent counted as a refusal by the runner. After an attempt of unknown outcome, a refusal means that the run has to be stopped. An attempt that was not sent says nothing about the run.

The start is now repeated until it is answered or its lease has ended, as after an attempt without an answer. A runner that answers that it refuses is treated as before.

Test: test_run_is_kept_if_its_start_cannot_be_repeated failed before (a second run after a stopped one).

--- a/tamarackhatch/scheduler/_commands.py
+++ b/tamarackhatch/scheduler/_commands.py
@@ -120,7 +120,9 @@
             and task.runner is entry
             and task.phase is _state.TaskPhase.STARTING
         ):
-            outcome = await self._send_start(task, entry, run, lease_end)
+            outcome = await self._send_start(
+                task, entry, run, lease_end, is_uncertain
+            )
             if task.run != run or task.runner is not entry:
                 return
             if outcome is _Outcome.ACCEPTED:
@@ -165,12 +167,20 @@
         entry: _fleet.RunnerEntry,
         run: int,
         lease_end: datetime.timedelta,
+        is_uncertain: bool,
     ) -> platform.CommandOutcome | None:
         """Sends one start command.
 
         All attempts carry the same lease end, so the time after which none of
         them can start the run stays fixed.
 
+        Args:
+            task: The task.
+            entry: The runner.
+            run: Number of the run.
+            lease_end: End of the lease on the runner's clock.
+            is_uncertain: Whether an earlier attempt may start the run.
+
         Returns:
             The outcome; None if the run may still start, because the outcome
             is unknown or the command was not sent.
@@ -190,7 +200,7 @@
             )
         except platform.RunnerUnavailableError as error:
             self._log_unanswered("start", task, entry, error.message)
-            if not context.leader_lease.is_valid:
+            if is_uncertain or not context.leader_lease.is_valid:
                 return None
             outcome = _Outcome.UNHEALTHY
         except platform.RunnerOutcomeUnknownError as error:
--- a/tamarackhatch/scheduler/tests/test_reported_faults.py
+++ b/tamarackhatch/scheduler/tests/test_reported_faults.py
@@ -92,6 +92,36 @@
     virtual_time.run_virtually(simulate())
 
 
+def test_run_is_kept_if_its_start_cannot_be_repeated() -> None:
+    """Guards against stopping a run because its runner was unreachable."""
+
+    async def simulate() -> None:
+        fleet = standin_fleet.VirtualFleet(1, lambda task, run: (6.0, "done"))
+        fleet.start_instance("a")
+        await fleet.wait_until(lambda: fleet.get_leader() is not None)
+        stand_in = fleet.runners[0]
+
+        async def start_without_answer(
+            request: network.Request,
+        ) -> network.Response:
+            response = await stand_in.handle(request)
+            if request.path == "/-/run-start":
+                fleet.network.remove(stand_in.address)
+                raise network.NoResponseError
+            return response
+
+        fleet.network.serve(stand_in.address, start_without_answer)
+        await fleet.submit("00", model.Step(1, _TASK))
+        await fleet.wait_until(lambda: len(fleet.history.runs) == 1)
+        await asyncio.sleep(2)
+        fleet.network.serve(stand_in.address, stand_in.handle)
+        await fleet.wait_for_state("00", model.JobState.COMPLETED)
+        assert [run.exit_reason for run in fleet.history.runs] == ["done"]
+        assert fleet.check() == []
+
+    virtual_time.run_virtually(simulate())
+
+
 def test_runner_without_a_registry_entry_keeps_its_work() -> None:
     """Guards against restarting work because only the registry is behind."""
 
