Do not say that a request has not run while its queue cannot be looked up

An instance that has a configuration, but cannot read the newest one in time, answered 503 to a submission for a queue that it does not know. An instance with the newer configuration may have accepted an earlier attempt, so the 503 could be untrue. It now answers 504; reads still get 503, and so does every request while there is no configuration at all.

test_request_is_answered_while_the_configuration_arrives_slowly, whose expected outcome was the untrue one, and the POST and DELETE cases of test_unknown_queue_and_missing_configuration_have_different_statuses failed before and pass.

--- a/tamarackhatch/platform/_ingress.py
+++ b/tamarackhatch/platform/_ingress.py
@@ -116,6 +116,11 @@
         if queue_lookup.outcome is model.Outcome.NO_QUEUE:
             return _make_reply(404, {"error": "no such queue"})
         if queue_lookup.queue is None:
+            if (
+                queue_lookup.outcome is model.Outcome.UNKNOWN
+                and request.method != "GET"
+            ):
+                return _make_reply(504, {"error": "queue not known yet"})
             return _make_reply(503, {"error": "no configuration yet"})
         identifier = path.removeprefix(queue_lookup.queue.path_prefix)
         if not identifier:
--- a/tamarackhatch/service/_jobs.py
+++ b/tamarackhatch/service/_jobs.py
@@ -95,7 +95,7 @@
         if queue is None:
             # The other half of the time is left for the request itself.
             if not await self._refresh_configuration(timeout / 2):
-                return model.QueueLookup(model.Outcome.NOT_DONE)
+                return model.QueueLookup(self._get_failed_lookup_outcome())
             queue = self._select_queue(select)
         if queue is None:
             return model.QueueLookup(model.Outcome.NO_QUEUE)
@@ -113,6 +113,13 @@
             self._log.info("configuration_read_slow")
             return False
 
+    def _get_failed_lookup_outcome(self) -> model.Outcome:
+        # Once there is a configuration, another instance with a newer one may
+        # have carried out an earlier attempt of the caller.
+        if self._configuration.configuration is None:
+            return model.Outcome.NOT_DONE
+        return model.Outcome.UNKNOWN
+
     def _select_queue(
         self, select: Callable[[model.Configuration], model.Queue | None]
     ) -> model.Queue | None:
