Complete a waiting task by the late exit of its lost run

Callers waited for work that had been done: a runner could not be reached, its lease expired, and the task's run counted as lost although it had ended as done before. When the runner answered again and listed that exit, it was acknowledged and ignored, and the task, which still waited, ran again.

--- a/tamarackhatch/scheduler/_job_tracker.py
+++ b/tamarackhatch/scheduler/_job_tracker.py
@@ -356,21 +356,26 @@
 
         Such an exit is reported by a runner that did not answer for longer
         than its lease, or when a scheduler reads the reports of several
-        runners after a takeover. Only a failure has an effect: it counts as
-        an attempt.
+        runners after a takeover. A failure counts as an attempt; a success
+        completes a task that was not started again.
 
         Returns:
             The writer's generation in which the exit becomes durable; 0 if
             nothing has to be written.
         """
         if (
-            run_exit.reason is not model.ExitReason.FAILED
-            or run_exit.run in task.failed_runs
-            or task.step.is_long_running
+            task.step.is_long_running
             or task.phase is _state.TaskPhase.DONE
             or task.job.state.is_final
         ):
             return 0
+        if run_exit.reason is model.ExitReason.DONE:
+            return self._record_late_success(task, run_exit, runner)
+        if (
+            run_exit.reason is not model.ExitReason.FAILED
+            or run_exit.run in task.failed_runs
+        ):
+            return 0
         task.failed_runs |= {run_exit.run}
         self._log.info(
             "earlier_run_failed",
@@ -382,6 +387,27 @@
         self._fail_job_at_limit(task)
         return self._request_write(task.job)
 
+    def _record_late_success(
+        self,
+        task: _state.TaskEntry,
+        run_exit: model.RunExit,
+        runner: _fleet.RunnerEntry,
+    ) -> int:
+        """Completes a waiting task whose run was lost after it succeeded."""
+        if task.phase is not _state.TaskPhase.WAITING:
+            return 0
+        self._log.info(
+            "lost_run_was_done",
+            task=str(task.key),
+            run=run_exit.run,
+            runner=runner.identifier,
+        )
+        self._remove_waiting(task)
+        task.is_unblocked_in_term = False
+        task.waiting_since = None
+        self._complete_task(task)
+        return self._request_write(task.job)
+
     def _fail_job_at_limit(self, task: _state.TaskEntry) -> bool:
         """Fails the job if its task has used up its attempts.
 
--- a/tamarackhatch/scheduler/tests/test_reported_faults.py
+++ b/tamarackhatch/scheduler/tests/test_reported_faults.py
@@ -92,6 +92,28 @@
     virtual_time.run_virtually(simulate())
 
 
+def test_work_that_ended_on_a_silent_runner_does_not_run_again() -> None:
+    """Guards against repeating work whose exit was reported too late."""
+
+    async def simulate() -> None:
+        fleet = standin_fleet.VirtualFleet(1, lambda task, run: (2.0, "done"))
+        fleet.start_instance("a")
+        await fleet.wait_until(lambda: fleet.get_leader() is not None)
+        await fleet.submit("00", model.Step(3, _TASK), model.Step(1, _TASK))
+        await fleet.wait_until(lambda: len(fleet.history.runs) == 4)
+        await asyncio.sleep(1)
+        faults = fleet.network.get_faults(fleet.runners[0].address)
+        faults.unreachable_from.add("*")
+        await asyncio.sleep(9)
+        faults.unreachable_from.clear()
+        await fleet.wait_for_state("00", model.JobState.COMPLETED)
+        await asyncio.sleep(5)
+        assert len(fleet.history.runs) == 4
+        assert fleet.check() == []
+
+    virtual_time.run_virtually(simulate())
+
+
 def test_run_is_kept_if_its_start_cannot_be_repeated() -> None:
     """Guards against stopping a run because its runner was unreachable."""
 
