Count what runs of no task reserve, and follow capacities that change

In virtual time a start brought runners over their capacity (rule LIMIT):

- After a takeover.
Runs of a job that was cancelled while no scheduler ran were stopped as runs of no task and not counted, so that 16 tasks ran on a runner for 8.
Such runs now count until they are gone; while their job is not known, the runner gets nothing new.
- A runner that restarted under its identifier with less capacity was used by its earlier registry row.
A row now counts only if it is of the incarnation that answered last.
- A start without an answer was repeated for five seconds although the runner had shrunk.
It is not repeated while the runner is over its capacity; once a report shows that it has not begun, it is stopped and placed again.
A run that has begun is left alone.

A runner that is restored from the list of tracked runners gets no task, not even one without reservations, before its capacity is read. A runner that refused starts for lack of capacity was asked again every 300 ms: 328 refused starts in 20 s, of eight tasks, where the registry overstates the capacity. The pause now doubles up to 2.4 s.

Changes of a capacity are logged (runner_capacity_changed) and counted (tamarackhatch_capacity_changes). The stand-in of a runner has a capacity that may change and that it does not enforce by default, and the history checker knows the rule LIMIT.

--- a/fleetmodel/_runner.py
+++ b/fleetmodel/_runner.py
@@ -42,9 +42,9 @@
             service,
             self._plan_run,
             run_history,
-            capacity.processors,
-            capacity.memory_mb,
+            capacity,
         )
+        self.enforces_capacity = True
         self._jobs = jobs
         self._interference = interference
         self._run_counts = run_counts
@@ -102,18 +102,8 @@
             return behaviour.run_time_s / 2, "failed"
         return behaviour.run_time_s, "done"
 
-    def _has_capacity(self, task: str) -> bool:
-        reservations = [
-            self._find_step(run.task)[1].reserved
-            for run in self._runs.values()
-        ]
-        requested = self._find_step(task)[1].reserved
-        processors = sum(item.processors for item in reservations)
-        memory = sum(item.memory_mb for item in reservations)
-        return (
-            processors + requested.processors <= self.cpu
-            and memory + requested.memory_mb <= self.memory
-        )
+    def _get_reservation(self, task: str) -> model.Resources:
+        return self._find_step(task)[1].reserved
 
     def _find_step(self, task: str) -> tuple[_work.GeneratedJob, model.Step]:
         identifier, _, step, _ = task.split(".")
@@ -131,7 +121,11 @@
         for run in self._runs.values():
             _, step = self._find_step(run.task)
             if step.is_best_effort:
-                share = step.resources.processors * run.speed_limit / self.cpu
+                share = (
+                    step.resources.processors
+                    * run.speed_limit
+                    / self.capacity.processors
+                )
                 share *= self._interference.get_intensity(run.task, now)
                 shares[step.image] = shares.get(step.image, 0.0) + share
         return shares
@@ -145,7 +139,7 @@
                 used_cpu += load * step.resources.processors
             else:
                 used_cpu += step.resources.processors * run.speed_limit
-        return max(0.0, used_cpu / self.cpu - 1.0)
+        return max(0.0, used_cpu / self.capacity.processors - 1.0)
 
     def _record_shares(self) -> None:
         shares = self._compute_shares()
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -185,6 +185,7 @@
         job = model.Job(identifier, queue, "work", steps, self.clock.get_utc())
         deadline = self.clock.get_monotonic() + timeout
         self.history.accepted.add(identifier)
+        self.history.record_steps(identifier, steps)
         try:
             await target.jobs.submit(job, deadline)
         except model.StoreOutcomeUnknownError:
--- a/standins/history.py
+++ b/standins/history.py
@@ -1,9 +1,16 @@
 """Records runs and callers' answers, and checks rules about them."""
 
 import asyncio
+from collections.abc import Iterable
 
 import attrs
 
+from tamarackhatch import model
+
+# A capacity that has shrunk counts after the time that the platform gives
+# (contact_ms), and one heartbeat of the runner.
+_SHRUNK_CAPACITY_COUNTS_AFTER_S = 5.0
+
 
 @attrs.define
 class RunRecord:
@@ -48,6 +55,19 @@
         return self.acknowledged is not None and not self.is_expired
 
 
+@attrs.frozen
+class CapacityRecord:
+    """A capacity that a runner has registered.
+
+    Attributes:
+        time: Loop time from which on it holds, in seconds.
+        capacity: The capacity.
+    """
+
+    time: float
+    capacity: model.Resources
+
+
 @attrs.frozen
 class Violation:
     """A broken rule.
@@ -79,6 +99,25 @@
         self.accepted: set[str] = set()
         self.refused: set[str] = set()
         self.completed: dict[str, float] = {}
+        self._reservations: dict[tuple[str, int], model.Resources] = {}
+        self._capacities: dict[str, list[CapacityRecord]] = {}
+
+    def record_steps(self, job: str, steps: Iterable[model.Step]) -> None:
+        """Records what the tasks of a job reserve."""
+        for index, step in enumerate(steps):
+            self._reservations[job, index] = step.reserved
+
+    def record_capacity(self, runner: str, capacity: model.Resources) -> None:
+        """Records the capacity that a runner registers."""
+        now = asyncio.get_running_loop().time()
+        self._capacities.setdefault(runner, []).append(
+            CapacityRecord(now, capacity)
+        )
+
+    def get_reservation(self, task: str) -> model.Resources:
+        """Returns what a task reserves; nothing if its job is unknown."""
+        job, _, step, _ = task.split(".")
+        return self._reservations.get((job, int(step)), model.Resources())
 
     def record_start(
         self, runner: str, incarnation: int, task: str, run: int, token: int
@@ -159,8 +198,57 @@
                         "ran although its job was never submitted",
                     )
                 )
+        violations += self._check_capacities()
         return violations + self._check_completed(by_task)
 
+    def _check_capacities(self) -> list[Violation]:
+        violations = []
+        for run in self.runs:
+            reservation = self.get_reservation(run.task)
+            reserved = model.Resources()
+            for other in self.runs:
+                if other.runner == run.runner and (
+                    other is run
+                    or other.started <= run.started
+                    and (other.exited is None or other.exited > run.started)
+                ):
+                    reserved += self.get_reservation(other.task)
+            if any(
+                added and total > limit
+                for added, total, limit in zip(
+                    attrs.astuple(reservation),
+                    attrs.astuple(reserved),
+                    self._get_limits(run),
+                )
+            ):
+                violations.append(
+                    Violation(
+                        "LIMIT",
+                        run.task,
+                        f"run {run.run} at {run.started:.2f} s brought "
+                        f"{run.runner} to {reserved}",
+                    )
+                )
+        return violations
+
+    def _get_limits(self, run: RunRecord) -> tuple[float, ...]:
+        """Returns the highest amounts that count when a run starts."""
+        registered = [
+            item
+            for item in self._capacities.get(run.runner, [])
+            if item.time <= run.started
+        ]
+        earliest = run.started - _SHRUNK_CAPACITY_COUNTS_AFTER_S
+        in_force = [
+            item
+            for item, following in zip(registered, [*registered[1:], None])
+            if following is None or following.time > earliest
+        ]
+        if not in_force:
+            return (float("inf"),) * 3
+        amounts = zip(*(attrs.astuple(item.capacity) for item in in_force))
+        return tuple(max(values) for values in amounts)
+
     def _check_completed(
         self, by_task: dict[str, list[RunRecord]]
     ) -> list[Violation]:
--- a/standins/runner.py
+++ b/standins/runner.py
@@ -3,6 +3,7 @@
 import asyncio
 import base64
 from collections.abc import Callable
+import datetime
 import math
 import typing
 
@@ -12,9 +13,11 @@
 from standins import history
 from standins import network
 from standins import store
+from tamarackhatch import model
 
+_MILLISECOND = datetime.timedelta(milliseconds=1)
 _STOP_DURATION_S = 0.1
-_MAX_LEASE_MS = 10_000
+MAX_LEASE = datetime.timedelta(seconds=10)
 
 
 @attrs.define
@@ -89,8 +92,10 @@
         is_registering: Whether it registers.
         ticket: Ticket that each start must have; None accepts all starts.
         starts_without_ticket: Number of starts refused for lack of the ticket.
-        cpu: Thousandths of a processor core.
-        memory: Memory in MiB.
+        starts_without_capacity: Number of starts refused because the task
+            does not fit.
+        capacity: Capacity that it registers; it may change at any time.
+        enforces_capacity: Whether it refuses tasks that do not fit.
     """
 
     def __init__(
@@ -100,8 +105,7 @@
         service: str,
         plan: Plan,
         run_history: history.History,
-        cpu: int = 16_000,
-        memory: int = 64_000,
+        capacity: model.Resources = model.Resources(16_000, 64_000),
     ) -> None:
         self.identifier = identifier
         self.address = address
@@ -110,8 +114,9 @@
         self.is_registering = True
         self.ticket: str | None = None
         self.starts_without_ticket = 0
-        self.cpu = cpu
-        self.memory = memory
+        self.starts_without_capacity = 0
+        self.capacity = capacity
+        self.enforces_capacity = False
         self._plan = plan
         self._history = run_history
         self._incarnation = 1
@@ -158,13 +163,18 @@
             "slots": 8,
             "state": self.state,
             "cold_remaining_ms": 0,
-            "capacity": {"cpu": self.cpu, "mem_mb": self.memory, "gpu": 0},
+            "capacity": {
+                "cpu": self.capacity.processors,
+                "mem_mb": self.capacity.memory_mb,
+                "gpu": self.capacity.accelerators,
+            },
             "labels": ["a", "r1"],
             "born": self._incarnation,
             "seq": self._registration_number,
         }
         value = base64.b64encode(orjson.dumps(entry)).decode()
         store_stand_in.put("servers", self.identifier, value)
+        self._history.record_capacity(self.identifier, self.capacity)
 
     async def handle(self, request: network.Request) -> network.Response:
         """Answers one call; refuses fencing tokens below the highest seen."""
@@ -202,7 +212,7 @@
                 self._incarnation,
                 self._incarnation_start + self._lease_end_ms / 1000,
             )
-        latest_ms = self._get_clock_ms() + _MAX_LEASE_MS
+        latest_ms = self._get_clock_ms() + MAX_LEASE // _MILLISECOND
         requested_ms = min(body.get("deadline_ms", 0), latest_ms)
         self._lease_end_ms = max(self._lease_end_ms, requested_ms)
 
@@ -251,7 +261,8 @@
             self._extend_lease(body)
             return self._make_response(409, reason="old")
         self._extend_lease(body)
-        if not self._has_capacity(task):
+        if self.enforces_capacity and not self._has_capacity(task):
+            self.starts_without_capacity += 1
             return self._make_response(409, reason="room")
         work_s, exit_reason = self._plan(task, number)
         now = asyncio.get_running_loop().time()
@@ -275,8 +286,14 @@
         return self._make_response(200)
 
     def _has_capacity(self, task: str) -> bool:
-        """Returns whether a task fits; subclasses may limit the capacity."""
-        return True
+        """Returns whether a task fits beside the runs in progress."""
+        reserved = self._get_reservation(task)
+        for run in self._runs.values():
+            reserved += self._get_reservation(run.task)
+        return reserved.fits_in(self.capacity)
+
+    def _get_reservation(self, task: str) -> model.Resources:
+        return self._history.get_reservation(task)
 
     def _set_speed_limit(self, body: network.Body) -> network.Response:
         run = self._runs.get(body["task"])
--- a/standins/tests/test_checker.py
+++ b/standins/tests/test_checker.py
@@ -1,8 +1,12 @@
 """The checker of histories finds each broken rule."""
 
+import asyncio
+
 import pytest
 
 from standins import history
+from standins import virtual_time
+from tamarackhatch import model
 
 
 def _make_run(
@@ -100,3 +104,33 @@
     record.record_expiry("i-1", 1, expiry)
     record.runs[0].acknowledged = 4.0
     assert {item.rule for item in record.check(2)} == rules
+
+
+@pytest.mark.parametrize(
+    ("second_started", "exited", "rules"),
+    [
+        (5.5, None, set()),
+        (6.5, None, {"LIMIT"}),
+        (6.5, 6.0, set()),
+    ],
+)
+def test_start_over_a_shrunk_capacity_is_found(
+    second_started: float, exited: float | None, rules: set[str]
+) -> None:
+    """Guards against a missed start over a capacity that shrank long ago."""
+    record = history.History()
+    record.accepted.add("00")
+    step = model.Step(2, model.Resources(1_000, 100))
+    record.record_steps("00", [step])
+
+    async def record_capacities() -> None:
+        record.record_capacity("i-0", model.Resources(2_000, 200))
+        await asyncio.sleep(1)
+        record.record_capacity("i-0", model.Resources(1_000, 200))
+
+    virtual_time.run_virtually(record_capacities())
+    record.runs = [
+        history.RunRecord("i-0", 1, "00.0.0.0", 1, 7, 0.5, exited, "done"),
+        history.RunRecord("i-0", 1, "00.0.0.1", 1, 7, second_started),
+    ]
+    assert {item.rule for item in record.check(2)} == rules
--- a/tamarackhatch/observability/_metrics.py
+++ b/tamarackhatch/observability/_metrics.py
@@ -65,6 +65,11 @@
             ["source"],
             registry=self._registry,
         )
+        self.capacity_changes = prometheus_client.Counter(
+            "tamarackhatch_capacity_changes",
+            "Changes of the capacity that a runner registers.",
+            registry=self._registry,
+        )
         self.waiting = prometheus_client.Gauge(
             "tamarackhatch_waiting_tasks",
             "Tasks that wait for a runner.",
--- a/tamarackhatch/placement/_load.py
+++ b/tamarackhatch/placement/_load.py
@@ -44,6 +44,8 @@
         best_effort_cpu: CPU that best-effort tasks request, in thousandths of
             a core.
         batch_cpu: Part of reserved_cpu that serving tasks do not reserve.
+        unassigned: Resources of runs there that are being stopped and belong
+            to no task that is assigned to the runner.
         serving: Serving tasks by job.
         best_effort_cpu_by_image: CPU that best-effort tasks request, by image,
             in thousandths of a core.
@@ -60,6 +62,7 @@
     reserved_accelerators: int = 0
     best_effort_cpu: int = 0
     batch_cpu: int = 0
+    unassigned: model.Resources = model.Resources()
     serving: dict[str, ServingGroup] = attrs.field(factory=dict)
     best_effort_cpu_by_image: collections.Counter[str] = attrs.field(
         factory=collections.Counter
@@ -87,15 +90,32 @@
     def has_capacity(self, step: model.Step) -> bool:
         """Returns whether a task of the step fits into the capacity left."""
         reservation = step.reserved
-        capacity = self.capacity
+        capacity, unassigned = self.capacity, self.unassigned
         return (
-            self.reserved_cpu + reservation.processors <= capacity.processors
-            and self.reserved_memory_mb + reservation.memory_mb
+            self.reserved_cpu + unassigned.processors + reservation.processors
+            <= capacity.processors
+            and self.reserved_memory_mb
+            + unassigned.memory_mb
+            + reservation.memory_mb
             <= capacity.memory_mb
-            and self.reserved_accelerators + reservation.accelerators
+            and self.reserved_accelerators
+            + unassigned.accelerators
+            + reservation.accelerators
             <= capacity.accelerators
         )
 
+    def is_over_capacity(self) -> bool:
+        """Returns whether more is reserved than there is.
+
+        A runner's capacity may shrink while tasks run there.
+        """
+        reserved = self.unassigned + model.Resources(
+            self.reserved_cpu,
+            self.reserved_memory_mb,
+            self.reserved_accelerators,
+        )
+        return not reserved.fits_in(self.capacity)
+
     def _adjust(self, key: model.TaskKey, step: model.Step, sign: int) -> None:
         reservation = step.reserved
         self.reserved_cpu += sign * reservation.processors
--- a/tamarackhatch/scheduler/_commands.py
+++ b/tamarackhatch/scheduler/_commands.py
@@ -15,6 +15,10 @@
 # A runner that refused a start gets no new tasks for this long. Within this
 # time a renewal corrects the scheduler's state of the runner.
 _REFUSAL_PAUSE = datetime.timedelta(milliseconds=300)
+# The pause doubles with each refusal for lack of capacity, because each has a
+# price. A runner writes its registry row about once a second, so that a longer
+# pause would outlast the correction of a capacity.
+_MAX_CAPACITY_REFUSAL_PAUSE = datetime.timedelta(milliseconds=2400)
 _UNHEALTHY_PAUSE = datetime.timedelta(seconds=1)
 _MAX_SPEED_LIMIT_ATTEMPTS = 2
 _FULL_SPEED_PERCENT = 100
@@ -111,6 +115,7 @@
     ) -> None:
         context = self._context
         is_uncertain = False
+        attempt_ended = context.get_now()
         lease_end = self._grant_lease(entry)
         if lease_end is None:
             context.job_tracker.undo_start(task)
@@ -120,11 +125,26 @@
             and task.runner is entry
             and task.phase is _state.TaskPhase.STARTING
         ):
-            outcome = await self._send_start(task, entry, run, lease_end)
+            outcome = None
+            if not entry.load.is_over_capacity():
+                outcome = await self._send_start(task, entry, run, lease_end)
+                attempt_ended = context.get_now()
+            elif not is_uncertain:
+                context.job_tracker.undo_start(task)
+                return
+            elif (
+                entry.clock_read is not None
+                and entry.clock_read > attempt_ended
+            ):
+                # The runner has shrunk, and its report does not list the run.
+                # A stop prevents that an earlier attempt still starts it.
+                context.job_tracker.evict_task(task, "runner has shrunk")
+                return
             if task.run != run or task.runner is not entry:
                 return
             if outcome is _Outcome.ACCEPTED:
                 context.job_tracker.confirm_run(task, entry)
+                entry.capacity_refusals = 0
                 if (
                     speed_limit_percent < _FULL_SPEED_PERCENT
                     and task.speed_limit_percent == _FULL_SPEED_PERCENT
@@ -224,10 +244,21 @@
                 entry.avoid_until = context.get_now() + _UNHEALTHY_PAUSE
             context.job_tracker.undo_start(task)
             return
+        now = context.get_now()
         pause = _REFUSAL_PAUSE
         if outcome in (_Outcome.UNHEALTHY, _Outcome.RESTARTED):
             pause = _UNHEALTHY_PAUSE
-        entry.avoid_until = context.get_now() + pause
+        elif outcome is _Outcome.NO_CAPACITY:
+            if now < entry.avoid_until:
+                # Refused together with a start that began the pause.
+                context.job_tracker.undo_start(task)
+                return
+            pause = min(
+                _REFUSAL_PAUSE * 2**entry.capacity_refusals,
+                _MAX_CAPACITY_REFUSAL_PAUSE,
+            )
+            entry.capacity_refusals = min(entry.capacity_refusals + 1, 10)
+        entry.avoid_until = now + pause
         context.job_tracker.undo_start(task)
 
     def _resolve_uncertain_start(
--- a/tamarackhatch/scheduler/_fleet.py
+++ b/tamarackhatch/scheduler/_fleet.py
@@ -25,6 +25,7 @@
         record: The runner's latest row in the registry.
         load: Tasks placed on the runner and their resources.
         is_registered: Whether the registry currently lists the runner.
+        is_capacity_known: Whether the registry has listed it in this term.
         is_tracked: Whether the durable list of tracked runners names it.
         is_untracked: Whether it is to be removed from the list of tracked
             runners. It gets no tasks, so no later scheduler has to ask it.
@@ -44,7 +45,11 @@
         unread_exits: Exits of jobs that may be stored and not be read yet, by
             number, with the time at which the runner first listed them.
         unread_running: The same for runs in progress, by task.
+        has_unknown_runs: Whether the runner listed runs whose reservations are
+            not known.
         missed_renewals: Renewals in a row without an answer.
+        capacity_refusals: Starts in a row that the runner refused because the
+            task does not fit; those of one pause count once.
         failure_score: Score of failed runs on the runner: each failure adds 1,
             each successful run halves the score.
         avoid_until: Monotonic time until which it gets no new tasks.
@@ -53,6 +58,7 @@
     record: model.Runner
     load: placement.RunnerLoad
     is_registered: bool = True
+    is_capacity_known: bool = True
     is_tracked: bool = False
     is_untracked: bool = False
     incarnation: int = 0
@@ -69,7 +75,9 @@
     unread_running: dict[
         model.TaskKey, tuple[model.RunningTask, datetime.timedelta]
     ] = attrs.field(factory=dict)
+    has_unknown_runs: bool = False
     missed_renewals: int = 0
+    capacity_refusals: int = 0
     failure_score: float = 0.0
     avoid_until: datetime.timedelta = datetime.timedelta()
 
@@ -103,6 +111,18 @@
         self.load.remove_task(task.key, task.step)
         self.load.best_effort_usage.remove_task(task.key, now)
 
+    @property
+    def _is_record_current(self) -> bool:
+        """Whether the registry row is of the incarnation that answered last.
+
+        A runner that restarted under its identifier may have another capacity.
+        """
+        return (
+            not self.record.incarnation
+            or not self.incarnation
+            or self.record.incarnation == self.incarnation
+        )
+
     @property
     def is_idle(self) -> bool:
         """Whether no task can run here and all exits are durable."""
@@ -163,6 +183,9 @@
         """Returns whether new tasks may be placed on the runner."""
         return (
             self.is_registered
+            and self.is_capacity_known
+            and not self.has_unknown_runs
+            and self._is_record_current
             and self.is_tracked
             and not self.is_untracked
             and not self.record.is_draining
--- a/tamarackhatch/scheduler/_job_tracker.py
+++ b/tamarackhatch/scheduler/_job_tracker.py
@@ -87,6 +87,13 @@
         tasks = occurrence.steps[key.step]
         return tasks[key.index] if key.index < len(tasks) else None
 
+    def find_step(self, key: model.TaskKey) -> model.Step | None:
+        """Returns the step of a task, or None if the job is unknown."""
+        job = self._jobs.get(key.job)
+        if job is None or key.step >= len(job.job.steps):
+            return None
+        return job.job.steps[key.step]
+
     def has_job(self, identifier: str) -> bool:
         """Returns whether a job is known."""
         return identifier in self._jobs
--- a/tamarackhatch/scheduler/_runner_manager.py
+++ b/tamarackhatch/scheduler/_runner_manager.py
@@ -3,6 +3,8 @@
 import asyncio
 import datetime
 
+import attrs
+
 from tamarackhatch import model
 from tamarackhatch import platform
 from tamarackhatch import records
@@ -51,7 +53,7 @@
             self._unreconciled.add(_UNKNOWN_RUNNERS)
         for entry in tracked_runners or ():
             self._unreconciled.add(entry.identifier)
-            self._add_runner(_make_runner(entry))
+            self._add_runner(_make_runner(entry), is_restored=True)
         if self._unreconciled:
             term = self._context.leader_lease.term
             self._dispatcher.pause_starts(
@@ -131,8 +133,12 @@
         self._context.log.info("takeover_finished")
         self._dispatcher.resume_starts()
 
-    def _add_runner(self, record: model.Runner) -> None:
+    def _add_runner(
+        self, record: model.Runner, is_restored: bool = False
+    ) -> None:
         entry = _fleet.make_runner_entry(record)
+        # The list of tracked runners does not hold capacities.
+        entry.is_capacity_known = not is_restored
         self._context.fleet[record.identifier] = entry
         self._start_reconciler(entry)
 
@@ -184,7 +190,7 @@
             )
         entry.record = record
         entry.is_registered = True
-        entry.load.capacity = record.capacity
+        self._update_capacity(entry, record.capacity)
         entry.load.labels = record.labels
         entry.load.service = record.service
         is_leaving = record.is_draining or entry.missed_renewals > 0
@@ -193,6 +199,29 @@
         if not entry.is_tracked and not entry.is_untracked:
             self._write_tracked_runners()
 
+    def _update_capacity(
+        self, entry: _fleet.RunnerEntry, capacity: model.Resources
+    ) -> None:
+        load = entry.load
+        if entry.is_capacity_known and capacity == load.capacity:
+            return
+        former = load.capacity
+        load.capacity = capacity
+        if entry.is_capacity_known:
+            self._context.metrics.capacity_changes.inc()
+            self._context.log.info(
+                "runner_capacity_changed",
+                runner=entry.identifier,
+                former=attrs.astuple(former),
+                capacity=attrs.astuple(capacity),
+                reserved_cpu=load.reserved_cpu,
+                reserved_memory_mb=load.reserved_memory_mb,
+                is_over=load.is_over_capacity(),
+            )
+        entry.is_capacity_known = True
+        entry.capacity_refusals = 0
+        self._context.wake.set()
+
     def _untrack(self, entry: _fleet.RunnerEntry) -> None:
         entry.is_untracked = True
         self._context.log.info("runner_untracked", runner=entry.identifier)
--- a/tamarackhatch/scheduler/_runner_reconciler.py
+++ b/tamarackhatch/scheduler/_runner_reconciler.py
@@ -56,6 +56,7 @@
         self._commands = commands
         self._untrack = untrack
         self._has_reported = False
+        self._listed: tuple[model.RunningTask, ...] = ()
         self._started = context.get_now()
         self._throttling = _throttling.ThrottlingController(
             context, entry, commands
@@ -199,6 +200,8 @@
         exit_count = len(report.exits) + len(report.unreadable_exits)
         if exit_count < _MAX_LISTED_EXITS and not report.unreadable_running:
             self._record_missing_runs(listed, sent)
+        self._listed = report.running
+        self._count_unassigned_runs()
 
     def _log_unreadable_entries(self, report: model.RunnerReport) -> None:
         findings = report.unreadable_running + report.unreadable_exits
@@ -229,6 +232,25 @@
             if key.job == job:
                 del entry.unread_running[key]
                 self._apply_running_task(item)
+        self._count_unassigned_runs()
+
+    def _count_unassigned_runs(self) -> None:
+        """Counts what listed runs reserve that belong to no task there.
+
+        They use the runner's capacity until they are stopped.
+        """
+        entry = self._entry
+        unassigned = model.Resources()
+        entry.has_unknown_runs = False
+        for item in self._listed:
+            if item.task in entry.tasks:
+                continue
+            step = self._context.job_tracker.find_step(item.task)
+            if step is None:
+                entry.has_unknown_runs = True
+            else:
+                unassigned += step.reserved
+        entry.load.unassigned = unassigned
 
     def _drop_runs_of_absent_jobs(self) -> None:
         """Stops runs and acknowledges exits of jobs that do not exist."""
