Keep exits and leases of a runner that restarts under its identifier

Callers saw a task run again after it was done, or a second run beside the first (rule TWICE), in virtual time only. A start may reach the new incarnation before any of its reports arrives.

- the renewal still acknowledged the earlier incarnation's exits.
The new one numbers its exits from 1 and discarded them unread.
After a renewal without an answer, and while the registry row is of another incarnation, nothing is acknowledged until a report shows the incarnation;
- a run that had already exited in the new incarnation counted as lost with the restart before its exit was read, so the exit was ignored.
Runs whose exits the report lists are now kept;

--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -63,6 +63,7 @@
             caller_address=address,
             readiness_address=address,
             store_address=address,
+            bounds=settings.Bounds(max_lease=runner.MAX_LEASE),
         )
         sink = observability.LineSink(fleet.log_descriptor, fleet.clock, 10**9)
         fleet.incarnations += 1
--- a/tamarackhatch/scheduler/_fleet.py
+++ b/tamarackhatch/scheduler/_fleet.py
@@ -25,6 +25,7 @@
         record: The runner's latest row in the registry.
         load: Tasks placed on the runner and their resources.
         is_registered: Whether the registry currently lists the runner.
+        is_restored: Whether an earlier scheduler tracked it.
         is_capacity_known: Whether the registry has listed it in this term.
         is_tracked: Whether the durable list of tracked runners names it.
         is_untracked: Whether it is to be removed from the list of tracked
@@ -58,6 +59,7 @@
     record: model.Runner
     load: placement.RunnerLoad
     is_registered: bool = True
+    is_restored: bool = False
     is_capacity_known: bool = True
     is_tracked: bool = False
     is_untracked: bool = False
@@ -123,6 +125,17 @@
             or self.record.incarnation == self.incarnation
         )
 
+    @property
+    def acknowledgeable_exit(self) -> int:
+        """Number of the exit up to which a renewal may acknowledge exits.
+
+        0 if the runner may have restarted since its last answer: a new
+        incarnation numbers its exits anew, and would discard them unread.
+        """
+        if self.missed_renewals or not self._is_record_current:
+            return 0
+        return self.acknowledged_exit
+
     @property
     def is_idle(self) -> bool:
         """Whether no task can run here and all exits are durable."""
--- a/tamarackhatch/scheduler/_runner_manager.py
+++ b/tamarackhatch/scheduler/_runner_manager.py
@@ -137,6 +137,7 @@
         self, record: model.Runner, is_restored: bool = False
     ) -> None:
         entry = _fleet.make_runner_entry(record)
+        entry.is_restored = is_restored
         # The list of tracked runners does not hold capacities.
         entry.is_capacity_known = not is_restored
         self._context.fleet[record.identifier] = entry
--- a/tamarackhatch/scheduler/_runner_reconciler.py
+++ b/tamarackhatch/scheduler/_runner_reconciler.py
@@ -106,7 +106,7 @@
             report = await context.client.renew(
                 entry.record,
                 context.authority,
-                entry.acknowledged_exit,
+                entry.acknowledgeable_exit,
                 lease_end,
                 wait,
             )
@@ -168,9 +168,7 @@
         if not self._has_reported:
             # An earlier scheduler may have granted a lease just before this
             # answer.
-            entry.lease_end = report.clock_reading + context.settings.lease * (
-                1 + _EARLIER_LEASE_EXCESS_SHARE
-            )
+            entry.lease_end = self._get_earlier_lease_end(report)
             self._has_reported = True
         for run_exit in report.exits:
             if run_exit.number <= entry.processed_exit:
@@ -203,6 +201,21 @@
         self._listed = report.running
         self._count_unassigned_runs()
 
+    def _get_earlier_lease_end(
+        self, report: model.RunnerReport
+    ) -> datetime.timedelta:
+        """Returns the latest end of leases that earlier schedulers granted."""
+        clock, settings = report.clock_reading, self._context.settings
+        lease_end = clock + settings.lease * (1 + _EARLIER_LEASE_EXCESS_SHARE)
+        if self._entry.is_restored:
+            # A scheduler that did not know yet that the runner had restarted
+            # computed lease ends from the earlier incarnation's clock, which
+            # grant the longest lease. It sent none later than one lease after
+            # the restart, when the clock began at 0.
+            longest = min(clock, settings.lease) + settings.bounds.max_lease
+            lease_end = max(lease_end, longest)
+        return lease_end
+
     def _log_unreadable_entries(self, report: model.RunnerReport) -> None:
         findings = report.unreadable_running + report.unreadable_exits
         if findings:
@@ -265,20 +278,28 @@
                 self._apply_running_task(item)
 
     def _apply_new_incarnation(self, report: model.RunnerReport) -> None:
-        entry = self._entry
+        entry, settings = self._entry, self._context.settings
         if entry.incarnation:
             self._context.log.warning(
                 "runner_restarted",
                 runner=entry.identifier,
                 incarnation=report.incarnation,
             )
-        entry.incarnation = report.incarnation
         entry.processed_exit = entry.acknowledged_exit = 0
         entry.pending_acks.clear()
         entry.unread_exits.clear()
         entry.unread_running.clear()
-        entry.lease_end = report.clock_reading + self._context.settings.lease
-        runs = {(item.task, item.run) for item in report.running}
+        if entry.incarnation:
+            # Commands whose lease end was computed from the earlier
+            # incarnation's clock grant the longest lease.
+            entry.lease_end = report.clock_reading + settings.bounds.max_lease
+        else:
+            entry.lease_end = report.clock_reading + settings.lease
+        entry.incarnation = report.incarnation
+        # Runs that have exited there are applied with their exits.
+        runs = {
+            (item.task, item.run) for item in report.running + report.exits
+        }
         for task in list(entry.tasks.values()):
             # Commands without an outcome continue until this incarnation
             # answers them.
--- a/tamarackhatch/scheduler/tests/test_capacity.py
+++ b/tamarackhatch/scheduler/tests/test_capacity.py
@@ -6,12 +6,14 @@
 import asyncio
 import base64
 import datetime
+import random
 
 import attrs
 import orjson
 import pytest
 
 from standins import fleet as standin_fleet
+from standins import history
 from standins import runner
 from standins import virtual_time
 from tamarackhatch import model
@@ -271,3 +273,61 @@
         await _wait_for_runs(fleet, 16)
 
     virtual_time.run_virtually(simulate())
+
+
+class _ShrinkingFleet:
+    """Kills schedulers, loses answers and changes capacities at random."""
+
+    def __init__(self, seed: int) -> None:
+        self._random = random.Random(seed)
+        self._fleet = standin_fleet.VirtualFleet(3, self._plan, seed=seed)
+        for name in ("a", "b", "c"):
+            self._fleet.start_instance(name)
+
+    def _plan(self, task: str, run: int) -> tuple[float, str]:
+        return 1 + random.Random(f"{task} {run}").random() * 6, "done"
+
+    async def run(self) -> list[history.Violation]:
+        """Returns the broken rules of one minute."""
+        fleet, draw = self._fleet, self._random
+        await fleet.wait_until(lambda: fleet.get_leader() is not None)
+        for number in range(20):
+            size = model.Resources(draw.choice([1_000, 3_000, 5_000]), 9_000)
+            if fleet.instances:
+                await fleet.submit(f"{number:02}", model.Step(6, size))
+            self._inject_fault()
+            await asyncio.sleep(draw.uniform(0.2, 3))
+        return fleet.check()
+
+    def _inject_fault(self) -> None:
+        fleet, draw = self._fleet, self._random
+        stand_in = draw.choice(fleet.runners)
+        faults = fleet.network.get_faults(stand_in.address)
+        action = draw.randrange(6)
+        if action == 0 and fleet.get_leader() is not None:
+            _kill_leader(fleet)
+            fleet.start_instance(f"n{fleet.incarnations}")
+        elif action == 1:
+            faults.lost_answer_share = 0.4 - faults.lost_answer_share
+        elif action == 2:
+            stand_in.crash()
+        elif action == 3:
+            faults.unreachable_from ^= {"*"}
+        else:
+            stand_in.capacity = model.Resources(
+                draw.choice([0, 4_000, 8_000, 16_000]),
+                draw.choice([9_000, 64_000]),
+            )
+
+
+@pytest.mark.parametrize("seed", range(40))
+def test_random_faults_bring_no_runner_over_its_capacity(seed: int) -> None:
+    """Guards against overcommitted runners after kills and lost answers."""
+
+    async def simulate() -> list[history.Violation]:
+        return await _ShrinkingFleet(seed).run()
+
+    violations = virtual_time.run_virtually(simulate())
+    # A start without an answer is repeated with its number after a restart of
+    # the runner.
+    assert [item for item in violations if item.rule != "NUMBER"] == []
--- /dev/null
+++ b/tamarackhatch/scheduler/tests/test_restarted_runner.py
@@ -0,0 +1,114 @@
+"""Tests runners that restart under their identifier.
+
+A start may reach the new incarnation before any of its reports arrives.
+"""
+
+import asyncio
+
+import pytest
+
+from standins import fleet as standin_fleet
+from standins import network
+from standins import virtual_time
+from tamarackhatch import model
+
+_TASK = model.Resources(processors=4_000, memory_mb=100)
+
+
+class _SilentRenewals:
+    """Answers no lease renewals of a runner while it is silent.
+
+    Attributes:
+        is_silent: Whether renewals get no answer.
+        answers: Number of answered renewals.
+    """
+
+    def __init__(
+        self, fleet: standin_fleet.VirtualFleet, is_executed: bool
+    ) -> None:
+        self.is_silent = False
+        self.answers = 0
+        self._runner = fleet.runners[0]
+        self._is_executed = is_executed
+        fleet.network.serve(self._runner.address, self._handle)
+
+    async def _handle(self, request: network.Request) -> network.Response:
+        is_renewal = request.path == "/-/hold"
+        if is_renewal and self.is_silent and not self._is_executed:
+            raise network.NoResponseError
+        response = await self._runner.handle(request)
+        if is_renewal and self.is_silent:
+            raise network.NoResponseError
+        self.answers += is_renewal
+        return response
+
+
+@pytest.mark.parametrize("is_executed", [True, False])
+def test_exit_before_the_first_report_of_an_incarnation_is_kept(
+    is_executed: bool,
+) -> None:
+    """Guards against running a task again that a restarted runner has done.
+
+    Its exit was discarded by the acknowledgement of an earlier incarnation's
+    exits, or ignored because the run counted as lost with the restart.
+    """
+
+    async def simulate() -> None:
+        fleet = standin_fleet.VirtualFleet(1)
+        renewals = _SilentRenewals(fleet, is_executed)
+        fleet.start_instance("a")
+        await fleet.wait_until(lambda: fleet.get_leader() is not None)
+        await fleet.submit("00", model.Step(1, _TASK))
+        await fleet.wait_for_state("00", model.JobState.COMPLETED)
+        await asyncio.sleep(1)
+        renewals.is_silent = True
+        fleet.runners[0].crash()
+        await fleet.submit("01", model.Step(1, _TASK))
+        await asyncio.sleep(3)
+        assert len(fleet.history.runs) == 2
+        renewals.is_silent = False
+        await fleet.wait_for_state("01", model.JobState.COMPLETED)
+        assert len(fleet.history.runs) == 2
+        assert fleet.check() == []
+
+    virtual_time.run_virtually(simulate())
+
+
+@pytest.mark.parametrize("is_leader_killed", [False, True])
+def test_lease_by_the_clock_of_an_earlier_incarnation_is_waited_out(
+    is_leader_killed: bool,
+) -> None:
+    """Guards against a second run while the first still holds a long lease.
+
+    The runner restarts, gets a lease by its earlier clock, reports once and
+    is cut off. The scheduler that granted the lease may be killed.
+    """
+
+    async def simulate() -> None:
+        fleet = standin_fleet.VirtualFleet(2, lambda task, run: (60.0, "done"))
+        renewals = _SilentRenewals(fleet, is_executed=False)
+        for name in ("a", "b"):
+            fleet.start_instance(name)
+        await fleet.wait_until(lambda: fleet.get_leader() is not None)
+        await asyncio.sleep(60)
+        renewals.is_silent = True
+        fleet.runners[0].crash()
+        await fleet.submit("00", model.Step(4, _TASK))
+        await fleet.wait_until(lambda: len(fleet.history.runs) == 4)
+        leader = fleet.get_leader()
+        assert leader is not None
+        if is_leader_killed:
+            leader.kill()
+            del fleet.instances[leader.name]
+            await fleet.wait_until(
+                lambda: fleet.get_leader() not in (None, leader)
+            )
+        renewals.is_silent = False
+        renewals.answers = 0
+        await fleet.wait_until(lambda: renewals.answers > 0)
+        faults = fleet.network.get_faults(fleet.runners[0].address)
+        faults.unreachable_from.add("*")
+        await asyncio.sleep(30)
+        assert fleet.check() == []
+
+    virtual_time.run_virtually(simulate())
