Rate best-effort tasks that ask for no processors

A caller's best-effort step without cpu ended the active scheduler, and each of its successors, if all serving runners were over the processors that they have: the rating divides by the processors that the task asks for. A runner that has shrunk is such a runner.

--- a/tamarackhatch/placement/_best_effort_usage.py
+++ b/tamarackhatch/placement/_best_effort_usage.py
@@ -105,9 +105,12 @@
         is_changed = False
         for key, used_cpu in used_cpu_by_task.items():
             task = self._tasks.get(key)
-            if task is None or not used_cpu or not task.speed_limit:
+            if task is None or not used_cpu:
                 continue
-            ratio = used_cpu / (task.processors * task.speed_limit)
+            allowed_cpu = task.processors * task.speed_limit
+            if not allowed_cpu:
+                continue
+            ratio = used_cpu / allowed_cpu
             intensity = (
                 1.0
                 if ratio >= _MIN_FULL_USAGE_RATIO
--- a/tamarackhatch/placement/_choice.py
+++ b/tamarackhatch/placement/_choice.py
@@ -197,7 +197,7 @@
     for headroom in candidate.headrooms:
         factor = candidate.estimate_factor(headroom.image, step.image)
         utilisation = factor * requested_share
-        if utilisation > headroom.remaining:
+        if utilisation and utilisation > headroom.remaining:
             speed_limit = min(
                 speed_limit, max(0.0, headroom.remaining / utilisation)
             )
@@ -205,7 +205,7 @@
     cpu_share = _compute_cpu_share(step, candidate)
     if not candidate.headrooms:
         added_utilisation = policy.empty_runner_cost
-    elif cpu_share > policy.max_cpu_usage:
+    elif requested_share and cpu_share > policy.max_cpu_usage:
         speed_limit = min(
             speed_limit,
             max(0.0, 1 - (cpu_share - policy.max_cpu_usage) / requested_share),
--- a/tamarackhatch/placement/tests/test_choice.py
+++ b/tamarackhatch/placement/tests/test_choice.py
@@ -6,6 +6,7 @@
 
 from tamarackhatch import model
 from tamarackhatch import placement
+from tamarackhatch.placement import _choice
 
 _CAPACITY = model.Resources(64_000, 256_000)
 _SMALL_REQUEST = model.Resources(6_400, 13_000)
@@ -108,6 +109,24 @@
     return load
 
 
+@pytest.mark.parametrize("image", ["heavy", "light", "unknown"])
+@pytest.mark.parametrize("processors", [0, 1, 64_000])
+@pytest.mark.parametrize("own_load", [0.3, 0.95])
+@pytest.mark.parametrize("requested", [0, 1, 90_000])
+def test_best_effort_task_is_rated_on_any_runner(
+    image: str, processors: int, own_load: float, requested: int
+) -> None:
+    """Guards against a division by zero, which would end the scheduler."""
+    load = _make_serving_load(12)
+    load.capacity = model.Resources(processors, 256_000)
+    candidate = _make_candidate(load, _make_interference(own_load))
+    step = model.Step(
+        1, model.Resources(requested, 1), is_best_effort=True, image=image
+    )
+    rating = _choice.rate_runner(step, candidate, _POLICY)
+    assert 0 <= rating.speed_limit <= 1
+
+
 @pytest.mark.parametrize(
     ("own_load", "image", "min_speed", "chosen"),
     [
--- a/tamarackhatch/scheduler/tests/test_capacity.py
+++ b/tamarackhatch/scheduler/tests/test_capacity.py
@@ -113,6 +113,28 @@
     virtual_time.run_virtually(simulate())
 
 
+def test_best_effort_task_without_cpu_does_not_end_the_scheduler() -> None:
+    """Guards against a job that takes down every scheduler that reads it."""
+
+    async def simulate() -> None:
+        fleet = _start_fleet()
+        await fleet.wait_until(lambda: fleet.get_leader() is not None)
+        leader = fleet.get_leader()
+        best_effort = _KINDS["best-effort"]
+        await fleet.submit("00", attrs.evolve(_KINDS["serving"], count=1))
+        await _wait_for_runs(fleet, 1)
+        # The runner's processors are in use several times over.
+        large = model.Resources(30_000, 1_000)
+        await fleet.submit("01", attrs.evolve(best_effort, resources=large))
+        await _wait_for_runs(fleet, 5)
+        nothing = model.Resources(0, 1_000)
+        await fleet.submit("02", attrs.evolve(best_effort, resources=nothing))
+        await _wait_for_runs(fleet, 9)
+        assert fleet.get_leader() is leader
+
+    virtual_time.run_virtually(simulate())
+
+
 @pytest.mark.parametrize("is_job_known", [True, False])
 def test_runs_of_a_cancelled_job_count_after_a_takeover(
     is_job_known: bool, monkeypatch: pytest.MonkeyPatch
