Throttle best-effort tasks to the processors that other tasks leave over

On a runner whose capacity shrank, best-effort tasks beside serving tasks kept the speed of their placement: 12 cores on a runner with 8 or 4, and on one with 0 throttling stopped altogether, because 0 stood for a capacity that is not known yet. Placement checks the contention for processors, throttling did not. Now the best-effort tasks beside serving tasks share what the forecast own loads and the batch tasks leave over of the present capacity.

--- a/tamarackhatch/placement/_throttling.py
+++ b/tamarackhatch/placement/_throttling.py
@@ -1,6 +1,7 @@
 """Speed limits of best-effort tasks on runners with serving tasks."""
 
 from collections.abc import Sequence
+import math
 
 import attrs
 
@@ -51,11 +52,14 @@
         own_load: Highest expected own load until the next command takes
             effect.
         limit: Highest utilisation that is allowed.
+        processors: CPU that its tasks on the runner request, in thousandths of
+            a core.
     """
 
     image: str
     own_load: float
     limit: float
+    processors: int = 0
 
 
 def choose_speed_limits(
@@ -63,12 +67,14 @@
     serving: Sequence[ServingState],
     best_effort_tasks: Sequence[BestEffortState],
     uncertainty_weight: float,
+    available_share: float = math.inf,
 ) -> dict[model.TaskKey, int]:
     """Returns the speed limits to change, in per cent by task.
 
     Every best-effort task runs at full speed unless a serving task would
     exceed its limit; then the best-effort tasks with the largest factors are
-    throttled first.
+    throttled first. If they still ask for more processors than the other
+    tasks leave over, all are slowed down alike.
 
     Args:
         interference: The interference model.
@@ -76,6 +82,8 @@
         best_effort_tasks: Best-effort tasks on the runner.
         uncertainty_weight: Number of standard deviations that are added to
             factors.
+        available_share: Share of the runner's processors that the best-effort
+            tasks may use together.
     """
     speed_limits = {best_effort.task: 1.0 for best_effort in best_effort_tasks}
     for state in serving:
@@ -86,6 +94,13 @@
             speed_limits,
             uncertainty_weight,
         )
+    used_share = sum(
+        best_effort.requested_share * speed_limits[best_effort.task]
+        for best_effort in best_effort_tasks
+    )
+    if used_share > available_share:
+        for task in speed_limits:
+            speed_limits[task] *= available_share / used_share
     changes: dict[model.TaskKey, int] = {}
     for best_effort in best_effort_tasks:
         percent = round(speed_limits[best_effort.task] * _FULL_SPEED_PERCENT)
--- a/tamarackhatch/scheduler/_throttling.py
+++ b/tamarackhatch/scheduler/_throttling.py
@@ -3,6 +3,7 @@
 from collections.abc import Iterator
 from collections.abc import Sequence
 import datetime
+import math
 import statistics
 
 from tamarackhatch import model
@@ -42,9 +43,7 @@
     def update_speed_limits(self, report: model.RunnerReport) -> None:
         """Updates the model from a report and sends new speed limits."""
         context, entry = self._context, self._entry
-        if not entry.load.capacity.processors:
-            # The runner is known from an earlier term only, because the
-            # registry was not read yet.
+        if not entry.is_capacity_known:
             return
         self._record_violations(report)
         if all(
@@ -79,6 +78,7 @@
             serving,
             best_effort_tasks,
             context.policy.uncertainty_weight,
+            self._compute_available_share(serving),
         )
         self._send_speed_limits(speed_limit_percents, "forecast")
 
@@ -183,6 +183,9 @@
                 )
             )
         entry.load.best_effort_usage.update_intensities(uses, now)
+        if not entry.load.capacity.processors:
+            # Shares of no processors say nothing about interference.
+            return
         shares = entry.load.best_effort_usage.compute_interfering_shares(
             now - _SAMPLE_WINDOW, now, entry.load.capacity.processors
         )
@@ -217,6 +220,22 @@
         )
         return any(since <= limit for since in self._violations.values())
 
+    def _compute_available_share(
+        self, serving: Sequence[placement.ServingState]
+    ) -> float:
+        """Returns the share of the processors that other tasks leave over.
+
+        Beyond its capacity, which may shrink, all tasks of a runner suffer.
+        """
+        load, policy = self._entry.load, self._context.policy
+        if not serving:
+            return math.inf
+        used_cpu = load.batch_cpu + sum(
+            state.own_load * state.processors for state in serving
+        )
+        processors = max(1, load.capacity.processors)
+        return max(0.0, policy.max_cpu_usage - used_cpu / processors)
+
     def _list_serving_groups(self) -> list[placement.ServingState]:
         context = self._context
         interference, policy = context.interference, context.policy
@@ -231,14 +250,17 @@
             )
             states.append(
                 placement.ServingState(
-                    group.image, own_load, limit - policy.margin
+                    group.image,
+                    own_load,
+                    limit - policy.margin,
+                    group.processors,
                 )
             )
         return states
 
     def _list_best_effort_tasks(self) -> list[placement.BestEffortState]:
         entry = self._entry
-        capacity = entry.load.capacity.processors
+        capacity = max(1, entry.load.capacity.processors)
         full_usage_probability = (
             self._context.policy.throttling_full_usage_probability
         )
--- a/tamarackhatch/scheduler/tests/test_throttling.py
+++ b/tamarackhatch/scheduler/tests/test_throttling.py
@@ -38,6 +38,15 @@
     speed_limit_percents: list[int]
     max_tail_latency_ms: int = _TAIL_LATENCY_MS
 
+    @property
+    def best_effort_cpu(self) -> float:
+        """CPU that the best-effort tasks may use together."""
+        return sum(
+            _BEST_EFFORT_CPU * run.speed_limit
+            for run in self._runs.values()
+            if not run.task.startswith("long-running")
+        )
+
     def throttle_best_effort_tasks(self, speed_limit: float) -> None:
         """Sets a speed limit, as if an earlier scheduler had sent it."""
         now = asyncio.get_running_loop().time()
@@ -142,3 +151,45 @@
         )
 
     virtual_time.run_virtually(simulate())
+
+
+@pytest.mark.parametrize(
+    ("processors", "max_best_effort_cpu"),
+    [(16_000, 12_000), (8_000, 8_000), (4_000, 4_000), (0, 0)],
+)
+@pytest.mark.parametrize("is_leader_killed", [False, True])
+def test_best_effort_tasks_are_throttled_on_a_shrunk_runner(
+    processors: int, max_best_effort_cpu: int, is_leader_killed: bool
+) -> None:
+    """Guards against best-effort tasks that use more than a runner still has.
+
+    The serving task does not report a higher tail latency yet.
+    """
+
+    async def simulate() -> None:
+        policy = placement.PlacementPolicy(
+            full_speed_wait=datetime.timedelta(), min_speed=0.0
+        )
+        fleet = standin_fleet.VirtualFleet(runners=0, policy=policy)
+        sampling = _adopt_runner(fleet)
+        for name in ("a", "b"):
+            fleet.start_instance(name)
+        await fleet.wait_until(lambda: fleet.get_leader() is not None)
+        await fleet.submit("long-running", _SERVING)
+        await asyncio.sleep(1)
+        await fleet.submit("00", _BEST_EFFORT)
+        await asyncio.sleep(10)
+        sampling.capacity = model.Resources(processors, 64_000)
+        if is_leader_killed:
+            leader = fleet.get_leader()
+            assert leader is not None
+            leader.kill()
+            del fleet.instances[leader.name]
+        await asyncio.sleep(6)
+        assert len(sampling.running) == 5
+        assert sampling.best_effort_cpu <= max_best_effort_cpu
+        assert (sampling.best_effort_cpu == 12_000) == (processors == 16_000)
+        sampling.capacity = model.Resources(16_000, 64_000)
+        await fleet.wait_until(lambda: sampling.best_effort_cpu == 12_000, 6)
+
+    virtual_time.run_virtually(simulate())
