Report a number with too many digits in a settings file as a finding

An operator who wrote a number of more than 4300 digits got a traceback from check and serve instead of the file and the reason; the interpreter refuses to convert it. At a reload the process went on, with an unexplained error.

Evidence: the new case of test_findings_name_their_location failed on the old code. Infinity, NaN, other types and deep nesting were reported already.

Also a test that a runner which is silent during a takeover keeps its work, and that a job cancelled meanwhile ends there; all eight cases passed at once.

--- a/tamarackhatch/documents/_parser.py
+++ b/tamarackhatch/documents/_parser.py
@@ -57,6 +57,10 @@
         line, column = _locate_error(error, text)
         location = errors.SourceLocation(file, line, column)
         message = _describe_error(error)
+    except ValueError:
+        # The interpreter limits the digits of whole numbers.
+        location = errors.SourceLocation(file, 1, 1)
+        message = "a number has too many digits"
     else:
         try:
             return _convert_node(document.value, file, 0)
--- a/tamarackhatch/scheduler/tests/test_reported_faults.py
+++ b/tamarackhatch/scheduler/tests/test_reported_faults.py
@@ -92,6 +92,49 @@
     virtual_time.run_virtually(simulate())
 
 
+@pytest.mark.parametrize("silence_s", [0.5, 1.5, 2.5, 3.5])
+@pytest.mark.parametrize("is_answer_lost", [False, True])
+def test_runner_that_is_silent_during_a_takeover_keeps_its_work(
+    silence_s: float, is_answer_lost: bool
+) -> None:
+    """Guards against restarting work that the successor cannot see yet.
+
+    The runner's lease lasts longer than its silence. A job that is cancelled
+    meanwhile must end there.
+    """
+
+    async def simulate() -> None:
+        fleet = standin_fleet.VirtualFleet(plan=lambda task, run: (12, "done"))
+        for name in ("a", "b"):
+            fleet.start_instance(name)
+        await fleet.wait_until(lambda: fleet.get_leader() is not None)
+        await fleet.submit("00", model.Step(6, _TASK))
+        await fleet.submit("01", _LONG_RUNNING)
+        await fleet.wait_until(lambda: len(fleet.history.runs) == 8)
+        await asyncio.sleep(2)
+        leader = fleet.get_leader()
+        assert leader is not None
+        leader.kill()
+        del fleet.instances[leader.name]
+        faults = fleet.network.get_faults(fleet.runners[0].address)
+        if is_answer_lost:
+            faults.lost_answer_share = 1.0
+        else:
+            faults.unreachable_from.add("*")
+        (survivor,) = fleet.instances.values()
+        deadline = fleet.clock.get_monotonic() + datetime.timedelta(seconds=3)
+        await survivor.jobs.cancel("01", deadline)
+        await asyncio.sleep(silence_s)
+        faults.lost_answer_share = 0.0
+        faults.unreachable_from.clear()
+        await fleet.wait_for_state("00", model.JobState.COMPLETED)
+        assert len(fleet.history.runs) == 8
+        assert not any(runner.running for runner in fleet.runners)
+        assert fleet.check() == []
+
+    virtual_time.run_virtually(simulate())
+
+
 def test_runner_without_a_registry_entry_keeps_its_work() -> None:
     """Guards against restarting work because only the registry is behind."""
 
--- a/tamarackhatch/settings/tests/test_settings.py
+++ b/tamarackhatch/settings/tests/test_settings.py
@@ -55,6 +55,7 @@
         ('"instance": "entry-1",', "", "1:1: TH103 instance is missing"),
         ("127.0.0.1:3", "store:3", "8:20: TH105 store_address"),
         ("3500.5", "true", "9:30: TH104 bounds.max_lease_ms"),
+        ("3500.5", "9" * 5000, "TH101 a number has too many digits"),
         ('"grace_s"', '"grace_sec"', "9:38: TH102 unknown key"),
         (
             '"processor_share": 0.5',
