Move best-effort tasks off a shrunk runner that stops all of them

A caller's job waited for as long as the capacity stayed away: on a runner that shrank below its reservations, throttling stops the best-effort tasks beside serving tasks, and they stayed there at a speed limit of 0. After five seconds they now leave. Whatever else runs there is left alone, since it has begun and shares what is left.

--- a/tamarackhatch/placement/_policy.py
+++ b/tamarackhatch/placement/_policy.py
@@ -53,6 +53,10 @@
             target before all best-effort tasks on its runner are stopped,
             whatever the model predicts. The platform tolerates less than four
             seconds over the target; reports lag by half a second.
+        starvation_wait: Time after which best-effort tasks leave a runner that
+            has shrunk below its reservations and on which all of them are at a
+            speed limit of 0. They lose the work since their checkpoints,
+            and the capacity may return.
         long_running_wait: Time for which batch tasks of the same priority
             precede a long-running task. A batch task releases its capacity
             within seconds; a long-running task keeps it.
@@ -82,6 +86,7 @@
     failure_weight: float = 0.5
     locality_weight: float = 0.5
     violation_timeout: datetime.timedelta = 1 * _SECOND
+    starvation_wait: datetime.timedelta = 5 * _SECOND
     long_running_wait: datetime.timedelta = 5 * _SECOND
     batch_wait: datetime.timedelta = 60 * _SECOND
     grouping_delay: datetime.timedelta = 100 * _MS
--- a/tamarackhatch/scheduler/_throttling.py
+++ b/tamarackhatch/scheduler/_throttling.py
@@ -39,6 +39,8 @@
         self._commands = commands
         # Serving tasks over their targets, and since when.
         self._violations: dict[model.TaskKey, datetime.timedelta] = {}
+        # Since when all best-effort tasks of a shrunk runner are stopped.
+        self._starved_since: datetime.timedelta | None = None
 
     def update_speed_limits(self, report: model.RunnerReport) -> None:
         """Updates the model from a report and sends new speed limits."""
@@ -73,6 +75,12 @@
             }
             self._send_speed_limits(speed_limit_percents, "target violated")
             return
+        if self._are_starved_too_long(best_effort_tasks):
+            for item in best_effort_tasks:
+                context.job_tracker.evict_task(
+                    entry.tasks[item.task], "runner has shrunk"
+                )
+            return
         speed_limit_percents = placement.choose_speed_limits(
             context.interference,
             serving,
@@ -236,6 +244,22 @@
         processors = max(1, load.capacity.processors)
         return max(0.0, policy.max_cpu_usage - used_cpu / processors)
 
+    def _are_starved_too_long(
+        self, best_effort_tasks: Sequence[placement.BestEffortState]
+    ) -> bool:
+        """Returns whether a shrunk runner stops all its best-effort tasks."""
+        now = self._context.get_now()
+        if not self._entry.load.is_over_capacity() or any(
+            item.speed_limit_percent != 0 for item in best_effort_tasks
+        ):
+            self._starved_since = None
+            return False
+        if self._starved_since is None:
+            self._starved_since = now
+        return now - self._starved_since >= (
+            self._context.policy.starvation_wait
+        )
+
     def _list_serving_groups(self) -> list[placement.ServingState]:
         context = self._context
         interference, policy = context.interference, context.policy
