Use runners that do not enforce their capacity only by a fresh registry

After contact_ms without an answer, runners of services without enforces_capacity now get no new tasks. A shrunk capacity counts contact_ms and a heartbeat later, so that every start before is in time. Runners that enforce their capacity are used as before, as a refused start costs less than a late one.

The new setting bounds.contact_ms is filled in by the platform; 4000 without.

Evidence: test_outdated_registry_allows_starts_only_where_runners_check failed on the old code for runners that do not enforce their capacity.

--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -80,6 +80,7 @@
             ),
             self.metrics,
             fleet.policy,
+            lambda service: fleet.enforces_capacity,
         )
         self.role = server.SchedulerRole(
             dependencies, f"{name}-{fleet.incarnations}"
@@ -112,6 +113,8 @@
         instances: Instances by name.
         incarnations: Number of instances started.
         log_descriptor: File descriptor to which instances write their logs.
+        enforces_capacity: Whether runners reject tasks that do not fit, as the
+            configuration says.
     """
 
     def __init__(
@@ -131,6 +134,7 @@
         self.runners: list[runner.RunnerStandIn] = []
         self.instances: dict[str, VirtualInstance] = {}
         self.incarnations = 0
+        self.enforces_capacity = True
         self.log_descriptor = os.open(
             log_path, os.O_WRONLY | os.O_CREAT | os.O_APPEND
         )
--- a/tamarackhatch/scheduler/_context.py
+++ b/tamarackhatch/scheduler/_context.py
@@ -1,6 +1,7 @@
 """Components that the asyncio tasks of one scheduler share."""
 
 import asyncio
+from collections.abc import Callable
 import datetime
 
 import attrs
@@ -38,6 +39,8 @@
         policy: Weights and limits of placement.
         tickets: Requests and caches tickets of the placement policy service.
         load_monitor: Counts the work of the scheduler.
+        enforces_capacity: Returns whether the runners of a service reject
+            tasks that do not fit; False if that is not known.
         wake: Set when tasks wait or capacity becomes free.
     """
 
@@ -55,6 +58,7 @@
     policy: placement.PlacementPolicy
     tickets: _tickets.TicketCache
     load_monitor: _load_monitor.LoadMonitor
+    enforces_capacity: Callable[[str], bool]
     wake: asyncio.Event
 
     @property
--- a/tamarackhatch/scheduler/_dependencies.py
+++ b/tamarackhatch/scheduler/_dependencies.py
@@ -1,5 +1,7 @@
 """Dependencies of the schedulers of an instance."""
 
+from collections.abc import Callable
+
 import attrs
 
 from tamarackhatch import clock
@@ -24,6 +26,8 @@
         log: Log of the instance.
         metrics: Measurements of the process.
         policy: Weights and limits of placement.
+        enforces_capacity: Returns whether the runners of a service reject
+            tasks that do not fit; False if that is not known.
     """
 
     store: model.TableStore
@@ -34,3 +38,4 @@
     log: observability.Log
     metrics: observability.Metrics
     policy: placement.PlacementPolicy = placement.PlacementPolicy()
+    enforces_capacity: Callable[[str], bool] = lambda service: False
--- a/tamarackhatch/scheduler/_dispatcher.py
+++ b/tamarackhatch/scheduler/_dispatcher.py
@@ -72,6 +72,11 @@
         self._commands = commands
         self._has_paused_starts = False
         self._paused_version: int | None = None
+        self._registry_read = datetime.timedelta.min
+
+    def mark_registry_read(self, time: datetime.timedelta) -> None:
+        """Records that all registry rows of a monotonic time were applied."""
+        self._registry_read = time
 
     def pause_starts(self, version: int | None) -> None:
         """Pauses the start of tasks that may already run.
@@ -196,10 +201,18 @@
     def _list_candidates(self) -> dict[str, list[placement.CandidateRunner]]:
         context = self._context
         now = context.get_now()
+        # A runner may have shrunk since, and not every runner rejects tasks
+        # that do not fit.
+        is_outdated = (
+            now - self._registry_read > context.settings.bounds.contact
+        )
         candidates: dict[str, list[placement.CandidateRunner]] = {}
         for entry in context.fleet.values():
+            service = entry.record.service
+            if is_outdated and not context.enforces_capacity(service):
+                continue
             if entry.is_schedulable(now):
-                candidates.setdefault(entry.record.service, []).append(
+                candidates.setdefault(service, []).append(
                     placement.CandidateRunner(
                         entry.load,
                         context.interference,
--- a/tamarackhatch/scheduler/_scheduler.py
+++ b/tamarackhatch/scheduler/_scheduler.py
@@ -93,6 +93,7 @@
             policy=dependencies.policy,
             tickets=self._tickets,
             load_monitor=_load_monitor.LoadMonitor(time_source, log, metrics),
+            enforces_capacity=dependencies.enforces_capacity,
             wake=wake,
         )
         self._commands = _commands.CommandSender(self._context)
@@ -137,6 +138,7 @@
             log,
             _REGISTRY_READ_INTERVAL,
             self._runner_manager.mark_unlisted_runners,
+            self._dispatcher.mark_registry_read,
         )
 
     @property
--- a/tamarackhatch/scheduler/tests/test_capacity.py
+++ b/tamarackhatch/scheduler/tests/test_capacity.py
@@ -48,6 +48,7 @@
         starvation_wait=datetime.timedelta(hours=1),
     )
     fleet = standin_fleet.VirtualFleet(runners, plan, policy=policy)
+    fleet.enforces_capacity = False
     for stand_in in fleet.runners:
         stand_in.capacity = _CAPACITY
     for name in ("a", "b"):
@@ -299,12 +300,41 @@
     virtual_time.run_virtually(simulate())
 
 
+@pytest.mark.parametrize("enforces_capacity", [False, True])
+def test_outdated_registry_allows_starts_only_where_runners_check(
+    enforces_capacity: bool,
+) -> None:
+    """Guards against starts by a capacity that was read long ago."""
+
+    async def simulate() -> None:
+        fleet = _start_fleet()
+        fleet.enforces_capacity = enforces_capacity
+        (stand_in,) = fleet.runners
+        stand_in.enforces_capacity = enforces_capacity
+        await fleet.wait_until(lambda: fleet.get_leader() is not None)
+        store_faults = fleet.network.get_faults(standin_fleet.STORE_ADDRESS)
+        store_faults.lost_feeds |= {(name, "servers") for name in ("a", "b")}
+        await asyncio.sleep(2)
+        stand_in.capacity = model.Resources(4_000, 64_000)
+        await asyncio.sleep(7)
+        await fleet.submit("00", model.Step(4, _TASK))
+        await asyncio.sleep(5)
+        assert len(stand_in.running) == (2 if enforces_capacity else 0)
+        store_faults.lost_feeds.clear()
+        await asyncio.sleep(5)
+        assert len(stand_in.running) == 2
+        assert fleet.check() == []
+
+    virtual_time.run_virtually(simulate())
+
+
 class _ShrinkingFleet:
     """Kills schedulers, loses answers and changes capacities at random."""
 
     def __init__(self, seed: int) -> None:
         self._random = random.Random(seed)
         self._fleet = standin_fleet.VirtualFleet(3, self._plan, seed=seed)
+        self._fleet.enforces_capacity = False
         for name in ("a", "b", "c"):
             self._fleet.start_instance(name)
 
--- a/tamarackhatch/server/_instance.py
+++ b/tamarackhatch/server/_instance.py
@@ -87,6 +87,7 @@
                 initial_settings,
                 self._log,
                 self._metrics,
+                enforces_capacity=self._enforces_capacity,
             ),
             self._incarnation,
         )
@@ -154,6 +155,11 @@
             return None
         return platform.AdviceClient(self._store_client, str(address))
 
+    def _enforces_capacity(self, name: str) -> bool:
+        configuration = self._configuration_watcher.configuration
+        found = configuration and configuration.get_service(name)
+        return bool(found and found.enforces_capacity)
+
     def _start_servers(self) -> None:
         initial_settings = self._initial_settings
         bindings: list[tuple[settings.Address, typing.Any]] = [
--- a/tamarackhatch/settings/_settings.py
+++ b/tamarackhatch/settings/_settings.py
@@ -19,11 +19,14 @@
     """Time bounds of the deployment.
 
     Attributes:
+        contact: Time after which a changed capacity of a runner counts, not
+            counting a heartbeat of the runner.
         max_lease: Longest lease that a runner grants.
         grace: Time from SIGTERM to SIGKILL.
         status_retention: How long the state of a finished job is kept.
     """
 
+    contact: datetime.timedelta = 4 * _SECOND
     max_lease: datetime.timedelta = 6 * _SECOND
     grace: datetime.timedelta = 6 * _SECOND
     status_retention: datetime.timedelta = 120 * _SECOND
@@ -166,6 +169,7 @@
 
 
 _BOUNDS_KEYS: typing.Final = (
+    _make_duration("contact", _MILLISECOND, 100, 60_000),
     _make_duration("max_lease", _MILLISECOND, 100, 600_000),
     _make_duration("grace", _SECOND, 0, 3_600),
     _make_duration("status_retention", _SECOND, 1, 86_400),
