--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -74,6 +74,7 @@
             caller_address=address,
             readiness_address=address,
             store_address=address,
+            bounds=settings.Bounds(max_lease=runner.MAX_LEASE),
         )
         sink = observability.LineSink(fleet.log_descriptor, fleet.clock, 10**9)
         log = observability.Log(
@@ -97,6 +98,7 @@
             self.metrics,
             fleet.policy,
             self.configuration,
+            lambda service: fleet.enforces_capacity,
         )
         watcher = self.configuration
         self.role = server.SchedulerRole(
@@ -140,6 +142,8 @@
         instances: Instances by name.
         incarnations: Number of instances started.
         log_descriptor: File descriptor to which instances write their logs.
+        enforces_capacity: Whether runners reject tasks that do not fit, as the
+            configuration says.
     """
 
     def __init__(
@@ -159,6 +163,7 @@
         self.runners: list[runner.RunnerStandIn] = []
         self.instances: dict[str, VirtualInstance] = {}
         self.incarnations = 0
+        self.enforces_capacity = True
         self.log_descriptor = os.open(
             log_path, os.O_WRONLY | os.O_CREAT | os.O_APPEND
         )
@@ -221,6 +226,7 @@
         job = model.Job(identifier, queue, "work", steps, self.clock.get_utc())
         deadline = self.clock.get_monotonic() + timeout
         self.history.accepted.add(identifier)
+        self.history.record_steps(identifier, steps)
         try:
             await target.jobs.submit(job, deadline)
         except model.StoreOutcomeUnknownError:
--- a/tamarackhatch/scheduler/_dependencies.py
+++ b/tamarackhatch/scheduler/_dependencies.py
@@ -1,5 +1,7 @@
 """Dependencies of the schedulers of an instance."""
 
+from collections.abc import Callable
+
 import attrs
 
 from tamarackhatch import clock
@@ -26,6 +28,8 @@
         policy: Weights and limits of placement.
         configuration: Configuration that the scheduler publishes to the other
             instances; None if it publishes none.
+        enforces_capacity: Returns whether the runners of a service reject
+            tasks that do not fit; False if that is not known.
     """
 
     store: model.TableStore
@@ -37,3 +41,4 @@
     metrics: observability.Metrics
     policy: placement.PlacementPolicy = placement.PlacementPolicy()
     configuration: model.ConfigurationSource | None = None
+    enforces_capacity: Callable[[str], bool] = lambda service: False
--- a/tamarackhatch/scheduler/_throttling.py
+++ b/tamarackhatch/scheduler/_throttling.py
@@ -3,6 +3,7 @@
 from collections.abc import Iterator
 from collections.abc import Sequence
 import datetime
+import math
 import statistics
 
 from tamarackhatch import model
@@ -38,13 +39,13 @@
         self._commands = commands
         # Serving tasks over their targets, and since when.
         self._violations: dict[model.TaskKey, datetime.timedelta] = {}
+        # Since when all best-effort tasks of a shrunk runner are stopped.
+        self._starved_since: datetime.timedelta | None = None
 
     def update_speed_limits(self, report: model.RunnerReport) -> None:
         """Updates the model from a report and sends new speed limits."""
         context, entry = self._context, self._entry
-        if not entry.load.capacity.processors:
-            # The runner is known from an earlier term only, because the
-            # registry was not read yet.
+        if not entry.is_capacity_known:
             return
         self._record_violations(report)
         if all(
@@ -74,11 +75,18 @@
             }
             self._send_speed_limits(speed_limit_percents, "target violated")
             return
+        if self._are_starved_too_long(best_effort_tasks):
+            for item in best_effort_tasks:
+                context.job_tracker.evict_task(
+                    entry.tasks[item.task], "runner has shrunk"
+                )
+            return
         speed_limit_percents = placement.choose_speed_limits(
             context.interference,
             serving,
             best_effort_tasks,
             context.policy.uncertainty_weight,
+            self._compute_available_share(serving),
         )
         self._send_speed_limits(speed_limit_percents, "forecast")
 
@@ -183,6 +191,9 @@
                 )
             )
         entry.load.best_effort_usage.update_intensities(uses, now)
+        if not entry.load.capacity.processors:
+            # Shares of no processors say nothing about interference.
+            return
         shares = entry.load.best_effort_usage.compute_interfering_shares(
             now - _SAMPLE_WINDOW, now, entry.load.capacity.processors
         )
@@ -217,6 +228,38 @@
         )
         return any(since <= limit for since in self._violations.values())
 
+    def _compute_available_share(
+        self, serving: Sequence[placement.ServingState]
+    ) -> float:
+        """Returns the share of the processors that other tasks leave over.
+
+        Beyond its capacity, which may shrink, all tasks of a runner suffer.
+        """
+        load, policy = self._entry.load, self._context.policy
+        if not serving:
+            return math.inf
+        used_cpu = load.batch_cpu + sum(
+            state.own_load * state.processors for state in serving
+        )
+        processors = max(1, load.capacity.processors)
+        return max(0.0, policy.max_cpu_usage - used_cpu / processors)
+
+    def _are_starved_too_long(
+        self, best_effort_tasks: Sequence[placement.BestEffortState]
+    ) -> bool:
+        """Returns whether a shrunk runner stops all its best-effort tasks."""
+        now = self._context.get_now()
+        if not self._entry.load.is_over_capacity() or any(
+            item.speed_limit_percent != 0 for item in best_effort_tasks
+        ):
+            self._starved_since = None
+            return False
+        if self._starved_since is None:
+            self._starved_since = now
+        return now - self._starved_since >= (
+            self._context.policy.starvation_wait
+        )
+
     def _list_serving_groups(self) -> list[placement.ServingState]:
         context = self._context
         interference, policy = context.interference, context.policy
@@ -231,14 +274,17 @@
             )
             states.append(
                 placement.ServingState(
-                    group.image, own_load, limit - policy.margin
+                    group.image,
+                    own_load,
+                    limit - policy.margin,
+                    group.processors,
                 )
             )
         return states
 
     def _list_best_effort_tasks(self) -> list[placement.BestEffortState]:
         entry = self._entry
-        capacity = entry.load.capacity.processors
+        capacity = max(1, entry.load.capacity.processors)
         full_usage_probability = (
             self._context.policy.throttling_full_usage_probability
         )
--- a/tamarackhatch/server/_instance.py
+++ b/tamarackhatch/server/_instance.py
@@ -98,6 +98,7 @@
                 self._log,
                 self._metrics,
                 configuration=self._configuration_watcher,
+                enforces_capacity=self._enforces_capacity,
             ),
             self._incarnation,
             self._configuration_watcher.apply_change_row,
@@ -165,6 +166,11 @@
             return None
         return platform.AdviceClient(self._store_client, str(address))
 
+    def _enforces_capacity(self, name: str) -> bool:
+        configuration = self._configuration_watcher.configuration
+        found = configuration and configuration.get_service(name)
+        return bool(found and found.enforces_capacity)
+
     def _start_servers(self) -> None:
         initial_settings = self._initial_settings
         bindings: list[tuple[settings.Address, typing.Any]] = [
