Log the runs on each lost runner, and by which evidence it is lost

The log named lost runs one by one, without their age, and did not tell a runner that crashed from one that was not reachable. The event runner_lost lists the latest runs with their age when contact was lost, and whether another runner answers at the address (status 421 to a renewal); a counter tamarackhatch_lost_runners has the evidence. No decision changes.

--- a/tamarackhatch/observability/_metrics.py
+++ b/tamarackhatch/observability/_metrics.py
@@ -47,6 +47,12 @@
             ["how"],
             registry=self._registry,
         )
+        self.lost_runners = prometheus_client.Counter(
+            "tamarackhatch_lost_runners",
+            "Runners lost with runs on them, by the evidence.",
+            ["evidence"],
+            registry=self._registry,
+        )
         self.start_seconds = prometheus_client.Histogram(
             "tamarackhatch_start_seconds",
             "Time from a task's turn to its confirmed start.",
--- a/tamarackhatch/platform/__init__.py
+++ b/tamarackhatch/platform/__init__.py
@@ -18,6 +18,7 @@
 from tamarackhatch.platform._runner_client import RunCommand
 from tamarackhatch.platform._runner_client import RunnerClient
 from tamarackhatch.platform._runner_client import RunnerOutcomeUnknownError
+from tamarackhatch.platform._runner_client import RunnerReplacedError
 from tamarackhatch.platform._runner_client import RunnerUnavailableError
 from tamarackhatch.platform._store import PlatformStore
 
@@ -38,6 +39,7 @@
     "RunCommand",
     "RunnerClient",
     "RunnerOutcomeUnknownError",
+    "RunnerReplacedError",
     "RunnerUnavailableError",
     "decode_configuration",
     "decode_job",
--- a/tamarackhatch/platform/_runner_client.py
+++ b/tamarackhatch/platform/_runner_client.py
@@ -40,6 +40,10 @@
         super().__init__(errors.ErrorCode.RUNNER_UNAVAILABLE, message)
 
 
+class RunnerReplacedError(RunnerUnavailableError):
+    """Another runner answers at the address; this one has ended."""
+
+
 class RunnerOutcomeUnknownError(errors.CodedError):
     """The runner may carry out the command, now or later, or not at all."""
 
@@ -140,6 +144,7 @@
 
         Raises:
             RunnerUnavailableError: No report came.
+            RunnerReplacedError: Another runner answers at the address.
             FencedError: The runner has seen a higher token.
             MalformedBodyError: The answer does not have the published form.
         """
@@ -170,6 +175,10 @@
                 raise FencedError(
                     f"runner {runner.identifier} has seen a higher token"
                 )
+        if answer.status == _MISDIRECTED_REQUEST:
+            raise RunnerReplacedError(
+                f"another runner answers at {runner.address}"
+            )
         if answer.status != _OK:
             raise RunnerUnavailableError(
                 f"runner answered status {answer.status} to a lease renewal"
--- a/tamarackhatch/scheduler/_fleet.py
+++ b/tamarackhatch/scheduler/_fleet.py
@@ -45,6 +45,10 @@
             number, with the time at which the runner first listed them.
         unread_running: The same for runs in progress, by task.
         missed_renewals: Renewals in a row without an answer.
+        lost_contact_at: Earliest monotonic time at which the runner may have
+            stopped answering; None while it answers.
+        is_replaced: Whether another runner answers at its address, so that
+            none of its runs exists any more.
         failure_score: Score of failed runs on the runner: each failure adds 1,
             each successful run halves the score.
         avoid_until: Monotonic time until which it gets no new tasks.
@@ -70,6 +74,8 @@
         model.TaskKey, tuple[model.RunningTask, datetime.timedelta]
     ] = attrs.field(factory=dict)
     missed_renewals: int = 0
+    lost_contact_at: datetime.timedelta | None = None
+    is_replaced: bool = False
     failure_score: float = 0.0
     avoid_until: datetime.timedelta = datetime.timedelta()
 
--- a/tamarackhatch/scheduler/_job_tracker.py
+++ b/tamarackhatch/scheduler/_job_tracker.py
@@ -219,6 +219,7 @@
         """Reserves capacity for a task before its start command is sent."""
         self._remove_waiting(task)
         runner.assign_task(task)
+        task.placed_at = self._clock.get_monotonic()
         task.speed_limit_percent = 100
         task.progress_percent = 0
         task.ready_since = None
@@ -232,6 +233,7 @@
         if task.runner is None:
             self._remove_waiting(task)
             runner.assign_task(task)
+            task.placed_at = self._clock.get_monotonic()
             # An earlier scheduler started the run and may have throttled it.
             task.speed_limit_percent = None
         task.confirmed = self._clock.get_monotonic()
--- a/tamarackhatch/scheduler/_runner_reconciler.py
+++ b/tamarackhatch/scheduler/_runner_reconciler.py
@@ -27,6 +27,11 @@
 _EARLIER_LEASE_EXCESS_SHARE = 0.05
 # Renewals in a row without an answer after which an idle runner is untracked.
 _UNTRACK_AFTER_MISSED_RENEWALS = 2
+# A renewal that fails sooner after the wait that it asked for has lost its
+# connection; a later failure is a timeout.
+_MAX_BREAK_DELAY = datetime.timedelta(milliseconds=500)
+_MAX_LOGGED_RUNS = 12
+_MILLISECOND = datetime.timedelta(milliseconds=1)
 # A report lists at most this many exits; a full report may omit others.
 _MAX_LISTED_EXITS = 500
 # Tasks are evicted from a draining runner this long before it leaves.
@@ -117,7 +122,10 @@
             platform.RunnerUnavailableError,
             platform.MalformedBodyError,
         ) as error:
-            self._record_missed_renewal(error.message)
+            entry.is_replaced |= isinstance(
+                error, platform.RunnerReplacedError
+            )
+            self._record_missed_renewal(error.message, sent, wait)
             return None
         context.metrics.commands.labels("renew", "accepted").inc()
         context.load_monitor.counters.renewals += 1
@@ -129,19 +137,48 @@
             return _SAMPLING_RENEWAL_WAIT
         return _IDLE_RENEWAL_WAIT
 
-    def _record_missed_renewal(self, reason: str) -> None:
+    def _record_missed_renewal(
+        self, reason: str, sent: datetime.timedelta, wait: datetime.timedelta
+    ) -> None:
         context, entry = self._context, self._entry
         context.metrics.commands.labels("renew", "unanswered").inc()
         context.load_monitor.counters.missed_renewals += 1
         entry.missed_renewals += 1
+        now = context.get_now()
         if entry.missed_renewals == 1:
             context.log.warning(
                 "runner_not_answering", runner=entry.identifier, reason=reason
             )
-        if entry.tasks and entry.is_lease_expired(context.get_now()):
+            is_timeout = now - sent > wait + _MAX_BREAK_DELAY
+            entry.lost_contact_at = entry.clock_read if is_timeout else now
+        if entry.tasks and entry.is_lease_expired(now):
+            self._log_lost_runner("lease expired")
             for task in list(entry.tasks.values()):
                 context.job_tracker.record_lost_run(task, "lease expired")
 
+    def _log_lost_runner(self, evidence: str) -> None:
+        """Logs the runs on a lost runner, the latest first."""
+        context, entry = self._context, self._entry
+        lost_at = entry.lost_contact_at or context.get_now()
+        tasks = sorted(entry.tasks.values(), key=lambda task: -task.placed_at)
+        context.metrics.lost_runners.labels(evidence).inc()
+        context.log.warning(
+            "runner_lost",
+            runner=entry.identifier,
+            evidence=evidence,
+            is_replaced=entry.is_replaced,
+            runs=len(tasks),
+            latest=[
+                [
+                    str(task.key),
+                    task.run,
+                    (lost_at - task.placed_at) // _MILLISECOND,
+                    task.confirmed is not None,
+                ]
+                for task in tasks[:_MAX_LOGGED_RUNS]
+            ],
+        )
+
     def _is_removable(self) -> bool:
         entry, now = self._entry, self._context.get_now()
         if entry.is_registered or entry.tasks:
@@ -160,8 +197,10 @@
         if entry.missed_renewals:
             context.log.info("runner_answering_again", runner=entry.identifier)
         entry.missed_renewals = 0
+        entry.is_replaced = False
         if report.incarnation != entry.incarnation:
             self._apply_new_incarnation(report)
+        entry.lost_contact_at = None
         self._log_unreadable_entries(report)
         entry.clock, entry.clock_read = report.clock_reading, now
         if not self._has_reported:
@@ -250,6 +289,8 @@
                 runner=entry.identifier,
                 incarnation=report.incarnation,
             )
+            if entry.tasks:
+                self._log_lost_runner("restarted")
         entry.incarnation = report.incarnation
         entry.processed_exit = entry.acknowledged_exit = 0
         entry.pending_acks.clear()
--- a/tamarackhatch/scheduler/_state.py
+++ b/tamarackhatch/scheduler/_state.py
@@ -54,6 +54,8 @@
         ticket: Ticket of the placement policy for the latest run; empty
             where none is needed.
         phase_since: Monotonic time at which the phase began.
+        placed_at: Monotonic time at which the latest run was placed or
+            adopted.
         confirmed: Monotonic time; reports to renewals sent later list the run
             if it exists. None while the outcome of a command is unknown.
         failed_on: Runners on which a run failed.
@@ -77,6 +79,7 @@
     speed_limit_percent: int | None = 100
     ticket: str = ""
     phase_since: datetime.timedelta = datetime.timedelta()
+    placed_at: datetime.timedelta = datetime.timedelta()
     confirmed: datetime.timedelta | None = None
     failed_on: frozenset[str] = frozenset()
     ready_since: datetime.timedelta | None = None
