Observe tasks that may crash their runners, and fail the job of a proven one

Cause: a run that ends with its runner was recorded as lost, and only exits with the reason failed counted. Nothing durable told that the runner had crashed, and tasks that were lost together waited and started together again. Where the runner comes back under its identifier, a start without an answer was also repeated at the next incarnation.

- Each crash is recorded with the runs on the runner, in the progress row, before it is certain, and retracted if the same incarnation answers again.
- What had just started is a suspect, as is a batch task after two crashes.
A suspect starts where nothing else has just started, on an empty runner if there is one, and no other task starts there until it is settled.
At most every third runner is closed to others in this way.
- A job fails only after a crash with one possible cause, in addition to an earlier suspicion.
- Status 421 to a renewal proves that a runner has ended: its runs start elsewhere at once instead of after the lease, and a takeover does not wait for it.
- A start is not repeated while the runner does not answer renewals.

Rows of earlier releases decode; they ignore the new key.

--- a/standins/history.py
+++ b/standins/history.py
@@ -144,6 +144,7 @@
             runs.sort(key=lambda record: record.started)
             violations += _check_overlaps(task, runs)
             violations += _check_exits(task, runs, max_attempts)
+            violations += _check_crashes(task, runs)
             job = task.split(".")[0]
             if job in self.refused and job not in self.accepted:
                 violations.append(
@@ -212,6 +213,26 @@
     return violations
 
 
+def _check_crashes(task: str, runs: list[RunRecord]) -> list[Violation]:
+    """Checks the starts of a task that crashes its runners.
+
+    After three crashes it must not be started three more times.
+    """
+    crashes = [run for run in runs if run.exit_reason == "crash"]
+    if len(crashes) < 3:
+        return []
+    later = [run for run in runs if run.started >= (crashes[2].exited or 0)]
+    if len(later) < 3:
+        return []
+    return [
+        Violation(
+            "BUDGET",
+            task,
+            f"run {later[2].run} started after three crashes and two starts",
+        )
+    ]
+
+
 def _check_exits(
     task: str, runs: list[RunRecord], max_attempts: int
 ) -> list[Violation]:
--- a/standins/network.py
+++ b/standins/network.py
@@ -17,12 +17,18 @@
 
 @attrs.frozen
 class Request:
-    """A received call: method, path, query and decoded body."""
+    """A received call: method, path, query and decoded body.
+
+    Attributes:
+        expected_instance: Identifier of the runner that the call is for;
+            empty for any.
+    """
 
     method: str
     path: str
     query: dict[str, str]
     body: Body
+    expected_instance: str = ""
 
 
 @attrs.frozen
@@ -40,6 +46,10 @@
     """The stand-in gives no answer."""
 
 
+class BrokenConnectionError(Exception):
+    """The stand-in ends, and with it the connection."""
+
+
 @attrs.define
 class Faults:
     """Faults between clients and one server.
@@ -141,6 +151,8 @@
         except NoResponseError as error:
             await asyncio.sleep(max(0.0, deadline - loop.time()))
             raise transport.CallLostError("no answer") from error
+        except BrokenConnectionError as error:
+            raise transport.CallLostError("connection reset") from error
         except TimeoutError as error:
             raise transport.CallLostError("timed out") from error
 
@@ -185,7 +197,7 @@
     await asyncio.sleep(delay)
     try:
         await handler(request)
-    except NoResponseError:
+    except (NoResponseError, BrokenConnectionError):
         return
 
 
@@ -193,4 +205,13 @@
     url = urllib.parse.urlsplit(call.path)
     query = dict(urllib.parse.parse_qsl(url.query, keep_blank_values=True))
     body = orjson.loads(call.body) if call.body else {}
-    return Request(call.method, url.path, query, body)
+    prefix = "X-Expect-Instance: "
+    expected_instance = next(
+        (
+            header.removeprefix(prefix)
+            for header in call.headers
+            if header.startswith(prefix)
+        ),
+        "",
+    )
+    return Request(call.method, url.path, query, body, expected_instance)
--- a/standins/runner.py
+++ b/standins/runner.py
@@ -15,6 +15,9 @@
 
 _STOP_DURATION_S = 0.1
 _MAX_LEASE_MS = 10_000
+# Exit reason in a plan: the run crashes its runner.
+CRASH = "crash"
+_RESTART_S = 3.0
 
 
 @attrs.define
@@ -91,6 +94,9 @@
         starts_without_ticket: Number of starts refused for lack of the ticket.
         cpu: Thousandths of a processor core.
         memory: Memory in MiB.
+        is_down: Whether the process has crashed and is not back yet.
+        gets_new_identifier: Whether it is back under a new identifier after a
+            run has crashed it.
     """
 
     def __init__(
@@ -112,6 +118,9 @@
         self.starts_without_ticket = 0
         self.cpu = cpu
         self.memory = memory
+        self.is_down = False
+        self.gets_new_identifier = True
+        self._earlier_identifiers: list[str] = []
         self._plan = plan
         self._history = run_history
         self._incarnation = 1
@@ -147,8 +156,34 @@
         self._incarnation += 1
         self._start_incarnation()
 
+    def _crash_by_run(self, task: str, number: int) -> None:
+        """Crashes because of a run, and is back after some seconds."""
+        run = self._runs.get(task)
+        if self.is_down or run is None or run.run != number:
+            return
+        loop = asyncio.get_running_loop()
+        self._history.record_exit(
+            self.identifier, task, number, CRASH, loop.time()
+        )
+        self.crash()
+        self.is_down = True
+        self._wake_renewals()
+        loop.call_later(_RESTART_S, self._restart)
+
+    def _restart(self) -> None:
+        self.is_down = False
+        if self.gets_new_identifier:
+            self._earlier_identifiers.append(self.identifier)
+            self.identifier += "+"
+        self._start_incarnation()
+
     def register(self, store_stand_in: store.StoreStandIn) -> None:
         """Writes the runner's entry into the registry in the store."""
+        if self.is_down:
+            return
+        for identifier in self._earlier_identifiers:
+            store_stand_in.remove("servers", identifier)
+        self._earlier_identifiers.clear()
         self._registration_number += 1
         entry = {
             "service": self.service,
@@ -168,6 +203,10 @@
 
     async def handle(self, request: network.Request) -> network.Response:
         """Answers one call; refuses fencing tokens below the highest seen."""
+        if self.is_down:
+            raise network.BrokenConnectionError
+        if request.expected_instance not in ("", self.identifier):
+            return network.Response(421)
         self._update()
         body = request.body
         token = body.get("fencing_token", 0)
@@ -226,6 +265,8 @@
                     await self._runs_changed.wait()
             except TimeoutError:
                 pass
+            if self.is_down:
+                raise network.BrokenConnectionError
             self._update()
         running = [self._list_run(run) for run in self._runs.values()]
         return self._make_response(
@@ -272,6 +313,15 @@
             body["fencing_token"],
         )
         self._wake_renewals()
+        if exit_reason == CRASH:
+            run = self._runs[task]
+            run.work_s = math.inf
+            if work_s == 0:
+                self._crash_by_run(task, number)
+                raise network.BrokenConnectionError
+            asyncio.get_running_loop().call_later(
+                work_s, self._crash_by_run, task, number
+            )
         return self._make_response(200)
 
     def _has_capacity(self, task: str) -> bool:
--- a/tamarackhatch/model/__init__.py
+++ b/tamarackhatch/model/__init__.py
@@ -5,6 +5,7 @@
 from tamarackhatch.model._configuration import Queue
 from tamarackhatch.model._configuration import RequestLimits
 from tamarackhatch.model._configuration import Service
+from tamarackhatch.model._jobs import CrashRole
 from tamarackhatch.model._jobs import Job
 from tamarackhatch.model._jobs import JobState
 from tamarackhatch.model._jobs import Schedule
@@ -37,6 +38,7 @@
     "Committed",
     "Configuration",
     "Conflict",
+    "CrashRole",
     "ExitReason",
     "FeedPage",
     "HistoryLostError",
--- a/tamarackhatch/model/_jobs.py
+++ b/tamarackhatch/model/_jobs.py
@@ -33,6 +33,23 @@
         return self not in (JobState.QUEUED, JobState.RUNNING)
 
 
+class CrashRole(enum.IntEnum):
+    """What a run on a runner that crashed may have had to do with the crash.
+
+    The values are stored in rows.
+
+    Attributes:
+        BYSTANDER: It had run for a while, or too little is known.
+        SUSPECT: It is one of several that had just started.
+        SOLE_SUSPECT: It is the only one that had just started, or the only
+            one under observation.
+    """
+
+    BYSTANDER = 0
+    SUSPECT = 1
+    SOLE_SUSPECT = 2
+
+
 @attrs.frozen
 class Step:
     """A set of identical tasks of a job.
--- a/tamarackhatch/observability/_metrics.py
+++ b/tamarackhatch/observability/_metrics.py
@@ -49,8 +49,14 @@
         )
         self.lost_runners = prometheus_client.Counter(
             "tamarackhatch_lost_runners",
-            "Runners lost with runs on them, by the evidence.",
-            ["evidence"],
+            "Runners lost with runs on them, by the reason.",
+            ["reason"],
+            registry=self._registry,
+        )
+        self.failed_jobs = prometheus_client.Counter(
+            "tamarackhatch_failed_jobs",
+            "Jobs that failed, by the reason.",
+            ["reason"],
             registry=self._registry,
         )
         self.start_seconds = prometheus_client.Histogram(
--- a/tamarackhatch/records/_progress.py
+++ b/tamarackhatch/records/_progress.py
@@ -27,11 +27,14 @@
             receives their exits again if they were not acknowledged, and must
             not count them twice.
         checkpoint: Latest checkpoint; empty for none.
+        crashes: For each run whose runner crashed, by number, what the run
+            may have had to do with it.
     """
 
     last_exited_run: int
     failed_runs: tuple[int, ...]
     checkpoint: str
+    crashes: dict[int, model.CrashRole] = attrs.field(factory=dict)
 
 
 @attrs.frozen
@@ -110,7 +113,7 @@
 def _encode_occurrence(
     occurrence: OccurrenceProgress,
 ) -> dict[str, typing.Any]:
-    return {
+    document: dict[str, typing.Any] = {
         "d": {
             str(step): f"{bits:x}"
             for step, bits in occurrence.done_tasks.items()
@@ -126,13 +129,28 @@
             for (step, index), history in occurrence.tasks.items()
         ],
     }
+    # Not in "t", because earlier releases read exactly five values there.
+    crashes = [
+        [step, index, [[run, int(role)] for run, role in crashes.items()]]
+        for (step, index), history in occurrence.tasks.items()
+        if (crashes := history.crashes)
+    ]
+    if crashes:
+        document["c"] = crashes
+    return document
 
 
 def _decode_occurrence(document: dict[str, typing.Any]) -> OccurrenceProgress:
+    crashes = {
+        (step, index): {run: model.CrashRole(role) for run, role in roles}
+        for step, index, roles in document.get("c", [])
+    }
     return OccurrenceProgress(
         {int(step): int(bits, 16) for step, bits in document["d"].items()},
         {
-            (step, index): TaskHistory(run, tuple(failed), checkpoint)
+            (step, index): TaskHistory(
+                run, tuple(failed), checkpoint, crashes.get((step, index), {})
+            )
             for step, index, run, failed, checkpoint in document["t"]
         },
     )
--- a/tamarackhatch/records/tests/test_records.py
+++ b/tamarackhatch/records/tests/test_records.py
@@ -58,7 +58,8 @@
     done: dict[int, int], failed: set[int]
 ) -> None:
     """Guards against finished tasks or failures lost by a takeover."""
-    history = records.TaskHistory(7, tuple(sorted(failed)), "0b")
+    crashes = {run: model.CrashRole.SUSPECT for run in failed}
+    history = records.TaskHistory(7, tuple(sorted(failed)), "0b", crashes)
     progress = records.JobProgress(
         model.JobState.RUNNING,
         2,
@@ -68,6 +69,37 @@
     assert records.decode_progress(written) == progress
 
 
+@pytest.mark.parametrize(
+    ("row", "crashes"),
+    [
+        (
+            b'{"s":"running","o":{"0":{"d":{"1":"5"},"t":[[0,2,7,[3],""]]}}}',
+            {},
+        ),
+        (
+            b'{"s":"running","o":{"0":{"d":{"1":"5"},"t":[[0,2,7,[3],""]],'
+            b'"c":[[0,2,[[6,0],[7,2]]]]}}}',
+            {6: model.CrashRole.BYSTANDER, 7: model.CrashRole.SOLE_SUSPECT},
+        ),
+    ],
+)
+def test_progress_row_keeps_its_form(
+    row: bytes, crashes: dict[int, model.CrashRole]
+) -> None:
+    """Guards against progress misread by other releases in an upgrade.
+
+    The first row is one of releases that did not record crashes.
+    """
+    history = records.TaskHistory(7, (3,), "", crashes)
+    progress = records.JobProgress(
+        model.JobState.RUNNING,
+        0,
+        {0: records.OccurrenceProgress({1: 5}, {(0, 2): history})},
+    )
+    assert records.decode_progress(row) == progress
+    assert records.encode_progress(progress) == row
+
+
 @pytest.mark.parametrize("value", [b"", b"[]", b"{}", b'{"s":"lost"}'])
 def test_malformed_rows_raise_malformed_row_error(value: bytes) -> None:
     """Guards against malformed rows that raise an unexpected error."""
--- a/tamarackhatch/scheduler/_commands.py
+++ b/tamarackhatch/scheduler/_commands.py
@@ -120,7 +120,11 @@
             and task.runner is entry
             and task.phase is _state.TaskPhase.STARTING
         ):
-            outcome = await self._send_start(task, entry, run, lease_end)
+            outcome = None
+            # The run may have crashed the runner: while it does not answer
+            # renewals, another attempt could reach its next incarnation.
+            if not (is_uncertain and entry.missed_renewals):
+                outcome = await self._send_start(task, entry, run, lease_end)
             if task.run != run or task.runner is not entry:
                 return
             if outcome is _Outcome.ACCEPTED:
--- a/tamarackhatch/scheduler/_dispatcher.py
+++ b/tamarackhatch/scheduler/_dispatcher.py
@@ -9,7 +9,9 @@
 from tamarackhatch import placement
 from tamarackhatch.scheduler import _commands
 from tamarackhatch.scheduler import _context
+from tamarackhatch.scheduler import _crash_suspects
 from tamarackhatch.scheduler import _fleet
+from tamarackhatch.scheduler import _isolation
 from tamarackhatch.scheduler import _load_monitor
 from tamarackhatch.scheduler import _state
 
@@ -116,6 +118,7 @@
         groups = sorted(waiting.values(), key=self._get_scheduling_key)
         is_grouping = self._is_grouping(groups)
         candidates = self._list_candidates()
+        self._place_suspects(groups, candidates)
         for group in groups:
             self._run_group(group, is_grouping, candidates)
         counters = context.load_monitor.counters
@@ -131,6 +134,11 @@
         result = self._context.load_monitor.waiting
         tasks = [task for task in group.values() if not self._is_paused(task)]
         result.paused += len(group) - len(tasks)
+        waiting = len(tasks)
+        tasks = [
+            task for task in tasks if not _crash_suspects.is_suspect(task)
+        ]
+        result.suspects += waiting - len(tasks)
         if not tasks:
             return
         if is_grouping and _is_new(tasks[0]):
@@ -145,6 +153,50 @@
         else:
             result.reserving += len(tasks) - placed
 
+    def _place_suspects(
+        self,
+        groups: list[Group],
+        candidates: dict[str, list[placement.CandidateRunner]],
+    ) -> None:
+        """Starts suspects of crashes, at most one on each runner.
+
+        Removes their runners from the candidates. They go before other tasks,
+        which would fill the empty runners, and use a limited share of the
+        runners.
+        """
+        context = self._context
+        suspects = [
+            task
+            for group in groups
+            for task in group.values()
+            if _crash_suspects.is_suspect(task) and not self._is_paused(task)
+        ]
+        if not suspects:
+            return
+        now = context.get_now()
+        allowances = _isolation.count_allowances(context.fleet.values(), now)
+        for task in _isolation.order_suspects(suspects):
+            service = task.job.job.queue.service
+            group = candidates.get(service, [])
+            if allowances[service] <= 0:
+                continue
+            chosen = self._choose_runners(
+                [task],
+                _isolation.list_isolation_candidates(
+                    task,
+                    self._filter_by_ticket(task, group),
+                    context.fleet,
+                    now,
+                ),
+            )
+            allowances[service] -= len(chosen)
+            context.load_monitor.counters.placed += len(chosen)
+            self._start_chosen_tasks(chosen)
+            for _, candidate, _ in chosen:
+                group.remove(candidate)
+            if not chosen:
+                self._request_tickets(task, group)
+
     def _is_grouping(self, groups: list[Group]) -> bool:
         """Returns whether new long-running tasks are still being collected.
 
@@ -198,7 +250,7 @@
         now = context.get_now()
         candidates: dict[str, list[placement.CandidateRunner]] = {}
         for entry in context.fleet.values():
-            if entry.is_schedulable(now):
+            if entry.is_schedulable(now) and not entry.is_isolated(now):
                 candidates.setdefault(entry.record.service, []).append(
                     placement.CandidateRunner(
                         entry.load,
--- a/tamarackhatch/scheduler/_fleet.py
+++ b/tamarackhatch/scheduler/_fleet.py
@@ -6,6 +6,7 @@
 
 from tamarackhatch import model
 from tamarackhatch import placement
+from tamarackhatch.scheduler import _crash_suspects
 from tamarackhatch.scheduler import _state
 
 # A runner's monotonic clock may be slower than the scheduler's by this share.
@@ -31,6 +32,7 @@
         incarnation: Incarnation that last answered, in Unix ms; 0 before the
             first answer.
         tasks: Tasks that run or may run on the runner.
+        suspects: Those of them that may have crashed a runner before.
         lease_end: Latest lease end that any command has carried, on the
             runner's clock.
         clock: Reading of the runner's clock in its last answer.
@@ -47,8 +49,10 @@
         missed_renewals: Renewals in a row without an answer.
         lost_contact_at: Earliest monotonic time at which the runner may have
             stopped answering; None while it answers.
-        is_replaced: Whether another runner answers at its address, so that
-            none of its runs exists any more.
+        evidence: Evidence that it has crashed, while it does not answer.
+        supposed_crashes: Runs, with their tasks, that are recorded as ended
+            by a crash because the runner does not answer. None of them counts
+            if the same incarnation answers again.
         failure_score: Score of failed runs on the runner: each failure adds 1,
             each successful run halves the score.
         avoid_until: Monotonic time until which it gets no new tasks.
@@ -61,6 +65,7 @@
     is_untracked: bool = False
     incarnation: int = 0
     tasks: dict[model.TaskKey, _state.TaskEntry] = attrs.field(factory=dict)
+    suspects: dict[model.TaskKey, _state.TaskEntry] = attrs.field(factory=dict)
     lease_end: datetime.timedelta = datetime.timedelta()
     clock: datetime.timedelta = datetime.timedelta()
     clock_read: datetime.timedelta | None = None
@@ -75,7 +80,10 @@
     ] = attrs.field(factory=dict)
     missed_renewals: int = 0
     lost_contact_at: datetime.timedelta | None = None
-    is_replaced: bool = False
+    evidence: _crash_suspects.Evidence = _crash_suspects.Evidence.SILENT
+    supposed_crashes: list[tuple[_state.TaskEntry, int]] = attrs.field(
+        factory=list
+    )
     failure_score: float = 0.0
     avoid_until: datetime.timedelta = datetime.timedelta()
 
@@ -86,6 +94,8 @@
 
     def assign_task(self, task: _state.TaskEntry) -> None:
         """Reserves capacity for a task that may run on this runner."""
+        if _crash_suspects.is_suspect(task):
+            self.suspects[task.key] = task
         self.tasks[task.key] = task
         task.runner = self
         self.load.add_task(task.key, task.step)
@@ -105,10 +115,37 @@
         """Releases the capacity of a task that can no longer run here."""
         if self.tasks.pop(task.key, None) is None:
             return
+        self.suspects.pop(task.key, None)
         task.runner = None
         self.load.remove_task(task.key, task.step)
         self.load.best_effort_usage.remove_task(task.key, now)
 
+    @property
+    def is_replaced(self) -> bool:
+        """Whether another runner answers at its address.
+
+        None of its runs exists any more, and no late command can start one.
+        """
+        return self.evidence is _crash_suspects.Evidence.ENDED
+
+    def is_isolated(self, now: datetime.timedelta) -> bool:
+        """Returns whether a suspect of crashes is observed on this runner.
+
+        No other task may start here meanwhile, so that a crash of the runner
+        has one possible cause.
+        """
+        return any(
+            _crash_suspects.is_observed(task, now)
+            for task in self.suspects.values()
+        )
+
+    def has_starting_run(self, now: datetime.timedelta) -> bool:
+        """Returns whether a run started here so recently that it may crash."""
+        return any(
+            not _crash_suspects.is_settled(task, now)
+            for task in self.tasks.values()
+        )
+
     @property
     def is_idle(self) -> bool:
         """Whether no task can run here and all exits are durable."""
--- /dev/null
+++ b/tamarackhatch/scheduler/_isolation.py
@@ -0,0 +1,96 @@
+"""Chooses runners on which suspects of crashes are observed."""
+
+import collections
+from collections.abc import Iterable
+from collections.abc import Mapping
+import datetime
+
+from tamarackhatch import placement
+from tamarackhatch.scheduler import _fleet
+from tamarackhatch.scheduler import _state
+
+# A crashed runner is empty when it is back, about when its tasks wait again.
+# A suspect waits this long for an empty runner, where it does least harm.
+_EMPTY_RUNNER_WAIT = datetime.timedelta(seconds=1)
+# Of each service, at most every third runner, and at least one, is closed to
+# other tasks: many tasks become suspects when many runners crash at once.
+_RUNNERS_PER_ISOLATED_RUNNER = 3
+
+
+def count_allowances(
+    fleet: Iterable[_fleet.RunnerEntry], now: datetime.timedelta
+) -> collections.Counter[str]:
+    """Returns how many more runners may be isolated, by service."""
+    runners: collections.Counter[str] = collections.Counter()
+    isolated: collections.Counter[str] = collections.Counter()
+    for entry in fleet:
+        if entry.is_schedulable(now):
+            runners[entry.record.service] += 1
+            isolated[entry.record.service] += entry.is_isolated(now)
+    return collections.Counter(
+        {
+            service: max(1, count // _RUNNERS_PER_ISOLATED_RUNNER)
+            - isolated[service]
+            for service, count in runners.items()
+        }
+    )
+
+
+def order_suspects(
+    tasks: Iterable[_state.TaskEntry],
+) -> list[_state.TaskEntry]:
+    """Returns suspects, those first that most probably cause crashes.
+
+    These were lost most often, or started last before the crash.
+    """
+    return sorted(
+        tasks, key=lambda task: (-len(task.crashes), -task.placed_at)
+    )
+
+
+def list_isolation_candidates(
+    task: _state.TaskEntry,
+    candidates: Iterable[placement.CandidateRunner],
+    fleet: Mapping[str, _fleet.RunnerEntry],
+    now: datetime.timedelta,
+) -> list[placement.CandidateRunner]:
+    """Returns the runners on which a suspect may start now.
+
+    These have capacity, and nothing has just started there. Empty ones are
+    preferred, then the one with the fewest long-running tasks, then tasks.
+
+    Args:
+        task: The suspect.
+        candidates: Runners that may get new tasks.
+        fleet: Runners by identifier.
+        now: Monotonic time.
+    """
+    possible = [
+        candidate
+        for candidate in candidates
+        if candidate.load.has_capacity(task.step)
+        and placement.is_allowed(candidate.load, task.key, task.step)
+        and not fleet[candidate.load.identifier].has_starting_run(now)
+    ]
+    empty = [
+        candidate
+        for candidate in possible
+        if not fleet[candidate.load.identifier].tasks
+    ]
+    if empty or not possible or now - task.phase_since < _EMPTY_RUNNER_WAIT:
+        return empty
+    return [
+        min(
+            possible,
+            key=lambda candidate: _count_tasks_at_risk(
+                fleet[candidate.load.identifier]
+            ),
+        )
+    ]
+
+
+def _count_tasks_at_risk(entry: _fleet.RunnerEntry) -> tuple[int, int]:
+    long_running = sum(
+        task.step.is_long_running for task in entry.tasks.values()
+    )
+    return long_running, len(entry.tasks)
--- a/tamarackhatch/scheduler/_job_tracker.py
+++ b/tamarackhatch/scheduler/_job_tracker.py
@@ -311,6 +311,8 @@
             phase=task.phase.value,
             failures=task.failures,
         )
+        # A run whose exit is listed has not ended by a crash.
+        task.crashes.pop(run_exit.run, None)
         task.is_unblocked_in_term = task.runner is runner
         if task.runner is not None:
             task.runner.release_task(task, self._clock.get_monotonic())
@@ -398,9 +400,38 @@
             failures=task.failures,
             limit=limit,
         )
+        self._metrics.failed_jobs.labels("attempts").inc()
         self._finish_job(task.job, model.JobState.FAILED)
         return True
 
+    def record_crash(
+        self, task: _state.TaskEntry, role: model.CrashRole
+    ) -> None:
+        """Records that the runner of a task's latest run has crashed."""
+        if not task.job.state.is_final:
+            task.crashes[task.run] = role
+            self._request_write(task.job)
+
+    def retract_crash(self, task: _state.TaskEntry, run: int) -> None:
+        """Removes the record of a crash that did not happen."""
+        if not task.job.state.is_final and run in task.crashes:
+            del task.crashes[run]
+            self._request_write(task.job)
+
+    def fail_crashing_job(self, task: _state.TaskEntry) -> None:
+        """Fails the job of a task that crashes the runners that start it."""
+        if task.job.state.is_final:
+            return
+        self._log.warning(
+            "job_failed",
+            job=task.key.job,
+            task=str(task.key),
+            reason="task crashes its runners",
+            crashes=sorted(task.crashes),
+        )
+        self._metrics.failed_jobs.labels("crashes").inc()
+        self._finish_job(task.job, model.JobState.FAILED)
+
     def _complete_task(self, task: _state.TaskEntry) -> None:
         self._enter_phase(task, _state.TaskPhase.DONE)
         task.checkpoint = ""
--- a/tamarackhatch/scheduler/_load_monitor.py
+++ b/tamarackhatch/scheduler/_load_monitor.py
@@ -38,11 +38,13 @@
         paused: Starts are paused after a takeover.
         grouped: Long-running tasks that wait for others of their image.
         reserving: No runner has capacity for them.
+        suspects: They may have crashed a runner, and wait to be observed.
         best_effort: No runner has memory and headroom for them.
     """
 
     paused: int = 0
     grouped: int = 0
+    suspects: int = 0
     reserving: int = 0
     best_effort: int = 0
 
@@ -86,6 +88,7 @@
                 missed_renewals=counters.missed_renewals,
                 paused=waiting.paused,
                 grouped=waiting.grouped,
+                suspects=waiting.suspects,
                 reserving=waiting.reserving,
                 best_effort=waiting.best_effort,
             )
--- a/tamarackhatch/scheduler/_runner_manager.py
+++ b/tamarackhatch/scheduler/_runner_manager.py
@@ -120,7 +120,7 @@
         while self._unreconciled:
             for identifier in list(self._unreconciled):
                 reconciler = self._reconcilers.get(identifier)
-                if reconciler is not None and reconciler.has_reported:
+                if reconciler is not None and reconciler.knows_all_runs:
                     self._unreconciled.discard(identifier)
             if self._context.clock.get_boot_time() > deadline:
                 self._context.log.warning(
@@ -164,7 +164,7 @@
             return
         self._context.log.info("runner_removed", runner=identifier)
         del self._reconciler_tasks[identifier]
-        if self._reconcilers.pop(identifier).has_reported:
+        if self._reconcilers.pop(identifier).knows_all_runs:
             self._unreconciled.discard(identifier)
         del self._context.fleet[identifier]
         self._write_tracked_runners()
--- a/tamarackhatch/scheduler/_runner_reconciler.py
+++ b/tamarackhatch/scheduler/_runner_reconciler.py
@@ -7,10 +7,13 @@
 from tamarackhatch import platform
 from tamarackhatch.scheduler import _commands
 from tamarackhatch.scheduler import _context
+from tamarackhatch.scheduler import _crash_suspects
 from tamarackhatch.scheduler import _fleet
 from tamarackhatch.scheduler import _state
 from tamarackhatch.scheduler import _throttling
 
+_Evidence = _crash_suspects.Evidence
+
 # How long a runner may wait for an exit before it answers a renewal.
 _IDLE_RENEWAL_WAIT = datetime.timedelta(milliseconds=1500)
 # Shorter, because throttling needs frequent samples where best-effort tasks
@@ -27,6 +30,9 @@
 _EARLIER_LEASE_EXCESS_SHARE = 0.05
 # Renewals in a row without an answer after which an idle runner is untracked.
 _UNTRACK_AFTER_MISSED_RENEWALS = 2
+# Renewals in a row that fail without a connection after which the runs are
+# recorded as ended by a crash. A reset connection alone fails once.
+_SUPPOSE_CRASH_AFTER_MISSED_RENEWALS = 2
 # A renewal that fails sooner after the wait that it asked for has lost its
 # connection; a later failure is a timeout.
 _MAX_BREAK_DELAY = datetime.timedelta(milliseconds=500)
@@ -74,6 +80,11 @@
         """
         return self._has_reported
 
+    @property
+    def knows_all_runs(self) -> bool:
+        """Whether no run of an earlier scheduler can be unknown here."""
+        return self._has_reported or self._entry.is_replaced
+
     async def run(self) -> None:
         """Reconciles until the runner has left and no run can exist there."""
         context, entry = self._context, self._entry
@@ -122,10 +133,8 @@
             platform.RunnerUnavailableError,
             platform.MalformedBodyError,
         ) as error:
-            entry.is_replaced |= isinstance(
-                error, platform.RunnerReplacedError
-            )
-            self._record_missed_renewal(error.message, sent, wait)
+            is_replaced = isinstance(error, platform.RunnerReplacedError)
+            self._record_missed_renewal(error.message, sent, wait, is_replaced)
             return None
         context.metrics.commands.labels("renew", "accepted").inc()
         context.load_monitor.counters.renewals += 1
@@ -138,7 +147,11 @@
         return _IDLE_RENEWAL_WAIT
 
     def _record_missed_renewal(
-        self, reason: str, sent: datetime.timedelta, wait: datetime.timedelta
+        self,
+        reason: str,
+        sent: datetime.timedelta,
+        wait: datetime.timedelta,
+        is_replaced: bool,
     ) -> None:
         context, entry = self._context, self._entry
         context.metrics.commands.labels("renew", "unanswered").inc()
@@ -151,22 +164,86 @@
             )
             is_timeout = now - sent > wait + _MAX_BREAK_DELAY
             entry.lost_contact_at = entry.clock_read if is_timeout else now
-        if entry.tasks and entry.is_lease_expired(now):
-            self._log_lost_runner("lease expired")
-            for task in list(entry.tasks.values()):
-                context.job_tracker.record_lost_run(task, "lease expired")
+            if not is_timeout:
+                entry.evidence = _Evidence.REFUSED
+        if is_replaced:
+            entry.evidence = _Evidence.ENDED
+        if not entry.tasks:
+            return
+        tasks = list(entry.tasks.values())
+        if entry.is_replaced:
+            self._record_crash("replaced", tasks)
+        elif entry.is_lease_expired(now):
+            self._record_crash("lease expired", tasks)
+        elif (
+            entry.missed_renewals == _SUPPOSE_CRASH_AFTER_MISSED_RENEWALS
+            and entry.evidence is not _Evidence.SILENT
+        ):
+            self._assign_crash_roles(tasks)
+
+    def _record_crash(
+        self,
+        reason: str,
+        tasks: list[_state.TaskEntry],
+        may_start: bool = False,
+    ) -> None:
+        """Records the end of a runner and of the runs there.
+
+        Args:
+            reason: How the end is known, for logs and metrics.
+            tasks: Tasks on the runner whose runs have ended or are not known
+                to have started.
+            may_start: Whether a late attempt of an unconfirmed start can
+                still be carried out.
+        """
+        entry, job_tracker = self._entry, self._context.job_tracker
+        self._log_lost_runner(reason)
+        involved = self._assign_crash_roles(tasks)
+        for task in tasks:
+            if may_start and task.confirmed is None:
+                job_tracker.evict_task(task, reason)
+            else:
+                job_tracker.record_lost_run(task, reason)
+        for task in involved:
+            if _crash_suspects.is_deadly(task, entry.evidence):
+                job_tracker.fail_crashing_job(task)
+
+    def _assign_crash_roles(
+        self, tasks: list[_state.TaskEntry]
+    ) -> list[_state.TaskEntry]:
+        """Records the roles of tasks in a crash, and returns those tasks.
+
+        The roles are written before the crash is certain, so that they
+        outlast a takeover.
+        """
+        entry, job_tracker = self._entry, self._context.job_tracker
+        if entry.record.is_draining:
+            return []
+        crash = _crash_suspects.Crash(
+            entry.lost_contact_at or entry.clock_read or self._started,
+            entry.evidence,
+        )
+        roles = _crash_suspects.assign_roles(tasks, crash)
+        for task, role in roles:
+            job_tracker.record_crash(task, role)
+        entry.supposed_crashes = (
+            []
+            if entry.evidence is _Evidence.ENDED
+            else [(task, task.run) for task, _ in roles]
+        )
+        return [task for task, _ in roles]
 
-    def _log_lost_runner(self, evidence: str) -> None:
+    def _log_lost_runner(self, reason: str) -> None:
         """Logs the runs on a lost runner, the latest first."""
         context, entry = self._context, self._entry
         lost_at = entry.lost_contact_at or context.get_now()
         tasks = sorted(entry.tasks.values(), key=lambda task: -task.placed_at)
-        context.metrics.lost_runners.labels(evidence).inc()
+        context.metrics.lost_runners.labels(reason).inc()
         context.log.warning(
             "runner_lost",
             runner=entry.identifier,
-            evidence=evidence,
-            is_replaced=entry.is_replaced,
+            reason=reason,
+            evidence=entry.evidence.name.lower(),
             runs=len(tasks),
             latest=[
                 [
@@ -183,6 +260,8 @@
         entry, now = self._entry, self._context.get_now()
         if entry.is_registered or entry.tasks:
             return False
+        if entry.is_replaced:
+            return True
         if entry.clock_read is not None:
             return entry.is_lease_expired(now)
         # The runner never answered, so leases of an earlier scheduler may
@@ -197,10 +276,13 @@
         if entry.missed_renewals:
             context.log.info("runner_answering_again", runner=entry.identifier)
         entry.missed_renewals = 0
-        entry.is_replaced = False
         if report.incarnation != entry.incarnation:
             self._apply_new_incarnation(report)
+        for task, run in entry.supposed_crashes:
+            context.job_tracker.retract_crash(task, run)
+        entry.supposed_crashes.clear()
         entry.lost_contact_at = None
+        entry.evidence = _Evidence.SILENT
         self._log_unreadable_entries(report)
         entry.clock, entry.clock_read = report.clock_reading, now
         if not self._has_reported:
@@ -289,21 +371,22 @@
                 runner=entry.identifier,
                 incarnation=report.incarnation,
             )
-            if entry.tasks:
-                self._log_lost_runner("restarted")
         entry.incarnation = report.incarnation
+        entry.supposed_crashes.clear()
         entry.processed_exit = entry.acknowledged_exit = 0
         entry.pending_acks.clear()
         entry.unread_exits.clear()
         entry.unread_running.clear()
         entry.lease_end = report.clock_reading + self._context.settings.lease
         runs = {(item.task, item.run) for item in report.running}
-        for task in list(entry.tasks.values()):
-            # Commands without an outcome continue until this incarnation
-            # answers them.
-            if task.confirmed is None or (task.key, task.run) in runs:
-                continue
-            self._context.job_tracker.record_lost_run(task, "runner restarted")
+        lost = [
+            task
+            for task in entry.tasks.values()
+            if (task.key, task.run) not in runs
+        ]
+        if lost:
+            entry.evidence = _Evidence.ENDED
+            self._record_crash("restarted", lost, may_start=True)
 
     def _apply_exit(self, run_exit: model.RunExit) -> None:
         context, entry = self._context, self._entry
@@ -348,6 +431,7 @@
                 context.job_tracker.confirm_run(task, entry)
         elif task.runner is None and item.run >= task.run:
             task.run = item.run
+            context.job_tracker.retract_crash(task, item.run)
             context.job_tracker.confirm_run(task, entry)
             context.log.info(
                 "run_adopted",
--- a/tamarackhatch/scheduler/_state.py
+++ b/tamarackhatch/scheduler/_state.py
@@ -47,6 +47,8 @@
         last_exited_run: Number of the highest run that is known to have
             exited.
         failed_runs: Numbers of the runs that failed.
+        crashes: For each run whose runner crashed, by number, what the run
+            may have had to do with it.
         checkpoint: Latest checkpoint; empty for none.
         progress_percent: Progress in the runner's last report, in per cent.
         speed_limit_percent: Latest speed limit sent, in per cent of full
@@ -74,6 +76,7 @@
     run: int = 0
     last_exited_run: int = 0
     failed_runs: frozenset[int] = frozenset()
+    crashes: dict[int, model.CrashRole] = attrs.field(factory=dict)
     checkpoint: str = ""
     progress_percent: int = 0
     speed_limit_percent: int | None = 100
@@ -208,6 +211,7 @@
                 task.run = task.last_exited_run = history.last_exited_run
                 task.failed_runs = frozenset(history.failed_runs)
                 task.checkpoint = history.checkpoint
+                task.crashes = dict(history.crashes)
             tasks.append(task)
         steps.append(tasks)
         remaining.append(
@@ -226,11 +230,12 @@
         for task in tasks:
             if task.phase is TaskPhase.DONE:
                 bits |= 1 << task.key.index
-            elif task.failed_runs or task.checkpoint:
+            elif task.failed_runs or task.checkpoint or task.crashes:
                 histories[(step_index, task.key.index)] = records.TaskHistory(
                     task.last_exited_run,
                     tuple(sorted(task.failed_runs)),
                     task.checkpoint,
+                    dict(task.crashes),
                 )
         if bits:
             done[step_index] = bits
