Retract a crash that an exit disproves, and write up the incident

A runner that was cut off for longer than its lease, and meanwhile unregistered, lists the exits of its runs when it is back; their crashes no longer count. A run that a new incarnation has started and ended before its first report is not taken for lost.

--- a/tamarackhatch/scheduler/_job_tracker.py
+++ b/tamarackhatch/scheduler/_job_tracker.py
@@ -365,6 +365,7 @@
             The writer's generation in which the exit becomes durable; 0 if
             nothing has to be written.
         """
+        self.retract_crash(task, run_exit.run)
         if (
             run_exit.reason is not model.ExitReason.FAILED
             or run_exit.run in task.failed_runs
--- a/tamarackhatch/scheduler/_runner_reconciler.py
+++ b/tamarackhatch/scheduler/_runner_reconciler.py
@@ -201,6 +201,7 @@
         involved = self._assign_crash_roles(tasks)
         for task in tasks:
             if may_start and task.confirmed is None:
+                # A stop prevents that.
                 job_tracker.evict_task(task, reason)
             else:
                 job_tracker.record_lost_run(task, reason)
@@ -226,11 +227,8 @@
         roles = _crash_suspects.assign_roles(tasks, crash)
         for task, role in roles:
             job_tracker.record_crash(task, role)
-        entry.supposed_crashes = (
-            []
-            if entry.evidence is _Evidence.ENDED
-            else [(task, task.run) for task, _ in roles]
-        )
+        if entry.evidence is not _Evidence.ENDED:
+            entry.supposed_crashes += [(task, task.run) for task, _ in roles]
         return [task for task, _ in roles]
 
     def _log_lost_runner(self, reason: str) -> None:
@@ -378,7 +376,9 @@
         entry.unread_exits.clear()
         entry.unread_running.clear()
         entry.lease_end = report.clock_reading + self._context.settings.lease
+        # An attempt of a start may have reached this incarnation already.
         runs = {(item.task, item.run) for item in report.running}
+        runs |= {(run_exit.task, run_exit.run) for run_exit in report.exits}
         lost = [
             task
             for task in entry.tasks.values()
