--- a/tamarackhatch/model/__init__.py
+++ b/tamarackhatch/model/__init__.py
@@ -9,6 +9,7 @@
 from tamarackhatch.model._configuration_change import ConfigurationChange
 from tamarackhatch.model._configuration_change import ConfigurationSource
 from tamarackhatch.model._configuration_change import Publication
+from tamarackhatch.model._jobs import CrashRole
 from tamarackhatch.model._jobs import Job
 from tamarackhatch.model._jobs import JobState
 from tamarackhatch.model._jobs import Schedule
@@ -43,6 +44,7 @@
     "ConfigurationChange",
     "ConfigurationSource",
     "Conflict",
+    "CrashRole",
     "ExitReason",
     "FeedPage",
     "HistoryLostError",
