--- a/tamarackhatch/records/_watcher.py
+++ b/tamarackhatch/records/_watcher.py
@@ -11,6 +11,9 @@
 _READ_TIMEOUT = datetime.timedelta(milliseconds=1500)
 _FEED_WAIT = datetime.timedelta(milliseconds=1500)
 _RETRY_DELAY = datetime.timedelta(milliseconds=150)
+# After large changes, the feed rests for this multiple of the time that their
+# transfer took, so that other traffic gets at least two thirds of the link.
+_REST_PER_RECEIVE_TIME = 2
 
 
 class TableWatcher:
@@ -63,6 +66,19 @@
         """Monotonic time of the store's latest answer."""
         return self._last_answer
 
+    @property
+    def version(self) -> int:
+        """Version of the store up to which all changes were passed on."""
+        return self._version
+
+    def skip_to(self, version: int) -> None:
+        """Continues after a version up to which no change is missing.
+
+        Args:
+            version: Version of the store; an earlier one changes nothing.
+        """
+        self._version = max(self._version, version)
+
     async def load(self) -> None:
         """Reads the whole table; retries until it succeeds."""
         while True:
@@ -94,27 +110,42 @@
         Reads the whole table again if the store has discarded changes.
         """
         while True:
-            started_at = self._clock.get_monotonic()
             try:
-                page = await self._store.follow(
-                    self._table, self._version, _FEED_WAIT
-                )
+                await self.follow_once()
             except model.HistoryLostError:
-                self._log.warning("feed_history_lost", table=self._table)
                 await self.load()
-                continue
-            except model.StoreUnavailableError as error:
-                self._record_feed_loss(error.message)
-                await self._clock.sleep(_RETRY_DELAY)
-                continue
-            if self._is_feed_lost:
-                self._is_feed_lost = False
-                self._log.info("feed_restored", table=self._table)
-            self._apply_page(page)
-            self._on_synced(started_at)
-            elapsed = self._clock.get_monotonic() - started_at
-            if elapsed < self._interval:
-                await self._clock.sleep(self._interval - elapsed)
+
+    async def follow_once(self) -> None:
+        """Passes on the next changes, or returns after a while without any.
+
+        Raises:
+            HistoryLostError: The store has discarded changes.
+        """
+        started_at = self._clock.get_monotonic()
+        # After a loss, an answer without a wait tells at once that the feed
+        # works again.
+        wait = datetime.timedelta() if self._is_feed_lost else _FEED_WAIT
+        try:
+            page = await self._store.follow(self._table, self._version, wait)
+        except model.HistoryLostError:
+            self._log.warning("feed_history_lost", table=self._table)
+            raise
+        except model.StoreUnavailableError as error:
+            self._record_feed_loss(error.message)
+            await self._clock.sleep(_RETRY_DELAY)
+            return
+        if self._is_feed_lost:
+            self._is_feed_lost = False
+            self._log.info("feed_restored", table=self._table)
+        self._apply_page(page)
+        self._on_synced(started_at)
+        elapsed = self._clock.get_monotonic() - started_at
+        rest = max(
+            self._interval - elapsed,
+            page.receive_time * _REST_PER_RECEIVE_TIME,
+        )
+        if rest > datetime.timedelta():
+            await self._clock.sleep(rest)
 
     async def poll(self) -> None:
         """Passes on the changes up to now; the table must be loaded.
