--- a/tamarackhatch/scheduler/_commands.py
+++ b/tamarackhatch/scheduler/_commands.py
@@ -127,7 +127,9 @@
         ):
             outcome = None
             if not entry.load.is_over_capacity():
-                outcome = await self._send_start(task, entry, run, lease_end)
+                outcome = await self._send_start(
+                    task, entry, run, lease_end, is_uncertain
+                )
                 attempt_ended = context.get_now()
             elif not is_uncertain:
                 context.job_tracker.undo_start(task)
@@ -185,12 +187,20 @@
         entry: _fleet.RunnerEntry,
         run: int,
         lease_end: datetime.timedelta,
+        is_uncertain: bool,
     ) -> platform.CommandOutcome | None:
         """Sends one start command.
 
         All attempts carry the same lease end, so the time after which none of
         them can start the run stays fixed.
 
+        Args:
+            task: The task.
+            entry: The runner.
+            run: Number of the run.
+            lease_end: End of the lease on the runner's clock.
+            is_uncertain: Whether an earlier attempt may start the run.
+
         Returns:
             The outcome; None if the run may still start, because the outcome
             is unknown or the command was not sent.
@@ -210,7 +220,7 @@
             )
         except platform.RunnerUnavailableError as error:
             self._log_unanswered("start", task, entry, error.message)
-            if not context.leader_lease.is_valid:
+            if is_uncertain or not context.leader_lease.is_valid:
                 return None
             outcome = _Outcome.UNHEALTHY
         except platform.RunnerOutcomeUnknownError as error:
--- a/tamarackhatch/scheduler/_dependencies.py
+++ b/tamarackhatch/scheduler/_dependencies.py
@@ -28,6 +28,8 @@
         policy: Weights and limits of placement.
         enforces_capacity: Returns whether the runners of a service reject
             tasks that do not fit; False if that is not known.
+        configuration: Configuration that the scheduler publishes to the other
+            instances; None if it publishes none.
     """
 
     store: model.TableStore
@@ -39,3 +41,4 @@
     metrics: observability.Metrics
     policy: placement.PlacementPolicy = placement.PlacementPolicy()
     enforces_capacity: Callable[[str], bool] = lambda service: False
+    configuration: model.ConfigurationSource | None = None
--- a/tamarackhatch/service/_jobs.py
+++ b/tamarackhatch/service/_jobs.py
@@ -1,5 +1,7 @@
 """Carries out requests of callers, independent of their interface."""
 
+import asyncio
+from collections.abc import Callable
 import datetime
 import typing
 
@@ -67,29 +69,55 @@
             return model.RequestLimits()
         return configuration.limits
 
-    async def find_queue(self, host: str, path: str) -> model.QueueLookup:
-        """Finds the queue that a request's host and path select."""
-        for _ in range(2):
-            configuration = self._configuration.configuration
-            if configuration is not None:
-                queue = configuration.find_queue(host, path)
-                if queue is not None:
-                    return model.QueueLookup(model.Outcome.DONE, queue)
-            if not await self._configuration.refresh(_MAX_CONFIGURATION_AGE):
-                return model.QueueLookup(model.Outcome.NOT_DONE)
-        return model.QueueLookup(model.Outcome.NO_QUEUE)
-
-    async def find_named_queue(self, name: str) -> model.QueueLookup:
-        """Finds the queue with the given name."""
-        for _ in range(2):
-            configuration = self._configuration.configuration
-            if configuration is not None:
-                queue = configuration.get_queue(name)
-                if queue is not None:
-                    return model.QueueLookup(model.Outcome.DONE, queue)
-            if not await self._configuration.refresh(_MAX_CONFIGURATION_AGE):
+    async def find_queue(
+        self, host: str, path: str, timeout: datetime.timedelta
+    ) -> model.QueueLookup:
+        """Finds a queue by host and path; see model.JobService."""
+        return await self._look_up_queue(
+            lambda configuration: configuration.find_queue(host, path), timeout
+        )
+
+    async def find_named_queue(
+        self, name: str, timeout: datetime.timedelta
+    ) -> model.QueueLookup:
+        """Finds a queue by its name; see model.JobService."""
+        return await self._look_up_queue(
+            lambda configuration: configuration.get_queue(name), timeout
+        )
+
+    async def _look_up_queue(
+        self,
+        select: Callable[[model.Configuration], model.Queue | None],
+        timeout: datetime.timedelta,
+    ) -> model.QueueLookup:
+        """Finds a queue, in a configuration read just now if necessary."""
+        queue = self._select_queue(select)
+        if queue is None:
+            # The other half of the time is left for the request itself.
+            if not await self._refresh_configuration(timeout / 2):
                 return model.QueueLookup(model.Outcome.NOT_DONE)
-        return model.QueueLookup(model.Outcome.NO_QUEUE)
+            queue = self._select_queue(select)
+        if queue is None:
+            return model.QueueLookup(model.Outcome.NO_QUEUE)
+        return model.QueueLookup(model.Outcome.DONE, queue)
+
+    async def _refresh_configuration(
+        self, timeout: datetime.timedelta
+    ) -> bool:
+        try:
+            async with asyncio.timeout(timeout.total_seconds()):
+                return await self._configuration.refresh(
+                    _MAX_CONFIGURATION_AGE
+                )
+        except TimeoutError:
+            self._log.info("configuration_read_slow")
+            return False
+
+    def _select_queue(
+        self, select: Callable[[model.Configuration], model.Queue | None]
+    ) -> model.Queue | None:
+        configuration = self._configuration.configuration
+        return None if configuration is None else select(configuration)
 
     async def count_pending(self, queue: model.Queue) -> int | None:
         """Returns how many jobs of a queue have no started task yet.
