--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -97,8 +97,8 @@
             log,
             self.metrics,
             fleet.policy,
-            lambda name: fleet.enforces_capacity,
             self.configuration,
+            lambda service: fleet.enforces_capacity,
         )
         watcher = self.configuration
         self.role = server.SchedulerRole(
--- a/tamarackhatch/scheduler/_dependencies.py
+++ b/tamarackhatch/scheduler/_dependencies.py
@@ -26,10 +26,10 @@
         log: Log of the instance.
         metrics: Measurements of the process.
         policy: Weights and limits of placement.
-        enforces_capacity: Returns whether the runners of a service reject
-            tasks that do not fit; False if that is not known.
         configuration: Configuration that the scheduler publishes to the other
             instances; None if it publishes none.
+        enforces_capacity: Returns whether the runners of a service reject
+            tasks that do not fit; False if that is not known.
     """
 
     store: model.TableStore
@@ -40,5 +40,5 @@
     log: observability.Log
     metrics: observability.Metrics
     policy: placement.PlacementPolicy = placement.PlacementPolicy()
-    enforces_capacity: Callable[[str], bool] = lambda service: False
     configuration: model.ConfigurationSource | None = None
+    enforces_capacity: Callable[[str], bool] = lambda service: False
