--- a/fleetmodel/tests/test_fleetmodel.py
+++ b/fleetmodel/tests/test_fleetmodel.py
@@ -136,7 +136,7 @@
     ("failure_weight", "failure_weight"),
     ("far_weight", "locality_weight"),
     ("harm_patience", "violation_timeout"),
-    ("starved_patience", "starvation_wait"),
+    ("starvation_wait", "starvation_wait"),
     ("lasting_patience", "long_running_wait"),
     ("batch_patience", "batch_wait"),
     ("gathering", "grouping_delay"),
