Let processes that start read a compressed copy of a large configuration

The scheduler keeps a compressed copy of a configuration with 250 queues or more. A process that starts reads it with the changes since, and asks the operator's table for what came after the position in the last heartbeat. That answer shows that the copy is the newest version, also if the scheduler that wrote it has ended.

test_processes_that_start_do_not_all_read_the_large_row fails in both cases without the copy and passes with it.

--- a/tamarackhatch/model/__init__.py
+++ b/tamarackhatch/model/__init__.py
@@ -8,6 +8,7 @@
 from tamarackhatch.model._configuration_change import compute_change
 from tamarackhatch.model._configuration_change import ConfigurationChange
 from tamarackhatch.model._configuration_change import ConfigurationSource
+from tamarackhatch.model._configuration_change import EMPTY_CONFIGURATION
 from tamarackhatch.model._configuration_change import Publication
 from tamarackhatch.model._jobs import CrashRole
 from tamarackhatch.model._jobs import Job
@@ -45,6 +46,7 @@
     "ConfigurationSource",
     "Conflict",
     "CrashRole",
+    "EMPTY_CONFIGURATION",
     "ExitReason",
     "FeedPage",
     "HistoryLostError",
--- a/tamarackhatch/model/_configuration_change.py
+++ b/tamarackhatch/model/_configuration_change.py
@@ -53,6 +53,10 @@
         )
 
 
+# A change from it contains a whole configuration.
+EMPTY_CONFIGURATION: typing.Final = _configuration.Configuration(0)
+
+
 @attrs.frozen
 class Publication:
     """Which configuration the active scheduler knows and has published.
--- a/tamarackhatch/records/__init__.py
+++ b/tamarackhatch/records/__init__.py
@@ -1,9 +1,11 @@
 """Names, formats and access of this project's rows in the table store."""
 
+from tamarackhatch.records._change_assembler import ChangeAssembler
 from tamarackhatch.records._configuration_changes import ChangePart
 from tamarackhatch.records._configuration_changes import decode_change
 from tamarackhatch.records._configuration_changes import decode_change_part
 from tamarackhatch.records._configuration_changes import encode_change
+from tamarackhatch.records._configuration_changes import encode_copy
 from tamarackhatch.records._interference import decode_interference
 from tamarackhatch.records._interference import encode_interference
 from tamarackhatch.records._job_store import JobStore
@@ -16,6 +18,7 @@
 from tamarackhatch.records._leadership import find_row
 from tamarackhatch.records._leadership import LeaderHeartbeat
 from tamarackhatch.records._leadership import TrackedRunner
+from tamarackhatch.records._names import CONFIGURATION_TABLE
 from tamarackhatch.records._names import FENCE
 from tamarackhatch.records._names import get_cancel_ref
 from tamarackhatch.records._names import get_cancelled_job
@@ -39,6 +42,8 @@
 from tamarackhatch.records._watcher import TableWatcher
 
 __all__ = [
+    "CONFIGURATION_TABLE",
+    "ChangeAssembler",
     "ChangePart",
     "FENCE",
     "INTERFERENCE",
@@ -65,6 +70,7 @@
     "decode_progress",
     "decode_tracked_runners",
     "encode_change",
+    "encode_copy",
     "encode_interference",
     "encode_job",
     "encode_leader_heartbeat",
--- a/tamarackhatch/records/_configuration_changes.py
+++ b/tamarackhatch/records/_configuration_changes.py
@@ -50,9 +50,26 @@
 
     Args:
         change: The change.
-        slot: Number of the row, or of the first of several; a later change
-            with the same number replaces it.
+        slot: Number that names the rows; a later change with the same number
+            replaces it.
     """
+    return [
+        model.Put(_names.get_change_ref(slot, part), value)
+        for part, value in enumerate(_encode_parts(change))
+    ]
+
+
+def encode_copy(configuration: model.Configuration) -> list[model.Put]:
+    """Returns the rows that hold a whole configuration."""
+    change = model.compute_change(model.EMPTY_CONFIGURATION, configuration)
+    return [
+        model.Put(_names.get_copy_ref(part), value)
+        for part, value in enumerate(_encode_parts(change))
+    ]
+
+
+def _encode_parts(change: model.ConfigurationChange) -> list[bytes]:
+    """Returns the values of the rows that hold a change."""
     document = [
         [_encode_queue(queue) for queue in change.queues],
         list(change.removed),
@@ -70,19 +87,16 @@
         for start in range(0, len(data), _MAX_DATA_BYTES)
     ]
     return [
-        model.Put(
-            _names.get_change_ref(slot, part),
-            orjson.dumps(
-                {
-                    "base": change.base,
-                    "version": change.version,
-                    "part": part,
-                    "parts": len(pieces),
-                }
-            )
-            + b"\n"
-            + piece,
+        orjson.dumps(
+            {
+                "base": change.base,
+                "version": change.version,
+                "part": part,
+                "parts": len(pieces),
+            }
         )
+        + b"\n"
+        + piece
         for part, piece in enumerate(pieces)
     ]
 
--- a/tamarackhatch/records/_names.py
+++ b/tamarackhatch/records/_names.py
@@ -13,6 +13,7 @@
 LEADER_HEARTBEAT_TABLE: typing.Final = f"beat-{CELL}"
 SEQUENCE_TABLE: typing.Final = f"sequence-{CELL}"
 INTERFERENCE_TABLE: typing.Final = f"factors-{CELL}"
+CONFIGURATION_TABLE: typing.Final = f"configuration-{CELL}"
 TRACKED_RUNNERS_TABLE: typing.Final = f"roster-{CELL}"
 # All rows that the scheduler writes are in one partition, so that one
 # transaction can write them on condition that the fence row is unchanged.
@@ -37,6 +38,7 @@
 # instances follow anyway, so that a heartbeat arrives after the changes that
 # it names.
 _CHANGE_KEY_PREFIX: typing.Final = "configuration."
+_COPY_KEY_PREFIX: typing.Final = "copy."
 # Submissions are spread over several partitions, because each partition
 # handles a limited number of transactions per second.
 JOB_PARTITIONS: typing.Final = tuple("0123456789abcdef")
@@ -52,13 +54,25 @@
     )
 
 
-def is_change_ref(ref: model.RowRef) -> bool:
-    """Returns whether a row holds part of a configuration change."""
-    return ref.table == LEADER_HEARTBEAT_TABLE and ref.key.startswith(
-        _CHANGE_KEY_PREFIX
+def get_copy_ref(part: int) -> model.RowRef:
+    """Returns the name of a row with part of the whole configuration."""
+    return model.RowRef(
+        CONFIGURATION_TABLE, SCHEDULER_PARTITION, f"{_COPY_KEY_PREFIX}{part}"
     )
 
 
+def is_change_ref(ref: model.RowRef) -> bool:
+    """Returns whether a row holds part of a configuration change.
+
+    A copy of the whole configuration is a change from an empty one.
+    """
+    prefix = {
+        LEADER_HEARTBEAT_TABLE: _CHANGE_KEY_PREFIX,
+        CONFIGURATION_TABLE: _COPY_KEY_PREFIX,
+    }.get(ref.table)
+    return prefix is not None and ref.key.startswith(prefix)
+
+
 def get_job_partition(identifier: str) -> str:
     """Returns the partition of a job's own row and of its cancel row."""
     last = identifier[-1:].lower()
--- a/tamarackhatch/scheduler/_configuration_publisher.py
+++ b/tamarackhatch/scheduler/_configuration_publisher.py
@@ -1,13 +1,20 @@
 """Publishes changes of the configuration to the other instances."""
 
+import datetime
+
 import attrs
 
+from tamarackhatch import clock
 from tamarackhatch import model
 from tamarackhatch import records
 
 # Rows that hold the latest changes, in turn. An instance that has missed more
 # changes reads the operator's row.
 _SLOTS = 8
+# A process that starts reads the operator's row if it has fewer queues, which
+# are tens of kilobytes, or else a compressed copy and the changes since.
+_MIN_COPIED_QUEUES = 250
+_MIN_COPY_INTERVAL = datetime.timedelta(seconds=2)
 
 
 @attrs.frozen
@@ -32,14 +39,22 @@
     leases and acknowledgements share.
     """
 
-    def __init__(self, source: model.ConfigurationSource | None) -> None:
+    def __init__(
+        self,
+        source: model.ConfigurationSource | None,
+        time_source: clock.Clock,
+    ) -> None:
         """Creates the publisher of one term.
 
         Args:
             source: Configuration as this process reads it; None publishes
                 nothing.
+            time_source: Source of time.
         """
         self._source = source
+        self._clock = time_source
+        self._copied_version = 0
+        self._copied_at: datetime.timedelta | None = None
         self._published: model.Configuration | None = None
         self._prepared: model.Configuration | None = None
         self._changes = 0
@@ -71,6 +86,7 @@
             change = model.compute_change(self._published, current)
             puts = tuple(records.encode_change(change, self._changes % _SLOTS))
         self._prepared = current
+        puts += self._prepare_copy(current)
         return ConfigurationWrite(
             puts,
             (
@@ -80,6 +96,24 @@
             ),
         )
 
+    def _prepare_copy(
+        self, current: model.Configuration
+    ) -> tuple[model.Put, ...]:
+        """Returns the rows of a new copy, if one is due."""
+        now = self._clock.get_monotonic()
+        if (
+            len(current.queues) < _MIN_COPIED_QUEUES
+            or current.version == self._copied_version
+            or self._copied_at is not None
+            and now - self._copied_at < _MIN_COPY_INTERVAL
+        ):
+            return ()
+        self._copied_at = now
+        # If this write fails, the copy is out of date until the next version,
+        # and processes that start read the operator's row.
+        self._copied_version = current.version
+        return tuple(records.encode_copy(current))
+
     def record_commit(self) -> None:
         """Records that the latest prepared write is durable."""
         if self._prepared is not None and self.has_change:
--- a/tamarackhatch/scheduler/_scheduler.py
+++ b/tamarackhatch/scheduler/_scheduler.py
@@ -71,7 +71,7 @@
             self._count_pending,
             interference.export_interference,
             _configuration_publisher.ConfigurationPublisher(
-                dependencies.configuration
+                dependencies.configuration, time_source
             ),
             log,
             metrics,
--- a/tamarackhatch/scheduler/tests/test_configuration_distribution.py
+++ b/tamarackhatch/scheduler/tests/test_configuration_distribution.py
@@ -183,6 +183,33 @@
     virtual_time.run_virtually(simulate())
 
 
+@pytest.mark.parametrize("is_leader_gone", [False, True])
+def test_processes_that_start_do_not_all_read_the_large_row(
+    is_leader_gone: bool,
+) -> None:
+    """Guards against a full link when many processes start at once."""
+
+    async def simulate() -> None:
+        fleet, link = await _start_fleet(16)
+        fleet.publish_configuration(3, extra=1500)
+        await asyncio.sleep(4)
+        row_size = fleet.publish_configuration(4, extra=1510)
+        await asyncio.sleep(0.2 if is_leader_gone else 4)
+        names = [name for name in fleet.instances if name != "near"]
+        for name in names:
+            fleet.instances[name].kill()
+        if is_leader_gone:
+            fleet.instances.pop("near").kill()
+        link.sent_bytes = 0
+        for name in names:
+            fleet.start_instance(name, has_configuration=True)
+        await asyncio.sleep(1)
+        assert _get_versions(fleet) == {4}
+        assert link.sent_bytes < 4 * row_size
+
+    virtual_time.run_virtually(simulate())
+
+
 def test_refresh_reads_published_changes_without_the_large_row() -> None:
     """Guards against a large read for each request for a missing queue."""
 
--- a/tamarackhatch/service/_configuration.py
+++ b/tamarackhatch/service/_configuration.py
@@ -10,6 +10,7 @@
 from tamarackhatch import observability
 from tamarackhatch import platform
 from tamarackhatch import records
+from tamarackhatch.service import _published_configuration
 
 _READ_TIMEOUT = datetime.timedelta(milliseconds=800)
 # Between two reads of the operator's row. Versions that follow one another
@@ -85,7 +86,7 @@
         self._configuration: model.Configuration | None = None
         self._publications: PublicationSource | None = None
         self._on_change: Callable[[], None] = lambda: None
-        self._change_parts: dict[int, records.ChangePart] = {}
+        self._assembler = records.ChangeAssembler()
         self._last_refresh = datetime.timedelta()
         self._refresh_in_progress: asyncio.Task[bool] | None = None
         self._table = records.TableWatcher(
@@ -136,7 +137,8 @@
 
     async def run(self) -> None:
         """Reads the configuration and applies its changes until cancelled."""
-        await self._table.load()
+        if not await self._load_published():
+            await self._table.load()
         while True:
             publication = self._get_publication()
             if publication is None:
@@ -150,6 +152,35 @@
             else:
                 await self._clock.sleep(_CHECK_INTERVAL)
 
+    async def _load_published(self) -> bool:
+        """Reads the published copy, and the operator's changes since.
+
+        Many processes that start at once would fill a link with the operator's
+        row.
+
+        Returns:
+            Whether the newest configuration was read.
+        """
+        try:
+            published = (
+                await _published_configuration.read_published_configuration(
+                    self._store
+                )
+            )
+            if published is None:
+                return False
+            self._table.skip_to(published.position)
+            await self._table.poll()
+        except (
+            model.HistoryLostError,
+            model.StoreUnavailableError,
+            records.MalformedRowError,
+        ) as error:
+            self._log.info("published_copy_not_used", reason=error.message)
+            return False
+        self._set_configuration(published.configuration)
+        return True
+
     async def _follow_table(self) -> None:
         """Reads the next changes of the operator's table.
 
@@ -195,17 +226,9 @@
             current = self._configuration
             if current is None or part.base != current.version:
                 return
-            if any(
-                (other.base, other.version) != (part.base, part.version)
-                for other in self._change_parts.values()
-            ):
-                self._change_parts.clear()
-            self._change_parts[part.part] = part
-            if len(self._change_parts) < part.parts:
+            change = self._assembler.add_part(part)
+            if change is None:
                 return
-            parts = [self._change_parts[index] for index in range(part.parts)]
-            self._change_parts.clear()
-            change = records.decode_change(parts)
         except records.MalformedRowError as error:
             self._log.error("configuration_malformed", reason=error.message)
             return
