Keep instances from reading the large row together at a takeover

A planned stop, a kill or a lost answer of the scheduler in the middle of a storm of versions made all instances read the operator's row at once, and again after each failure: found in virtual time with 19 instances behind 30 Mbit/s (backlog of up to 20 s on the link, both long-running tasks lapsed, versions behind for 9 s).

- A publication counts until it is too old, also if the next scheduler's first heartbeats have none.
A scheduler that begins reads the operator's table at once and says so in a heartbeat of its own.
- An instance that lacks a change reads the compressed copy; changes that arrive meanwhile are kept until they apply.
- Without a live heartbeat, instances with a large configuration begin to read the row late, as far as the time allows within which a configuration has to be in force (new setting bounds.apply_configuration_ms), and at different times; a read in progress is given up as soon as a scheduler publishes.
After a failed read they rest.

test_takeover_in_a_storm_of_versions_keeps_leases_and_bounds failed for kill and lost writes before (versions 9 and 26 to 28 in force 4 s after the last one, 24.6 MB over the link) and passes (4.8 MB). In the stand-in's network an answer that has begun to arrive now gets the time that the client gives it.

--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -83,7 +83,11 @@
         self.configuration: service.ConfigurationWatcher | None = None
         if has_configuration:
             self.configuration = service.ConfigurationWatcher(
-                table_store, fleet.clock, log
+                table_store,
+                fleet.clock,
+                log,
+                fleet.apply_time,
+                fleet.incarnations * 0.618 % 1,
             )
         fleet.incarnations += 1
         dependencies = scheduler.SchedulerDependencies(
@@ -142,6 +146,7 @@
         instances: Instances by name.
         incarnations: Number of instances started.
         log_descriptor: File descriptor to which instances write their logs.
+        apply_time: Time within which instances apply a configuration.
         enforces_capacity: Whether runners reject tasks that do not fit, as the
             configuration says.
     """
@@ -163,6 +168,7 @@
         self.runners: list[runner.RunnerStandIn] = []
         self.instances: dict[str, VirtualInstance] = {}
         self.incarnations = 0
+        self.apply_time = datetime.timedelta(milliseconds=2500)
         self.enforces_capacity = True
         self.log_descriptor = os.open(
             log_path, os.O_WRONLY | os.O_CREAT | os.O_APPEND
--- a/standins/network.py
+++ b/standins/network.py
@@ -141,7 +141,7 @@
         loop = asyncio.get_running_loop()
         deadline = loop.time() + timeout
         try:
-            async with asyncio.timeout(timeout):
+            async with asyncio.timeout(timeout) as limit:
                 await asyncio.sleep(faults.delay_s)
                 if faults.unreachable_from & {name, "*"}:
                     await asyncio.sleep(timeout)
@@ -175,6 +175,7 @@
                     await asyncio.sleep(timeout)
                 body = orjson.dumps(response.body)
                 began = loop.time()
+                limit.reschedule(deadline + call.transfer_time.total_seconds())
                 if name in faults.answer_links:
                     await faults.answer_links[name].carry(len(body))
                 receive_time = datetime.timedelta(seconds=loop.time() - began)
--- a/tamarackhatch/election/_election.py
+++ b/tamarackhatch/election/_election.py
@@ -86,7 +86,9 @@
         self._version = 0
         self._row_version = 0
         self._election_timer_start = datetime.timedelta()
-        self._last_heartbeat: datetime.timedelta | None = None
+        self._publication: model.Publication | None = None
+        self._publication_time: datetime.timedelta | None = None
+        self._heartbeat_time: datetime.timedelta | None = None
         self._last_answer = datetime.timedelta()
         self._feed_wait = datetime.timedelta()
         self._is_answer_late = False
@@ -116,20 +118,27 @@
         """Monotonic time of the store's latest answer."""
         return self._last_answer
 
-    def get_live_heartbeat(
+    def get_publication(
         self, max_age: datetime.timedelta
-    ) -> records.LeaderHeartbeat | None:
-        """Returns the latest heartbeat if it is certainly this young.
+    ) -> model.Publication | None:
+        """Returns the latest publication if it is certainly this young.
 
         The first heartbeat that a process reads may be of a scheduler that
-        has ended long ago, so only changes of it count.
+        has ended long ago, so only changes of it count. The first heartbeats
+        of a scheduler have no publication.
         """
-        if (
-            self._last_heartbeat is None
-            or self._clock.get_monotonic() - self._last_heartbeat > max_age
-        ):
+        if self._is_older(self._publication_time, max_age):
             return None
-        return self._heartbeat
+        return self._publication
+
+    def has_heartbeat(self, max_age: datetime.timedelta) -> bool:
+        """Returns whether the latest heartbeat is certainly this young."""
+        return not self._is_older(self._heartbeat_time, max_age)
+
+    def _is_older(
+        self, time: datetime.timedelta | None, max_age: datetime.timedelta
+    ) -> bool:
+        return time is None or self._clock.get_monotonic() - time > max_age
 
     async def poll(self) -> None:
         """Reads the changes up to now, beside `run`.
@@ -238,7 +247,10 @@
         if heartbeat == self._heartbeat or row.version < self._row_version:
             return
         if self._heartbeat is not None and not self._is_answer_late:
-            self._last_heartbeat = self._clock.get_monotonic()
+            self._heartbeat_time = self._clock.get_monotonic()
+            if heartbeat.publication is not None:
+                self._publication = heartbeat.publication
+                self._publication_time = self._heartbeat_time
         self._row_version = row.version
         if self._heartbeat is None or self._heartbeat.term != heartbeat.term:
             self._log.info(
--- a/tamarackhatch/scheduler/_configuration_publisher.py
+++ b/tamarackhatch/scheduler/_configuration_publisher.py
@@ -58,6 +58,17 @@
         self._published: model.Configuration | None = None
         self._prepared: model.Configuration | None = None
         self._changes = 0
+        self._is_publication_prepared = False
+        self._has_publication = False
+
+    @property
+    def is_due(self) -> bool:
+        """Whether a heartbeat must tell of the configuration at once."""
+        return self.has_change or (
+            not self._has_publication
+            and self._source is not None
+            and self._source.position is not None
+        )
 
     @property
     def has_change(self) -> bool:
@@ -86,6 +97,7 @@
             change = model.compute_change(self._published, current)
             puts = tuple(records.encode_change(change, self._changes % _SLOTS))
         self._prepared = current
+        self._is_publication_prepared = position is not None
         puts += self._prepare_copy(current)
         return ConfigurationWrite(
             puts,
@@ -116,6 +128,7 @@
 
     def record_commit(self) -> None:
         """Records that the latest prepared write is durable."""
+        self._has_publication = self._is_publication_prepared
         if self._prepared is not None and self.has_change:
             self._published = self._prepared
             self._changes += 1
--- a/tamarackhatch/scheduler/_writer.py
+++ b/tamarackhatch/scheduler/_writer.py
@@ -190,7 +190,7 @@
         has_heartbeat = (
             is_release
             or self._is_heartbeat_due()
-            or self._configuration.has_change
+            or self._configuration.is_due
         )
         if has_heartbeat:
             write = self._configuration.prepare_write()
@@ -261,7 +261,7 @@
             self._unwritten_jobs
             or self._tracked_runners is not None
             or self._is_heartbeat_due()
-            or self._configuration.has_change
+            or self._configuration.is_due
         ):
             return
         assert self._last_heartbeat is not None
--- a/tamarackhatch/server/_instance.py
+++ b/tamarackhatch/server/_instance.py
@@ -67,6 +67,7 @@
             sink, time_source, level_filter, "instance"
         )
         self._metrics = observability.Metrics()
+        self._incarnation = secrets.token_hex(8)
         self._stop_requested = asyncio.Event()
         self._store_client = transport.HttpClient(
             time_source, _MAX_STORE_CONNECTIONS
@@ -82,11 +83,12 @@
             str(initial_settings.store_address),
             self._store_traffic.record_call,
         )
-        self._incarnation = secrets.token_hex(8)
         self._configuration_watcher = service.ConfigurationWatcher(
             self._store,
             time_source,
             self._log.for_component("configuration"),
+            initial_settings.bounds.apply_configuration,
+            int(self._incarnation[:2], 16) / 256,
         )
         self._role = _role.SchedulerRole(
             scheduler.SchedulerDependencies(
--- a/tamarackhatch/server/_role.py
+++ b/tamarackhatch/server/_role.py
@@ -70,8 +70,14 @@
         """
         if self._scheduler is not None:
             return None
-        heartbeat = self._election.get_live_heartbeat(_MAX_PUBLICATION_AGE)
-        return None if heartbeat is None else heartbeat.publication
+        return self._election.get_publication(_MAX_PUBLICATION_AGE)
+
+    @property
+    def is_leader_alive(self) -> bool:
+        """Whether another process is certainly the active scheduler."""
+        return self._scheduler is None and self._election.has_heartbeat(
+            _MAX_PUBLICATION_AGE
+        )
 
     @property
     def last_answer(self) -> datetime.timedelta:
--- a/tamarackhatch/service/_configuration.py
+++ b/tamarackhatch/service/_configuration.py
@@ -16,12 +16,26 @@
 # Between two reads of the operator's row. Versions that follow one another
 # faster are read as one.
 _READ_INTERVAL = datetime.timedelta(milliseconds=500)
+# Without a live heartbeat, instances with a configuration of this size begin
+# to read the operator's row late, and at different times. Most of them need
+# not do so, because the next scheduler publishes meanwhile.
+_MIN_LARGE_QUEUES = 250
+# From the last heartbeat to the moment at which it no longer counts as live,
+# and for reading a large row.
+_MIN_READ_ALLOWANCE = datetime.timedelta(milliseconds=2300)
+# After a read that failed, in proportion to its duration: it may have carried
+# much in vain.
+_MAX_REST = datetime.timedelta(milliseconds=1200)
+# Changes that are kept until the version that they apply to is read.
+_MAX_KEPT_CHANGES = 64
 # Time between two checks whether the active scheduler still publishes.
 _CHECK_INTERVAL = datetime.timedelta(milliseconds=200)
 # After a loss of the feed's history, before the whole table is read again. The
 # scheduler's heartbeat comes every 0.7 s, and the first one after an outage
 # may be old.
 _MAX_HEARTBEAT_WAIT = datetime.timedelta(milliseconds=1800)
+# For the first heartbeat that a process sees change.
+_MAX_PUBLICATION_WAIT = datetime.timedelta(milliseconds=900)
 # The operator's table counts as read up to now for this long after an answer;
 # a request for changes waits up to 1.5 s.
 _MAX_TIME_SINCE_READ = datetime.timedelta(milliseconds=2400)
@@ -43,6 +57,11 @@
         """Whether this process is the active scheduler."""
         ...
 
+    @property
+    def is_leader_alive(self) -> bool:
+        """Whether another process is certainly the active scheduler."""
+        ...
+
     @property
     def last_answer(self) -> datetime.timedelta:
         """Monotonic time at which the store last answered."""
@@ -72,6 +91,8 @@
         store: model.TableStore,
         time_source: clock.Clock,
         log: observability.Log,
+        apply_time: datetime.timedelta,
+        turn: float = 0.0,
     ) -> None:
         """Creates a watcher.
 
@@ -79,7 +100,13 @@
             store: The table store.
             time_source: Source of time.
             log: Logger of the watcher.
+            apply_time: Time within which a new configuration is in force at
+                every instance.
+            turn: Turn of this process among all, 0 to 1, for large reads.
         """
+        longest = max(datetime.timedelta(), apply_time - _MIN_READ_ALLOWANCE)
+        # A takeover takes longer than a heartbeat is live.
+        self._turn_delay = longest * (0.75 + turn / 4)
         self._store = store
         self._clock = time_source
         self._log = log
@@ -87,6 +114,8 @@
         self._publications: PublicationSource | None = None
         self._on_change: Callable[[], None] = lambda: None
         self._assembler = records.ChangeAssembler()
+        self._changes: dict[int, model.ConfigurationChange] = {}
+        self._is_direct = True
         self._last_refresh = datetime.timedelta()
         self._refresh_in_progress: asyncio.Task[bool] | None = None
         self._table = records.TableWatcher(
@@ -130,7 +159,8 @@
 
         Args:
             publications: What the active scheduler publishes.
-            on_change: Called after each change of the configuration.
+            on_change: Called after each change of the configuration, and when
+                it is known to be the newest one.
         """
         self._publications = publications
         self._on_change = on_change
@@ -142,21 +172,94 @@
         while True:
             publication = self._get_publication()
             if publication is None:
-                await self._follow_table()
-            elif self._is_behind(publication):
+                await self._follow_directly()
+                continue
+            self._is_direct = False
+            if self._is_behind(publication):
                 self._log.info(
                     "configuration_change_missed",
                     published=publication.version,
                 )
-                await self._follow_table()
-            else:
-                await self._clock.sleep(_CHECK_INTERVAL)
+                if not await self._load_published():
+                    await self._follow_table()
+            await self._clock.sleep(_CHECK_INTERVAL)
+
+    async def _follow_directly(self) -> None:
+        """Reads the operator's table while no other process publishes it."""
+        is_start, self._is_direct = not self._is_direct, True
+        publications = self._publications
+        if is_start and publications is not None:
+            if self._is_publisher:
+                # The other instances wait for this process to say which
+                # version is in force.
+                await self._poll_table()
+                self._on_change()
+                return
+            await self._wait_for_turn()
+            if self._get_publication() is not None:
+                return
+        if self._is_publisher:
+            await self._follow_table()
+        else:
+            await self._follow_until_published()
+
+    async def _follow_until_published(self) -> None:
+        """Reads the operator's table, unless a scheduler publishes it.
+
+        A read in progress is given up then, as it may be a large one.
+        """
+        started_at = self._clock.get_monotonic()
+        read = asyncio.create_task(self._follow_table())
+        try:
+            while not read.done():
+                if self._get_publication() is not None:
+                    return
+                await asyncio.wait(
+                    [read], timeout=_CHECK_INTERVAL.total_seconds()
+                )
+            await read
+        finally:
+            read.cancel()
+        if self._table.last_answer < started_at:
+            elapsed = self._clock.get_monotonic() - started_at
+            await self._clock.sleep(min(_MAX_REST, elapsed))
+
+    async def _poll_table(self) -> None:
+        try:
+            await self._table.poll()
+        except (
+            model.HistoryLostError,
+            model.StoreUnavailableError,
+        ) as error:
+            self._log.info("configuration_read_failed", reason=error.message)
+
+    async def _wait_for_turn(self) -> None:
+        """Waits for the turn of this process, or for a publication."""
+        configuration = self._configuration
+        if configuration is None or (
+            len(configuration.queues) < _MIN_LARGE_QUEUES
+        ):
+            return
+        publications = self._publications
+        turn = self._clock.get_monotonic() + self._turn_delay
+        while (
+            publications is not None
+            and not publications.is_active
+            and self._get_publication() is None
+        ):
+            now = self._clock.get_monotonic()
+            # A scheduler that has just begun publishes soon.
+            if publications.is_leader_alive:
+                now -= _MAX_PUBLICATION_WAIT
+            if now >= turn:
+                return
+            await self._clock.sleep(_CHECK_INTERVAL / 4)
 
     async def _load_published(self) -> bool:
-        """Reads the published copy, and the operator's changes since.
+        """Reads the published copy of the configuration.
 
-        Many processes that start at once would fill a link with the operator's
-        row.
+        Many processes that start at once, or have all missed a change, would
+        fill a link with the operator's row.
 
         Returns:
             Whether the newest configuration was read.
@@ -169,8 +272,10 @@
             )
             if published is None:
                 return False
-            self._table.skip_to(published.position)
-            await self._table.poll()
+            if not await self._wait_for_publication():
+                # The scheduler that published it may have ended.
+                self._table.skip_to(published.position)
+                await self._table.poll()
         except (
             model.HistoryLostError,
             model.StoreUnavailableError,
@@ -179,6 +284,23 @@
             self._log.info("published_copy_not_used", reason=error.message)
             return False
         self._set_configuration(published.configuration)
+        self._apply_changes()
+        return True
+
+    async def _wait_for_publication(self) -> bool:
+        """Waits for a live heartbeat, which says what is in force.
+
+        Returns:
+            Whether there is one.
+        """
+        publications = self._publications
+        if publications is None:
+            return False
+        deadline = self._clock.get_monotonic() + _MAX_PUBLICATION_WAIT
+        while publications.publication is None:
+            if self._clock.get_monotonic() >= deadline:
+                return False
+            await self._clock.sleep(_CHECK_INTERVAL / 4)
         return True
 
     async def _follow_table(self) -> None:
@@ -216,23 +338,23 @@
     def apply_change_row(self, row: model.Row) -> None:
         """Applies a change that the active scheduler has published.
 
-        A change of another version than the present one is ignored; the
-        publication then shows that this process is behind.
+        A change of another version than the present one is kept, since that
+        version may be read later.
         """
         if row.is_deleted or not records.is_change_ref(row.ref):
             return
         try:
             part = records.decode_change_part(row.value)
-            current = self._configuration
-            if current is None or part.base != current.version:
-                return
             change = self._assembler.add_part(part)
-            if change is None:
-                return
         except records.MalformedRowError as error:
             self._log.error("configuration_malformed", reason=error.message)
             return
-        self._set_configuration(change.apply_to(current))
+        if change is None:
+            return
+        self._changes[change.base] = change
+        if len(self._changes) > _MAX_KEPT_CHANGES:
+            del self._changes[min(self._changes)]
+        self._apply_changes()
 
     async def refresh(self, max_age: datetime.timedelta) -> bool:
         """Reads the configuration, which may be newer than the feed's.
@@ -272,6 +394,11 @@
         self._last_refresh = started_at
         return self._configuration is not None
 
+    @property
+    def _is_publisher(self) -> bool:
+        """Whether the other instances wait for what this process reads."""
+        return self._publications is not None and self._publications.is_active
+
     def _get_publication(self) -> model.Publication | None:
         """Returns the publication, and continues after it where possible."""
         if self._publications is None or self._configuration is None:
@@ -339,6 +466,14 @@
             return
         self._set_configuration(configuration)
 
+    def _apply_changes(self) -> None:
+        """Applies all changes that lead on from the present version."""
+        while (current := self._configuration) is not None:
+            change = self._changes.pop(current.version, None)
+            if change is None:
+                return
+            self._set_configuration(change.apply_to(current))
+
     def _set_configuration(self, configuration: model.Configuration) -> None:
         current = self._configuration
         if current is not None and configuration.version <= current.version:
--- a/tamarackhatch/settings/_settings.py
+++ b/tamarackhatch/settings/_settings.py
@@ -19,6 +19,8 @@
     """Time bounds of the deployment.
 
     Attributes:
+        apply_configuration: Time within which a new configuration is in force
+            at every instance.
         contact: Time after which a changed capacity of a runner counts, not
             counting a heartbeat of the runner.
         max_lease: Longest lease that a runner grants.
@@ -26,6 +28,7 @@
         status_retention: How long the state of a finished job is kept.
     """
 
+    apply_configuration: datetime.timedelta = 2.5 * _SECOND
     contact: datetime.timedelta = 4 * _SECOND
     max_lease: datetime.timedelta = 6 * _SECOND
     grace: datetime.timedelta = 6 * _SECOND
@@ -169,6 +172,7 @@
 
 
 _BOUNDS_KEYS: typing.Final = (
+    _make_duration("apply_configuration", _MILLISECOND, 100, 600_000),
     _make_duration("contact", _MILLISECOND, 100, 60_000),
     _make_duration("max_lease", _MILLISECOND, 100, 600_000),
     _make_duration("grace", _SECOND, 0, 3_600),
