Repeat no start on a runner that has begun to drain

A start whose answer was lost was repeated for up to five seconds, longer than drain_ms after the runner had said that it drains (rule DRAIN), if it could not be reached meanwhile. It is now held back as on a runner that has shrunk: a run that the next report lists is kept, any other is stopped and placed again.

Evidence: test_start_is_not_repeated_on_a_draining_runner failed on the old code with all three times.

--- a/tamarackhatch/scheduler/_commands.py
+++ b/tamarackhatch/scheduler/_commands.py
@@ -126,7 +126,7 @@
             and task.phase is _state.TaskPhase.STARTING
         ):
             outcome = None
-            if not entry.load.is_over_capacity():
+            if not (entry.record.is_draining or entry.load.is_over_capacity()):
                 outcome = await self._send_start(
                     task, entry, run, lease_end, is_uncertain
                 )
@@ -138,9 +138,10 @@
                 entry.clock_read is not None
                 and entry.clock_read > attempt_ended
             ):
-                # The runner has shrunk, and its report does not list the run.
-                # A stop prevents that an earlier attempt still starts it.
-                context.job_tracker.evict_task(task, "runner has shrunk")
+                # The runner drains or has shrunk, and its report does not list
+                # the run. A stop prevents that an earlier attempt still
+                # starts it.
+                context.job_tracker.evict_task(task, "start not repeated")
                 return
             if task.run != run or task.runner is not entry:
                 return
--- a/tamarackhatch/scheduler/tests/test_capacity.py
+++ b/tamarackhatch/scheduler/tests/test_capacity.py
@@ -232,6 +232,29 @@
     virtual_time.run_virtually(simulate())
 
 
+@pytest.mark.parametrize("silence_s", [1.0, 2.0, 3.0])
+def test_start_is_not_repeated_on_a_draining_runner(silence_s: float) -> None:
+    """Guards against starts on a runner that began to drain seconds ago."""
+
+    async def simulate() -> None:
+        fleet = _start_fleet(2)
+        stand_in = fleet.runners[0]
+        await fleet.wait_until(lambda: fleet.get_leader() is not None)
+        await asyncio.sleep(2)
+        faults = fleet.network.get_faults(stand_in.address)
+        faults.unreachable_from.add("*")
+        await fleet.submit("00", model.Step(8, _TASK))
+        await asyncio.sleep(0.2)
+        stand_in.state = "draining"
+        stand_in.register(fleet.store)
+        await asyncio.sleep(silence_s)
+        faults.unreachable_from.clear()
+        await _wait_for_runs(fleet, 8)
+        assert {run.runner for run in fleet.history.runs} == {"i-1"}
+
+    virtual_time.run_virtually(simulate())
+
+
 @pytest.mark.parametrize(
     "capacity",
     [
