--- a/tamarackhatch/scheduler/_commands.py
+++ b/tamarackhatch/scheduler/_commands.py
@@ -126,10 +126,13 @@
             and task.phase is _state.TaskPhase.STARTING
         ):
             outcome = None
+            is_closed = (
+                entry.record.is_draining or entry.load.is_over_capacity()
+            )
             # The run may have crashed the runner: while it does not answer
             # renewals, another attempt could reach its next incarnation.
             may_repeat = not (is_uncertain and entry.missed_renewals)
-            if may_repeat and not entry.load.is_over_capacity():
+            if may_repeat and not is_closed:
                 outcome = await self._send_start(
                     task, entry, run, lease_end, is_uncertain
                 )
@@ -138,13 +141,14 @@
                 context.job_tracker.undo_start(task)
                 return
             elif (
-                entry.load.is_over_capacity()
+                is_closed
                 and entry.clock_read is not None
                 and entry.clock_read > attempt_ended
             ):
-                # The runner has shrunk, and its report does not list the run.
-                # A stop prevents that an earlier attempt still starts it.
-                context.job_tracker.evict_task(task, "runner has shrunk")
+                # The runner drains or has shrunk, and its report does not list
+                # the run. A stop prevents that an earlier attempt still
+                # starts it.
+                context.job_tracker.evict_task(task, "start not repeated")
                 return
             if task.run != run or task.runner is not entry:
                 return
