Keep a runner free for a suspect that has waited for an empty one

After a second the runner that is free of recent starts soonest now gets no others until the suspect has started.

test_suspect_starts_although_other_tasks_start_all_the_time fails without it.

--- a/tamarackhatch/scheduler/_dispatcher.py
+++ b/tamarackhatch/scheduler/_dispatcher.py
@@ -180,22 +180,25 @@
             group = candidates.get(service, [])
             if allowances[service] <= 0:
                 continue
+            allowed = self._filter_by_ticket(task, group)
             chosen = self._choose_runners(
                 [task],
                 _isolation.list_isolation_candidates(
-                    task,
-                    self._filter_by_ticket(task, group),
-                    context.fleet,
-                    now,
+                    task, allowed, context.fleet, now
                 ),
             )
-            allowances[service] -= len(chosen)
             context.load_monitor.counters.placed += len(chosen)
             self._start_chosen_tasks(chosen)
-            for _, candidate, _ in chosen:
-                group.remove(candidate)
+            reserved = [candidate for _, candidate, _ in chosen]
             if not chosen:
                 self._request_tickets(task, group)
+                candidate = _isolation.find_reserved_candidate(
+                    task, allowed, context.fleet, now
+                )
+                reserved = [] if candidate is None else [candidate]
+            for candidate in reserved:
+                allowances[service] -= 1
+                group.remove(candidate)
 
     def _is_grouping(self, groups: list[Group]) -> bool:
         """Returns whether new long-running tasks are still being collected.
--- a/tamarackhatch/scheduler/_isolation.py
+++ b/tamarackhatch/scheduler/_isolation.py
@@ -48,6 +48,32 @@
     )
 
 
+def find_reserved_candidate(
+    task: _state.TaskEntry,
+    candidates: Iterable[placement.CandidateRunner],
+    fleet: Mapping[str, _fleet.RunnerEntry],
+    now: datetime.timedelta,
+) -> placement.CandidateRunner | None:
+    """Returns the runner to keep free of other starts for a suspect.
+
+    On busy runners some task has always just started. A suspect that has
+    waited for an empty runner gets the one that is free of these soonest.
+    """
+    if now - task.phase_since < _EMPTY_RUNNER_WAIT:
+        return None
+    return min(
+        _list_possible(task, candidates),
+        key=lambda candidate: max(
+            (
+                other.placed_at
+                for other in fleet[candidate.load.identifier].tasks.values()
+            ),
+            default=datetime.timedelta(),
+        ),
+        default=None,
+    )
+
+
 def list_isolation_candidates(
     task: _state.TaskEntry,
     candidates: Iterable[placement.CandidateRunner],
@@ -67,10 +93,8 @@
     """
     possible = [
         candidate
-        for candidate in candidates
-        if candidate.load.has_capacity(task.step)
-        and placement.is_allowed(candidate.load, task.key, task.step)
-        and not fleet[candidate.load.identifier].has_starting_run(now)
+        for candidate in _list_possible(task, candidates)
+        if not fleet[candidate.load.identifier].has_starting_run(now)
     ]
     empty = [
         candidate
@@ -89,6 +113,17 @@
     ]
 
 
+def _list_possible(
+    task: _state.TaskEntry, candidates: Iterable[placement.CandidateRunner]
+) -> list[placement.CandidateRunner]:
+    return [
+        candidate
+        for candidate in candidates
+        if candidate.load.has_capacity(task.step)
+        and placement.is_allowed(candidate.load, task.key, task.step)
+    ]
+
+
 def _count_tasks_at_risk(entry: _fleet.RunnerEntry) -> tuple[int, int]:
     long_running = sum(
         task.step.is_long_running for task in entry.tasks.values()
--- a/tamarackhatch/scheduler/tests/test_crash_suspects.py
+++ b/tamarackhatch/scheduler/tests/test_crash_suspects.py
@@ -80,6 +80,33 @@
     virtual_time.run_virtually(simulate())
 
 
+def test_suspect_starts_although_other_tasks_start_all_the_time() -> None:
+    """Guards against a suspect that waits for ever on busy runners."""
+
+    def plan(task: str, run: int) -> tuple[float, str]:
+        if task.startswith("suspect") and run == 1:
+            return 0.01, runner.CRASH
+        return 1.0, "done"
+
+    async def simulate() -> None:
+        fleet = standin_fleet.VirtualFleet(runners=2, plan=plan)
+        fleet.start_instance("a")
+        await fleet.wait_until(lambda: fleet.get_leader() is not None)
+        await fleet.submit("suspect", _make_step(1))
+        await asyncio.sleep(0.5)
+        (crashed,) = [item for item in fleet.runners if item.is_down]
+        crashed.is_registering = False
+        fleet.network.remove(crashed.address)
+        for number in range(100):
+            await fleet.submit(f"other{number}", _make_step(1))
+            await asyncio.sleep(0.1)
+        state = await fleet.read_state("suspect")
+        assert state is model.JobState.COMPLETED
+        assert fleet.check() == []
+
+    virtual_time.run_virtually(simulate())
+
+
 _QUEUE = standin_fleet.QUEUE
 _SECOND = datetime.timedelta(seconds=1)
 _Evidence = _crash_suspects.Evidence
