--- a/tamarackhatch/scheduler/_runner_reconciler.py
+++ b/tamarackhatch/scheduler/_runner_reconciler.py
@@ -7,6 +7,7 @@
 from tamarackhatch import platform
 from tamarackhatch.scheduler import _commands
 from tamarackhatch.scheduler import _context
+from tamarackhatch.scheduler import _crash_recorder
 from tamarackhatch.scheduler import _crash_suspects
 from tamarackhatch.scheduler import _fleet
 from tamarackhatch.scheduler import _state
@@ -36,8 +37,6 @@
 # A renewal that fails sooner after the wait that it asked for has lost its
 # connection; a later failure is a timeout.
 _MAX_BREAK_DELAY = datetime.timedelta(milliseconds=500)
-_MAX_LOGGED_RUNS = 12
-_MILLISECOND = datetime.timedelta(milliseconds=1)
 # A report lists at most this many exits; a full report may omit others.
 _MAX_LISTED_EXITS = 500
 # Tasks are evicted from a draining runner this long before it leaves.
@@ -69,6 +68,7 @@
         self._has_reported = False
         self._listed: tuple[model.RunningTask, ...] = ()
         self._started = context.get_now()
+        self._crashes = _crash_recorder.CrashRecorder(context, entry)
         self._throttling = _throttling.ThrottlingController(
             context, entry, commands
         )
@@ -173,87 +173,14 @@
             return
         tasks = list(entry.tasks.values())
         if entry.is_replaced:
-            self._record_crash("replaced", tasks)
+            self._crashes.record_crash("replaced", tasks)
         elif entry.is_lease_expired(now):
-            self._record_crash("lease expired", tasks)
+            self._crashes.record_crash("lease expired", tasks)
         elif (
             entry.missed_renewals == _SUPPOSE_CRASH_AFTER_MISSED_RENEWALS
             and entry.evidence is not _Evidence.SILENT
         ):
-            self._assign_crash_roles(tasks)
-
-    def _record_crash(
-        self,
-        reason: str,
-        tasks: list[_state.TaskEntry],
-        may_start: bool = False,
-    ) -> None:
-        """Records the end of a runner and of the runs there.
-
-        Args:
-            reason: How the end is known, for logs and metrics.
-            tasks: Tasks on the runner whose runs have ended or are not known
-                to have started.
-            may_start: Whether a late attempt of an unconfirmed start can
-                still be carried out.
-        """
-        entry, job_tracker = self._entry, self._context.job_tracker
-        self._log_lost_runner(reason)
-        involved = self._assign_crash_roles(tasks)
-        for task in tasks:
-            if may_start and task.confirmed is None:
-                # A stop prevents that.
-                job_tracker.evict_task(task, reason)
-            else:
-                job_tracker.record_lost_run(task, reason)
-        for task in involved:
-            if _crash_suspects.is_deadly(task, entry.evidence):
-                job_tracker.fail_crashing_job(task)
-
-    def _assign_crash_roles(
-        self, tasks: list[_state.TaskEntry]
-    ) -> list[_state.TaskEntry]:
-        """Records the roles of tasks in a crash, and returns those tasks.
-
-        The roles are written before the crash is certain, so that they
-        outlast a takeover.
-        """
-        entry, job_tracker = self._entry, self._context.job_tracker
-        if entry.record.is_draining:
-            return []
-        crash = _crash_suspects.Crash(
-            entry.lost_contact_at or entry.clock_read or self._started,
-            entry.evidence,
-        )
-        roles = _crash_suspects.assign_roles(tasks, crash)
-        for task, role in roles:
-            job_tracker.record_crash(task, role)
-        if entry.evidence is not _Evidence.ENDED:
-            entry.supposed_crashes += [(task, task.run) for task, _ in roles]
-        return [task for task, _ in roles]
-
-    def _log_lost_runner(self, reason: str) -> None:
-        """Logs the runs on a lost runner, the latest first."""
-        context, entry = self._context, self._entry
-        lost_at = entry.lost_contact_at or context.get_now()
-        tasks = sorted(entry.tasks.values(), key=lambda task: -task.placed_at)
-        context.metrics.lost_runners.labels(reason).inc()
-        context.log.warning(
-            "runner_lost",
-            runner=entry.identifier,
-            reason=reason,
-            evidence=entry.evidence.name.lower(),
-            runs=len(tasks),
-            latest=[
-                [
-                    str(task.key),
-                    task.run,
-                    (lost_at - task.placed_at) // _MILLISECOND,
-                    task.confirmed is not None,
-                ]
-                for task in tasks[:_MAX_LOGGED_RUNS]
-            ],
-        )
+            self._crashes.suppose_crash(tasks)
 
     def _is_removable(self) -> bool:
         entry, now = self._entry, self._context.get_now()
@@ -428,7 +355,7 @@
         ]
         if lost:
             entry.evidence = _Evidence.ENDED
-            self._record_crash("restarted", lost, may_start=True)
+            self._crashes.record_crash("restarted", lost, may_start=True)
 
     def _apply_exit(self, run_exit: model.RunExit) -> None:
         context, entry = self._context, self._entry
