Publish at once after a takeover, without a rest between two reads

A process that becomes the scheduler while it waits for a change of the operator's table gives that request up, asks again without a wait, and says at once which version is in force. After an answer without changes no feed rests.

--- a/tamarackhatch/records/_watcher.py
+++ b/tamarackhatch/records/_watcher.py
@@ -144,6 +144,8 @@
             self._log.info("feed_restored", table=self._table)
         self._apply_page(page)
         self._on_synced(started_at)
+        if not page.rows:
+            return
         elapsed = self._clock.get_monotonic() - started_at
         rest = max(
             self._interval - elapsed,
--- a/tamarackhatch/service/_configuration.py
+++ b/tamarackhatch/service/_configuration.py
@@ -191,20 +191,17 @@
     async def _follow_directly(self) -> None:
         """Reads the operator's table while no other process publishes it."""
         is_start, self._is_direct = not self._is_direct, True
-        publications = self._publications
-        if is_start and publications is not None:
-            if self._is_publisher:
+        if self._is_publisher:
+            is_unknown = self.position is None
+            await self._follow_table()
+            if is_unknown and self.position is not None:
                 # The other instances wait for this process to say which
                 # version is in force.
-                await self._poll_table()
                 self._on_change()
-                return
+            return
+        if is_start:
             await self._wait_for_turn()
-            if self._get_publication() is not None:
-                return
-        if self._is_publisher:
-            await self._follow_table()
-        else:
+        if self._get_publication() is None and not self._is_publisher:
             await self._follow_until_published()
 
     async def _follow_until_published(self) -> None:
@@ -216,7 +213,7 @@
         read = asyncio.create_task(self._follow_table())
         try:
             while not read.done():
-                if self._get_publication() is not None:
+                if self._get_publication() is not None or self._is_publisher:
                     return
                 await asyncio.wait(
                     [read], timeout=_CHECK_INTERVAL.total_seconds()
@@ -228,15 +225,6 @@
             elapsed = self._clock.get_monotonic() - started_at
             await self._clock.sleep(min(_MAX_REST, elapsed))
 
-    async def _poll_table(self) -> None:
-        try:
-            await self._table.poll()
-        except (
-            model.HistoryLostError,
-            model.StoreUnavailableError,
-        ) as error:
-            self._log.info("configuration_read_failed", reason=error.message)
-
     async def _wait_for_turn(self) -> None:
         """Waits for the turn of this process, or for a publication."""
         configuration = self._configuration
@@ -315,10 +303,12 @@
         which avoids that all read the large row at once.
         """
         try:
-            if self._is_publisher:
-                await self._table.follow_once(_PUBLISHER_FEED_WAIT)
-            else:
+            if not self._is_publisher:
                 await self._table.follow_once()
+            elif self.position is None:
+                await self._table.follow_once(datetime.timedelta())
+            else:
+                await self._table.follow_once(_PUBLISHER_FEED_WAIT)
         except model.HistoryLostError:
             if not await self._wait_for_heartbeat():
                 await self._table.load()
