--- a/tamarackhatch/scheduler/_crash_suspects.py
+++ b/tamarackhatch/scheduler/_crash_suspects.py
@@ -2,7 +2,7 @@
 
 A task may crash each runner that starts it, and takes all other runs there
 with it. These wait together for new runners, so that a sound task may be
-lost with the same deadly one several times. Therefore neither the number of
+lost with the same crashing one several times. Therefore neither the number of
 crashes nor the time since the start proves anything: a suspect is started
 where and while nothing else starts, and only a crash during that observation
 does.
@@ -28,7 +28,7 @@
 # If more runs than this had just started, the older ones are bystanders:
 # observing each of them would keep too many runners from starting others.
 _MAX_SUSPECTS = 6
-# Crashes with a sole suspect that prove it deadly if the runners are not known
+# Crashes with a sole suspect that prove it the cause if the runners are not known
 # to have ended.
 _MAX_UNCERTAIN_CRASHES = 3
 # A task that crashes its runners must not be started a sixth time, and one
@@ -138,7 +138,7 @@
     return roles
 
 
-def is_deadly(task: _state.TaskEntry, evidence: Evidence) -> bool:
+def is_proven_cause(task: _state.TaskEntry, evidence: Evidence) -> bool:
     """Returns whether a task is proven to crash its runners.
 
     Args:
--- a/tamarackhatch/scheduler/_runner_reconciler.py
+++ b/tamarackhatch/scheduler/_runner_reconciler.py
@@ -206,7 +206,7 @@
             else:
                 job_tracker.record_lost_run(task, reason)
         for task in involved:
-            if _crash_suspects.is_deadly(task, entry.evidence):
+            if _crash_suspects.is_proven_cause(task, entry.evidence):
                 job_tracker.fail_crashing_job(task)
 
     def _assign_crash_roles(
--- a/tamarackhatch/scheduler/tests/test_crash_suspects.py
+++ b/tamarackhatch/scheduler/tests/test_crash_suspects.py
@@ -13,7 +13,7 @@
 from tamarackhatch.scheduler import _state
 
 _TASK = model.Resources(processors=1000, memory_mb=100)
-_DEADLY = "dead"
+_CRASHING = "crashing"
 
 
 def _make_step(count: int, **fields: object) -> model.Step:
@@ -38,12 +38,12 @@
 ) -> None:
     """Guards against starts without limit, and against jobs lost beside it.
 
-    The sound tasks are lost with the deadly ones and are placed again at the
+    The sound tasks are lost with the crashing ones and are placed again at the
     same time.
     """
 
     def plan(task: str, run: int) -> tuple[float, str]:
-        if task.startswith(_DEADLY) and task.endswith(".0"):
+        if task.startswith(_CRASHING) and task.endswith(".0"):
             return crash_delay_s, runner.CRASH
         return (1000.0 if task.startswith("lasting") else 1.0), "done"
 
@@ -57,8 +57,8 @@
         await fleet.submit("lasting", _make_step(6, is_long_running=True))
         await asyncio.sleep(1)
         sound = [f"sound{number}" for number in range(8)]
-        deadly = [f"{_DEADLY}{number}" for number in range(2)]
-        for name in deadly:
+        crashing = [f"{_CRASHING}{number}" for number in range(2)]
+        for name in crashing:
             await fleet.submit(name, _make_step(2))
         for name in sound:
             await fleet.submit(name, _make_step(4))
@@ -70,7 +70,7 @@
             await _kill_leader(fleet)
         await asyncio.sleep(80)
         assert fleet.check() == []
-        for name in deadly:
+        for name in crashing:
             assert await fleet.read_state(name) is model.JobState.FAILED
         for name in sound:
             assert await fleet.read_state(name) is model.JobState.COMPLETED
@@ -160,7 +160,7 @@
 
 
 @pytest.mark.parametrize(
-    ("roles", "evidence", "is_long_running", "is_deadly"),
+    ("roles", "evidence", "is_long_running", "is_proven_cause"),
     [
         ([2], _Evidence.ENDED, False, False),
         ([1, 1, 1], _Evidence.ENDED, False, False),
@@ -178,10 +178,10 @@
     roles: list[int],
     evidence: _Evidence,
     is_long_running: bool,
-    is_deadly: bool,
+    is_proven_cause: bool,
 ) -> None:
     """Guards against giving up a task without a crash under observation."""
     task = _make_task(0, 0.1, is_long_running=is_long_running)
     task.crashes = {run: _Role(role) for run, role in enumerate(roles, 1)}
     task.run = len(roles)
-    assert _crash_suspects.is_deadly(task, evidence) == is_deadly
+    assert _crash_suspects.is_proven_cause(task, evidence) == is_proven_cause
