--- a/tamarackhatch/scheduler/_crash_suspects.py
+++ b/tamarackhatch/scheduler/_crash_suspects.py
@@ -28,8 +28,8 @@
 # If more runs than this had just started, the older ones are bystanders:
 # observing each of them would keep too many runners from starting others.
 _MAX_SUSPECTS = 6
-# Crashes with a sole suspect that prove it the cause if the runners are not known
-# to have ended.
+# Crashes with a sole suspect that prove it the cause if the runners are not
+# known to have ended.
 _MAX_UNCERTAIN_CRASHES = 3
 # A task that crashes its runners must not be started a sixth time, and one
 # crash may go unnoticed in a takeover.
