--- a/tamarackhatch/scheduler/tests/test_configuration_distribution.py
+++ b/tamarackhatch/scheduler/tests/test_configuration_distribution.py
@@ -279,10 +279,10 @@
 
 
 async def _start_fleet_with_successor(
-    is_near: bool = True,
+    is_near: bool = True, apply_time_s: float = 4.0
 ) -> tuple[standin_fleet.VirtualFleet, network.SharedLink]:
     """Starts a fleet whose next leader is near the store, or is not."""
-    fleet, _ = await _start_fleet(19, apply_time_s=4.0)
+    fleet, _ = await _start_fleet(19, apply_time_s)
     # 30 Mbit/s.
     link = network.SharedLink(3_750_000.0)
     store = fleet.network.get_faults(standin_fleet.STORE_ADDRESS)
@@ -323,11 +323,14 @@
     virtual_time.run_virtually(simulate())
 
 
-def test_kill_during_many_versions_leaves_time_for_leases() -> None:
+@pytest.mark.parametrize("apply_time_s", [2.5, 4.0])
+def test_kill_during_many_versions_leaves_time_for_leases(
+    apply_time_s: float,
+) -> None:
     """Guards against lapsed leases after a kill of the scheduler."""
 
     async def simulate() -> None:
-        fleet, _ = await _start_fleet_with_successor()
+        fleet, _ = await _start_fleet_with_successor(apply_time_s=apply_time_s)
         versions = asyncio.create_task(_publish_versions(fleet, 27, 1500))
         await asyncio.sleep(1.5)
         fleet.instances.pop("near").kill()
