--- a/standins/network.py
+++ b/standins/network.py
@@ -18,12 +18,18 @@
 
 @attrs.frozen
 class Request:
-    """A received call: method, path, query and decoded body."""
+    """A received call: method, path, query and decoded body.
+
+    Attributes:
+        expected_instance: Identifier of the runner that the call is for;
+            empty for any.
+    """
 
     method: str
     path: str
     query: dict[str, str]
     body: Body
+    expected_instance: str = ""
 
 
 @attrs.frozen
@@ -61,6 +67,10 @@
         await asyncio.sleep(self._free_at - now)
 
 
+class BrokenConnectionError(Exception):
+    """The stand-in ends, and with it the connection."""
+
+
 @attrs.define
 class Faults:
     """Faults between clients and one server.
@@ -131,7 +141,7 @@
         loop = asyncio.get_running_loop()
         deadline = loop.time() + timeout
         try:
-            async with asyncio.timeout(timeout):
+            async with asyncio.timeout(timeout) as limit:
                 await asyncio.sleep(faults.delay_s)
                 if faults.unreachable_from & {name, "*"}:
                     await asyncio.sleep(timeout)
@@ -165,6 +175,7 @@
                     await asyncio.sleep(timeout)
                 body = orjson.dumps(response.body)
                 began = loop.time()
+                limit.reschedule(deadline + call.transfer_time.total_seconds())
                 if name in faults.answer_links:
                     await faults.answer_links[name].carry(len(body))
                 receive_time = datetime.timedelta(seconds=loop.time() - began)
@@ -172,6 +183,8 @@
         except NoResponseError as error:
             await asyncio.sleep(max(0.0, deadline - loop.time()))
             raise transport.CallLostError("no answer") from error
+        except BrokenConnectionError as error:
+            raise transport.CallLostError("connection reset") from error
         except TimeoutError as error:
             raise transport.CallLostError("timed out") from error
 
@@ -216,7 +229,7 @@
     await asyncio.sleep(delay)
     try:
         await handler(request)
-    except NoResponseError:
+    except (NoResponseError, BrokenConnectionError):
         return
 
 
@@ -224,4 +237,13 @@
     url = urllib.parse.urlsplit(call.path)
     query = dict(urllib.parse.parse_qsl(url.query, keep_blank_values=True))
     body = orjson.loads(call.body) if call.body else {}
-    return Request(call.method, url.path, query, body)
+    prefix = "X-Expect-Instance: "
+    expected_instance = next(
+        (
+            header.removeprefix(prefix)
+            for header in call.headers
+            if header.startswith(prefix)
+        ),
+        "",
+    )
+    return Request(call.method, url.path, query, body, expected_instance)
--- a/tamarackhatch/scheduler/_commands.py
+++ b/tamarackhatch/scheduler/_commands.py
@@ -126,7 +126,13 @@
             and task.phase is _state.TaskPhase.STARTING
         ):
             outcome = None
-            if not (entry.record.is_draining or entry.load.is_over_capacity()):
+            accepts_starts = not (
+                entry.record.is_draining or entry.load.is_over_capacity()
+            )
+            # The run may have crashed the runner: while it does not answer
+            # renewals, another attempt could reach its next incarnation.
+            may_repeat = not (is_uncertain and entry.missed_renewals)
+            if may_repeat and accepts_starts:
                 outcome = await self._send_start(
                     task, entry, run, lease_end, is_uncertain
                 )
@@ -135,7 +141,8 @@
                 context.job_tracker.undo_start(task)
                 return
             elif (
-                entry.clock_read is not None
+                not accepts_starts
+                and entry.clock_read is not None
                 and entry.clock_read > attempt_ended
             ):
                 # The runner drains or has shrunk, and its report does not list
