Block the process only once its request has been received, in a test

The test waited 20 ms for the request to be sent before it blocks the process for 800 ms; under load the connection was not established by then, so that the request was not sent in time.

It now blocks once the server has received the request. The answer still arrives while the process is blocked, beyond the call's timeout of 300 ms, so that the check is as strict.

--- a/tamarackhatch/transport/tests/test_client.py
+++ b/tamarackhatch/transport/tests/test_client.py
@@ -110,13 +110,17 @@
     again only after it.
     """
 
+    is_received = threading.Event()
+
     async def call_and_block(address: str) -> transport.Answer:
         sending = asyncio.create_task(_send(address))
-        await asyncio.sleep(0.02)
+        while not is_received.is_set():
+            await asyncio.sleep(0.005)
         time.sleep(0.8)
         return await sending
 
     def answer_late(connection: socket.socket) -> None:
+        is_received.set()
         time.sleep(0.15)
         _answer_at_once(connection)
 
