Add bounds of evacuation, restore, stop and remote run time to the settings

Decisions under load need them: how soon nothing may start in an evacuated data centre, what a move of a run costs, and how much slower a task is away from its data. No decision reads them yet.

--- a/tamarackhatch/settings/_settings.py
+++ b/tamarackhatch/settings/_settings.py
@@ -26,6 +26,14 @@
         max_lease: Longest lease that a runner grants.
         grace: Time from SIGTERM to SIGKILL.
         status_retention: How long the state of a finished job is kept.
+        evacuation: Time after which nothing more may start in a data centre
+            that the operator evacuates; None where there are no evacuations.
+        remote_slowdown: Factor by which a task takes longer away from its
+            data, or spread over several racks; None if nothing is known.
+        stop_timeout: Longest time that a runner takes to stop a run.
+        restore: Time that a run needs to resume from a checkpoint; None where
+            runs do not resume.
+        checkpoint_interval: Work between two checkpoints of a task.
     """
 
     apply_configuration: datetime.timedelta = 2.5 * _SECOND
@@ -33,6 +41,11 @@
     max_lease: datetime.timedelta = 6 * _SECOND
     grace: datetime.timedelta = 6 * _SECOND
     status_retention: datetime.timedelta = 120 * _SECOND
+    evacuation: datetime.timedelta | None = None
+    remote_slowdown: float | None = None
+    stop_timeout: datetime.timedelta = 1 * _SECOND
+    restore: datetime.timedelta | None = None
+    checkpoint_interval: datetime.timedelta = 2 * _SECOND
 
 
 @attrs.frozen
@@ -177,6 +190,13 @@
     _make_duration("max_lease", _MILLISECOND, 100, 600_000),
     _make_duration("grace", _SECOND, 0, 3_600),
     _make_duration("status_retention", _SECOND, 1, 86_400),
+    _make_duration("evacuation", _MILLISECOND, 100, 600_000),
+    documents.Key(
+        "remote_slowdown", documents.Decimal(1, 1_000), is_nullable=True
+    ),
+    _make_duration("stop_timeout", _MILLISECOND, 1, 600_000),
+    _make_duration("restore", _MILLISECOND, 0, 600_000),
+    _make_duration("checkpoint_interval", _SECOND, 0, 86_400),
 )
 _SCHEDULING_KEYS: typing.Final = (
     _make_duration("lease", _MILLISECOND, 500, 600_000),
--- a/tamarackhatch/settings/tests/test_settings.py
+++ b/tamarackhatch/settings/tests/test_settings.py
@@ -49,6 +49,32 @@
     )
 
 
+def test_bounds_of_a_platform_that_restores_and_evacuates(
+    tmp_path: pathlib.Path,
+) -> None:
+    """Guards against bounds that switch a decision on where they are null."""
+    keys = (
+        '"evacuation_ms": 5000, "remote_slowdown": 1.5, "restore_ms": 250,'
+        ' "stop_timeout_ms": 400, "checkpoint_interval_s": 0.5, "grace_s"'
+    )
+    bounds = _load(_VALID.replace('"grace_s"', keys), tmp_path).bounds
+    assert bounds.evacuation == datetime.timedelta(seconds=5)
+    assert bounds.remote_slowdown == 1.5
+    assert bounds.restore == datetime.timedelta(milliseconds=250)
+    assert bounds.stop_timeout == datetime.timedelta(milliseconds=400)
+    assert bounds.checkpoint_interval == datetime.timedelta(milliseconds=500)
+    absent = _load(
+        _VALID.replace(
+            '"grace_s"',
+            '"evacuation_ms": null, "remote_slowdown": null, "grace_s"',
+        ),
+        tmp_path,
+    ).bounds
+    assert absent.evacuation is None
+    assert absent.remote_slowdown is None
+    assert absent.restore is None
+
+
 @pytest.mark.parametrize(
     ("old", "new", "expected"),
     [
