Compress the numbers of waiting jobs in the leader heartbeat

With jobs waiting in 4,000 queues the heartbeat was larger than a row of the store may be, so that no transaction of the scheduler was accepted. Beyond 4 KB the numbers are now compressed and carried as text in a field of their own; a row that is still too large says that the numbers are not known. Earlier builds read the other fields as before and see no numbers.

The election looks at the predecessor's heartbeat before it claims a term, not after, because its own heartbeat may be read before the claim is answered.

--- a/tamarackhatch/election/_election.py
+++ b/tamarackhatch/election/_election.py
@@ -345,12 +345,14 @@
     ) -> _leader_lease.Term | None:
         # Callers get the previous scheduler's numbers until this scheduler
         # has read the jobs.
-        pending = {} if self._heartbeat is None else self._heartbeat.pending
+        previous = self._heartbeat
+        pending = {} if previous is None else previous.pending
         heartbeat = records.LeaderHeartbeat(
             self._candidate.instance,
             self._candidate.incarnation,
             number,
             pending=pending,
+            is_pending_known=previous is None or previous.is_pending_known,
         )
         value = records.encode_leader_heartbeat(heartbeat)
         result = await self._store.write(
@@ -367,7 +369,6 @@
             self._log.info("campaign_lost", term=number)
             return None
         self._log.info("campaign_won", term=number, token=result.version)
-        previous = self._heartbeat
         is_predecessor_stopped = (
             previous is None
             or previous.is_released
--- a/tamarackhatch/records/_leadership.py
+++ b/tamarackhatch/records/_leadership.py
@@ -4,9 +4,16 @@
 import orjson
 
 from tamarackhatch import model
+from tamarackhatch.records import _pending_counts
 from tamarackhatch.records import _progress
 from tamarackhatch.records import _types
 
+# Rows may have 65,536 bytes. Instances read each heartbeat, so that the
+# numbers of pending jobs are compressed well before that.
+_MAX_ROW_BYTES = 65_536
+_MAX_PLAIN_BYTES = 4_096
+_PACKED_PENDING = "packed_pending"
+
 
 @attrs.frozen
 class LeaderHeartbeat:
@@ -27,6 +34,7 @@
             has read; all changes up to it are published. None while it
             cannot read the operator's table.
         position: Version of the store up to which it has read that table.
+        is_pending_known: Whether ``pending`` is complete; if not, it is empty.
     """
 
     instance: str
@@ -37,6 +45,7 @@
     pending: dict[str, int] = attrs.field(factory=dict)
     configuration: int | None = None
     position: int = 0
+    is_pending_known: bool = True
 
     @property
     def publication(self) -> model.Publication | None:
@@ -71,10 +80,29 @@
 
 
 def encode_leader_heartbeat(heartbeat: LeaderHeartbeat) -> bytes:
-    """Returns the row value of a heartbeat."""
+    """Returns the row value of a heartbeat.
+
+    The numbers of pending jobs are compressed if there are many, so that the
+    row stays small. If they do not fit even then, they are left out, because
+    without a heartbeat the scheduler would lose its term.
+    """
     document = attrs.asdict(heartbeat)
     if heartbeat.configuration is None:
         del document["configuration"], document["position"]
+    if heartbeat.is_pending_known:
+        del document["is_pending_known"]
+    value = orjson.dumps(document)
+    if len(value) <= _MAX_PLAIN_BYTES:
+        return value
+    # Earlier builds ignore the packed numbers. They must find the other
+    # fields, or they would take the scheduler for dead.
+    document["pending"] = {}
+    document[_PACKED_PENDING] = _pending_counts.pack_pending(heartbeat.pending)
+    value = orjson.dumps(document)
+    if len(value) <= _MAX_ROW_BYTES:
+        return value
+    del document[_PACKED_PENDING]
+    document["is_pending_known"] = False
     return orjson.dumps(document)
 
 
@@ -86,6 +114,10 @@
     """
     try:
         document = orjson.loads(value)
+        if _PACKED_PENDING in document:
+            document["pending"] = _pending_counts.unpack_pending(
+                document[_PACKED_PENDING]
+            )
         # A newer build may add fields. It must be possible to take over from
         # it.
         heartbeat = LeaderHeartbeat(
--- a/tamarackhatch/server/_role.py
+++ b/tamarackhatch/server/_role.py
@@ -108,6 +108,7 @@
         heartbeat = self._election.heartbeat
         if (
             heartbeat is None
+            or not heartbeat.is_pending_known
             or self._election.heartbeat_age > _MAX_PENDING_COUNT_AGE
         ):
             return None
