Stand-ins: slow stores, refusals above a rate, abandoned calls

The store stand-in can answer by a factor slower and refuse transactions above a rate with 429, and the network can go on with calls that their client has given up, as a server does.

--- a/standins/network.py
+++ b/standins/network.py
@@ -86,6 +86,8 @@
         late_call_share: Share of the calls, 0 to 1, that get no answer and are
             executed after a delay.
         late_delay_range_s: Shortest and longest such delay, in seconds.
+        executes_abandoned_calls: Whether a call that its client has given up
+            is still executed, as a server does that has received it.
         delay_s: Delay in each direction, in seconds.
         request_links: Links that requests to it cross, by client.
         answer_links: Links that its answers cross, by client.
@@ -97,6 +99,7 @@
     lost_answer_share: float = 0.0
     late_call_share: float = 0.0
     late_delay_range_s: tuple[float, float] = (2.0, 12.0)
+    executes_abandoned_calls: bool = False
     delay_s: float = 0.002
     request_links: dict[str, SharedLink] = attrs.field(factory=dict)
     answer_links: dict[str, SharedLink] = attrs.field(factory=dict)
@@ -110,6 +113,7 @@
         self._faults: dict[str, Faults] = {}
         self._random = random.Random(seed)
         self._late_tasks: set[asyncio.Task[None]] = set()
+        self._abandonable_tasks: set[asyncio.Future[Response]] = set()
 
     def serve(self, address: str, handler: Handler) -> None:
         """Sends calls for an address to a handler from now on."""
@@ -167,7 +171,7 @@
                 if fault_draw < faults.late_call_share:
                     self._schedule_late_call(handler, request, faults)
                     await asyncio.sleep(timeout)
-                response = await handler(request)
+                response = await self._execute(handler, request, faults)
                 if fault_draw > 1 - faults.lost_answer_share:
                     await asyncio.sleep(timeout)
                 await asyncio.sleep(faults.delay_s)
@@ -188,6 +192,22 @@
         except TimeoutError as error:
             raise transport.CallLostError("timed out") from error
 
+    async def _execute(
+        self, handler: Handler, request: Request, faults: Faults
+    ) -> Response:
+        if not faults.executes_abandoned_calls:
+            return await handler(request)
+        task = asyncio.ensure_future(handler(request))
+        self._abandonable_tasks.add(task)
+        task.add_done_callback(self._forget_task)
+        return await asyncio.shield(task)
+
+    def _forget_task(self, task: asyncio.Future[Response]) -> None:
+        self._abandonable_tasks.discard(task)
+        if not task.cancelled():
+            # Nobody waits for the exception of an abandoned call.
+            task.exception()
+
     def _schedule_late_call(
         self, handler: Handler, request: Request, faults: Faults
     ) -> None:
--- a/standins/store.py
+++ b/standins/store.py
@@ -7,6 +7,9 @@
 
 Key = tuple[str, str, str]
 _MAX_WAIT_S = 30.0
+# Usual time of a read and of a transaction, in seconds.
+_USUAL_LATENCY_S = 0.004
+_USUAL_WRITE_LATENCY_S = 0.0066
 
 
 class StoreStandIn:
@@ -16,20 +19,35 @@
         is_down: Whether every call is answered with 503.
         is_unresponsive: Whether calls get no answer; they are not executed.
         latency_s: Delay before a call is executed, in seconds.
+        write_latency_s: Delay before a transaction is executed, in seconds;
+            None for ``latency_s``.
+        max_writes_per_s: Transactions beyond this rate are refused with 429;
+            None for no limit.
         writes: Number of transactions applied.
+        received_writes: Number of transactions received, also if refused.
     """
 
     def __init__(self) -> None:
         self.is_down = False
         self.is_unresponsive = False
         self.latency_s = 0.003
+        self.write_latency_s: float | None = None
+        self.max_writes_per_s: float | None = None
         self.writes = 0
+        self.received_writes = 0
+        self._window_start_s = 0.0
+        self._writes_in_window = 0
         self._rows: dict[Key, tuple[str, int]] = {}
         self._changes: list[tuple[int, Key, str | None]] = []
         self._version = 0
         self._oldest_version = 0
         self._changed = asyncio.Event()
 
+    def slow_down(self, factor: float) -> None:
+        """Answers this many times slower than a store usually does."""
+        self.latency_s = _USUAL_LATENCY_S * factor
+        self.write_latency_s = _USUAL_WRITE_LATENCY_S * factor
+
     def put(
         self, table: str, key: str, value: str, partition: str = ""
     ) -> int:
@@ -55,12 +73,20 @@
 
     async def handle(self, request: network.Request) -> network.Response:
         """Answers one call."""
-        await asyncio.sleep(self.latency_s)
+        is_write = request.path == "/-/rows-tx"
+        self.received_writes += is_write
+        if is_write and not self.is_down and not self._admit_write():
+            await asyncio.sleep(self.latency_s)
+            return network.Response(429)
+        if is_write and self.write_latency_s is not None:
+            await asyncio.sleep(self.write_latency_s)
+        else:
+            await asyncio.sleep(self.latency_s)
         if self.is_unresponsive:
             raise network.NoResponseError
         if self.is_down:
             return network.Response(503)
-        if request.path == "/-/rows-tx":
+        if is_write:
             return self._transact(request.body)
         if request.path == "/-/rows-get":
             return self._read_rows(request.query)
@@ -68,6 +94,16 @@
             return await self._wait_for_changes(request.query)
         return network.Response(404)
 
+    def _admit_write(self) -> bool:
+        """Counts a transaction, and returns whether the rate permits it."""
+        if self.max_writes_per_s is None:
+            return True
+        now = asyncio.get_running_loop().time()
+        if now - self._window_start_s >= 1:
+            self._window_start_s, self._writes_in_window = now, 0
+        self._writes_in_window += 1
+        return self._writes_in_window <= self.max_writes_per_s
+
     def _transact(self, body: network.Body) -> network.Response:
         expected = body.get("expected_rev", [])
         for item in expected:
