Hedge submissions, cancellations and reads of a slow store

A pure decision now says when a second attempt is sent, how long to pause after a refusal and when to give up. While the store answers any call of the instance, a call goes on until the caller's deadline; without an answer it ends after 0.8 s, and after 0.5 s if the store refuses everything, as before. Repeated attempts share a budget for each instance.

The second attempt goes over a new connection, because the first one may wait on a dead one.

--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -60,13 +60,24 @@
         self.name = name
         client = fleet.network.make_client(name)
         self._client = client
+        self.metrics = observability.Metrics()
+        sink = observability.LineSink(fleet.log_descriptor, fleet.clock, 10**9)
+        log = observability.Log(
+            sink, fleet.clock, observability.LevelFilter(), name
+        )
+        liveness = records.StoreLiveness(fleet.clock)
         table_store = platform.PlatformStore(
-            typing.cast(typing.Any, client), STORE_ADDRESS
+            typing.cast(typing.Any, client),
+            STORE_ADDRESS,
+            on_answer=liveness.record_answer,
         )
         self.jobs = records.JobStore(
-            table_store, fleet.clock, lambda: self.role.term
+            table_store,
+            fleet.clock,
+            lambda: self.role.term,
+            liveness,
+            records.CallReporter(log, self.metrics).record,
         )
-        self.metrics = observability.Metrics()
         address = settings.Address("127.0.0.1", 1)
         configured = settings.Settings(
             instance=name,
@@ -76,10 +87,6 @@
             store_address=address,
             bounds=settings.Bounds(max_lease=runner.MAX_LEASE),
         )
-        sink = observability.LineSink(fleet.log_descriptor, fleet.clock, 10**9)
-        log = observability.Log(
-            sink, fleet.clock, observability.LevelFilter(), name
-        )
         self.configuration: service.ConfigurationWatcher | None = None
         if has_configuration:
             self.configuration = service.ConfigurationWatcher(
--- a/tamarackhatch/api/_interface.py
+++ b/tamarackhatch/api/_interface.py
@@ -73,7 +73,9 @@
         """Returns the state of the job."""
         if not self._validate_identifier(identifier):
             return
-        lookup = await self._service.get_state(identifier, _ANY_QUEUE)
+        lookup = await self._service.get_state(
+            identifier, _ANY_QUEUE, self._caller_timeout
+        )
         state = None if lookup.state is None else lookup.state.value
         self._write_outcome(lookup.outcome, state=state)
 
--- a/tamarackhatch/model/__init__.py
+++ b/tamarackhatch/model/__init__.py
@@ -25,6 +25,7 @@
 from tamarackhatch.model._rows import Row
 from tamarackhatch.model._rows import RowPage
 from tamarackhatch.model._rows import RowRef
+from tamarackhatch.model._rows import StoreBusyError
 from tamarackhatch.model._rows import StoreOutcomeUnknownError
 from tamarackhatch.model._rows import StoreUnavailableError
 from tamarackhatch.model._rows import TableStore
@@ -71,6 +72,7 @@
     "Schedule",
     "Service",
     "Step",
+    "StoreBusyError",
     "StoreOutcomeUnknownError",
     "StoreUnavailableError",
     "TableStore",
--- a/tamarackhatch/model/_rows.py
+++ b/tamarackhatch/model/_rows.py
@@ -16,6 +16,10 @@
         super().__init__(errors.ErrorCode.STORE_UNAVAILABLE, message)
 
 
+class StoreBusyError(StoreUnavailableError):
+    """The store refused a request because there are too many at present."""
+
+
 class StoreOutcomeUnknownError(errors.CodedError):
     """A write got no answer; it may be applied, now or later."""
 
@@ -127,6 +131,8 @@
         puts: Sequence[Put],
         removals: Sequence[RowRef],
         timeout: datetime.timedelta,
+        *,
+        is_hedge: bool = False,
     ) -> Committed | Conflict:
         """Applies all changes if each row has its expected version.
 
@@ -136,12 +142,15 @@
             puts: Rows to write.
             removals: Rows to remove.
             timeout: Maximum time to wait for the answer.
+            is_hedge: Whether the same write was sent before and still waits
+                for its answer. It then goes over a new connection.
 
         Returns:
             Committed if the changes were applied, else Conflict.
 
         Raises:
-            StoreUnavailableError: Nothing was applied or will be.
+            StoreUnavailableError: Nothing was applied or will be. It is a
+                StoreBusyError if the store serves other requests.
             StoreOutcomeUnknownError: The changes may be applied, now or
                 later.
         """
@@ -154,6 +163,8 @@
         timeout: datetime.timedelta,
         first: str = "",
         end: str = "",
+        *,
+        is_hedge: bool = False,
     ) -> RowPage:
         """Reads rows of one partition in ascending order of keys.
 
@@ -163,6 +174,7 @@
             timeout: Maximum time to wait for the answer.
             first: First key of the range; empty for the start.
             end: Key at which the range ends, exclusive; empty for no end.
+            is_hedge: As for a write.
 
         Raises:
             StoreUnavailableError: The rows could not be read.
--- a/tamarackhatch/model/_service.py
+++ b/tamarackhatch/model/_service.py
@@ -112,13 +112,17 @@
         ...
 
     async def get_state(
-        self, identifier: str, queue: _configuration.Queue
+        self,
+        identifier: str,
+        queue: _configuration.Queue,
+        timeout: datetime.timedelta,
     ) -> JobLookup:
         """Returns the state of a job.
 
         Args:
             identifier: Identifier of the job.
             queue: Queue of the request.
+            timeout: How long the caller waits for the answer.
         """
         ...
 
--- a/tamarackhatch/observability/_metrics.py
+++ b/tamarackhatch/observability/_metrics.py
@@ -16,6 +16,8 @@
     10.0,
 )
 
+_ATTEMPT_BUCKETS = (1, 2, 3, 5, 8)
+
 
 class Metrics:
     """Metrics of the process, with their registry."""
@@ -83,6 +85,26 @@
             ["kind", "table"],
             registry=self._registry,
         )
+        self.store_attempts = prometheus_client.Histogram(
+            "tamarackhatch_store_attempts",
+            "Attempts of each call to the store for a caller, by kind.",
+            ["kind"],
+            buckets=_ATTEMPT_BUCKETS,
+            registry=self._registry,
+        )
+        self.hedged_store_calls = prometheus_client.Counter(
+            "tamarackhatch_hedged_store_calls",
+            "Calls to the store with two attempts at once, by kind and by the"
+            " number of the attempt that was answered.",
+            ["kind", "winner"],
+            registry=self._registry,
+        )
+        self.given_up_store_calls = prometheus_client.Counter(
+            "tamarackhatch_given_up_store_calls",
+            "Calls to the store for a caller that were given up, by reason.",
+            ["kind", "reason"],
+            registry=self._registry,
+        )
         self.unreadable_entries = prometheus_client.Counter(
             "tamarackhatch_unreadable_entries",
             "Malformed entries of other systems that were skipped, by source.",
--- a/tamarackhatch/platform/_ingress.py
+++ b/tamarackhatch/platform/_ingress.py
@@ -142,7 +142,7 @@
             )
         if request.method == "GET":
             job_lookup = await self._service.get_state(
-                identifier, queue_lookup.queue
+                identifier, queue_lookup.queue, _get_timeout(request)
             )
             return _make_state_reply(job_lookup)
         return _make_reply(405, {"error": "use POST, GET or DELETE"})
--- a/tamarackhatch/platform/_store.py
+++ b/tamarackhatch/platform/_store.py
@@ -16,6 +16,8 @@
 _OK = 200
 _GONE = 410
 _CONDITION_FAILED = 412
+_TOO_MANY_REQUESTS = 429
+_MIN_SERVER_ERROR = 500
 # Time beyond the wait of a feed, for network latency and a slow store.
 _FEED_ANSWER_ALLOWANCE = datetime.timedelta(milliseconds=900)
 # A row can have hundreds of kilobytes, and an instance's link 5 Mbit/s.
@@ -36,6 +38,7 @@
         client: transport.HttpClient,
         address: str,
         record_call: CallRecorder = lambda kind, table, answer_bytes: None,
+        on_answer: Callable[[], None] = lambda: None,
     ) -> None:
         """Creates a client of the store.
 
@@ -44,10 +47,13 @@
             address: ``host:port`` of the store.
             record_call: Called after each call with its kind, its table and
                 the size of the answer in bytes; None for no answer.
+            on_answer: Called after each call that the store has answered
+                without refusing it.
         """
         self._client = client
         self._address = address
         self._record_call = record_call
+        self._on_answer = on_answer
 
     async def write(
         self,
@@ -55,6 +61,8 @@
         puts: Sequence[model.Put],
         removals: Sequence[model.RowRef],
         timeout: datetime.timedelta,
+        *,
+        is_hedge: bool = False,
     ) -> model.Committed | model.Conflict:
         """Applies all changes or none; see model.TableStore."""
         body = orjson.dumps(
@@ -74,7 +82,12 @@
             }
         )
         call = transport.Call(
-            "POST", self._address, "/-/rows-tx", timeout, body
+            "POST",
+            self._address,
+            "/-/rows-tx",
+            timeout,
+            body,
+            needs_new_connection=is_hedge,
         )
         table = puts[0].ref.table if puts else ""
         try:
@@ -95,9 +108,7 @@
         except _decoding.MalformedBodyError as error:
             raise model.StoreOutcomeUnknownError(error.message) from error
         # With every other status, the store has applied nothing.
-        raise model.StoreUnavailableError(
-            f"store answered status {answer.status} to a transaction"
-        )
+        raise _make_refusal(answer.status, "transaction")
 
     async def read(
         self,
@@ -106,6 +117,8 @@
         timeout: datetime.timedelta,
         first: str = "",
         end: str = "",
+        *,
+        is_hedge: bool = False,
     ) -> model.RowPage:
         """Reads rows of a partition; see model.TableStore."""
         query = {"table": table, "part": partition}
@@ -113,7 +126,9 @@
             query["from"] = first
         if end:
             query["to"] = end
-        document, _ = await self._get("read", "/-/rows-get", query, timeout)
+        document, _ = await self._get(
+            "read", "/-/rows-get", query, timeout, is_hedge
+        )
         try:
             return model.RowPage(
                 _decode_rows(document),
@@ -149,6 +164,7 @@
         path: str,
         query: dict[str, str],
         timeout: datetime.timedelta,
+        is_hedge: bool = False,
     ) -> tuple[dict[str, typing.Any], datetime.timedelta]:
         path = f"{path}?{urllib.parse.urlencode(query)}"
         call = transport.Call(
@@ -157,6 +173,7 @@
             path,
             timeout,
             transfer_time=_READ_TRANSFER_TIME,
+            needs_new_connection=is_hedge,
         )
         try:
             answer = await self._send(call, kind, query["table"])
@@ -170,9 +187,7 @@
                 "store no longer has the changes of the feed"
             )
         if answer.status != _OK:
-            raise model.StoreUnavailableError(
-                f"store answered status {answer.status} to a read"
-            )
+            raise _make_refusal(answer.status, "read")
         try:
             return _decoding.decode_object(answer.body), answer.receive_time
         except _decoding.MalformedBodyError as error:
@@ -187,9 +202,21 @@
             self._record_call(kind, table, None)
             raise
         self._record_call(kind, table, len(answer.body))
+        if (
+            answer.status < _MIN_SERVER_ERROR
+            and answer.status != _TOO_MANY_REQUESTS
+        ):
+            self._on_answer()
         return answer
 
 
+def _make_refusal(status: int, kind: str) -> model.StoreUnavailableError:
+    text = f"store answered status {status} to a {kind}"
+    if status == _TOO_MANY_REQUESTS:
+        return model.StoreBusyError(text)
+    return model.StoreUnavailableError(text)
+
+
 def _encode_ref(ref: model.RowRef) -> dict[str, str]:
     return {"table": ref.table, "part": ref.partition, "key": ref.key}
 
--- a/tamarackhatch/platform/tests/test_ingress.py
+++ b/tamarackhatch/platform/tests/test_ingress.py
@@ -43,7 +43,7 @@
         return self._outcome
 
     async def get_state(
-        self, identifier: str, queue: object
+        self, identifier: str, queue: object, timeout: object
     ) -> model.JobLookup:
         if self._outcome is model.Outcome.DONE:
             return model.JobLookup(self._outcome, model.JobState.RUNNING)
--- a/tamarackhatch/records/__init__.py
+++ b/tamarackhatch/records/__init__.py
@@ -1,5 +1,6 @@
 """Names, formats and access of this project's rows in the table store."""
 
+from tamarackhatch.records._call_reports import CallReporter
 from tamarackhatch.records._change_assembler import ChangeAssembler
 from tamarackhatch.records._configuration_changes import ChangePart
 from tamarackhatch.records._configuration_changes import decode_change
@@ -39,10 +40,12 @@
 from tamarackhatch.records._progress import MalformedRowError
 from tamarackhatch.records._progress import OccurrenceProgress
 from tamarackhatch.records._progress import TaskHistory
+from tamarackhatch.records._store_liveness import StoreLiveness
 from tamarackhatch.records._watcher import TableWatcher
 
 __all__ = [
     "CONFIGURATION_TABLE",
+    "CallReporter",
     "ChangeAssembler",
     "ChangePart",
     "FENCE",
@@ -58,6 +61,7 @@
     "PROGRESS_TABLE",
     "SCHEDULER_PARTITION",
     "SEQUENCE",
+    "StoreLiveness",
     "TRACKED_RUNNERS",
     "TableWatcher",
     "TaskHistory",
--- a/tamarackhatch/server/_instance.py
+++ b/tamarackhatch/server/_instance.py
@@ -78,10 +78,12 @@
         self._store_traffic = observability.StoreTraffic(
             time_source, self._log.for_component("store"), self._metrics
         )
+        store_liveness = records.StoreLiveness(time_source)
         self._store = platform.PlatformStore(
             self._store_client,
             str(initial_settings.store_address),
             self._store_traffic.record_call,
+            store_liveness.record_answer,
         )
         self._configuration_watcher = service.ConfigurationWatcher(
             self._store,
@@ -110,7 +112,13 @@
         )
         self._job_service = service.JobService(
             records.JobStore(
-                self._store, time_source, lambda: self._role.term
+                self._store,
+                time_source,
+                lambda: self._role.term,
+                store_liveness,
+                records.CallReporter(
+                    self._log.for_component("store"), self._metrics
+                ).record,
             ),
             self._configuration_watcher,
             self._role,
--- a/tamarackhatch/service/_jobs.py
+++ b/tamarackhatch/service/_jobs.py
@@ -168,12 +168,11 @@
             timeout: How long the caller waits for the answer.
         """
         started_at = self._clock.get_monotonic()
+        deadline = started_at + timeout - _ANSWER_MARGIN
         outcome = model.Outcome.DONE
         try:
-            if await self._store.is_stored(identifier):
-                await self._store.cancel(
-                    identifier, started_at + timeout - _ANSWER_MARGIN
-                )
+            if await self._store.is_stored(identifier, deadline):
+                await self._store.cancel(identifier, deadline)
             else:
                 outcome = model.Outcome.NO_JOB
         except model.StoreOutcomeUnknownError as error:
@@ -190,18 +189,21 @@
         return outcome
 
     async def get_state(
-        self, identifier: str, queue: model.Queue
+        self, identifier: str, queue: model.Queue, timeout: datetime.timedelta
     ) -> model.JobLookup:
         """Returns the state of a job.
 
         Args:
             identifier: Identifier of the job.
             queue: Queue of the request, for the log.
+            timeout: How long the caller waits for the answer.
         """
         started_at = self._clock.get_monotonic()
         state = None
         try:
-            state = await self._store.read_state(identifier)
+            state = await self._store.read_state(
+                identifier, started_at + timeout - _ANSWER_MARGIN
+            )
             outcome = (
                 model.Outcome.NO_JOB if state is None else model.Outcome.DONE
             )
--- a/tamarackhatch/transport/_client.py
+++ b/tamarackhatch/transport/_client.py
@@ -54,6 +54,10 @@
             within the timeout, while more bytes arrive at least once a second.
         body: Body of a POST or PUT, else None.
         headers: Further headers, each as ``Name: value``.
+        is_permitted: Asked just before the request is sent; if it returns
+            False, the call fails.
+        needs_new_connection: Whether no open connection may be used, because
+            the same call waits for its answer on one, which may be dead.
     """
 
     method: str
@@ -64,6 +68,7 @@
     headers: tuple[str, ...] = ()
     transfer_time: datetime.timedelta = datetime.timedelta()
     is_permitted: Callable[[], bool] = lambda: True
+    needs_new_connection: bool = False
 
 
 @attrs.frozen
@@ -214,7 +219,7 @@
         )
         handle.setopt(pycurl.WRITEDATA, transfer.body_buffer)
         handle.setopt(pycurl.PREREQFUNCTION, transfer.prepare_sending)
-        self._limit_connection_age(handle, call.address)
+        self._limit_connection_age(handle, call)
 
     def _end_if_stalled(
         self, handle: pycurl.Curl, transfer: _Transfer, received: int
@@ -241,18 +246,18 @@
             handle, (pycurl.E_OPERATION_TIMEDOUT, "no answer in time")
         )
 
-    def _limit_connection_age(self, handle: pycurl.Curl, address: str) -> None:
+    def _limit_connection_age(self, handle: pycurl.Curl, call: Call) -> None:
         # After a call has timed out, every older connection to the address may
         # be dead, and each use of one would cost one more timeout.
-        last_timeout = self._last_timeout_by_address.get(address)
-        fresh_connect, max_age_s = 0, 0
+        last_timeout = self._last_timeout_by_address.get(call.address)
+        fresh_connect, max_age_s = int(call.needs_new_connection), 0
         if last_timeout is not None:
             age = self._clock.get_monotonic() - last_timeout
             if age > _NO_REUSE_PERIOD:
-                del self._last_timeout_by_address[address]
+                del self._last_timeout_by_address[call.address]
             else:
                 max_age_s = int(age.total_seconds())
-                fresh_connect = int(max_age_s == 0)
+                fresh_connect |= int(max_age_s == 0)
         handle.setopt(pycurl.FRESH_CONNECT, fresh_connect)
         handle.setopt(pycurl.MAXLIFETIME_CONN, max_age_s)
 
