Test submissions and cancellations with a slow or refusing store

The time without a sign of life is limited to half of the caller's time, so that another instance can be asked if a slow store is cut off.

--- a/tamarackhatch/platform/tests/test_store.py
+++ b/tamarackhatch/platform/tests/test_store.py
@@ -1,6 +1,7 @@
 """Tests that the store client tells failed writes from unknown outcomes."""
 
 import asyncio
+import contextlib
 import datetime
 import typing
 
@@ -52,7 +53,7 @@
     ("result", "error"),
     [
         (transport.Answer(503, b""), model.StoreUnavailableError),
-        (transport.Answer(429, b""), model.StoreUnavailableError),
+        (transport.Answer(429, b""), model.StoreBusyError),
         (transport.Answer(507, b""), model.StoreUnavailableError),
         (transport.CallNotSentError("-"), model.StoreUnavailableError),
         (transport.CallLostError("-"), model.StoreOutcomeUnknownError),
@@ -115,3 +116,56 @@
     store, _ = _make_store(transport.Answer(200, body))
     with pytest.raises(model.StoreUnavailableError):
         asyncio.run(store.read("jobs", "a", _TIMEOUT))
+
+
+@pytest.mark.parametrize(
+    ("result", "is_alive"),
+    [
+        (transport.Answer(200, b'{"schema_version":7}'), True),
+        (transport.Answer(412, b'{"rows":[]}'), True),
+        (transport.Answer(429, b""), False),
+        (transport.Answer(503, b""), False),
+        (transport.Answer(502, b""), False),
+        (transport.CallNotSentError("-"), False),
+        (transport.CallLostError("-"), False),
+    ],
+)
+def test_only_answers_that_serve_are_signs_of_life(
+    result: transport.Answer | Exception, is_alive: bool
+) -> None:
+    """Guards against waiting for a store that serves this instance nothing."""
+    answers = 0
+
+    def count_answer() -> None:
+        nonlocal answers
+        answers += 1
+
+    store = platform.PlatformStore(
+        typing.cast(typing.Any, _FixedClient(result)),
+        "h:1",
+        on_answer=count_answer,
+    )
+    with contextlib.suppress(
+        model.StoreUnavailableError, model.StoreOutcomeUnknownError
+    ):
+        asyncio.run(
+            store.write([(_REF, 0)], [model.Put(_REF, b"x")], [], _TIMEOUT)
+        )
+    assert answers == int(is_alive)
+
+
+def test_second_attempt_needs_a_new_connection() -> None:
+    """Guards against two attempts that wait on dead connections."""
+    store, client = _make_store(
+        transport.Answer(200, b'{"schema_version":7,"rows":[]}')
+    )
+
+    async def call_twice(is_hedge: bool) -> None:
+        put = model.Put(_REF, b"x")
+        await store.write([(_REF, 0)], [put], [], _TIMEOUT, is_hedge=is_hedge)
+        await store.read("jobs", "a", _TIMEOUT, is_hedge=is_hedge)
+
+    asyncio.run(call_twice(False))
+    asyncio.run(call_twice(True))
+    needed = [call.needs_new_connection for call in client.calls]
+    assert needed == [False, False, True, True]
--- a/tamarackhatch/records/_hedging.py
+++ b/tamarackhatch/records/_hedging.py
@@ -180,7 +180,9 @@
 def _decide_while_pending(
     call: CallProgress, outlook: StoreOutlook, now: datetime.timedelta
 ) -> Decision:
-    give_up_at = _get_quiet_since(call, outlook) + _get_max_silence(outlook)
+    give_up_at = _get_quiet_since(call, outlook) + _get_max_silence(
+        call, outlook
+    )
     if now >= give_up_at:
         return GiveUp(GiveUpReason.SILENT)
     wake_at = min(give_up_at, call.deadline)
@@ -202,7 +204,7 @@
 def _decide_after_failure(
     call: CallProgress, outlook: StoreOutlook, now: datetime.timedelta
 ) -> Decision:
-    limit = _get_max_silence(outlook)
+    limit = _get_max_silence(call, outlook)
     if call.last_failure is Failure.REFUSED:
         limit = _MAX_REFUSAL_TIME
     give_up_at = _get_quiet_since(call, outlook) + limit
@@ -225,9 +227,13 @@
     return max(call.started_at, outlook.last_answer)
 
 
-def _get_max_silence(outlook: StoreOutlook) -> datetime.timedelta:
-    # Answers of a store that is known to be slow are far apart.
-    return max(_MAX_SILENCE, 2 * outlook.expected_latency)
+def _get_max_silence(
+    call: CallProgress, outlook: StoreOutlook
+) -> datetime.timedelta:
+    # Answers of a store that is known to be slow are far apart. The other
+    # half of the time is left for a caller to ask another instance.
+    half = (call.deadline - call.started_at) / 2
+    return max(_MAX_SILENCE, min(2 * outlook.expected_latency, half))
 
 
 def _compute_attempt_timeout(
--- a/tamarackhatch/transport/tests/test_client.py
+++ b/tamarackhatch/transport/tests/test_client.py
@@ -189,3 +189,113 @@
     with _serve(handle) as address:
         answers = asyncio.run(send_both(address))
     assert answers == [transport.Answer(200, _BODY)] * 3
+
+
+def _serve_after(delays: list[float]) -> Handler:
+    """Answers the requests in turn after delays, in seconds."""
+    remaining = iter(delays)
+
+    def handle(connection: socket.socket) -> None:
+        time.sleep(next(remaining))
+        _answer_at_once(connection)
+
+    return handle
+
+
+def test_cancelled_call_frees_its_connection_for_the_next_one() -> None:
+    """Guards against abandoned calls that use up the connections of a host.
+
+    The second call waits for the only connection when the first is cancelled.
+    """
+
+    async def abandon_first(address: str) -> tuple[transport.Answer, float]:
+        client = transport.HttpClient(clock.SystemClock(), 1)
+        call = transport.Call("GET", address, "/", 3000 * _MS)
+        first = asyncio.create_task(client.send(call))
+        await asyncio.sleep(0.1)
+        second = asyncio.create_task(client.send(call))
+        await asyncio.sleep(0.1)
+        first.cancel()
+        began = time.monotonic()
+        answer = await second
+        elapsed = time.monotonic() - began
+        assert first.cancelled()
+        client.close()
+        return answer, elapsed
+
+    with _serve(_serve_after([2.5, 0.0])) as address:
+        answer, elapsed = asyncio.run(abandon_first(address))
+    assert answer == transport.Answer(200, _BODY) and elapsed < 0.5
+
+
+def test_cancelled_call_gives_its_answer_to_no_other_call() -> None:
+    """Guards against the late answer of an abandoned call in another's place.
+
+    Calls are cancelled before they are sent, while they wait for a connection,
+    while the server works, and when their answer has just arrived.
+    """
+    bodies = 0
+
+    def handle(connection: socket.socket) -> None:
+        nonlocal bodies
+        time.sleep(0.02)
+        bodies += 1
+        body = b"%040d" % bodies
+        connection.sendall(_HEAD + body)
+
+    async def run(address: str) -> list[bytes]:
+        client = transport.HttpClient(clock.SystemClock(), 2)
+        call = transport.Call("GET", address, "/", 1000 * _MS)
+        received = []
+        for round_number in range(40):
+            tasks = [asyncio.create_task(client.send(call)) for _ in range(4)]
+            await asyncio.sleep(round_number % 10 * 0.003)
+            for task in tasks[1:]:
+                task.cancel()
+            await asyncio.gather(*tasks, return_exceptions=True)
+            received.append(tasks[0].result().body)
+        assert not client._transfers
+        client.close()
+        return received
+
+    with _serve(handle) as address:
+        received = asyncio.run(run(address))
+    assert len(set(received)) == 40 and received == sorted(received)
+
+
+def test_call_on_a_new_connection_avoids_a_dead_one() -> None:
+    """Guards against a second attempt that waits on a dead connection too.
+
+    All open connections stop answering; new ones work.
+    """
+    is_dead = threading.Event()
+    old: set[int] = set()
+
+    def handle(connection: socket.socket) -> None:
+        if not is_dead.is_set():
+            old.add(connection.fileno())
+        if is_dead.is_set() and connection.fileno() in old:
+            return
+        time.sleep(0.05)
+        _answer_at_once(connection)
+
+    async def run(address: str) -> float:
+        client = transport.HttpClient(clock.SystemClock(), 8)
+        call = transport.Call("GET", address, "/", 1000 * _MS)
+        await asyncio.gather(*(client.send(call) for _ in range(3)))
+        is_dead.set()
+        first = asyncio.create_task(client.send(call))
+        await asyncio.sleep(0.1)
+        began = time.monotonic()
+        hedge = transport.Call(
+            "GET", address, "/", 1000 * _MS, needs_new_connection=True
+        )
+        assert await client.send(hedge) == transport.Answer(200, _BODY)
+        elapsed = time.monotonic() - began
+        assert not first.done()
+        first.cancel()
+        client.close()
+        return elapsed
+
+    with _serve(handle) as address:
+        assert asyncio.run(run(address)) < 0.5
