Give the scheduler's transactions more time while the store is slow

The timeout now doubles to 1.8 s after one without an answer, and falls as answers become faster.

test_scheduler_keeps_its_term_while_the_store_is_slow fails at 200 times the usual time without the change.

--- a/tamarackhatch/records/__init__.py
+++ b/tamarackhatch/records/__init__.py
@@ -1,5 +1,6 @@
 """Names, formats and access of this project's rows in the table store."""
 
+from tamarackhatch.records._adaptive_timeout import AdaptiveTimeout
 from tamarackhatch.records._call_reports import CallReporter
 from tamarackhatch.records._change_assembler import ChangeAssembler
 from tamarackhatch.records._configuration_changes import ChangePart
@@ -44,6 +45,7 @@
 from tamarackhatch.records._watcher import TableWatcher
 
 __all__ = [
+    "AdaptiveTimeout",
     "CONFIGURATION_TABLE",
     "CallReporter",
     "ChangeAssembler",
--- a/tamarackhatch/scheduler/_writer.py
+++ b/tamarackhatch/scheduler/_writer.py
@@ -27,6 +27,8 @@
 # includes them.
 _HEARTBEATS_PER_INTERFERENCE_WRITE = 3
 _WRITE_TIMEOUT = datetime.timedelta(milliseconds=900)
+# The other instances campaign after 2 s without a heartbeat.
+_MAX_WRITE_TIMEOUT = datetime.timedelta(milliseconds=1800)
 # Refused calls have a cost as well.
 _RETRY_PAUSE = datetime.timedelta(milliseconds=250)
 
@@ -77,6 +79,9 @@
         self._configuration = configuration
         self._log = log
         self._metrics = metrics
+        self._timeout = records.AdaptiveTimeout(
+            _WRITE_TIMEOUT, _MAX_WRITE_TIMEOUT
+        )
         self._sequence = leader_lease.term.token
         self._batches = 0
         self._unwritten_jobs: dict[str, _state.JobEntry] = {}
@@ -287,20 +292,22 @@
                 ],
                 [*puts, model.Put(records.SEQUENCE, value)],
                 [],
-                _WRITE_TIMEOUT,
+                self._timeout.current,
             )
         except (
             model.StoreUnavailableError,
             model.StoreOutcomeUnknownError,
         ) as error:
+            self._timeout.record_failure(self._clock.get_monotonic() - began)
             self._log.warning(
                 "commit_failed", code=error.code.value, reason=error.message
             )
             return False
+        elapsed = self._clock.get_monotonic() - began
+        self._timeout.record_answer(elapsed)
         if isinstance(result, model.Conflict):
             self._resolve_conflict(result)
             return False
-        elapsed = self._clock.get_monotonic() - began
         self._metrics.commit_seconds.observe(elapsed.total_seconds())
         self._sequence = result.version
         self._leader_lease.extend(sent)
--- a/tamarackhatch/scheduler/tests/test_writer.py
+++ b/tamarackhatch/scheduler/tests/test_writer.py
@@ -3,6 +3,8 @@
 import asyncio
 import typing
 
+import pytest
+
 from standins import fleet as standin_fleet
 from standins import virtual_time
 from tamarackhatch import model
@@ -45,6 +47,43 @@
     virtual_time.run_virtually(simulate())
 
 
+@pytest.mark.parametrize("factor", [20, 76, 135, 200])
+def test_scheduler_keeps_its_term_while_the_store_is_slow(
+    factor: float,
+) -> None:
+    """Guards against a scheduler that starts nothing for as long as that.
+
+    With a constant timeout of 0.9 s no transaction of a store that needs
+    1.3 s was ever confirmed, and the leader lease ran out.
+    """
+
+    async def simulate() -> None:
+        fleet = standin_fleet.VirtualFleet()
+        for name in ("a", "b", "c"):
+            fleet.start_instance(name)
+        faults = fleet.network.get_faults(standin_fleet.STORE_ADDRESS)
+        faults.executes_abandoned_calls = True
+        await fleet.wait_until(lambda: fleet.get_leader() is not None)
+        leader = fleet.get_leader()
+        await asyncio.sleep(3)
+        fleet.store.slow_down(factor)
+        await asyncio.sleep(10)
+        for number in range(5):
+            while (
+                await fleet.submit(f"0{number}", model.Step(2, _TASK))
+                is not model.Outcome.DONE
+            ):
+                continue
+            await fleet.wait_for_state(
+                f"0{number}", model.JobState.COMPLETED, 12.0
+            )
+        assert fleet.get_leader() is leader
+        assert leader is not None and leader.role.term == 1
+        assert fleet.check() == []
+
+    virtual_time.run_virtually(simulate())
+
+
 async def _read_progress(
     fleet: standin_fleet.VirtualFleet, identifier: str
 ) -> model.JobState | None:
