Add data centres and evacuations to the stand-ins

The stand-in runners all registered one data centre, and the operator's orders of evacuations had no stand-in. Runners get a data centre, the fleet can order and end evacuations, reads of one table can be lost, and the checker of histories finds starts after the bound (rule EVACUATED).

--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -74,7 +74,7 @@
             caller_address=address,
             readiness_address=address,
             store_address=address,
-            bounds=settings.Bounds(max_lease=runner.MAX_LEASE),
+            bounds=fleet.bounds,
         )
         sink = observability.LineSink(fleet.log_descriptor, fleet.clock, 10**9)
         log = observability.Log(
@@ -149,6 +149,7 @@
         apply_time: Time within which instances apply a configuration.
         enforces_capacity: Whether runners reject tasks that do not fit, as the
             configuration says.
+        bounds: Time bounds of the instances that are started from now on.
     """
 
     def __init__(
@@ -170,6 +171,7 @@
         self.incarnations = 0
         self.apply_time = datetime.timedelta(milliseconds=2500)
         self.enforces_capacity = True
+        self.bounds = settings.Bounds(max_lease=runner.MAX_LEASE)
         self.log_descriptor = os.open(
             log_path, os.O_WRONLY | os.O_CREAT | os.O_APPEND
         )
@@ -195,6 +197,17 @@
             asyncio.create_task(self._register_periodically(added))
         )
 
+    def evacuate(self, data_centre: str) -> None:
+        """Orders the evacuation of a data centre, as the operator does."""
+        value = base64.b64encode(b"{}").decode()
+        self.store.put("op", f"evacuate/{data_centre}", value)
+        self.history.record_evacuation(data_centre)
+
+    def end_evacuation(self, data_centre: str) -> None:
+        """Returns a data centre to service, as the operator does."""
+        self.store.remove("op", f"evacuate/{data_centre}")
+        self.history.record_return(data_centre)
+
     def start_instance(
         self, name: str, has_configuration: bool = False
     ) -> VirtualInstance:
--- a/standins/history.py
+++ b/standins/history.py
@@ -10,6 +10,8 @@
 # A capacity that has shrunk counts after the time that the platform gives
 # (contact_ms), and one heartbeat of the runner.
 _SHRUNK_CAPACITY_COUNTS_AFTER_S = 5.0
+# Time that the platform gives after the operator's order (evacuate_ms).
+EVACUATION_BOUND_S = 5.0
 
 
 @attrs.define
@@ -68,6 +70,21 @@
     capacity: model.Resources
 
 
+@attrs.define
+class EvacuationRecord:
+    """An evacuation of a data centre; times are loop times in seconds.
+
+    Attributes:
+        data_centre: Name of the data centre.
+        ordered: Time at which the store had recorded the order.
+        ended: Time at which the order was removed; None while it is in force.
+    """
+
+    data_centre: str
+    ordered: float
+    ended: float | None = None
+
+
 @attrs.frozen
 class Violation:
     """A broken rule.
@@ -101,6 +118,8 @@
         self.completed: dict[str, float] = {}
         self._reservations: dict[tuple[str, int], model.Resources] = {}
         self._capacities: dict[str, list[CapacityRecord]] = {}
+        self._data_centres: dict[str, str] = {}
+        self._evacuations: list[EvacuationRecord] = []
 
     def record_steps(self, job: str, steps: Iterable[model.Step]) -> None:
         """Records what the tasks of a job reserve."""
@@ -114,6 +133,29 @@
             CapacityRecord(now, capacity)
         )
 
+    def record_data_centre(self, runner: str, data_centre: str) -> None:
+        """Records the data centre that a runner registers."""
+        self._data_centres[runner] = data_centre
+
+    def record_evacuation(self, data_centre: str) -> None:
+        """Records that the operator evacuates a data centre."""
+        now = asyncio.get_running_loop().time()
+        self._evacuations.append(EvacuationRecord(data_centre, now))
+
+    def record_return(self, data_centre: str) -> None:
+        """Records that the operator returns a data centre to service."""
+        for record in self._evacuations:
+            if record.data_centre == data_centre and record.ended is None:
+                record.ended = asyncio.get_running_loop().time()
+
+    def list_runs_in(self, data_centre: str) -> list[RunRecord]:
+        """Returns the runs on the runners of a data centre."""
+        return [
+            run
+            for run in self.runs
+            if self._data_centres.get(run.runner) == data_centre
+        ]
+
     def get_reservation(self, task: str) -> model.Resources:
         """Returns what a task reserves; nothing if its job is unknown."""
         job, _, step, _ = task.split(".")
@@ -200,6 +242,7 @@
                     )
                 )
         violations += self._check_capacities()
+        violations += self._check_evacuations()
         return violations + self._check_completed(by_task)
 
     def _check_capacities(self) -> list[Violation]:
@@ -232,6 +275,21 @@
                 )
         return violations
 
+    def _check_evacuations(self) -> list[Violation]:
+        return [
+            Violation(
+                "EVACUATED",
+                run.task,
+                f"run {run.run} on {run.runner} started at "
+                f"{run.started:.2f} s, {record.data_centre} was evacuated "
+                f"at {record.ordered:.2f} s",
+            )
+            for record in self._evacuations
+            for run in self.list_runs_in(record.data_centre)
+            if run.started > record.ordered + EVACUATION_BOUND_S
+            and (record.ended is None or run.started < record.ended)
+        ]
+
     def _get_limits(self, run: RunRecord) -> tuple[float, ...]:
         """Returns the highest amounts that count when a run starts."""
         registered = [
--- a/standins/network.py
+++ b/standins/network.py
@@ -81,6 +81,7 @@
         lost_writes: Names of clients whose transactions never reach it.
         lost_feeds: Names of clients whose requests for changes of a table
             never reach it, with the table.
+        lost_reads: The same for reads of a table.
         lost_answer_share: Share of the calls, 0 to 1, that are executed but
             get no answer.
         late_call_share: Share of the calls, 0 to 1, that get no answer and are
@@ -94,6 +95,7 @@
     unreachable_from: set[str] = attrs.field(factory=set)
     lost_writes: set[str] = attrs.field(factory=set)
     lost_feeds: set[tuple[str, str]] = attrs.field(factory=set)
+    lost_reads: set[tuple[str, str]] = attrs.field(factory=set)
     lost_answer_share: float = 0.0
     late_call_share: float = 0.0
     late_delay_range_s: tuple[float, float] = (2.0, 12.0)
@@ -149,9 +151,13 @@
                     await asyncio.sleep(timeout)
                 if any(
                     client == name
-                    and "rows-feed" in call.path
+                    and kind in call.path
                     and f"table={table}&" in call.path
-                    for client, table in faults.lost_feeds
+                    for kind, lost in (
+                        ("rows-feed", faults.lost_feeds),
+                        ("rows-get", faults.lost_reads),
+                    )
+                    for client, table in lost
                 ):
                     await asyncio.sleep(timeout)
                 if name in faults.request_links:
--- a/standins/runner.py
+++ b/standins/runner.py
@@ -91,6 +91,7 @@
         identifier: Name of the runner in the registry.
         address: ``host:port`` of the runner.
         service: Service to which the runner belongs.
+        data_centre: Data centre that it registers; empty for none.
         state: State that it registers, such as "ready".
         is_registering: Whether it registers.
         ticket: Ticket that each start must have; None accepts all starts.
@@ -116,6 +117,7 @@
         self.identifier = identifier
         self.address = address
         self.service = service
+        self.data_centre = "here"
         self.state = "ready"
         self.is_registering = True
         self.ticket: str | None = None
@@ -193,7 +195,7 @@
         entry = {
             "service": self.service,
             "address": self.address,
-            "zone": "here",
+            "zone": self.data_centre,
             "version": "v1",
             "slots": 8,
             "state": self.state,
@@ -210,6 +212,7 @@
         value = base64.b64encode(orjson.dumps(entry)).decode()
         store_stand_in.put("servers", self.identifier, value)
         self._history.record_capacity(self.identifier, self.capacity)
+        self._history.record_data_centre(self.identifier, self.data_centre)
 
     async def handle(self, request: network.Request) -> network.Response:
         """Answers one call; refuses fencing tokens below the highest seen."""
