Start nothing in evacuated data centres

The active scheduler now reads their keys about once a second if bounds.evacuation is set. Runners there are no candidates, do not count for isolation, unsent starts are withdrawn and unanswered ones not repeated. Before the first read of a term, and when the latest read is too old to meet the bound, nothing starts.

--- a/tamarackhatch/observability/_metrics.py
+++ b/tamarackhatch/observability/_metrics.py
@@ -94,6 +94,11 @@
             "Changes of the capacity that a runner registers.",
             registry=self._registry,
         )
+        self.evacuated_data_centres = prometheus_client.Gauge(
+            "tamarackhatch_evacuated_data_centres",
+            "Data centres in which the active scheduler starts nothing.",
+            registry=self._registry,
+        )
         self.waiting = prometheus_client.Gauge(
             "tamarackhatch_waiting_tasks",
             "Tasks that wait for a runner.",
--- a/tamarackhatch/platform/__init__.py
+++ b/tamarackhatch/platform/__init__.py
@@ -7,6 +7,9 @@
 from tamarackhatch.platform._configuration import decode_configuration
 from tamarackhatch.platform._configuration import OPERATOR_TABLE
 from tamarackhatch.platform._decoding import MalformedBodyError
+from tamarackhatch.platform._evacuations import EVACUATION_KEYS_END
+from tamarackhatch.platform._evacuations import FIRST_EVACUATION_KEY
+from tamarackhatch.platform._evacuations import get_evacuated_data_centre
 from tamarackhatch.platform._ingress import Ingress
 from tamarackhatch.platform._job_body import decode_job
 from tamarackhatch.platform._job_body import MalformedJobError
@@ -29,6 +32,8 @@
     "Authority",
     "CONFIGURATION_KEY",
     "CommandOutcome",
+    "EVACUATION_KEYS_END",
+    "FIRST_EVACUATION_KEY",
     "FencedError",
     "Ingress",
     "MalformedBodyError",
@@ -44,4 +49,5 @@
     "decode_configuration",
     "decode_job",
     "decode_runner",
+    "get_evacuated_data_centre",
 ]
--- a/tamarackhatch/scheduler/_commands.py
+++ b/tamarackhatch/scheduler/_commands.py
@@ -127,7 +127,9 @@
         ):
             outcome = None
             is_closed = (
-                entry.record.is_draining or entry.load.is_over_capacity()
+                entry.record.is_draining
+                or entry.load.is_over_capacity()
+                or context.evacuations.is_evacuated(entry.record.data_centre)
             )
             # The run may have crashed the runner: while it does not answer
             # renewals, another attempt could reach its next incarnation.
@@ -138,6 +140,12 @@
                 )
                 attempt_ended = context.get_now()
             elif not is_uncertain:
+                context.log.info(
+                    "start_withdrawn",
+                    task=str(task.key),
+                    run=run,
+                    runner=entry.identifier,
+                )
                 context.job_tracker.undo_start(task)
                 return
             elif (
@@ -145,9 +153,9 @@
                 and entry.clock_read is not None
                 and entry.clock_read > attempt_ended
             ):
-                # The runner drains or has shrunk, and its report does not list
-                # the run. A stop prevents that an earlier attempt still
-                # starts it.
+                # The runner drains, has shrunk or is evacuated, and its report
+                # does not list the run. A stop prevents that an earlier
+                # attempt still starts it.
                 context.job_tracker.evict_task(task, "start not repeated")
                 return
             if task.run != run or task.runner is not entry:
--- a/tamarackhatch/scheduler/_context.py
+++ b/tamarackhatch/scheduler/_context.py
@@ -11,6 +11,7 @@
 from tamarackhatch import observability
 from tamarackhatch import placement
 from tamarackhatch import platform
+from tamarackhatch.scheduler import _evacuations
 from tamarackhatch.scheduler import _fleet
 from tamarackhatch.scheduler import _job_tracker
 from tamarackhatch.scheduler import _load_monitor
@@ -39,6 +40,7 @@
         policy: Weights and limits of placement.
         tickets: Requests and caches tickets of the placement policy service.
         load_monitor: Counts the work of the scheduler.
+        evacuations: Knows the data centres in which nothing may start.
         enforces_capacity: Returns whether the runners of a service reject
             tasks that do not fit; False if that is not known.
         wake: Set when tasks wait or capacity becomes free.
@@ -58,6 +60,7 @@
     policy: placement.PlacementPolicy
     tickets: _tickets.TicketCache
     load_monitor: _load_monitor.LoadMonitor
+    evacuations: _evacuations.EvacuationWatcher
     enforces_capacity: Callable[[str], bool]
     wake: asyncio.Event
 
@@ -69,3 +72,19 @@
     def get_now(self) -> datetime.timedelta:
         """Returns monotonic time."""
         return self.clock.get_monotonic()
+
+    def list_open_runners(self) -> list[_fleet.RunnerEntry]:
+        """Returns the runners in data centres that are not evacuated."""
+        # There are far fewer data centres than runners.
+        evacuated = {
+            name
+            for name in {
+                entry.record.data_centre for entry in self.fleet.values()
+            }
+            if self.evacuations.is_evacuated(name)
+        }
+        return [
+            entry
+            for entry in self.fleet.values()
+            if entry.record.data_centre not in evacuated
+        ]
--- a/tamarackhatch/scheduler/_dispatcher.py
+++ b/tamarackhatch/scheduler/_dispatcher.py
@@ -179,7 +179,9 @@
         if not suspects:
             return
         now = context.get_now()
-        allowances = _isolation.count_allowances(context.fleet.values(), now)
+        allowances = _isolation.count_allowances(
+            context.list_open_runners(), now
+        )
         for task in _isolation.order_suspects(suspects):
             service = task.job.job.queue.service
             group = candidates.get(service, [])
@@ -263,7 +265,7 @@
             now - self._registry_read > context.settings.bounds.contact
         )
         candidates: dict[str, list[placement.CandidateRunner]] = {}
-        for entry in context.fleet.values():
+        for entry in context.list_open_runners():
             service = entry.record.service
             if is_outdated and not context.enforces_capacity(service):
                 continue
--- a/tamarackhatch/scheduler/_isolation.py
+++ b/tamarackhatch/scheduler/_isolation.py
@@ -20,7 +20,13 @@
 def count_allowances(
     fleet: Iterable[_fleet.RunnerEntry], now: datetime.timedelta
 ) -> collections.Counter[str]:
-    """Returns how many more runners may be isolated, by service."""
+    """Returns how many more runners may be isolated, by service.
+
+    Args:
+        fleet: Runners outside evacuated data centres; the others run nothing
+            new, so they do not count.
+        now: Monotonic time.
+    """
     runners: collections.Counter[str] = collections.Counter()
     isolated: collections.Counter[str] = collections.Counter()
     for entry in fleet:
--- a/tamarackhatch/scheduler/_scheduler.py
+++ b/tamarackhatch/scheduler/_scheduler.py
@@ -13,6 +13,7 @@
 from tamarackhatch.scheduler import _context
 from tamarackhatch.scheduler import _dependencies
 from tamarackhatch.scheduler import _dispatcher
+from tamarackhatch.scheduler import _evacuations
 from tamarackhatch.scheduler import _garbage_collector
 from tamarackhatch.scheduler import _job_tracker
 from tamarackhatch.scheduler import _load_monitor
@@ -80,6 +81,14 @@
         self._tickets = _tickets.TicketCache(
             dependencies.advice_client, time_source, wake.set, log
         )
+        self._evacuations = _evacuations.EvacuationWatcher(
+            store,
+            time_source,
+            configured.bounds.evacuation,
+            wake.set,
+            log,
+            metrics,
+        )
         self._context = _context.SchedulerContext(
             clock=time_source,
             settings=configured,
@@ -97,6 +106,7 @@
             policy=dependencies.policy,
             tickets=self._tickets,
             load_monitor=_load_monitor.LoadMonitor(time_source, log, metrics),
+            evacuations=self._evacuations,
             enforces_capacity=dependencies.enforces_capacity,
             wake=wake,
         )
@@ -171,6 +181,10 @@
         try:
             tasks.append(asyncio.create_task(self._writer.run()))
             tasks.append(asyncio.create_task(self._start_up(claim_time)))
+            if self._evacuations.is_enabled:
+                # The first read takes no time from the takeover, because it
+                # is made while jobs are loaded.
+                tasks.append(asyncio.create_task(self._evacuations.run()))
             await self._wait_for_end(tasks)
             if self._stopping.is_set() and not self._leader_lease.is_revoked:
                 await self._hand_over_term(tasks)
