--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -3,6 +3,7 @@
 import asyncio
 import base64
 from collections.abc import Callable
+from collections.abc import Sequence
 import datetime
 import os
 import typing
@@ -159,7 +160,18 @@
         seed: int = 0,
         log_path: str = os.devnull,
         policy: placement.PlacementPolicy = placement.PlacementPolicy(),
+        data_centres: Sequence[str] = ("here",),
     ) -> None:
+        """Creates the deployment, without instances.
+
+        Args:
+            runners: Number of runners.
+            plan: Plan of all runs.
+            seed: Seed of the network's faults.
+            log_path: File to which instances append their logs.
+            policy: Placement policy of all instances.
+            data_centres: Data centres of the runners, in turn.
+        """
         self.policy = policy
         loop = asyncio.get_running_loop()
         self.clock = virtual_time.VirtualClock(loop)
@@ -179,14 +191,18 @@
         self.publish_configuration(1)
         self._registrations: list[asyncio.Task[None]] = []
         for index in range(runners):
-            self.add_runner(plan, index)
+            data_centre = data_centres[index % len(data_centres)]
+            self.add_runner(plan, index, data_centre)
 
-    def add_runner(self, plan: runner.Plan, index: int) -> None:
+    def add_runner(
+        self, plan: runner.Plan, index: int, data_centre: str = "here"
+    ) -> None:
         """Makes a runner, connects it and starts its registration."""
         address = f"10.1.0.{index + 1}:8000"
         added = runner.RunnerStandIn(
             f"i-{index}", address, SERVICE, plan, self.history
         )
+        added.data_centre = data_centre
         self.adopt_runner(added)
 
     def adopt_runner(self, added: runner.RunnerStandIn) -> None:
--- a/standins/history.py
+++ b/standins/history.py
@@ -148,12 +148,20 @@
             if record.data_centre == data_centre and record.ended is None:
                 record.ended = asyncio.get_running_loop().time()
 
-    def list_runs_in(self, data_centre: str) -> list[RunRecord]:
-        """Returns the runs on the runners of a data centre."""
+    def list_runs_in(
+        self, data_centre: str, since: float = 0.0
+    ) -> list[RunRecord]:
+        """Returns the runs on the runners of a data centre.
+
+        Args:
+            data_centre: Name of the data centre.
+            since: Loop time after which the runs started, in seconds.
+        """
         return [
             run
             for run in self.runs
             if self._data_centres.get(run.runner) == data_centre
+            and run.started > since
         ]
 
     def get_reservation(self, task: str) -> model.Resources:
@@ -285,9 +293,10 @@
                 f"at {record.ordered:.2f} s",
             )
             for record in self._evacuations
-            for run in self.list_runs_in(record.data_centre)
-            if run.started > record.ordered + EVACUATION_BOUND_S
-            and (record.ended is None or run.started < record.ended)
+            for run in self.list_runs_in(
+                record.data_centre, record.ordered + EVACUATION_BOUND_S
+            )
+            if record.ended is None or run.started < record.ended
         ]
 
     def _get_limits(self, run: RunRecord) -> tuple[float, ...]:
--- a/standins/tests/test_checker.py
+++ b/standins/tests/test_checker.py
@@ -134,3 +134,34 @@
         history.RunRecord("i-0", 1, "00.0.0.1", 1, 7, second_started),
     ]
     assert {item.rule for item in record.check(2)} == rules
+
+
+@pytest.mark.parametrize(
+    ("started", "rules"),
+    [
+        (0.5, set()),
+        (5.9, set()),
+        (6.1, {"EVACUATED"}),
+        (9.9, {"EVACUATED"}),
+        (10.1, set()),
+    ],
+)
+@pytest.mark.parametrize("data_centre", ["east", "west"])
+def test_start_in_an_evacuated_data_centre_is_found(
+    started: float, rules: set[str], data_centre: str
+) -> None:
+    """Guards against missed starts after the bound, and false findings."""
+    record = history.History()
+    record.accepted.add("00")
+    record.record_data_centre("i-1", data_centre)
+
+    async def record_evacuation() -> None:
+        await asyncio.sleep(1)
+        record.record_evacuation("east")
+        await asyncio.sleep(9)
+        record.record_return("east")
+
+    virtual_time.run_virtually(record_evacuation())
+    record.runs = [_make_run(1, started, None)]
+    found = {item.rule for item in record.check(2)}
+    assert found == (rules if data_centre == "east" else set())
--- a/tamarackhatch/platform/tests/test_decoding.py
+++ b/tamarackhatch/platform/tests/test_decoding.py
@@ -120,3 +120,25 @@
     queue = configuration.find_queue("h", "/p/q/00")
     assert queue is not None and queue.name == "b"
     assert configuration.find_queue("other", "/p/q/00") is None
+
+
+@pytest.mark.parametrize(
+    ("key", "data_centre"),
+    [
+        ("evacuate/z-1", "z-1"),
+        ("evacuate/a/b", "a/b"),
+        ("evacuate/", None),
+        ("evacuate", None),
+        ("evacuate0", None),
+        ("config", None),
+    ],
+)
+def test_key_of_an_evacuation_is_decoded(
+    key: str, data_centre: str | None
+) -> None:
+    """Guards against missed orders, and other rows taken for orders."""
+    assert platform.get_evacuated_data_centre(key) == data_centre
+    is_in_range = (
+        platform.FIRST_EVACUATION_KEY <= key < platform.EVACUATION_KEYS_END
+    )
+    assert is_in_range or data_centre is None
