--- a/tamarackhatch/scheduler/tests/test_evacuation_watcher.py
+++ b/tamarackhatch/scheduler/tests/test_evacuation_watcher.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Callable
+from collections.abc import Collection
 import datetime
 import os
 import typing
@@ -20,11 +21,20 @@
 
 
 class _RowStore:
-    """Answers reads from a list of keys, in pages of two rows."""
+    """Answers reads from a list of keys, in pages of two rows.
+
+    Attributes:
+        keys: Keys of the rows.
+        failing_reads: Numbers of the reads that fail, from 1.
+        lost_reads: Numbers of the reads that get no answer.
+        ranges: First key and end of the range of each read.
+        reads: Number of reads so far.
+    """
 
     def __init__(self, keys: list[str]) -> None:
         self.keys = keys
         self.failing_reads: set[int] = set()
+        self.lost_reads: Collection[int] = ()
         self.ranges: list[tuple[str, str]] = []
         self.reads = 0
 
@@ -41,6 +51,9 @@
         await asyncio.sleep(0.004)
         self.reads += 1
         self.ranges.append((first, end))
+        if self.reads in self.lost_reads:
+            await asyncio.sleep(timeout.total_seconds())
+            raise model.StoreUnavailableError("a test")
         if self.reads in self.failing_reads:
             raise model.StoreUnavailableError("a test")
         keys = sorted(key for key in self.keys if first <= key < end)
@@ -161,6 +174,41 @@
     _watch(store, check, bound_s * _SECOND)
 
 
+@pytest.mark.parametrize(
+    ("lost_reads", "closed_s"),
+    [
+        # Two reads in a row are lost.
+        (range(2, 4), None),
+        # All reads are lost. A start that is sent just before takes 0.8 s.
+        (range(2, 99), _BOUND.total_seconds() - 0.8),
+    ],
+)
+def test_nothing_starts_when_an_unread_order_may_count(
+    lost_reads: Collection[int], closed_s: float | None
+) -> None:
+    """Guards against starts after the bound of an order that was not read.
+
+    It also guards against starts that end although few reads are lost.
+    """
+    store = _RowStore([])
+    store.lost_reads = lost_reads
+
+    async def check(watcher: _evacuations.EvacuationWatcher) -> None:
+        await asyncio.sleep(0.1)
+        closed_at = None
+        while (time := asyncio.get_running_loop().time()) < 8:
+            if watcher.is_evacuated("d0") and closed_at is None:
+                closed_at = time
+            await asyncio.sleep(0.01)
+        if closed_s is None:
+            assert closed_at is None
+        else:
+            assert closed_at is not None
+            assert closed_s - 1 < closed_at <= closed_s
+
+    _watch(store, check)
+
+
 def test_watcher_without_a_bound_evacuates_nothing() -> None:
     """Guards against starts that wait for reads that nobody makes."""
     store = _RowStore(["evacuate/d0"])
