--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -3,6 +3,7 @@
 import asyncio
 import base64
 from collections.abc import Callable
+from collections.abc import Sequence
 import datetime
 import os
 import typing
@@ -85,7 +86,7 @@
             caller_address=address,
             readiness_address=address,
             store_address=address,
-            bounds=settings.Bounds(max_lease=runner.MAX_LEASE),
+            bounds=fleet.bounds,
         )
         self.configuration: service.ConfigurationWatcher | None = None
         if has_configuration:
@@ -156,6 +157,7 @@
         apply_time: Time within which instances apply a configuration.
         enforces_capacity: Whether runners reject tasks that do not fit, as the
             configuration says.
+        bounds: Time bounds of the instances that are started from now on.
     """
 
     def __init__(
@@ -165,7 +167,18 @@
         seed: int = 0,
         log_path: str = os.devnull,
         policy: placement.PlacementPolicy = placement.PlacementPolicy(),
+        data_centres: Sequence[str] = ("here",),
     ) -> None:
+        """Creates the deployment, without instances.
+
+        Args:
+            runners: Number of runners.
+            plan: Plan of all runs.
+            seed: Seed of the network's faults.
+            log_path: File to which instances append their logs.
+            policy: Placement policy of all instances.
+            data_centres: Data centres of the runners, in turn.
+        """
         self.policy = policy
         loop = asyncio.get_running_loop()
         self.clock = virtual_time.VirtualClock(loop)
@@ -177,6 +190,7 @@
         self.incarnations = 0
         self.apply_time = datetime.timedelta(milliseconds=2500)
         self.enforces_capacity = True
+        self.bounds = settings.Bounds(max_lease=runner.MAX_LEASE)
         self.log_descriptor = os.open(
             log_path, os.O_WRONLY | os.O_CREAT | os.O_APPEND
         )
@@ -184,14 +198,18 @@
         self.publish_configuration(1)
         self._registrations: list[asyncio.Task[None]] = []
         for index in range(runners):
-            self.add_runner(plan, index)
+            data_centre = data_centres[index % len(data_centres)]
+            self.add_runner(plan, index, data_centre)
 
-    def add_runner(self, plan: runner.Plan, index: int) -> None:
+    def add_runner(
+        self, plan: runner.Plan, index: int, data_centre: str = "here"
+    ) -> None:
         """Makes a runner, connects it and starts its registration."""
         address = f"10.1.0.{index + 1}:8000"
         added = runner.RunnerStandIn(
             f"i-{index}", address, SERVICE, plan, self.history
         )
+        added.data_centre = data_centre
         self.adopt_runner(added)
 
     def adopt_runner(self, added: runner.RunnerStandIn) -> None:
@@ -202,6 +220,17 @@
             asyncio.create_task(self._register_periodically(added))
         )
 
+    def evacuate(self, data_centre: str) -> None:
+        """Orders the evacuation of a data centre, as the operator does."""
+        value = base64.b64encode(b"{}").decode()
+        self.store.put("op", f"evacuate/{data_centre}", value)
+        self.history.record_evacuation(data_centre)
+
+    def end_evacuation(self, data_centre: str) -> None:
+        """Returns a data centre to service, as the operator does."""
+        self.store.remove("op", f"evacuate/{data_centre}")
+        self.history.record_return(data_centre)
+
     def start_instance(
         self, name: str, has_configuration: bool = False
     ) -> VirtualInstance:
