Let the stand-in runner report progress and checkpoints

Runs of the stand-in always listed 100 % and no checkpoint, so that no test could show what depends on progress. With a checkpoint interval a runner now lists progress and checkpoints, resumes runs from them, and gives its runs a share of their full speed that a test sets. Run moves to a module of its own, and a fleet has the bounds of its instances' settings.

--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -74,7 +74,7 @@
             caller_address=address,
             readiness_address=address,
             store_address=address,
-            bounds=settings.Bounds(max_lease=runner.MAX_LEASE),
+            bounds=fleet.bounds,
         )
         sink = observability.LineSink(fleet.log_descriptor, fleet.clock, 10**9)
         log = observability.Log(
@@ -149,6 +149,8 @@
         apply_time: Time within which instances apply a configuration.
         enforces_capacity: Whether runners reject tasks that do not fit, as the
             configuration says.
+        bounds: Time bounds in the settings of instances that start from now
+            on.
     """
 
     def __init__(
@@ -170,6 +172,7 @@
         self.incarnations = 0
         self.apply_time = datetime.timedelta(milliseconds=2500)
         self.enforces_capacity = True
+        self.bounds = settings.Bounds(max_lease=runner.MAX_LEASE)
         self.log_descriptor = os.open(
             log_path, os.O_WRONLY | os.O_CREAT | os.O_APPEND
         )
--- a/standins/runner.py
+++ b/standins/runner.py
@@ -7,11 +7,11 @@
 import math
 import typing
 
-import attrs
 import orjson
 
 from standins import history
 from standins import network
+from standins import runs
 from standins import store
 from tamarackhatch import model
 
@@ -23,69 +23,16 @@
 _RESTART_S = 3.0
 
 
-@attrs.define
-class Run:
-    """A run in progress; loop times are in seconds.
-
-    Attributes:
-        task: Name of the task.
-        run: Number of the run.
-        started: Loop time at which it started.
-        work_s: Seconds that it takes at full speed.
-        exit_reason: Exit reason that the runner reports for it.
-        token: Fencing token of the start.
-        speed_limit: Share of its full speed at which it may run, 0 to 1.
-        work_done_s: Part of ``work_s`` that was done when the speed limit last
-            changed.
-        limit_changed: Loop time at which the speed limit last changed.
-        stop_time: Loop time at which a command stops it; infinite without one.
-    """
-
-    task: str
-    run: int
-    started: float
-    work_s: float
-    exit_reason: str
-    token: int
-    speed_limit: float = 1.0
-    work_done_s: float = 0.0
-    limit_changed: float = 0.0
-    stop_time: float = math.inf
-
-    @property
-    def is_stopping(self) -> bool:
-        """Whether a command to stop it has arrived."""
-        return self.stop_time < math.inf
-
-    @property
-    def exit_time(self) -> float:
-        """Loop time at which it exits."""
-        if not self.speed_limit:
-            return self.stop_time
-        own_exit_time = (
-            self.limit_changed
-            + (self.work_s - self.work_done_s) / self.speed_limit
-        )
-        return min(self.stop_time, own_exit_time)
-
-    def compute_progress(self, now: float) -> float:
-        """Returns the share of its work that is done, 0 to 1."""
-        done = self.work_done_s + (now - self.limit_changed) * self.speed_limit
-        return min(1.0, done / self.work_s)
-
-    def set_speed_limit(self, now: float, speed_limit: float) -> None:
-        """Changes the share of its full speed at which it may run."""
-        self.work_done_s += (now - self.limit_changed) * self.speed_limit
-        self.limit_changed, self.speed_limit = now, speed_limit
-
-
+Run = runs.Run
 Plan = Callable[[str, int], tuple[float, str]]
 
 
 class RunnerStandIn:
     """Runs tasks under a lease, and reports them and their exits.
 
-    A plan gives the seconds and the exit reason of each task and run.
+    A plan gives the seconds and the exit reason of each task and run. Without
+    a checkpoint interval all runs are listed with 100 % and no checkpoint, and
+    start from the beginning.
 
     Attributes:
         identifier: Name of the runner in the registry.
@@ -102,6 +49,9 @@
         is_down: Whether the process has crashed and is not back yet.
         gets_new_identifier: Whether it is back under a new identifier after a
             run has crashed it.
+        checkpoint_interval_s: Seconds of work between two checkpoints of a
+            run; None for runs without progress and checkpoints.
+        restore_s: Seconds that a run needs to resume from a checkpoint.
     """
 
     def __init__(
@@ -125,6 +75,9 @@
         self.enforces_capacity = False
         self.is_down = False
         self.gets_new_identifier = True
+        self.checkpoint_interval_s: float | None = None
+        self.restore_s = 0.0
+        self._speed = 1.0
         self._earlier_identifiers: list[str] = []
         self._plan = plan
         self._history = run_history
@@ -150,6 +103,20 @@
         self._update()
         return sorted(self._runs)
 
+    @property
+    def speed(self) -> float:
+        """Share of their full speed that it gives runs without a limit."""
+        return self._speed
+
+    @speed.setter
+    def speed(self, speed: float) -> None:
+        self._update()
+        self._speed = speed
+        now = asyncio.get_running_loop().time()
+        for run in self._runs.values():
+            run.set_runner_speed(now, speed)
+        self._wake_renewals()
+
     def crash(self) -> None:
         """Ends all runs without a report and starts a new incarnation."""
         self._update()
@@ -285,7 +252,21 @@
 
     def _list_run(self, run: Run) -> list[typing.Any]:
         """Returns a run's row: task, run, checkpoint, percent, sample."""
-        return [run.task, run.run, "", 100, 0]
+        if self.checkpoint_interval_s is None:
+            return [run.task, run.run, "", 100, 0]
+        now = asyncio.get_running_loop().time()
+        percent = int(100 * run.compute_progress(now))
+        return [run.task, run.run, self._get_checkpoint(run, now), percent, 0]
+
+    def _get_checkpoint(self, run: Run, time: float) -> str:
+        """Returns the latest checkpoint: the seconds of work that it saves.
+
+        Empty for none.
+        """
+        if self.checkpoint_interval_s is None:
+            return ""
+        count = run.compute_work_done(time) // self.checkpoint_interval_s
+        return str(count * self.checkpoint_interval_s) if count else ""
 
     def _start(self, body: network.Body) -> network.Response:
         task, number = body["task"], body["run"]
@@ -307,6 +288,8 @@
             return self._make_response(409, reason="room")
         work_s, exit_reason = self._plan(task, number)
         now = asyncio.get_running_loop().time()
+        checkpoint = body.get("checkpoint", "")
+        is_resumed = self.checkpoint_interval_s is not None and checkpoint
         self._runs[task] = Run(
             task,
             number,
@@ -314,7 +297,9 @@
             work_s,
             exit_reason,
             body["fencing_token"],
-            limit_changed=now,
+            runner_speed=self._speed,
+            work_done_s=float(checkpoint) if is_resumed else 0.0,
+            limit_changed=now + self.restore_s if is_resumed else now,
         )
         self._history.record_start(
             self.identifier,
@@ -389,8 +374,15 @@
             self._closed_runs.get(run.task, 0), run.run
         )
         self._last_exit_number += 1
+        checkpoint = self._get_checkpoint(run, time)
         self._exits.append(
-            [self._last_exit_number, run.task, run.run, exit_reason, ""]
+            [
+                self._last_exit_number,
+                run.task,
+                run.run,
+                exit_reason,
+                checkpoint,
+            ]
         )
         self._history.record_exit(
             self.identifier,
