Move runs that would be done much sooner on another runner

A step of 20 best-effort tasks takes twice the median run time of its tasks, because its slowest run stays on a throttled or crowded runner although it has a checkpoint and other runners run at full speed.

The new pure package stragglers measures progress rates from successive reports and compares the remaining time here with the time elsewhere; the scheduler evicts the runs that are worth it twice a second, if placement finds a runner at full speed. The next placement avoids the runner that was left for 3 s.

Tests in virtual time: a step of 20 with three runners at a tenth of their speed takes less than half as long; nothing moves where all are equally slow; takeovers, cancellations, silent runners and failures in the middle of moves break no rule.

--- a/tamarackhatch/observability/_metrics.py
+++ b/tamarackhatch/observability/_metrics.py
@@ -94,6 +94,23 @@
             "Changes of the capacity that a runner registers.",
             registry=self._registry,
         )
+        self.straggler_moves = prometheus_client.Counter(
+            "tamarackhatch_straggler_moves",
+            "Moves of slow runs that have ended, by outcome.",
+            ["outcome"],
+            registry=self._registry,
+        )
+        self.withheld_moves = prometheus_client.Counter(
+            "tamarackhatch_straggler_moves_withheld",
+            "Slow runs that were not moved in a pass, by the reason.",
+            ["reason"],
+            registry=self._registry,
+        )
+        self.repeated_work = prometheus_client.Counter(
+            "tamarackhatch_straggler_lost_work_seconds",
+            "Work at full speed that moved runs repeat, as estimated.",
+            registry=self._registry,
+        )
         self.waiting = prometheus_client.Gauge(
             "tamarackhatch_waiting_tasks",
             "Tasks that wait for a runner.",
--- a/tamarackhatch/scheduler/_dispatcher.py
+++ b/tamarackhatch/scheduler/_dispatcher.py
@@ -46,7 +46,7 @@
         priority: Priority of the queue.
         rank: Kind of the tasks.
         demand: Millicores that the unfinished tasks of a batch job ask for;
-            0 if the tasks have waited too long.
+            0 if the tasks have waited too long, or one of them is moved.
         is_unlimited: Whether any number of the step's long-running tasks may
             share a runner. Limited steps go first because they need the most
             runners of their image; the others fill these up.
@@ -122,7 +122,7 @@
         began = context.get_now()
         groups = sorted(waiting.values(), key=self._get_scheduling_key)
         is_grouping = self._is_grouping(groups)
-        candidates = self._list_candidates()
+        candidates = self.list_candidates()
         self._place_suspects(groups, candidates)
         for group in groups:
             self._run_group(group, is_grouping, candidates)
@@ -185,7 +185,7 @@
             group = candidates.get(service, [])
             if allowances[service] <= 0:
                 continue
-            allowed = self._filter_by_ticket(task, group)
+            allowed = self.filter_by_ticket(task, group)
             chosen = self._choose_runners(
                 [task],
                 _isolation.list_isolation_candidates(
@@ -228,7 +228,9 @@
         now = self._context.get_now()
         waited = max(waiting.compute_wait(now) for waiting in group.values())
         if not task.step.is_long_running:
-            may_wait = waited < policy.batch_wait
+            may_wait = waited < policy.batch_wait and not any(
+                waiting.departure for waiting in group.values()
+            )
             demand = task.job.compute_demand() if may_wait else 0
             return _SchedulingKey(
                 priority, _Rank.BATCH, demand, False, "", accepted
@@ -254,7 +256,8 @@
         version = self._paused_version
         return version is None or task.job.version <= version
 
-    def _list_candidates(self) -> dict[str, list[placement.CandidateRunner]]:
+    def list_candidates(self) -> dict[str, list[placement.CandidateRunner]]:
+        """Returns the runners that may start tasks now, by service."""
         context = self._context
         now = context.get_now()
         # A runner may have shrunk since, and not every runner rejects tasks
@@ -288,16 +291,21 @@
         first = tasks[0]
         if first.step.is_gang:
             return self._place_gang(tasks, candidates)
-        allowed = self._filter_by_ticket(first, candidates)
-        failed_before = [task for task in tasks if task.failed_on]
+        allowed = self.filter_by_ticket(first, candidates)
+        now = self._context.get_now()
+        others = []
         placed = 0
-        for task in failed_before:
-            choices = self._choose_runners([task], allowed, task.failed_on)
-            choices = choices or self._choose_runners([task], allowed)
-            placed += self._start_chosen_tasks(choices)
-        never_failed = [task for task in tasks if not task.failed_on]
+        for task in tasks:
+            exclusions = task.list_exclusions(now)
+            if not exclusions:
+                others.append(task)
+            for excluded in exclusions:
+                choices = self._choose_runners([task], allowed, excluded)
+                placed += self._start_chosen_tasks(choices)
+                if choices:
+                    break
         placed += self._start_chosen_tasks(
-            self._choose_runners(never_failed, allowed)
+            self._choose_runners(others, allowed)
         )
         if placed < len(tasks):
             self._request_tickets(first, candidates)
@@ -314,18 +322,20 @@
             return []
         policy = self._context.policy
         waited = tasks[0].compute_wait(self._context.get_now())
+        # A moved task has waited before, and its place may be taken.
+        may_be_slower = (
+            waited >= policy.full_speed_wait or tasks[0].departure is not None
+        )
         return placement.choose_runners(
             [task.key for task in tasks],
             tasks[0].step,
             candidates,
             policy,
-            min_speed=(
-                policy.min_speed if waited >= policy.full_speed_wait else 1.0
-            ),
+            min_speed=policy.min_speed if may_be_slower else 1.0,
             is_excluded=excluded.__contains__,
         )
 
-    def _filter_by_ticket(
+    def filter_by_ticket(
         self,
         task: _state.TaskEntry,
         candidates: list[placement.CandidateRunner],
@@ -378,7 +388,7 @@
         members = occurrence.steps[tasks[0].key.step]
         if len(tasks) < len(members):
             return 0
-        allowed = self._filter_by_ticket(members[0], candidates)
+        allowed = self.filter_by_ticket(members[0], candidates)
         choices = self._choose_runners(members, allowed)
         if len(choices) < len(members):
             for key, candidate, _ in choices:
--- a/tamarackhatch/scheduler/_job_tracker.py
+++ b/tamarackhatch/scheduler/_job_tracker.py
@@ -229,6 +229,7 @@
         task.placed_at = self._clock.get_monotonic()
         task.speed_limit_percent = 100
         task.progress_percent = 0
+        task.progress_reported_at = None
         task.ready_since = None
         task.confirmed = None
         self._enter_phase(task, _state.TaskPhase.STARTING)
@@ -250,6 +251,7 @@
             waited = task.confirmed - task.phase_since
             self._metrics.start_seconds.observe(waited.total_seconds())
         task.waiting_since = None
+        task.departure = None
         if task.phase is not _state.TaskPhase.RUNNING:
             runner.record_running_task(task, task.confirmed)
         self._enter_phase(task, _state.TaskPhase.RUNNING)
--- a/tamarackhatch/scheduler/_runner_reconciler.py
+++ b/tamarackhatch/scheduler/_runner_reconciler.py
@@ -412,6 +412,7 @@
             self._commands.stop_orphan(entry, item)
             return
         task.progress_percent = item.progress_percent
+        task.progress_reported_at = entry.clock_read
         if item.checkpoint:
             task.checkpoint = item.checkpoint
 
--- a/tamarackhatch/scheduler/_scheduler.py
+++ b/tamarackhatch/scheduler/_scheduler.py
@@ -18,6 +18,7 @@
 from tamarackhatch.scheduler import _load_monitor
 from tamarackhatch.scheduler import _runner_manager
 from tamarackhatch.scheduler import _state
+from tamarackhatch.scheduler import _stragglers
 from tamarackhatch.scheduler import _tickets
 from tamarackhatch.scheduler import _writer
 
@@ -117,6 +118,11 @@
         self._dispatcher = _dispatcher.Dispatcher(
             self._context, self._commands
         )
+        self._straggler_mover = _stragglers.StragglerMover(
+            self._context,
+            self._dispatcher.list_candidates,
+            self._dispatcher.filter_by_ticket,
+        )
         self._runner_manager = _runner_manager.RunnerManager(
             self._context, self._commands, self._dispatcher
         )
@@ -211,6 +217,7 @@
             group.create_task(self._runner_watcher.follow())
             group.create_task(self._job_watcher.follow())
             group.create_task(self._dispatcher.run())
+            group.create_task(self._straggler_mover.run())
             group.create_task(self._tickets.run())
             group.create_task(self._garbage_collector.run())
             group.create_task(
--- a/tamarackhatch/scheduler/_state.py
+++ b/tamarackhatch/scheduler/_state.py
@@ -33,6 +33,22 @@
     DONE = "done"
 
 
+@attrs.frozen
+class Departure:
+    """A move of a task away from a runner, until its next run is confirmed.
+
+    Attributes:
+        runner: Identifier of the runner that the run leaves.
+        until: Monotonic time until which the task is not placed there.
+        slow_runners: Runners that proceed slowly, which are avoided if others
+            have capacity.
+    """
+
+    runner: str
+    until: datetime.timedelta
+    slow_runners: frozenset[str] = frozenset()
+
+
 @attrs.define(eq=False)
 class TaskEntry:
     """A task.
@@ -53,6 +69,8 @@
             terms are not known.
         checkpoint: Latest checkpoint; empty for none.
         progress_percent: Progress in the runner's last report, in per cent.
+        progress_reported_at: Monotonic time of that report; None if the
+            latest run was not reported yet.
         speed_limit_percent: Latest speed limit sent, in per cent of full
             speed; None if the limit in force is not known.
         ticket: Ticket of the placement policy for the latest run; empty
@@ -66,6 +84,8 @@
         confirmed: Monotonic time; reports to renewals sent later list the run
             if it exists. None while the outcome of a command is unknown.
         failed_on: Runners on which a run failed.
+        departure: The move that stopped the latest run, until the next run is
+            confirmed; None for most tasks.
         ready_since: Monotonic time at which the latest run was first reported
             ready, for a serving task; None before.
         is_unblocked_in_term: Whether the task waits because of the exit of a
@@ -85,6 +105,7 @@
     crash_addresses: dict[int, str] = attrs.field(factory=dict)
     checkpoint: str = ""
     progress_percent: int = 0
+    progress_reported_at: datetime.timedelta | None = None
     speed_limit_percent: int | None = 100
     ticket: str = ""
     phase_since: datetime.timedelta = datetime.timedelta()
@@ -92,6 +113,7 @@
     placed_at: datetime.timedelta = datetime.timedelta()
     confirmed: datetime.timedelta | None = None
     failed_on: frozenset[str] = frozenset()
+    departure: Departure | None = None
     ready_since: datetime.timedelta | None = None
     is_unblocked_in_term: bool = False
 
@@ -105,6 +127,18 @@
         """Whether a run of the task may exist."""
         return self.runner is not None
 
+    def list_exclusions(self, now: datetime.timedelta) -> list[frozenset[str]]:
+        """Returns the sets of runners to exclude, the first to try first.
+
+        Empty if the task has neither failed nor been moved.
+        """
+        departure = self.departure
+        if departure is None:
+            return [self.failed_on, frozenset()] if self.failed_on else []
+        is_recent = now < departure.until
+        left = frozenset({departure.runner} if is_recent else ())
+        return [left | self.failed_on | departure.slow_runners, left]
+
     def compute_wait(self, now: datetime.timedelta) -> datetime.timedelta:
         """Returns how long the task has waited to run, at a monotonic time."""
         if self.waiting_since is None:
