Order stopped stragglers without overflow, and test the decision

The gain of a move of a run at speed limit 0 was the largest timedelta, and its negative overflowed in the sort key: the scheduler's term ended. The gain is now in seconds.

--- a/tamarackhatch/scheduler/tests/test_stragglers.py
+++ b/tamarackhatch/scheduler/tests/test_stragglers.py
@@ -3,6 +3,7 @@
 import asyncio
 import datetime
 import pathlib
+import typing
 
 import attrs
 import orjson
@@ -49,6 +50,15 @@
         raise network.BrokenConnectionError
 
 
+class _ViolatedRunner(runner.RunnerStandIn):
+    """Lists serving tasks over their target, and obeys speed limits."""
+
+    def _list_run(self, run: runner.Run) -> list[typing.Any]:
+        if run.task.startswith("01."):
+            return [run.task, run.run, "", 100, 60]
+        return super()._list_run(run)
+
+
 class _Trial:
     """A fleet on which a step of best-effort tasks runs.
 
@@ -64,7 +74,7 @@
         work_s: dict[str, float] | None = None,
     ) -> None:
         self._log_path = log_path
-        works = work_s or {}
+        self._works = work_s or {}
         self.fleet = standin_fleet.VirtualFleet(
             runners=0, log_path=str(log_path)
         )
@@ -75,17 +85,23 @@
             checkpoint_interval=500 * _MS,
         )
         for index, speed in enumerate(speeds):
-            added = _SilencedRunner(
-                f"i-{index}",
-                f"10.1.0.{index + 1}:8000",
-                standin_fleet.SERVICE,
-                lambda task, run: (works.get(task, _WORK_S), "done"),
-                self.fleet.history,
-            )
-            added.checkpoint_interval_s = 0.5
-            added.restore_s = _RESTORE.total_seconds()
-            added.speed = speed
-            self.fleet.adopt_runner(added)
+            self.add_runner(_SilencedRunner, index, speed)
+
+    def add_runner(
+        self, kind: type[runner.RunnerStandIn], index: int, speed: float = 1.0
+    ) -> None:
+        """Adds a runner whose runs proceed at a share of their full speed."""
+        added = kind(
+            f"i-{index}",
+            f"10.1.0.{index + 1}:8000",
+            standin_fleet.SERVICE,
+            lambda task, run: (self._works.get(task, _WORK_S), "done"),
+            self.fleet.history,
+        )
+        added.checkpoint_interval_s = 0.5
+        added.restore_s = _RESTORE.total_seconds()
+        added.speed = speed
+        self.fleet.adopt_runner(added)
 
     async def start(self, *instances: str) -> None:
         """Starts instances and waits until the fleet is in use."""
@@ -178,6 +194,31 @@
     virtual_time.run_virtually(simulate())
 
 
+def test_step_does_not_wait_for_a_run_at_speed_limit_zero(
+    tmp_path: pathlib.Path,
+) -> None:
+    """Guards against runs that stay stopped beside a violated target."""
+
+    async def simulate() -> None:
+        trial = _Trial(tmp_path / "log", [], work_s={"01.0.0.0": 600.0})
+        trial.add_runner(_ViolatedRunner, 0)
+        await trial.start()
+        job = asyncio.create_task(trial.run_job(attrs.evolve(_STEP, count=2)))
+        await asyncio.sleep(1)
+        # A serving task over its target arrives beside the runs.
+        await trial.fleet.submit("01", attrs.evolve(_SERVING, count=1))
+        await asyncio.sleep(0.5)
+        trial.add_runner(_SilencedRunner, 1)
+        assert await job < 8
+        assert {move["runner"] for move in trial.list_moves()} == {"i-0"}
+        assert {
+            move["speed_limit_percent"] for move in trial.list_moves()
+        } == {0}
+        assert trial.fleet.check() == []
+
+    virtual_time.run_virtually(simulate())
+
+
 @pytest.mark.parametrize("speed", [1.0, 0.2])
 def test_nothing_moves_where_all_runners_are_equally_slow(
     tmp_path: pathlib.Path, speed: float
--- a/tamarackhatch/stragglers/_decision.py
+++ b/tamarackhatch/stragglers/_decision.py
@@ -3,6 +3,7 @@
 from collections.abc import Iterable
 import datetime
 import functools
+import math
 
 import attrs
 
@@ -15,7 +16,7 @@
 # The time elsewhere has to be at most this share of the time here, because
 # both are estimates and the next runner may become crowded as well.
 _MAX_TIME_SHARE = 0.5
-_MIN_GAIN = 1 * _SECOND
+_MIN_GAIN_S = 1.0
 _MIN_MOVE_INTERVAL = 3 * _SECOND
 _MAX_MOVES = 4
 
@@ -74,11 +75,11 @@
     lost_work: datetime.timedelta
 
     @property
-    def gain(self) -> datetime.timedelta:
-        """Time that a move saves."""
+    def gain_s(self) -> float:
+        """Seconds that a move saves; infinite if it does not proceed here."""
         if self.here is None:
-            return datetime.timedelta.max
-        return self.here - self.elsewhere
+            return math.inf
+        return (self.here - self.elsewhere).total_seconds()
 
 
 def find_stragglers(
@@ -107,10 +108,10 @@
 
 def _get_order(
     straggler: Straggler,
-) -> tuple[float, int, datetime.timedelta, datetime.timedelta]:
+) -> tuple[float, int, datetime.timedelta, float]:
     """Returns a sort key; runs that hold back their step go first."""
     step = straggler.run.step
-    return (step.priority, step.unfinished, -step.following, -straggler.gain)
+    return (step.priority, step.unfinished, -step.following, -straggler.gain_s)
 
 
 def _assess(
@@ -139,7 +140,7 @@
     ) + cost.restore
     straggler = Straggler(run, rate, full_rate, here, elsewhere, lost_work)
     if here is not None and (
-        elsewhere > _MAX_TIME_SHARE * here or straggler.gain < _MIN_GAIN
+        elsewhere > _MAX_TIME_SHARE * here or straggler.gain_s < _MIN_GAIN_S
     ):
         return None
     return straggler
