--- a/tamarackhatch/placement/_throttling.py
+++ b/tamarackhatch/placement/_throttling.py
@@ -29,6 +29,8 @@
         speed_limit_percent: Speed limit that was last set, in per cent; None
             if unknown.
         intensity: Interference intensity at full speed, from 0 to 1.
+        unfinished: Number of tasks of its step that are not done. Of tasks
+            with equal factors, those whose step has more are throttled first.
     """
 
     task: model.TaskKey
@@ -36,6 +38,7 @@
     requested_share: float
     speed_limit_percent: int | None
     intensity: float = 1.0
+    unfinished: int = 0
 
     @property
     def interfering_share(self) -> float:
@@ -73,7 +76,8 @@
 
     Every best-effort task runs at full speed unless a serving task would
     exceed its limit; then the best-effort tasks with the largest factors are
-    throttled first. If they still ask for more processors than the other
+    throttled first, and of tasks with equal factors those that hold back
+    their step last. If they still ask for more processors than the other
     tasks leave over, all are slowed down alike.
 
     Args:
@@ -160,7 +164,7 @@
     if excess <= 0:
         return
     for factor, best_effort in sorted(
-        terms, key=lambda term: term[0], reverse=True
+        terms, key=lambda term: (term[0], term[1].unfinished), reverse=True
     ):
         added_utilisation = (
             factor
--- a/tamarackhatch/placement/tests/test_choice.py
+++ b/tamarackhatch/placement/tests/test_choice.py
@@ -240,6 +240,33 @@
     } == throttled
 
 
+@pytest.mark.parametrize(
+    ("unfinished", "throttled"),
+    [((0, 0), 0), ((1, 12), 1), ((12, 1), 0), ((3, 3), 0)],
+)
+def test_task_that_holds_back_its_step_is_throttled_last(
+    unfinished: tuple[int, int], throttled: int
+) -> None:
+    """Guards against slowing the last task of a step beside others."""
+    best_effort_tasks = [
+        placement.BestEffortState(
+            model.TaskKey("00", 0, 0, index),
+            "heavy",
+            0.05,
+            100,
+            unfinished=count,
+        )
+        for index, count in enumerate(unfinished)
+    ]
+    speed_limit_percents = placement.choose_speed_limits(
+        _make_interference(),
+        [_make_serving_state(0.6)],
+        best_effort_tasks,
+        _POLICY.uncertainty_weight,
+    )
+    assert list(speed_limit_percents) == [best_effort_tasks[throttled].task]
+
+
 def test_unknown_speed_limit_is_always_sent() -> None:
     """Guards against a task that stays stopped after a takeover."""
     best_effort = placement.BestEffortState(_KEY, "light", 0.1, None)
--- a/tamarackhatch/scheduler/_throttling.py
+++ b/tamarackhatch/scheduler/_throttling.py
@@ -304,6 +304,14 @@
                     task.step.resources.processors / capacity,
                     task.speed_limit_percent,
                     intensity + (1 - intensity) * full_usage_probability,
+                    self._count_unfinished(task),
                 )
             )
         return states
+
+    def _count_unfinished(self, task: _state.TaskEntry) -> int:
+        """Returns the unfinished tasks of a step; 0 where no run is moved."""
+        if self._context.settings.bounds.restore is None:
+            return 0
+        occurrence = task.job.occurrences.get(task.key.occurrence)
+        return occurrence.remaining[task.key.step] if occurrence else 0
