--- a/tamarackhatch/scheduler/tests/test_stragglers.py
+++ b/tamarackhatch/scheduler/tests/test_stragglers.py
@@ -3,29 +3,15 @@
 import asyncio
 import datetime
 import pathlib
-import typing
 
 import attrs
-import orjson
 import pytest
 
-from standins import fleet as standin_fleet
-from standins import network
-from standins import runner
 from standins import virtual_time
 from tamarackhatch import model
+from tamarackhatch.scheduler.tests import straggler_trial
 
 _MS = datetime.timedelta(milliseconds=1)
-_RESTORE = 250 * _MS
-_WORK_S = 2.7
-_STEP = model.Step(
-    20,
-    model.Resources(1800, 500),
-    estimate=2700 * _MS,
-    is_checkpointing=True,
-    is_best_effort=True,
-    image="best-effort",
-)
 _SERVING = model.Step(
     10,
     model.Resources(4000, 500),
@@ -38,109 +24,6 @@
 _MOVE_INTERVAL_S = 3.0
 
 
-class _SilencedRunner(runner.RunnerStandIn):
-    """Is cut off as soon as a stop arrives, and does not carry it out."""
-
-    faults: network.Faults | None = None
-
-    def _stop(self, body: network.Body) -> network.Response:
-        if self.faults is None:
-            return super()._stop(body)
-        self.faults.unreachable_from.add("*")
-        raise network.BrokenConnectionError
-
-
-class _ViolatedRunner(runner.RunnerStandIn):
-    """Lists serving tasks over their target, and obeys speed limits."""
-
-    def _list_run(self, run: runner.Run) -> list[typing.Any]:
-        if run.task.startswith("01."):
-            return [run.task, run.run, "", 100, 60]
-        return super()._list_run(run)
-
-
-class _Trial:
-    """A fleet on which a step of best-effort tasks runs.
-
-    Attributes:
-        fleet: The fleet.
-    """
-
-    def __init__(
-        self,
-        log_path: pathlib.Path,
-        speeds: list[float],
-        restore: datetime.timedelta | None = _RESTORE,
-        work_s: dict[str, float] | None = None,
-    ) -> None:
-        self._log_path = log_path
-        self._works = work_s or {}
-        self.fleet = standin_fleet.VirtualFleet(
-            runners=0, log_path=str(log_path)
-        )
-        self.fleet.bounds = attrs.evolve(
-            self.fleet.bounds,
-            restore=restore,
-            stop_timeout=400 * _MS,
-            checkpoint_interval=500 * _MS,
-        )
-        for index, speed in enumerate(speeds):
-            self.add_runner(_SilencedRunner, index, speed)
-
-    def add_runner(
-        self, kind: type[runner.RunnerStandIn], index: int, speed: float = 1.0
-    ) -> None:
-        """Adds a runner whose runs proceed at a share of their full speed."""
-        added = kind(
-            f"i-{index}",
-            f"10.1.0.{index + 1}:8000",
-            standin_fleet.SERVICE,
-            lambda task, run: (self._works.get(task, _WORK_S), "done"),
-            self.fleet.history,
-        )
-        added.checkpoint_interval_s = 0.5
-        added.restore_s = _RESTORE.total_seconds()
-        added.speed = speed
-        self.fleet.adopt_runner(added)
-
-    async def start(self, *instances: str) -> None:
-        """Starts instances and waits until the fleet is in use."""
-        for name in instances or ("a",):
-            self.fleet.start_instance(name)
-        await self.fleet.wait_until(
-            lambda: self.fleet.get_leader() is not None
-        )
-        # A new scheduler moves nothing for three seconds.
-        await asyncio.sleep(4)
-
-    async def run_job(self, step: model.Step = _STEP) -> float:
-        """Runs a step and returns the seconds until its last run exits."""
-        began = asyncio.get_running_loop().time()
-        await self.fleet.submit("00", step)
-        await self.fleet.wait_for_state("00", model.JobState.COMPLETED, 120)
-        return max(run.exited or 0 for run in self.fleet.history.runs) - began
-
-    async def wait_for_move(self) -> None:
-        """Waits until the scheduler has decided on a move."""
-        await self.fleet.wait_until(lambda: bool(self.list_moves()))
-
-    def list_moves(self) -> list[dict[str, object]]:
-        """Returns the log lines of all moves so far."""
-        lines = self._log_path.read_bytes().splitlines()
-        return [
-            orjson.loads(line) for line in lines if b"straggler_moved" in line
-        ]
-
-    def get_metric(self, name: str) -> float:
-        """Returns the sum of a metric over all labels and instances."""
-        total = 0.0
-        for instance in self.fleet.instances.values():
-            for line in instance.metrics.render().decode().splitlines():
-                if line.partition("{")[0].partition(" ")[0] == name:
-                    total += float(line.split()[-1])
-        return total
-
-
 def _make_speeds(slow: int, speed: float, count: int = 10) -> list[float]:
     return [speed] * slow + [1.0] * (count - slow)
 
@@ -155,7 +38,9 @@
 
     async def simulate(restore: datetime.timedelta | None) -> float:
         log_path = tmp_path / str(restore)
-        trial = _Trial(log_path, _make_speeds(slow_runners, speed), restore)
+        trial = straggler_trial.Trial(
+            log_path, _make_speeds(slow_runners, speed), restore
+        )
         await trial.start()
         took_s = await trial.run_job()
         assert trial.fleet.check() == []
@@ -170,7 +55,7 @@
             assert move["place"] not in slow
         return took_s
 
-    moved_s = virtual_time.run_virtually(simulate(_RESTORE))
+    moved_s = virtual_time.run_virtually(simulate(straggler_trial.RESTORE))
     unmoved_s = virtual_time.run_virtually(simulate(None))
     assert moved_s < max_share * unmoved_s
 
@@ -181,7 +66,7 @@
     """Guards against runs without any progress, which would never end."""
 
     async def simulate() -> None:
-        trial = _Trial(tmp_path / "log", _make_speeds(3, 1.0))
+        trial = straggler_trial.Trial(tmp_path / "log", _make_speeds(3, 1.0))
         await trial.start()
         job = asyncio.create_task(trial.run_job())
         await asyncio.sleep(1.6)
@@ -200,15 +85,19 @@
     """Guards against runs that stay stopped beside a violated target."""
 
     async def simulate() -> None:
-        trial = _Trial(tmp_path / "log", [], work_s={"01.0.0.0": 600.0})
-        trial.add_runner(_ViolatedRunner, 0)
+        trial = straggler_trial.Trial(
+            tmp_path / "log", [], work_s={"01.0.0.0": 600.0}
+        )
+        trial.add_runner(straggler_trial.ViolatedRunner, 0)
         await trial.start()
-        job = asyncio.create_task(trial.run_job(attrs.evolve(_STEP, count=2)))
+        job = asyncio.create_task(
+            trial.run_job(attrs.evolve(straggler_trial.STEP, count=2))
+        )
         await asyncio.sleep(1)
         # A serving task over its target arrives beside the runs.
         await trial.fleet.submit("01", attrs.evolve(_SERVING, count=1))
         await asyncio.sleep(0.5)
-        trial.add_runner(_SilencedRunner, 1)
+        trial.add_runner(straggler_trial.SilencedRunner, 1)
         assert await job < 8
         assert {move["runner"] for move in trial.list_moves()} == {"i-0"}
         assert {
@@ -226,7 +115,9 @@
     """Guards against moves that only lose work, in a saturated fleet."""
 
     async def simulate() -> None:
-        trial = _Trial(tmp_path / "log", _make_speeds(10, speed))
+        trial = straggler_trial.Trial(
+            tmp_path / "log", _make_speeds(10, speed)
+        )
         await trial.start()
         await trial.run_job()
         assert trial.list_moves() == []
@@ -244,7 +135,7 @@
     """
 
     async def simulate() -> None:
-        trial = _Trial(tmp_path / "log", _make_speeds(9, speed))
+        trial = straggler_trial.Trial(tmp_path / "log", _make_speeds(9, speed))
         await trial.start()
         job = asyncio.create_task(trial.run_job())
         await asyncio.sleep(1.5)
@@ -271,9 +162,13 @@
     """Guards against lost checkpoints, and starts on the same runner."""
 
     async def simulate() -> None:
-        trial = _Trial(tmp_path / "log", _make_speeds(1, 1.0, count=4))
+        trial = straggler_trial.Trial(
+            tmp_path / "log", _make_speeds(1, 1.0, count=4)
+        )
         await trial.start()
-        job = asyncio.create_task(trial.run_job(attrs.evolve(_STEP, count=8)))
+        job = asyncio.create_task(
+            trial.run_job(attrs.evolve(straggler_trial.STEP, count=8))
+        )
         await asyncio.sleep(1.6)
         # The runs there have done 1.5 s of their work.
         trial.fleet.runners[0].speed = 0.02
@@ -310,10 +205,10 @@
     """
 
     async def simulate() -> None:
-        trial = _Trial(
+        trial = straggler_trial.Trial(
             tmp_path / "log",
             _make_speeds(0, 1.0, count=5),
-            work_s={"00.0.0.3": 7 * _WORK_S},
+            work_s={"00.0.0.3": 7 * straggler_trial.WORK_S},
         )
         await trial.start()
         await trial.run_job()
@@ -331,10 +226,10 @@
     """Guards against two runs of a task whose runner is cut off."""
 
     async def simulate() -> None:
-        trial = _Trial(tmp_path / "log", _make_speeds(1, 0.05))
+        trial = straggler_trial.Trial(tmp_path / "log", _make_speeds(1, 0.05))
         await trial.start()
         slow = trial.fleet.runners[0]
-        assert isinstance(slow, _SilencedRunner)
+        assert isinstance(slow, straggler_trial.SilencedRunner)
         slow.faults = trial.fleet.network.get_faults(slow.address)
         job = asyncio.create_task(trial.run_job())
         await trial.wait_for_move()
@@ -357,7 +252,7 @@
     """Guards against a second run, or a second move by the successor."""
 
     async def simulate() -> None:
-        trial = _Trial(tmp_path / "log", _make_speeds(1, 0.05))
+        trial = straggler_trial.Trial(tmp_path / "log", _make_speeds(1, 0.05))
         await trial.start("a", "b")
         job = asyncio.create_task(trial.run_job())
         await trial.wait_for_move()
@@ -389,9 +284,9 @@
     """Guards against a move that starts a task of a cancelled job."""
 
     async def simulate() -> None:
-        trial = _Trial(tmp_path / "log", _make_speeds(1, 0.05))
+        trial = straggler_trial.Trial(tmp_path / "log", _make_speeds(1, 0.05))
         await trial.start()
-        await trial.fleet.submit("00", _STEP)
+        await trial.fleet.submit("00", straggler_trial.STEP)
         await trial.wait_for_move()
         await asyncio.sleep(delay_s)
         deadline = trial.fleet.clock.get_monotonic() + 3000 * _MS
@@ -416,10 +311,10 @@
     """Guards against moves that reset or use up the attempts of a task."""
 
     async def simulate() -> None:
-        trial = _Trial(tmp_path / "log", _make_speeds(3, 0.1))
+        trial = straggler_trial.Trial(tmp_path / "log", _make_speeds(3, 0.1))
         for stand_in in trial.fleet.runners:
             stand_in._plan = lambda task, run: (
-                _WORK_S,
+                straggler_trial.WORK_S,
                 "failed" if task.endswith(("3", "7")) and run < 3 else "done",
             )
         await trial.start()
@@ -434,12 +329,14 @@
     """Guards against moved runs that take capacity from waiting tasks."""
 
     async def simulate() -> None:
-        trial = _Trial(tmp_path / "log", _make_speeds(3, 0.1))
+        trial = straggler_trial.Trial(tmp_path / "log", _make_speeds(3, 0.1))
         for stand_in in trial.fleet.runners:
             stand_in.capacity = model.Resources(16_000, 1000)
         await trial.start()
         # 20 of the tasks fit in the memory.
-        job = asyncio.create_task(trial.run_job(attrs.evolve(_STEP, count=60)))
+        job = asyncio.create_task(
+            trial.run_job(attrs.evolve(straggler_trial.STEP, count=60))
+        )
         waiting = 1
         while waiting:
             await asyncio.sleep(0.2)
@@ -460,10 +357,10 @@
     """Guards against moves of tasks that a move does not help."""
 
     async def simulate() -> None:
-        trial = _Trial(tmp_path / "log", _make_speeds(3, 0.1))
+        trial = straggler_trial.Trial(tmp_path / "log", _make_speeds(3, 0.1))
         await trial.start()
         await trial.fleet.submit("01", _SERVING)
-        gang = attrs.evolve(_STEP, count=8, is_gang=True)
+        gang = attrs.evolve(straggler_trial.STEP, count=8, is_gang=True)
         await trial.run_job(gang)
         assert trial.list_moves() == []
 
