Put callers that can still be served in time before long-running tasks

Within a priority, batch tasks of jobs that can meet their objective now precede long-running tasks that have waited, for up to 30 s; jobs that miss their objective come after those, and jobs past three times their objective last. Queues without an objective are served in the former order.

--- a/fleetmodel/tests/test_fleetmodel.py
+++ b/fleetmodel/tests/test_fleetmodel.py
@@ -138,6 +138,7 @@
     ("harm_patience", "violation_timeout"),
     ("starvation_wait", "starvation_wait"),
     ("lasting_patience", "long_running_wait"),
+    ("max_lasting_patience", "max_long_running_wait"),
     ("batch_patience", "batch_wait"),
     ("gathering", "grouping_delay"),
 ]
--- a/tamarackhatch/placement/__init__.py
+++ b/tamarackhatch/placement/__init__.py
@@ -9,6 +9,11 @@
 from tamarackhatch.placement._interference import InterferenceTable
 from tamarackhatch.placement._interference import JobSample
 from tamarackhatch.placement._load import RunnerLoad
+from tamarackhatch.placement._order import assess_prospect
+from tamarackhatch.placement._order import make_order_key
+from tamarackhatch.placement._order import OrderKey
+from tamarackhatch.placement._order import Prospect
+from tamarackhatch.placement._order import WaitingGroup
 from tamarackhatch.placement._policy import PlacementPolicy
 from tamarackhatch.placement._throttling import BestEffortState
 from tamarackhatch.placement._throttling import choose_speed_limits
@@ -23,11 +28,16 @@
     "InterferenceModel",
     "InterferenceTable",
     "JobSample",
+    "OrderKey",
     "PlacementPolicy",
+    "Prospect",
     "RunnerLoad",
     "ServingState",
+    "WaitingGroup",
+    "assess_prospect",
     "choose_runners",
     "choose_speed_limits",
     "infer_speed_limit",
     "is_allowed",
+    "make_order_key",
 ]
--- a/tamarackhatch/placement/_policy.py
+++ b/tamarackhatch/placement/_policy.py
@@ -57,9 +57,13 @@
             has shrunk below its reservations and on which all of them are at a
             speed limit of 0. They lose the work since their checkpoints,
             and the capacity may return.
-        long_running_wait: Time for which batch tasks of the same priority
+        long_running_wait: Time for which all batch tasks of the same priority
             precede a long-running task. A batch task releases its capacity
-            within seconds; a long-running task keeps it.
+            within seconds; a long-running task keeps it. After that, only
+            those of jobs that can still meet their objective do.
+        max_long_running_wait: Time after which a long-running task precedes
+            all batch tasks of the same priority. Without this bound a stream
+            of urgent jobs would starve it.
         batch_wait: Time for which smaller jobs of the same priority precede a
             batch task. Without this bound a stream of small jobs would starve
             it.
@@ -88,5 +92,6 @@
     violation_timeout: datetime.timedelta = 1 * _SECOND
     starvation_wait: datetime.timedelta = 5 * _SECOND
     long_running_wait: datetime.timedelta = 5 * _SECOND
+    max_long_running_wait: datetime.timedelta = 30 * _SECOND
     batch_wait: datetime.timedelta = 60 * _SECOND
     grouping_delay: datetime.timedelta = 100 * _MS
--- a/tamarackhatch/scheduler/_dispatcher.py
+++ b/tamarackhatch/scheduler/_dispatcher.py
@@ -2,9 +2,6 @@
 
 import asyncio
 import datetime
-import enum
-
-import attrs
 
 from tamarackhatch import placement
 from tamarackhatch.scheduler import _commands
@@ -13,6 +10,7 @@
 from tamarackhatch.scheduler import _fleet
 from tamarackhatch.scheduler import _isolation
 from tamarackhatch.scheduler import _load_monitor
+from tamarackhatch.scheduler import _prospects
 from tamarackhatch.scheduler import _state
 
 # Events within this time share one placement pass.
@@ -23,45 +21,6 @@
 Group = dict[int, _state.TaskEntry]
 
 
-class _Rank(enum.IntEnum):
-    """Kind of a group of tasks; of one priority, lower ranks go first.
-
-    Attributes:
-        STARVED: Long-running tasks that have waited too long behind batch
-            tasks.
-        BATCH: Batch tasks, those of small jobs first.
-        LONG_RUNNING: Long-running tasks, image by image.
-    """
-
-    STARVED = 0
-    BATCH = 1
-    LONG_RUNNING = 2
-
-
-@attrs.frozen(order=True)
-class _SchedulingKey:
-    """Sort key of a group of waiting tasks; lower ones go first.
-
-    Attributes:
-        priority: Priority of the queue.
-        rank: Kind of the tasks.
-        demand: Millicores that the unfinished tasks of a batch job ask for;
-            0 if the tasks have waited too long.
-        is_unlimited: Whether any number of the step's long-running tasks may
-            share a runner. Limited steps go first because they need the most
-            runners of their image; the others fill these up.
-        image: Image of long-running tasks.
-        accepted: When the job was accepted, in seconds since the epoch.
-    """
-
-    priority: float
-    rank: _Rank
-    demand: int
-    is_unlimited: bool
-    image: str
-    accepted: float
-
-
 class Dispatcher:
     """Runs placement passes when tasks wait or capacity becomes free."""
 
@@ -120,7 +79,7 @@
         if not waiting:
             return
         began = context.get_now()
-        groups = sorted(waiting.values(), key=self._get_scheduling_key)
+        groups = sorted(waiting.values(), key=self._get_order_key)
         is_grouping = self._is_grouping(groups)
         candidates = self._list_candidates()
         self._place_suspects(groups, candidates)
@@ -221,26 +180,23 @@
             self._context.policy.grouping_delay
         )
 
-    def _get_scheduling_key(self, group: Group) -> _SchedulingKey:
+    def _get_order_key(self, group: Group) -> placement.OrderKey:
         task = next(iter(group.values()))
-        policy = self._context.policy
-        priority, accepted = task.job.order
         now = self._context.get_now()
-        waited = max(waiting.compute_wait(now) for waiting in group.values())
-        if not task.step.is_long_running:
-            may_wait = waited < policy.batch_wait
-            demand = task.job.compute_demand() if may_wait else 0
-            return _SchedulingKey(
-                priority, _Rank.BATCH, demand, False, "", accepted
-            )
-        if waited >= policy.long_running_wait:
-            return _SchedulingKey(
-                priority, _Rank.STARVED, 0, False, "", accepted
-            )
         step = task.step
-        is_unlimited = not step.max_per_runner
-        return _SchedulingKey(
-            priority, _Rank.LONG_RUNNING, 0, is_unlimited, step.image, accepted
+        priority, accepted = task.job.order
+        return placement.make_order_key(
+            placement.WaitingGroup(
+                priority,
+                accepted,
+                max(waiting.compute_wait(now) for waiting in group.values()),
+                step.is_long_running,
+                not step.max_per_runner,
+                step.image,
+                0 if step.is_long_running else task.job.compute_demand(),
+                _prospects.assess_job(task, self._context.clock.get_utc()),
+            ),
+            self._context.policy,
         )
 
     def _is_paused(self, task: _state.TaskEntry) -> bool:
--- /dev/null
+++ b/tamarackhatch/scheduler/_prospects.py
@@ -0,0 +1,37 @@
+"""How well jobs can still be served, from their tasks and their queue."""
+
+import datetime
+
+from tamarackhatch import placement
+from tamarackhatch.scheduler import _state
+
+# A submitter's estimate of a run time may be short by this factor. A job that
+# can still be served must not be put behind the others for a poor estimate.
+_ESTIMATE_ERROR = 2.0
+
+
+def assess_job(
+    task: _state.TaskEntry, now: datetime.datetime
+) -> placement.Prospect:
+    """Returns how well the job of a waiting task can still be served.
+
+    Args:
+        task: A task that waits.
+        now: Time in UTC.
+    """
+    entry = task.job
+    queue = entry.job.queue
+    if not queue.target_latency:
+        # Without an objective, batch work has no claim to precede
+        # long-running tasks that have waited for a while.
+        return placement.Prospect.LATE
+    objective = (
+        queue.stretch * _ESTIMATE_ERROR * entry.longest_chain
+        + queue.target_latency
+    )
+    due = entry.job.accepted_at
+    if entry.job.schedule is not None:
+        due = entry.job.schedule.get_due(task.key.occurrence)
+    return placement.assess_prospect(
+        now - due, task.step.estimate / _ESTIMATE_ERROR, objective
+    )
--- a/tamarackhatch/scheduler/_state.py
+++ b/tamarackhatch/scheduler/_state.py
@@ -1,7 +1,9 @@
 """The scheduler's in-memory state of jobs and tasks."""
 
+from collections.abc import Sequence
 import datetime
 import enum
+import functools
 import typing
 
 import attrs
@@ -135,7 +137,7 @@
         return not any(self.remaining)
 
 
-@attrs.define(eq=False)
+@attrs.define(eq=False, slots=False)
 class JobEntry:
     """A job.
 
@@ -168,6 +170,11 @@
         """Identifier of the job."""
         return self.job.identifier
 
+    @functools.cached_property
+    def longest_chain(self) -> datetime.timedelta:
+        """Estimated run time of the longest chain of dependent steps."""
+        return compute_longest_chain(self.job.steps)
+
     def iterate_tasks(self) -> typing.Iterator[TaskEntry]:
         """Yields the tasks of all known occurrences."""
         for occurrence in self.occurrences.values():
@@ -196,6 +203,24 @@
         )
 
 
+def compute_longest_chain(
+    steps: Sequence[model.Step],
+) -> datetime.timedelta:
+    """Returns the estimated run time of the longest chain of steps.
+
+    Args:
+        steps: The steps of a job; each depends on earlier ones only.
+    """
+    ends: list[datetime.timedelta] = []
+    for step in steps:
+        begin = max(
+            (ends[before] for before in step.after),
+            default=datetime.timedelta(),
+        )
+        ends.append(begin + step.estimate)
+    return max(ends, default=datetime.timedelta())
+
+
 def build_occurrence(
     entry: JobEntry,
     number: int,
--- a/tamarackhatch/scheduler/tests/test_order.py
+++ b/tamarackhatch/scheduler/tests/test_order.py
@@ -22,6 +22,9 @@
 _LONG_RUNNING = model.Step(1, _WIDE, is_long_running=True)
 _URGENT = standin_fleet.QUEUE
 _LATER = attrs.evolve(standin_fleet.QUEUE, priority=3)
+_TIMELY = attrs.evolve(standin_fleet.QUEUE, target_latency=10 * _SECOND)
+# The blocker outlasts this objective.
+_HURRIED = attrs.evolve(standin_fleet.QUEUE, target_latency=2 * _SECOND)
 _POLICY = placement.PlacementPolicy()
 _BLOCKER = "00"
 _BLOCKED_S = 4.0
@@ -76,6 +79,34 @@
             ["long-running"],
             id="long-running task is not starved",
         ),
+        pytest.param(
+            (
+                ("long-running", _LONG_RUNNING, _TIMELY, 0),
+                ("small", _BATCH, _TIMELY, 3),
+            ),
+            attrs.evolve(_POLICY, long_running_wait=2 * _SECOND),
+            ["small", "long-running"],
+            id="batch task that can meet its objective before long-running",
+        ),
+        pytest.param(
+            (
+                ("long-running", _LONG_RUNNING, _TIMELY, 0),
+                ("small", _BATCH, _TIMELY, 3),
+            ),
+            attrs.evolve(
+                _POLICY,
+                long_running_wait=2 * _SECOND,
+                max_long_running_wait=3 * _SECOND,
+            ),
+            ["long-running"],
+            id="long-running task does not wait without bound",
+        ),
+        pytest.param(
+            (("small", _BATCH, _HURRIED, 0), ("large", _LARGE, _HURRIED, 3)),
+            _POLICY,
+            ["large", "small"],
+            id="large job in time before small job that is late",
+        ),
     ],
 )
 def test_order_of_waiting_jobs(
@@ -93,6 +124,7 @@
         fleet.start_instance("a")
         await fleet.wait_until(lambda: fleet.get_leader() is not None)
         await fleet.submit(_BLOCKER, _BATCH)
+        await fleet.wait_until(lambda: bool(fleet.history.runs))
         begin = asyncio.get_running_loop().time()
         for name, step, queue, after_s in submissions:
             await asyncio.sleep(
