--- a/tamarackhatch/observability/_metrics.py
+++ b/tamarackhatch/observability/_metrics.py
@@ -94,6 +94,12 @@
             "Changes of the capacity that a runner registers.",
             registry=self._registry,
         )
+        self.reservations = prometheus_client.Counter(
+            "tamarackhatch_reservations",
+            "Runners kept free for a large task, by what became of them.",
+            ["outcome"],
+            registry=self._registry,
+        )
         self.waiting = prometheus_client.Gauge(
             "tamarackhatch_waiting_tasks",
             "Tasks that wait for a runner.",
--- a/tamarackhatch/placement/__init__.py
+++ b/tamarackhatch/placement/__init__.py
@@ -15,6 +15,10 @@
 from tamarackhatch.placement._order import Prospect
 from tamarackhatch.placement._order import WaitingGroup
 from tamarackhatch.placement._policy import PlacementPolicy
+from tamarackhatch.placement._reservations import compute_release_time
+from tamarackhatch.placement._reservations import Reservation
+from tamarackhatch.placement._reservations import Reservations
+from tamarackhatch.placement._reservations import TransientRun
 from tamarackhatch.placement._throttling import BestEffortState
 from tamarackhatch.placement._throttling import choose_speed_limits
 from tamarackhatch.placement._throttling import infer_speed_limit
@@ -31,12 +35,16 @@
     "OrderKey",
     "PlacementPolicy",
     "Prospect",
+    "Reservation",
+    "Reservations",
     "RunnerLoad",
     "ServingState",
+    "TransientRun",
     "WaitingGroup",
     "assess_prospect",
     "choose_runners",
     "choose_speed_limits",
+    "compute_release_time",
     "infer_speed_limit",
     "is_allowed",
     "make_order_key",
--- a/tamarackhatch/scheduler/_dispatcher.py
+++ b/tamarackhatch/scheduler/_dispatcher.py
@@ -9,6 +9,7 @@
 from tamarackhatch.scheduler import _crash_suspects
 from tamarackhatch.scheduler import _fleet
 from tamarackhatch.scheduler import _isolation
+from tamarackhatch.scheduler import _large_tasks
 from tamarackhatch.scheduler import _load_monitor
 from tamarackhatch.scheduler import _prospects
 from tamarackhatch.scheduler import _state
@@ -31,6 +32,7 @@
     ) -> None:
         self._context = context
         self._commands = commands
+        self._large_tasks = _large_tasks.LargeTaskReserver(context)
         self._has_paused_starts = False
         self._paused_version: int | None = None
         self._registry_read = datetime.timedelta.min
@@ -83,6 +85,10 @@
         is_grouping = self._is_grouping(groups)
         candidates = self._list_candidates()
         self._place_suspects(groups, candidates)
+        self._large_tasks.begin_pass(waiting, candidates)
+        self._large_tasks.is_long_running_waiting = any(
+            next(iter(group.values())).step.is_long_running for group in groups
+        )
         for group in groups:
             self._run_group(group, is_grouping, candidates)
         counters = context.load_monitor.counters
@@ -110,8 +116,12 @@
             return
         first = tasks[0]
         service = first.job.job.queue.service
-        placed = self._place_group(tasks, candidates.get(service, []))
+        remaining = candidates.get(service, [])
+        placed = self._place_group(
+            tasks, self._large_tasks.add_reserved(first, remaining)
+        )
         self._context.load_monitor.counters.placed += placed
+        self._large_tasks.keep_runner(tasks, remaining)
         if first.step.is_best_effort:
             result.best_effort += len(tasks) - placed
         else:
--- /dev/null
+++ b/tamarackhatch/scheduler/_large_tasks.py
@@ -0,0 +1,204 @@
+"""Keeps runners free for tasks that need more than the usual free pieces."""
+
+from collections.abc import Collection
+import datetime
+
+from tamarackhatch import placement
+from tamarackhatch.scheduler import _context
+from tamarackhatch.scheduler import _fleet
+from tamarackhatch.scheduler import _state
+
+_MILLISECOND = datetime.timedelta(milliseconds=1)
+# Of a run that has outlasted its estimate.
+_MIN_REMAINING = datetime.timedelta(milliseconds=100)
+
+StepKey = tuple[str, int, int]
+
+
+class LargeTaskReserver:
+    """Reserves runners for waiting batch tasks that fit nowhere.
+
+    Attributes:
+        is_long_running_waiting: Whether long-running tasks wait in the
+            present placement pass.
+    """
+
+    def __init__(self, context: _context.SchedulerContext) -> None:
+        self.is_long_running_waiting = False
+        self._context = context
+        self._reservations = placement.Reservations()
+        self._kept: dict[StepKey, placement.CandidateRunner] = {}
+        self._priorities: dict[StepKey, int] = {}
+
+    def begin_pass(
+        self,
+        waiting: Collection[StepKey],
+        candidates: dict[str, list[placement.CandidateRunner]],
+    ) -> None:
+        """Begins a placement pass: takes the reserved runners out of it.
+
+        Args:
+            waiting: Steps with waiting tasks.
+            candidates: Runners that may get tasks, by service; those that are
+                reserved are removed.
+        """
+        context = self._context
+        for failed in self._reservations.expire(waiting, context.get_now()):
+            context.metrics.reservations.labels("expired").inc()
+            context.log.info(
+                "reservation_expired",
+                job=failed.step[0],
+                runner=failed.runner,
+            )
+        self._kept.clear()
+        self._priorities = {
+            reservation.step: self._priorities[reservation.step]
+            for reservation in self._reservations.active
+        }
+        reserved = {
+            reservation.runner: reservation
+            for reservation in self._reservations.active
+        }
+        if not reserved:
+            return
+        for service, group in candidates.items():
+            for candidate in group:
+                reservation = reserved.get(candidate.load.identifier)
+                if reservation is not None:
+                    self._kept[reservation.step] = candidate
+            candidates[service] = [
+                candidate
+                for candidate in group
+                if candidate.load.identifier not in reserved
+            ]
+
+    def add_reserved(
+        self,
+        task: _state.TaskEntry,
+        candidates: list[placement.CandidateRunner],
+    ) -> list[placement.CandidateRunner]:
+        """Adds reserved runners that a task may use to its candidates.
+
+        These are the one for its own step, and those for less urgent queues.
+        """
+        own = _get_step_key(task)
+        priority = task.job.job.queue.priority
+        service = task.job.job.queue.service
+        usable = [
+            candidate
+            for step, candidate in self._kept.items()
+            if candidate.load.service == service
+            and (step == own or self._priorities[step] > priority)
+        ]
+        return [*candidates, *usable] if usable else candidates
+
+    def keep_runner(
+        self,
+        tasks: list[_state.TaskEntry],
+        candidates: list[placement.CandidateRunner],
+    ) -> None:
+        """Reserves a runner for tasks that fit nowhere, or ends that.
+
+        Args:
+            tasks: The tasks of one step that the pass tried to place.
+            candidates: Runners for the groups that follow; a newly reserved
+                one is removed.
+        """
+        first = tasks[0]
+        if (
+            first.step.is_best_effort
+            or first.step.is_long_running
+            or first.step.is_gang
+        ):
+            return
+        step = _get_step_key(first)
+        if any(not _is_waiting(task) for task in tasks):
+            self._release(step)
+        unplaced = [task for task in tasks if _is_waiting(task)]
+        if not unplaced:
+            return
+        now = self._context.get_now()
+        if not self._reservations.may_reserve(
+            step,
+            unplaced[0].compute_wait(now),
+            len(candidates),
+            self.is_long_running_waiting,
+        ):
+            return
+        reservation = self._reservations.reserve(
+            step, self._list_options(unplaced[0], candidates), now
+        )
+        if reservation is None:
+            return
+        self._priorities[step] = first.job.job.queue.priority
+        self._record(unplaced[0], reservation)
+        candidates[:] = [
+            candidate
+            for candidate in candidates
+            if candidate.load.identifier != reservation.runner
+        ]
+
+    def _release(self, step: StepKey) -> None:
+        if self._reservations.find(step) is not None:
+            self._context.metrics.reservations.labels("used").inc()
+            self._reservations.release(step)
+            self._priorities.pop(step, None)
+
+    def _list_options(
+        self,
+        task: _state.TaskEntry,
+        candidates: list[placement.CandidateRunner],
+    ) -> list[tuple[str, datetime.timedelta]]:
+        options = []
+        for candidate in candidates:
+            load = candidate.load
+            if not placement.is_allowed(load, task.key, task.step):
+                continue
+            release = placement.compute_release_time(
+                load,
+                task.step,
+                self._list_transient_runs(
+                    self._context.fleet[load.identifier]
+                ),
+            )
+            if release is not None:
+                options.append((load.identifier, release))
+        return options
+
+    def _list_transient_runs(
+        self, entry: _fleet.RunnerEntry
+    ) -> list[placement.TransientRun]:
+        now = self._context.get_now()
+        return [
+            placement.TransientRun(
+                task.step.reserved,
+                max(
+                    _MIN_REMAINING,
+                    task.step.estimate - (now - task.placed_at),
+                ),
+            )
+            for task in entry.tasks.values()
+            if not task.step.is_long_running
+        ]
+
+    def _record(
+        self, task: _state.TaskEntry, reservation: placement.Reservation
+    ) -> None:
+        context = self._context
+        context.metrics.reservations.labels("made").inc()
+        context.log.info(
+            "runner_reserved",
+            task=str(task.key),
+            runner=reservation.runner,
+            waited_ms=task.compute_wait(reservation.since) // _MILLISECOND,
+            cpu=task.step.reserved.processors,
+            memory_mb=task.step.reserved.memory_mb,
+        )
+
+
+def _get_step_key(task: _state.TaskEntry) -> StepKey:
+    return (task.key.job, task.key.occurrence, task.key.step)
+
+
+def _is_waiting(task: _state.TaskEntry) -> bool:
+    return task.phase is _state.TaskPhase.WAITING
--- a/tamarackhatch/scheduler/tests/test_order.py
+++ b/tamarackhatch/scheduler/tests/test_order.py
@@ -138,6 +138,41 @@
     assert virtual_time.run_virtually(simulate()) == expected
 
 
+def test_large_task_is_not_starved_by_small_ones() -> None:
+    """Guards against small jobs that take each free piece of a runner.
+
+    Load: more small urgent jobs than the runners have room for, without a
+    pause, and one job whose task needs a whole runner.
+    """
+    piece = model.Step(1, model.Resources(processors=4_000, memory_mb=100))
+
+    def plan(_task: str, _number: int) -> tuple[float, str]:
+        return 0.5, "done"
+
+    async def simulate() -> float:
+        fleet = standin_fleet.VirtualFleet(2, plan)
+        fleet.start_instance("a")
+        await fleet.wait_until(lambda: fleet.get_leader() is not None)
+        loop = asyncio.get_running_loop()
+        begin = loop.time()
+        submitted = 0
+        while loop.time() < begin + 12.0:
+            await fleet.submit(f"small-{submitted}", piece)
+            submitted += 1
+            if submitted == 60:
+                await fleet.submit("large", _BATCH)
+                begin_large = loop.time()
+            # Eight run at a time for half a second each.
+            await asyncio.sleep(0.05)
+        return min(
+            run.started - begin_large
+            for run in fleet.history.runs
+            if run.task.startswith("large")
+        )
+
+    assert virtual_time.run_virtually(simulate()) < 4.0
+
+
 class _RefusingRunner(runner.RunnerStandIn):
     """Refuses the first start of each long-running task as unhealthy."""
 
