Let tasks of a more urgent rank use a reserved runner

A runner reserved for a batch job without an objective was kept from a long-running task that had waited longer than the job's claim allows (test_refused_start_does_not_restart_the_wait).

--- a/tamarackhatch/placement/__init__.py
+++ b/tamarackhatch/placement/__init__.py
@@ -13,6 +13,7 @@
 from tamarackhatch.placement._order import make_order_key
 from tamarackhatch.placement._order import OrderKey
 from tamarackhatch.placement._order import Prospect
+from tamarackhatch.placement._order import Urgency
 from tamarackhatch.placement._order import WaitingGroup
 from tamarackhatch.placement._policy import PlacementPolicy
 from tamarackhatch.placement._reservations import compute_release_time
@@ -40,6 +41,7 @@
     "RunnerLoad",
     "ServingState",
     "TransientRun",
+    "Urgency",
     "WaitingGroup",
     "assess_prospect",
     "choose_runners",
--- a/tamarackhatch/placement/_order.py
+++ b/tamarackhatch/placement/_order.py
@@ -53,6 +53,9 @@
     OVERDUE_BATCH = 5
 
 
+Urgency = tuple[float, Rank]
+
+
 @attrs.frozen(order=True)
 class OrderKey:
     """Sort key of a group of waiting tasks; lower ones go first.
@@ -76,6 +79,11 @@
     image: str
     accepted: float
 
+    @property
+    def urgency(self) -> Urgency:
+        """Priority and rank, which go before the size of a job."""
+        return (self.priority, self.rank)
+
 
 @attrs.frozen
 class WaitingGroup:
--- a/tamarackhatch/scheduler/_dispatcher.py
+++ b/tamarackhatch/scheduler/_dispatcher.py
@@ -81,7 +81,14 @@
         if not waiting:
             return
         began = context.get_now()
-        groups = sorted(waiting.values(), key=self._get_order_key)
+        ordered = sorted(
+            (
+                (self._get_order_key(group), group)
+                for group in waiting.values()
+            ),
+            key=lambda item: item[0],
+        )
+        groups = [group for _, group in ordered]
         is_grouping = self._is_grouping(groups)
         candidates = self._list_candidates()
         self._place_suspects(groups, candidates)
@@ -89,8 +96,8 @@
         self._large_tasks.is_long_running_waiting = any(
             next(iter(group.values())).step.is_long_running for group in groups
         )
-        for group in groups:
-            self._run_group(group, is_grouping, candidates)
+        for order, group in ordered:
+            self._run_group(group, order, is_grouping, candidates)
         counters = context.load_monitor.counters
         counters.passes += 1
         counters.pass_time += context.get_now() - began
@@ -98,6 +105,7 @@
     def _run_group(
         self,
         group: Group,
+        order: placement.OrderKey,
         is_grouping: bool,
         candidates: dict[str, list[placement.CandidateRunner]],
     ) -> None:
@@ -118,10 +126,10 @@
         service = first.job.job.queue.service
         remaining = candidates.get(service, [])
         placed = self._place_group(
-            tasks, self._large_tasks.add_reserved(first, remaining)
+            tasks, self._large_tasks.add_reserved(first, order, remaining)
         )
         self._context.load_monitor.counters.placed += placed
-        self._large_tasks.keep_runner(tasks, remaining)
+        self._large_tasks.keep_runner(tasks, order, remaining)
         if first.step.is_best_effort:
             result.best_effort += len(tasks) - placed
         else:
--- a/tamarackhatch/scheduler/_large_tasks.py
+++ b/tamarackhatch/scheduler/_large_tasks.py
@@ -28,7 +28,7 @@
         self._context = context
         self._reservations = placement.Reservations()
         self._kept: dict[StepKey, placement.CandidateRunner] = {}
-        self._priorities: dict[StepKey, int] = {}
+        self._urgencies: dict[StepKey, placement.Urgency] = {}
 
     def begin_pass(
         self,
@@ -51,8 +51,8 @@
                 runner=failed.runner,
             )
         self._kept.clear()
-        self._priorities = {
-            reservation.step: self._priorities[reservation.step]
+        self._urgencies = {
+            reservation.step: self._urgencies[reservation.step]
             for reservation in self._reservations.active
         }
         reserved = {
@@ -75,32 +75,40 @@
     def add_reserved(
         self,
         task: _state.TaskEntry,
+        order: placement.OrderKey,
         candidates: list[placement.CandidateRunner],
     ) -> list[placement.CandidateRunner]:
         """Adds reserved runners that a task may use to its candidates.
 
-        These are the one for its own step, and those for less urgent queues.
+        These are the one for its own step, and those for tasks that come
+        after it by priority and rank.
+
+        Args:
+            task: First task of a group.
+            order: Sort key of the group.
+            candidates: Runners that are not reserved.
         """
         own = _get_step_key(task)
-        priority = task.job.job.queue.priority
         service = task.job.job.queue.service
         usable = [
             candidate
             for step, candidate in self._kept.items()
             if candidate.load.service == service
-            and (step == own or self._priorities[step] > priority)
+            and (step == own or order.urgency < self._urgencies[step])
         ]
         return [*candidates, *usable] if usable else candidates
 
     def keep_runner(
         self,
         tasks: list[_state.TaskEntry],
+        order: placement.OrderKey,
         candidates: list[placement.CandidateRunner],
     ) -> None:
         """Reserves a runner for tasks that fit nowhere, or ends that.
 
         Args:
             tasks: The tasks of one step that the pass tried to place.
+            order: Sort key of their group.
             candidates: Runners for the groups that follow; a newly reserved
                 one is removed.
         """
@@ -130,7 +138,7 @@
         )
         if reservation is None:
             return
-        self._priorities[step] = first.job.job.queue.priority
+        self._urgencies[step] = order.urgency
         self._record(unplaced[0], reservation)
         candidates[:] = [
             candidate
@@ -142,7 +150,7 @@
         if self._reservations.find(step) is not None:
             self._context.metrics.reservations.labels("used").inc()
             self._reservations.release(step)
-            self._priorities.pop(step, None)
+            self._urgencies.pop(step, None)
 
     def _list_options(
         self,
