Keep the urgency with the reservation, and look at groups before they shrink

A reservation that was used within a pass left its runner without an entry (KeyError), and a group whose tasks all started as crash suspects was empty (StopIteration). Both ended the scheduler (test_capacity, test_crash_suspects).

--- a/tamarackhatch/placement/_reservations.py
+++ b/tamarackhatch/placement/_reservations.py
@@ -8,11 +8,13 @@
 from collections.abc import Iterable
 from collections.abc import Sequence
 import datetime
+import math
 
 import attrs
 
 from tamarackhatch import model
 from tamarackhatch.placement import _load
+from tamarackhatch.placement import _order
 
 # Idle capacity while a long-running task waits is a fault after 3 s.
 _MAX_DURATION = datetime.timedelta(milliseconds=2500)
@@ -25,6 +27,7 @@
 _MAX_SHARE = 0.05
 
 StepKey = tuple[str, int, int]
+_LEAST_URGENT: _order.Urgency = (math.inf, _order.Rank.OVERDUE_BATCH)
 
 
 @attrs.frozen
@@ -48,11 +51,13 @@
         step: The step.
         runner: Identifier of the runner.
         since: Monotonic time at which it began.
+        urgency: Urgency of the step's tasks at that time.
     """
 
     step: StepKey
     runner: str
     since: datetime.timedelta
+    urgency: _order.Urgency = _LEAST_URGENT
 
 
 def compute_release_time(
@@ -155,6 +160,7 @@
         step: StepKey,
         options: Sequence[tuple[str, datetime.timedelta]],
         now: datetime.timedelta,
+        urgency: _order.Urgency = _LEAST_URGENT,
     ) -> Reservation | None:
         """Reserves the runner on which a task of a step fits soonest.
 
@@ -163,6 +169,7 @@
             options: Identifiers of possible runners, each with the expected
                 time until the task fits there.
             now: Monotonic time.
+            urgency: Urgency of the step's tasks.
 
         Returns:
             The reservation; None if the task does not fit soon enough on any
@@ -179,6 +186,6 @@
         if not free:
             return None
         _, runner = min(free)
-        reservation = Reservation(step, runner, now)
+        reservation = Reservation(step, runner, now, urgency)
         self._by_step[step] = reservation
         return reservation
--- a/tamarackhatch/scheduler/_dispatcher.py
+++ b/tamarackhatch/scheduler/_dispatcher.py
@@ -91,11 +91,11 @@
         groups = [group for _, group in ordered]
         is_grouping = self._is_grouping(groups)
         candidates = self._list_candidates()
-        self._place_suspects(groups, candidates)
-        self._large_tasks.begin_pass(waiting, candidates)
         self._large_tasks.is_long_running_waiting = any(
             next(iter(group.values())).step.is_long_running for group in groups
         )
+        self._place_suspects(groups, candidates)
+        self._large_tasks.begin_pass(waiting, candidates)
         for order, group in ordered:
             self._run_group(group, order, is_grouping, candidates)
         counters = context.load_monitor.counters
--- a/tamarackhatch/scheduler/_large_tasks.py
+++ b/tamarackhatch/scheduler/_large_tasks.py
@@ -27,8 +27,10 @@
         self.is_long_running_waiting = False
         self._context = context
         self._reservations = placement.Reservations()
-        self._kept: dict[StepKey, placement.CandidateRunner] = {}
-        self._urgencies: dict[StepKey, placement.Urgency] = {}
+        # Reserved runners that the present pass has taken out.
+        self._kept: list[
+            tuple[placement.Reservation, placement.CandidateRunner]
+        ] = []
 
     def begin_pass(
         self,
@@ -50,11 +52,7 @@
                 job=failed.step[0],
                 runner=failed.runner,
             )
-        self._kept.clear()
-        self._urgencies = {
-            reservation.step: self._urgencies[reservation.step]
-            for reservation in self._reservations.active
-        }
+        self._kept = []
         reserved = {
             reservation.runner: reservation
             for reservation in self._reservations.active
@@ -65,7 +63,7 @@
             for candidate in group:
                 reservation = reserved.get(candidate.load.identifier)
                 if reservation is not None:
-                    self._kept[reservation.step] = candidate
+                    self._kept.append((reservation, candidate))
             candidates[service] = [
                 candidate
                 for candidate in group
@@ -92,9 +90,11 @@
         service = task.job.job.queue.service
         usable = [
             candidate
-            for step, candidate in self._kept.items()
+            for reservation, candidate in self._kept
             if candidate.load.service == service
-            and (step == own or order.urgency < self._urgencies[step])
+            and (
+                reservation.step == own or order.urgency < reservation.urgency
+            )
         ]
         return [*candidates, *usable] if usable else candidates
 
@@ -134,11 +134,13 @@
         ):
             return
         reservation = self._reservations.reserve(
-            step, self._list_options(unplaced[0], candidates), now
+            step,
+            self._list_options(unplaced[0], candidates),
+            now,
+            order.urgency,
         )
         if reservation is None:
             return
-        self._urgencies[step] = order.urgency
         self._record(unplaced[0], reservation)
         candidates[:] = [
             candidate
@@ -150,7 +152,6 @@
         if self._reservations.find(step) is not None:
             self._context.metrics.reservations.labels("used").inc()
             self._reservations.release(step)
-            self._urgencies.pop(step, None)
 
     def _list_options(
         self,
