Claim a new term after the scheduler has ended by an error

An unexpected error ended the scheduler, and the election returned the term that the process still held: the next scheduler used the same token and run numbers, so that a task could run twice (seen as TWICE in test_capacity when a KeyError ended the scheduler again and again). The process now claims the next term, as any other candidate would.

--- a/tamarackhatch/election/_election.py
+++ b/tamarackhatch/election/_election.py
@@ -94,6 +94,7 @@
         self._is_answer_late = False
         self._min_read_time = _READ_TIMEOUT
         self._is_eligible = True
+        self._last_term_run = 0
         digest = hashlib.blake2b(candidate.incarnation.encode()).digest()
         self._jitter = datetime.timedelta(
             milliseconds=digest[0] % _MAX_CAMPAIGN_JITTER_MS
@@ -166,6 +167,7 @@
             if self._is_eligible and self._is_election_due():
                 term = await self._campaign()
                 if term is not None:
+                    self._last_term_run = term.number
                     await self._run_term(term)
                 await self._reload()
                 continue
@@ -308,6 +310,12 @@
                     row.version, started_at
                 )
             if holder.incarnation == self._candidate.incarnation:
+                if holder.term <= self._last_term_run:
+                    # The scheduler of that term has ended by an error. Its
+                    # run numbers and its token must not be used again.
+                    return await self._claim_term(
+                        row.version, holder.term + 1, started_at
+                    )
                 return _leader_lease.Term(
                     holder.term, row.version, started_at, holder.pending
                 )
--- a/tamarackhatch/scheduler/tests/test_reported_faults.py
+++ b/tamarackhatch/scheduler/tests/test_reported_faults.py
@@ -15,6 +15,7 @@
 from standins import virtual_time
 from tamarackhatch import model
 from tamarackhatch import records
+from tamarackhatch.scheduler import _dispatcher
 from tamarackhatch import transport
 
 _TASK = model.Resources(processors=1000, memory_mb=100)
@@ -348,3 +349,41 @@
         assert fleet.check() == []
 
     virtual_time.run_virtually(simulate())
+
+
+def test_unexpected_error_repeats_no_work(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against a second scheduler with the term of one that failed.
+
+    Its runs would get the numbers, and its commands the token, of runs that
+    still exist.
+    """
+    run_pass = _dispatcher.Dispatcher.run_pass
+    passes = 0
+
+    def fail_at_times(dispatcher: _dispatcher.Dispatcher) -> None:
+        nonlocal passes
+        passes += 1
+        run_pass(dispatcher)
+        if passes % 7 == 0:
+            raise ZeroDivisionError
+
+    async def simulate() -> tuple[list[str], set[int]]:
+        fleet = standin_fleet.VirtualFleet(3)
+        fleet.start_instance("a")
+        await fleet.wait_until(lambda: fleet.get_leader() is not None)
+        monkeypatch.setattr(_dispatcher.Dispatcher, "run_pass", fail_at_times)
+        for number in range(12):
+            await fleet.submit(f"{number:02}", model.Step(8, _TASK))
+            await asyncio.sleep(0.4)
+        for number in range(12):
+            await fleet.wait_for_state(
+                f"{number:02}", model.JobState.COMPLETED
+            )
+        violations = [str(violation) for violation in fleet.check()]
+        return violations, {run.token for run in fleet.history.runs}
+
+    violations, tokens = virtual_time.run_virtually(simulate())
+    assert violations == []
+    assert len(tokens) > 1
