Fill the fullest runners with batch tasks when capacity is scarce

Cause: with 93 % of the processors reserved by serving tasks, 735 of the 1,360 other cores lay in pieces that no urgent task of 9 to 12 cores fits into. Batch tasks were always placed on the emptiest runner. Below a tenth of free processors they are now placed more and more on the fullest one that fits, so that large pieces stay for large tasks.

--- a/tamarackhatch/placement/__init__.py
+++ b/tamarackhatch/placement/__init__.py
@@ -20,6 +20,8 @@
 from tamarackhatch.placement._reservations import Reservation
 from tamarackhatch.placement._reservations import Reservations
 from tamarackhatch.placement._reservations import TransientRun
+from tamarackhatch.placement._scarcity import adapt_policy
+from tamarackhatch.placement._scarcity import compute_free_share
 from tamarackhatch.placement._throttling import BestEffortState
 from tamarackhatch.placement._throttling import choose_speed_limits
 from tamarackhatch.placement._throttling import infer_speed_limit
@@ -43,9 +45,11 @@
     "TransientRun",
     "Urgency",
     "WaitingGroup",
+    "adapt_policy",
     "assess_prospect",
     "choose_runners",
     "choose_speed_limits",
+    "compute_free_share",
     "compute_release_time",
     "infer_speed_limit",
     "is_allowed",
--- a/tamarackhatch/placement/_policy.py
+++ b/tamarackhatch/placement/_policy.py
@@ -36,7 +36,12 @@
         packing: Weight of the reserved share of the processors in the rating
             of a runner for a serving task. Serving tasks prefer full runners,
             which leaves others free for batch work.
-        batch_packing: The same for other tasks with a reservation.
+        batch_packing: The same for other tasks with a reservation, while
+            there is room.
+        scarce_batch_packing: The same when room is scarce.
+        ample_free_share: Share of a service's processors that is not reserved
+            from which on there is room.
+        scarce_free_share: The same share below which room is scarce.
         image_mixing_weight: Weight of serving tasks of other images on a
             runner.
         utilisation_weight: Weight of the utilisation that a best-effort task
@@ -82,6 +87,9 @@
     speed_weight: float = 1.0
     packing: float = 0.5
     batch_packing: float = -0.5
+    scarce_batch_packing: float = 0.5
+    ample_free_share: float = 0.1
+    scarce_free_share: float = 0.06
     image_mixing_weight: float = 1.0
     utilisation_weight: float = 1.0
     max_cpu_usage: float = 1.0
--- /dev/null
+++ b/tamarackhatch/placement/_scarcity.py
@@ -0,0 +1,52 @@
+"""Adapts the placement of batch tasks to how much capacity is left.
+
+Answers the load in which serving tasks reserve nearly all processors: what is
+left lies in pieces on many runners, and each small batch task that is placed
+on the emptiest runner breaks up a piece that a large one needs.
+"""
+
+from collections.abc import Iterable
+
+import attrs
+
+from tamarackhatch.placement import _load
+from tamarackhatch.placement import _policy
+
+
+def compute_free_share(loads: Iterable[_load.RunnerLoad]) -> float:
+    """Returns the share of the processors that no task reserves.
+
+    Args:
+        loads: Loads of the runners that may get tasks of one service.
+
+    Returns:
+        The share, 0 to 1; 1 without processors.
+    """
+    capacity = reserved = 0
+    for load in loads:
+        capacity += load.capacity.processors
+        reserved += min(
+            load.capacity.processors,
+            load.reserved_cpu + load.unassigned.processors,
+        )
+    return 1 - reserved / capacity if capacity else 1.0
+
+
+def adapt_policy(
+    policy: _policy.PlacementPolicy, free_share: float
+) -> _policy.PlacementPolicy:
+    """Returns the policy for the share of the processors that is free.
+
+    Batch tasks are spread while there is room, and fill the fullest runners
+    when it is scarce.
+    """
+    width = policy.ample_free_share - policy.scarce_free_share
+    scarcity = (policy.ample_free_share - free_share) / width
+    scarcity = min(1.0, max(0.0, scarcity))
+    if not scarcity:
+        return policy
+    packing = (
+        policy.batch_packing * (1 - scarcity)
+        + policy.scarce_batch_packing * scarcity
+    )
+    return attrs.evolve(policy, batch_packing=packing)
--- a/tamarackhatch/scheduler/_dispatcher.py
+++ b/tamarackhatch/scheduler/_dispatcher.py
@@ -33,6 +33,8 @@
         self._context = context
         self._commands = commands
         self._large_tasks = _large_tasks.LargeTaskReserver(context)
+        # Policy of the present placement pass, by service.
+        self._policies: dict[str, placement.PlacementPolicy] = {}
         self._has_paused_starts = False
         self._paused_version: int | None = None
         self._registry_read = datetime.timedelta.min
@@ -96,6 +98,15 @@
         )
         self._place_suspects(groups, candidates)
         self._large_tasks.begin_pass(waiting, candidates)
+        self._policies = {
+            service: placement.adapt_policy(
+                context.policy,
+                placement.compute_free_share(
+                    candidate.load for candidate in group
+                ),
+            )
+            for service, group in candidates.items()
+        }
         for order, group in ordered:
             self._run_group(group, order, is_grouping, candidates)
         counters = context.load_monitor.counters
@@ -286,7 +297,9 @@
         """Chooses runners for tasks of one step, and reserves capacity."""
         if not tasks:
             return []
-        policy = self._context.policy
+        policy = self._policies.get(
+            tasks[0].job.job.queue.service, self._context.policy
+        )
         waited = tasks[0].compute_wait(self._context.get_now())
         return placement.choose_runners(
             [task.key for task in tasks],
