--- a/fleetmodel/tests/test_fleetmodel.py
+++ b/fleetmodel/tests/test_fleetmodel.py
@@ -128,6 +128,9 @@
     ("pace_weight", "speed_weight"),
     ("packing", "packing"),
     ("batch_packing", "batch_packing"),
+    ("scarce_batch_packing", "scarce_batch_packing"),
+    ("ample", "ample_free_share"),
+    ("scarce", "scarce_free_share"),
     ("company", "image_mixing_weight"),
     ("pressure_weight", "utilisation_weight"),
     ("most_use", "max_cpu_usage"),
@@ -138,6 +141,7 @@
     ("harm_patience", "violation_timeout"),
     ("starvation_wait", "starvation_wait"),
     ("lasting_patience", "long_running_wait"),
+    ("max_lasting_patience", "max_long_running_wait"),
     ("batch_patience", "batch_wait"),
     ("gathering", "grouping_delay"),
 ]
--- a/tamarackhatch/observability/_metrics.py
+++ b/tamarackhatch/observability/_metrics.py
@@ -138,6 +138,12 @@
             "Work at full speed that moved runs repeat, as estimated.",
             registry=self._registry,
         )
+        self.reservations = prometheus_client.Counter(
+            "tamarackhatch_reservations",
+            "Runners kept free for a large task, by what became of them.",
+            ["outcome"],
+            registry=self._registry,
+        )
         self.waiting = prometheus_client.Gauge(
             "tamarackhatch_waiting_tasks",
             "Tasks that wait for a runner.",
--- a/tamarackhatch/placement/__init__.py
+++ b/tamarackhatch/placement/__init__.py
@@ -9,7 +9,19 @@
 from tamarackhatch.placement._interference import InterferenceTable
 from tamarackhatch.placement._interference import JobSample
 from tamarackhatch.placement._load import RunnerLoad
+from tamarackhatch.placement._order import assess_prospect
+from tamarackhatch.placement._order import make_order_key
+from tamarackhatch.placement._order import OrderKey
+from tamarackhatch.placement._order import Prospect
+from tamarackhatch.placement._order import Urgency
+from tamarackhatch.placement._order import WaitingGroup
 from tamarackhatch.placement._policy import PlacementPolicy
+from tamarackhatch.placement._reservations import compute_release_time
+from tamarackhatch.placement._reservations import Reservation
+from tamarackhatch.placement._reservations import Reservations
+from tamarackhatch.placement._reservations import TransientRun
+from tamarackhatch.placement._scarcity import adapt_policy
+from tamarackhatch.placement._scarcity import compute_free_share
 from tamarackhatch.placement._throttling import BestEffortState
 from tamarackhatch.placement._throttling import choose_speed_limits
 from tamarackhatch.placement._throttling import infer_speed_limit
@@ -23,11 +35,23 @@
     "InterferenceModel",
     "InterferenceTable",
     "JobSample",
+    "OrderKey",
     "PlacementPolicy",
+    "Prospect",
+    "Reservation",
+    "Reservations",
     "RunnerLoad",
     "ServingState",
+    "TransientRun",
+    "Urgency",
+    "WaitingGroup",
+    "adapt_policy",
+    "assess_prospect",
     "choose_runners",
     "choose_speed_limits",
+    "compute_free_share",
+    "compute_release_time",
     "infer_speed_limit",
     "is_allowed",
+    "make_order_key",
 ]
--- a/tamarackhatch/placement/_policy.py
+++ b/tamarackhatch/placement/_policy.py
@@ -36,7 +36,12 @@
         packing: Weight of the reserved share of the processors in the rating
             of a runner for a serving task. Serving tasks prefer full runners,
             which leaves others free for batch work.
-        batch_packing: The same for other tasks with a reservation.
+        batch_packing: The same for other tasks with a reservation, while
+            there is room.
+        scarce_batch_packing: The same when room is scarce.
+        ample_free_share: Share of a service's processors that is not reserved
+            from which on there is room.
+        scarce_free_share: The same share below which room is scarce.
         image_mixing_weight: Weight of serving tasks of other images on a
             runner.
         utilisation_weight: Weight of the utilisation that a best-effort task
@@ -57,9 +62,13 @@
             has shrunk below its reservations and on which all of them are at a
             speed limit of 0. They lose the work since their checkpoints,
             and the capacity may return.
-        long_running_wait: Time for which batch tasks of the same priority
+        long_running_wait: Time for which all batch tasks of the same priority
             precede a long-running task. A batch task releases its capacity
-            within seconds; a long-running task keeps it.
+            within seconds; a long-running task keeps it. After that, only
+            those of jobs that can still meet their objective do.
+        max_long_running_wait: Time after which a long-running task precedes
+            all batch tasks of the same priority. Without this bound a stream
+            of urgent jobs would starve it.
         batch_wait: Time for which smaller jobs of the same priority precede a
             batch task. Without this bound a stream of small jobs would starve
             it.
@@ -78,6 +87,9 @@
     speed_weight: float = 1.0
     packing: float = 0.5
     batch_packing: float = -0.5
+    scarce_batch_packing: float = 0.5
+    ample_free_share: float = 0.1
+    scarce_free_share: float = 0.06
     image_mixing_weight: float = 1.0
     utilisation_weight: float = 1.0
     max_cpu_usage: float = 1.0
@@ -88,5 +100,6 @@
     violation_timeout: datetime.timedelta = 1 * _SECOND
     starvation_wait: datetime.timedelta = 5 * _SECOND
     long_running_wait: datetime.timedelta = 5 * _SECOND
+    max_long_running_wait: datetime.timedelta = 30 * _SECOND
     batch_wait: datetime.timedelta = 60 * _SECOND
     grouping_delay: datetime.timedelta = 100 * _MS
--- a/tamarackhatch/scheduler/_dispatcher.py
+++ b/tamarackhatch/scheduler/_dispatcher.py
@@ -2,9 +2,6 @@
 
 import asyncio
 import datetime
-import enum
-
-import attrs
 
 from tamarackhatch import placement
 from tamarackhatch.scheduler import _commands
@@ -12,7 +9,9 @@
 from tamarackhatch.scheduler import _crash_suspects
 from tamarackhatch.scheduler import _fleet
 from tamarackhatch.scheduler import _isolation
+from tamarackhatch.scheduler import _large_tasks
 from tamarackhatch.scheduler import _load_monitor
+from tamarackhatch.scheduler import _prospects
 from tamarackhatch.scheduler import _state
 
 # Events within this time share one placement pass.
@@ -23,45 +22,6 @@
 Group = dict[int, _state.TaskEntry]
 
 
-class _Rank(enum.IntEnum):
-    """Kind of a group of tasks; of one priority, lower ranks go first.
-
-    Attributes:
-        STARVED: Long-running tasks that have waited too long behind batch
-            tasks.
-        BATCH: Batch tasks, those of small jobs first.
-        LONG_RUNNING: Long-running tasks, image by image.
-    """
-
-    STARVED = 0
-    BATCH = 1
-    LONG_RUNNING = 2
-
-
-@attrs.frozen(order=True)
-class _SchedulingKey:
-    """Sort key of a group of waiting tasks; lower ones go first.
-
-    Attributes:
-        priority: Priority of the queue.
-        rank: Kind of the tasks.
-        demand: Millicores that the unfinished tasks of a batch job ask for;
-            0 if the tasks have waited too long, or one of them is moved.
-        is_unlimited: Whether any number of the step's long-running tasks may
-            share a runner. Limited steps go first because they need the most
-            runners of their image; the others fill these up.
-        image: Image of long-running tasks.
-        accepted: When the job was accepted, in seconds since the epoch.
-    """
-
-    priority: float
-    rank: _Rank
-    demand: int
-    is_unlimited: bool
-    image: str
-    accepted: float
-
-
 class Dispatcher:
     """Runs placement passes when tasks wait or capacity becomes free."""
 
@@ -72,6 +32,9 @@
     ) -> None:
         self._context = context
         self._commands = commands
+        self._large_tasks = _large_tasks.LargeTaskReserver(context)
+        # Policy of the present placement pass, by service.
+        self._policies: dict[str, placement.PlacementPolicy] = {}
         self._has_paused_starts = False
         self._paused_version: int | None = None
         self._registry_read = datetime.timedelta.min
@@ -120,12 +83,32 @@
         if not waiting:
             return
         began = context.get_now()
-        groups = sorted(waiting.values(), key=self._get_scheduling_key)
+        ordered = sorted(
+            (
+                (self._get_order_key(group), group)
+                for group in waiting.values()
+            ),
+            key=lambda item: item[0],
+        )
+        groups = [group for _, group in ordered]
         is_grouping = self._is_grouping(groups)
         candidates = self.list_candidates()
+        self._large_tasks.is_long_running_waiting = any(
+            next(iter(group.values())).step.is_long_running for group in groups
+        )
         self._place_suspects(groups, candidates)
-        for group in groups:
-            self._run_group(group, is_grouping, candidates)
+        self._large_tasks.begin_pass(waiting, candidates)
+        self._policies = {
+            service: placement.adapt_policy(
+                context.policy,
+                placement.compute_free_share(
+                    candidate.load for candidate in group
+                ),
+            )
+            for service, group in candidates.items()
+        }
+        for order, group in ordered:
+            self._run_group(group, order, is_grouping, candidates)
         counters = context.load_monitor.counters
         counters.passes += 1
         counters.pass_time += context.get_now() - began
@@ -133,6 +116,7 @@
     def _run_group(
         self,
         group: Group,
+        order: placement.OrderKey,
         is_grouping: bool,
         candidates: dict[str, list[placement.CandidateRunner]],
     ) -> None:
@@ -151,8 +135,12 @@
             return
         first = tasks[0]
         service = first.job.job.queue.service
-        placed = self._place_group(tasks, candidates.get(service, []))
+        remaining = candidates.get(service, [])
+        placed = self._place_group(
+            tasks, self._large_tasks.add_reserved(first, order, remaining)
+        )
         self._context.load_monitor.counters.placed += placed
+        self._large_tasks.keep_runner(tasks, order, remaining)
         if first.step.is_best_effort:
             result.best_effort += len(tasks) - placed
         else:
@@ -223,28 +211,29 @@
             self._context.policy.grouping_delay
         )
 
-    def _get_scheduling_key(self, group: Group) -> _SchedulingKey:
+    def _get_order_key(self, group: Group) -> placement.OrderKey:
         task = next(iter(group.values()))
-        policy = self._context.policy
-        priority, accepted = task.job.order
         now = self._context.get_now()
-        waited = max(waiting.compute_wait(now) for waiting in group.values())
-        if not task.step.is_long_running:
-            may_wait = waited < policy.batch_wait and not any(
-                waiting.departure for waiting in group.values()
-            )
-            demand = task.job.compute_demand() if may_wait else 0
-            return _SchedulingKey(
-                priority, _Rank.BATCH, demand, False, "", accepted
-            )
-        if waited >= policy.long_running_wait:
-            return _SchedulingKey(
-                priority, _Rank.STARVED, 0, False, "", accepted
-            )
+        is_moved = any(waiting.departure for waiting in group.values())
         step = task.step
-        is_unlimited = not step.max_per_runner
-        return _SchedulingKey(
-            priority, _Rank.LONG_RUNNING, 0, is_unlimited, step.image, accepted
+        priority, accepted = task.job.order
+        return placement.make_order_key(
+            placement.WaitingGroup(
+                priority,
+                accepted,
+                max(waiting.compute_wait(now) for waiting in group.values()),
+                step.is_long_running,
+                not step.max_per_runner,
+                step.image,
+                # A moved task has waited and worked before.
+                (
+                    0
+                    if is_moved or step.is_long_running
+                    else task.job.compute_demand()
+                ),
+                _prospects.assess_job(task, self._context.clock.get_utc()),
+            ),
+            self._context.policy,
         )
 
     def _is_paused(self, task: _state.TaskEntry) -> bool:
@@ -322,7 +311,9 @@
         """Chooses runners for tasks of one step, and reserves capacity."""
         if not tasks:
             return []
-        policy = self._context.policy
+        policy = self._policies.get(
+            tasks[0].job.job.queue.service, self._context.policy
+        )
         waited = tasks[0].compute_wait(self._context.get_now())
         # A moved task has waited before, and its place may be taken.
         may_be_slower = (
--- a/tamarackhatch/scheduler/tests/test_order.py
+++ b/tamarackhatch/scheduler/tests/test_order.py
@@ -22,6 +22,9 @@
 _LONG_RUNNING = model.Step(1, _WIDE, is_long_running=True)
 _URGENT = standin_fleet.QUEUE
 _LATER = attrs.evolve(standin_fleet.QUEUE, priority=3)
+_TIMELY = attrs.evolve(standin_fleet.QUEUE, target_latency=10 * _SECOND)
+# The blocker outlasts this objective.
+_HURRIED = attrs.evolve(standin_fleet.QUEUE, target_latency=2 * _SECOND)
 _POLICY = placement.PlacementPolicy()
 _BLOCKER = "00"
 _BLOCKED_S = 4.0
@@ -76,6 +79,34 @@
             ["long-running"],
             id="long-running task is not starved",
         ),
+        pytest.param(
+            (
+                ("long-running", _LONG_RUNNING, _TIMELY, 0),
+                ("small", _BATCH, _TIMELY, 3),
+            ),
+            attrs.evolve(_POLICY, long_running_wait=2 * _SECOND),
+            ["small", "long-running"],
+            id="batch task that can meet its objective before long-running",
+        ),
+        pytest.param(
+            (
+                ("long-running", _LONG_RUNNING, _TIMELY, 0),
+                ("small", _BATCH, _TIMELY, 3),
+            ),
+            attrs.evolve(
+                _POLICY,
+                long_running_wait=2 * _SECOND,
+                max_long_running_wait=3 * _SECOND,
+            ),
+            ["long-running"],
+            id="long-running task does not wait without bound",
+        ),
+        pytest.param(
+            (("small", _BATCH, _HURRIED, 0), ("large", _LARGE, _HURRIED, 3)),
+            _POLICY,
+            ["large", "small"],
+            id="large job in time before small job that is late",
+        ),
     ],
 )
 def test_order_of_waiting_jobs(
@@ -93,6 +124,7 @@
         fleet.start_instance("a")
         await fleet.wait_until(lambda: fleet.get_leader() is not None)
         await fleet.submit(_BLOCKER, _BATCH)
+        await fleet.wait_until(lambda: bool(fleet.history.runs))
         begin = asyncio.get_running_loop().time()
         for name, step, queue, after_s in submissions:
             await asyncio.sleep(
@@ -106,6 +138,41 @@
     assert virtual_time.run_virtually(simulate()) == expected
 
 
+def test_large_task_is_not_starved_by_small_ones() -> None:
+    """Guards against small jobs that take each free piece of a runner.
+
+    Load: more small urgent jobs than the runners have room for, without a
+    pause, and one job whose task needs a whole runner.
+    """
+    piece = model.Step(1, model.Resources(processors=4_000, memory_mb=100))
+
+    def plan(_task: str, _number: int) -> tuple[float, str]:
+        return 0.5, "done"
+
+    async def simulate() -> float:
+        fleet = standin_fleet.VirtualFleet(2, plan)
+        fleet.start_instance("a")
+        await fleet.wait_until(lambda: fleet.get_leader() is not None)
+        loop = asyncio.get_running_loop()
+        begin = loop.time()
+        submitted = 0
+        while loop.time() < begin + 12.0:
+            await fleet.submit(f"small-{submitted}", piece)
+            submitted += 1
+            if submitted == 60:
+                await fleet.submit("large", _BATCH)
+                begin_large = loop.time()
+            # Eight run at a time for half a second each.
+            await asyncio.sleep(0.05)
+        return min(
+            run.started - begin_large
+            for run in fleet.history.runs
+            if run.task.startswith("large")
+        )
+
+    assert virtual_time.run_virtually(simulate()) < 4.0
+
+
 class _RefusingRunner(runner.RunnerStandIn):
     """Refuses the first start of each long-running task as unhealthy."""
 
