Move checkpointing runs before their first checkpoint too

A run at a tenth of its speed has no checkpoint for ten intervals, and one that is stopped from its start never gets one, so exactly the slowest runs stayed.

--- a/tamarackhatch/scheduler/_stragglers.py
+++ b/tamarackhatch/scheduler/_stragglers.py
@@ -413,7 +413,6 @@
 def _is_movable(task: _state.TaskEntry) -> bool:
     return (
         task.step.is_checkpointing
-        and bool(task.checkpoint)
         and (
             task.speed_limit_percent is not None
             or not task.step.is_best_effort
--- a/tamarackhatch/stragglers/_state.py
+++ b/tamarackhatch/stragglers/_state.py
@@ -43,7 +43,7 @@
         progress: Its rates.
         speed_limit: Share of its full speed at which it may proceed, 0 to 1.
         is_best_effort: Whether no processor time is reserved for it.
-        is_movable: Whether it has a checkpoint and may be moved at all.
+        is_movable: Whether it can resume elsewhere and may be moved at all.
         moves: Moves of its task.
     """
 
