--- a/tamarackhatch/service/_configuration.py
+++ b/tamarackhatch/service/_configuration.py
@@ -3,13 +3,14 @@
 import asyncio
 from collections.abc import Callable
 import datetime
-import typing
 
 from tamarackhatch import clock
 from tamarackhatch import model
 from tamarackhatch import observability
 from tamarackhatch import platform
 from tamarackhatch import records
+from tamarackhatch.service import _held_configuration
+from tamarackhatch.service import _publications
 from tamarackhatch.service import _published_configuration
 
 _READ_TIMEOUT = datetime.timedelta(milliseconds=800)
@@ -26,8 +27,6 @@
 # After a read that failed, in proportion to its duration: it may have carried
 # much in vain.
 _MAX_REST = datetime.timedelta(milliseconds=1200)
-# Changes that are kept until the version that they apply to is read.
-_MAX_KEPT_CHANGES = 64
 # Of the active scheduler's requests for changes of the operator's table. All
 # instances read the large row if it gets no answer for 2.4 s, which must not
 # happen because a single answer is lost.
@@ -45,42 +44,6 @@
 _MAX_TIME_SINCE_READ = datetime.timedelta(milliseconds=2400)
 
 
-class PublicationSource(typing.Protocol):
-    """What the active scheduler publishes of the configuration."""
-
-    @property
-    def publication(self) -> model.Publication | None:
-        """The published configuration.
-
-        None if that is not known, or if this process is that scheduler.
-        """
-        ...
-
-    @property
-    def is_active(self) -> bool:
-        """Whether this process is the active scheduler."""
-        ...
-
-    @property
-    def is_leader_alive(self) -> bool:
-        """Whether another process is certainly the active scheduler."""
-        ...
-
-    @property
-    def last_answer(self) -> datetime.timedelta:
-        """Monotonic time at which the store last answered."""
-        ...
-
-    async def poll_publication(self) -> None:
-        """Reads what was published up to now.
-
-        Raises:
-            HistoryLostError: The store has discarded changes.
-            StoreUnavailableError: The store could not be read.
-        """
-        ...
-
-
 class ConfigurationWatcher:
     """Holds the newest configuration; never replaces it by an older one.
 
@@ -114,11 +77,9 @@
         self._store = store
         self._clock = time_source
         self._log = log
-        self._configuration: model.Configuration | None = None
-        self._publications: PublicationSource | None = None
+        self._held = _held_configuration.HeldConfiguration(log)
+        self._publications: _publications.PublicationSource | None = None
         self._on_change: Callable[[], None] = lambda: None
-        self._assembler = records.ChangeAssembler()
-        self._changes: dict[int, model.ConfigurationChange] = {}
         self._is_direct = True
         self._last_refresh = datetime.timedelta()
         self._refresh_in_progress: asyncio.Task[bool] | None = None
@@ -127,7 +88,7 @@
             time_source,
             platform.OPERATOR_TABLE,
             ("",),
-            self._apply_row,
+            self._held.apply_row,
             log,
             _READ_INTERVAL,
         )
@@ -135,7 +96,7 @@
     @property
     def configuration(self) -> model.Configuration | None:
         """The newest configuration; None until the first one is read."""
-        return self._configuration
+        return self._held.configuration
 
     @property
     def position(self) -> int | None:
@@ -144,7 +105,7 @@
         None if it was not read lately.
         """
         age = self._clock.get_monotonic() - self._table.last_answer
-        if self._configuration is None or age > _MAX_TIME_SINCE_READ:
+        if self._held.configuration is None or age > _MAX_TIME_SINCE_READ:
             return None
         return self._table.version
 
@@ -157,7 +118,9 @@
         return self._clock.get_monotonic() - last_answer
 
     def set_publications(
-        self, publications: PublicationSource, on_change: Callable[[], None]
+        self,
+        publications: _publications.PublicationSource,
+        on_change: Callable[[], None],
     ) -> None:
         """Connects the watcher with the scheduler role of this process.
 
@@ -168,6 +131,7 @@
         """
         self._publications = publications
         self._on_change = on_change
+        self._held.set_callback(on_change)
 
     async def run(self) -> None:
         """Reads the configuration and applies its changes until cancelled."""
@@ -227,7 +191,7 @@
 
     async def _wait_for_turn(self) -> None:
         """Waits for the turn of this process, or for a publication."""
-        configuration = self._configuration
+        configuration = self._held.configuration
         if configuration is None or (
             len(configuration.queues) < _MIN_LARGE_QUEUES
         ):
@@ -275,8 +239,8 @@
         ) as error:
             self._log.info("published_copy_not_used", reason=error.message)
             return False
-        self._set_configuration(published.configuration)
-        self._apply_changes()
+        self._held.replace_configuration(published.configuration)
+        self._held.apply_changes()
         return True
 
     async def _wait_for_publication(self) -> bool:
@@ -333,25 +297,8 @@
         return False
 
     def apply_change_row(self, row: model.Row) -> None:
-        """Applies a change that the active scheduler has published.
-
-        A change of another version than the present one is kept, since that
-        version may be read later.
-        """
-        if row.is_deleted or not records.is_change_ref(row.ref):
-            return
-        try:
-            part = records.decode_change_part(row.value)
-            change = self._assembler.add_part(part)
-        except records.MalformedRowError as error:
-            self._log.error("configuration_malformed", reason=error.message)
-            return
-        if change is None:
-            return
-        self._changes[change.base] = change
-        if len(self._changes) > _MAX_KEPT_CHANGES:
-            del self._changes[min(self._changes)]
-        self._apply_changes()
+        """Applies a change that the active scheduler has published."""
+        self._held.apply_change_row(row)
 
     async def refresh(self, max_age: datetime.timedelta) -> bool:
         """Reads the configuration, which may be newer than the feed's.
@@ -367,7 +314,7 @@
             False if the store could not be read or has no configuration.
         """
         oldest = self._clock.get_monotonic() - max_age
-        while self._configuration is None or self._last_refresh < oldest:
+        while self._held.configuration is None or self._last_refresh < oldest:
             task = self._refresh_in_progress
             if task is None:
                 task = asyncio.create_task(self._refresh())
@@ -389,7 +336,7 @@
             self._log.info("configuration_read_failed", reason=error.message)
             return False
         self._last_refresh = started_at
-        return self._configuration is not None
+        return self._held.configuration is not None
 
     @property
     def _is_publisher(self) -> bool:
@@ -398,12 +345,12 @@
 
     def _get_publication(self) -> model.Publication | None:
         """Returns the publication, and continues after it where possible."""
-        if self._publications is None or self._configuration is None:
+        if self._publications is None or self._held.configuration is None:
             return None
         publication = self._publications.publication
         if (
             publication is not None
-            and publication.version == self._configuration.version
+            and publication.version == self._held.configuration.version
         ):
             self._table.skip_to(publication.position)
         return publication
@@ -412,8 +359,8 @@
         """Returns whether this process may lack published changes."""
         return (
             publication is None
-            or self._configuration is None
-            or publication.version > self._configuration.version
+            or self._held.configuration is None
+            or publication.version > self._held.configuration.version
         )
 
     async def _read_publication(self) -> bool:
@@ -435,7 +382,7 @@
         return not self._is_behind(self._get_publication())
 
     async def _read_changes(self) -> None:
-        if self._configuration is not None:
+        if self._held.configuration is not None:
             try:
                 # The row can have hundreds of kilobytes, too many to read it
                 # at each request for a queue that does not exist.
@@ -451,34 +398,4 @@
             platform.CONFIGURATION_KEY + "\0",
         )
         for row in page.rows:
-            self._apply_row(row)
-
-    def _apply_row(self, row: model.Row) -> None:
-        if row.ref.key != platform.CONFIGURATION_KEY or row.is_deleted:
-            return
-        try:
-            configuration = platform.decode_configuration(row.value)
-        except platform.MalformedBodyError as error:
-            self._log.error("configuration_malformed", reason=error.message)
-            return
-        self._set_configuration(configuration)
-
-    def _apply_changes(self) -> None:
-        """Applies all changes that lead on from the present version."""
-        while (current := self._configuration) is not None:
-            change = self._changes.pop(current.version, None)
-            if change is None:
-                return
-            self._set_configuration(change.apply_to(current))
-
-    def _set_configuration(self, configuration: model.Configuration) -> None:
-        current = self._configuration
-        if current is not None and configuration.version <= current.version:
-            return
-        self._configuration = configuration
-        self._log.info(
-            "configuration_applied",
-            version=configuration.version,
-            queues=len(configuration.queues),
-        )
-        self._on_change()
+            self._held.apply_row(row)
