Split the job tracker by concept

The phases of tasks and the set of waiting tasks move to _task_phases.py, the opening and finishing of occurrences and jobs to _occurrences.py; the tracker keeps the jobs, runs and exits in 425 lines. Its public methods stay. No behaviour changes.

--- a/tamarackhatch/scheduler/_job_tracker.py
+++ b/tamarackhatch/scheduler/_job_tracker.py
@@ -8,21 +8,15 @@
 from tamarackhatch import observability
 from tamarackhatch import records
 from tamarackhatch.scheduler import _fleet
+from tamarackhatch.scheduler import _occurrences
 from tamarackhatch.scheduler import _state
+from tamarackhatch.scheduler import _task_phases
 
 _EPOCH = datetime.datetime(1970, 1, 1, tzinfo=datetime.timezone.utc)
 # Run numbers of a term are above those of earlier terms, because a scheduler
 # does not know all runs that its predecessors started.
 _RUNS_PER_TERM = 1000
 
-# Further occurrences of a job wait until some are finished. A job whose
-# occurrences are due faster than they run must not fill the memory.
-_MAX_OPEN_OCCURRENCES = 100
-
-StepName = tuple[str, int, int]
-StopCommand = Callable[[_state.TaskEntry], None]
-WriteRequest = Callable[[_state.JobEntry], int]
-
 
 class JobTracker:
     """Tracks all jobs that are not finished.
@@ -43,19 +37,20 @@
         self._log = log
         self._metrics = metrics
         self._jobs: dict[str, _state.JobEntry] = {}
-        self._waiting: dict[StepName, dict[int, _state.TaskEntry]] = {}
-        self._scheduled: set[str] = set()
+        self._phases = _task_phases.TaskPhases(time_source)
+        self._occurrences = _occurrences.OccurrenceTracker(
+            time_source, self._phases, log, metrics
+        )
         self._synced_until: datetime.timedelta | None = None
-        self._request_write: WriteRequest = lambda job: 0
-        self._stop_task: StopCommand = lambda task: None
-        self._wake: Callable[[], None] = lambda: None
+        self._request_write: _occurrences.WriteRequest = lambda job: 0
+        self._stop_task: _occurrences.StopCommand = lambda task: None
         self._on_finished: Callable[[_state.JobEntry], None]
         self._on_finished = lambda job: None
 
     def set_callbacks(
         self,
-        request_write: WriteRequest,
-        stop_task: StopCommand,
+        request_write: _occurrences.WriteRequest,
+        stop_task: _occurrences.StopCommand,
         wake: Callable[[], None],
         on_finished: Callable[[_state.JobEntry], None],
     ) -> None:
@@ -71,12 +66,15 @@
         self._on_finished = on_finished
         self._request_write = request_write
         self._stop_task = stop_task
-        self._wake = wake
+        self._phases.set_callback(wake)
+        self._occurrences.set_callbacks(request_write, stop_task, on_finished)
 
     @property
-    def waiting(self) -> dict[StepName, dict[int, _state.TaskEntry]]:
+    def waiting(
+        self,
+    ) -> dict[_task_phases.StepName, dict[int, _state.TaskEntry]]:
         """Tasks that wait for a runner, by step and index."""
-        return self._waiting
+        return self._phases.waiting
 
     def find_task(self, key: model.TaskKey) -> _state.TaskEntry | None:
         """Returns the task with a key, or None if it is unknown."""
@@ -166,45 +164,20 @@
             tasks=sum(step.count for step in job.steps),
         )
         if job.schedule is not None:
-            self._scheduled.add(job.identifier)
+            self._occurrences.add_scheduled_job(entry)
             if progress is not None:
                 for number in sorted(progress.occurrences):
-                    self._open_occurrence(
+                    self._occurrences.open_occurrence(
                         entry, number, progress.occurrences[number]
                     )
             self.open_due_occurrences()
         else:
             known = None if progress is None else progress.occurrences.get(0)
-            self._open_occurrence(entry, 0, known)
+            self._occurrences.open_occurrence(entry, 0, known)
 
     def open_due_occurrences(self) -> None:
         """Opens the occurrences of scheduled jobs whose time has come."""
-        now = self._clock.get_utc()
-        for identifier in list(self._scheduled):
-            entry = self._jobs[identifier]
-            schedule = entry.job.schedule
-            assert schedule is not None
-            while (
-                not entry.state.is_final
-                and entry.next_occurrence < schedule.count
-                and len(entry.occurrences) < _MAX_OPEN_OCCURRENCES
-                and schedule.get_due(entry.next_occurrence) <= now
-            ):
-                self._open_occurrence(entry, entry.next_occurrence, None)
-            if entry.state.is_final or entry.next_occurrence == schedule.count:
-                self._scheduled.discard(identifier)
-
-    def _open_occurrence(
-        self,
-        entry: _state.JobEntry,
-        number: int,
-        progress: records.OccurrenceProgress | None,
-    ) -> None:
-        occurrence = _state.build_occurrence(entry, number, progress)
-        entry.occurrences[number] = occurrence
-        entry.next_occurrence = max(entry.next_occurrence, number + 1)
-        self._requeue_unblocked_tasks(occurrence)
-        self._close_finished_occurrences(entry)
+        self._occurrences.open_due_occurrences()
 
     def cancel_job(self, identifier: str) -> None:
         """Stops all tasks of a job, because a caller cancelled it."""
@@ -213,7 +186,7 @@
             return
         entry.is_cancelled = True
         self._log.info("job_cancelled", job=identifier)
-        self._finish_job(entry, model.JobState.CANCELLED)
+        self._occurrences.finish_job(entry, model.JobState.CANCELLED)
 
     def allocate_run(self, task: _state.TaskEntry) -> int:
         """Returns the number of the next run of a task."""
@@ -224,7 +197,7 @@
         self, task: _state.TaskEntry, runner: _fleet.RunnerEntry
     ) -> None:
         """Reserves capacity for a task before its start command is sent."""
-        self._remove_waiting(task)
+        self._phases.remove_waiting(task)
         runner.assign_task(task)
         task.placed_at = self._clock.get_monotonic()
         task.speed_limit_percent = 100
@@ -232,14 +205,14 @@
         task.progress_reported_at = None
         task.ready_since = None
         task.confirmed = None
-        self._enter_phase(task, _state.TaskPhase.STARTING)
+        self._phases.enter_phase(task, _state.TaskPhase.STARTING)
 
     def confirm_run(
         self, task: _state.TaskEntry, runner: _fleet.RunnerEntry
     ) -> None:
         """Records that the latest run of a task exists on a runner."""
         if task.runner is None:
-            self._remove_waiting(task)
+            self._phases.remove_waiting(task)
             runner.assign_task(task)
             task.placed_at = self._clock.get_monotonic()
             # An earlier scheduler started the run and may have throttled it.
@@ -254,7 +227,7 @@
         task.departure = None
         if task.phase is not _state.TaskPhase.RUNNING:
             runner.record_running_task(task, task.confirmed)
-        self._enter_phase(task, _state.TaskPhase.RUNNING)
+        self._phases.enter_phase(task, _state.TaskPhase.RUNNING)
         entry = task.job
         if not entry.has_started:
             entry.has_started = True
@@ -265,7 +238,7 @@
         """Requeues a task whose run was never started."""
         if task.runner is not None:
             task.runner.release_task(task, self._clock.get_monotonic())
-        self._requeue_task(task)
+        self._phases.requeue_task(task)
 
     def evict_task(self, task: _state.TaskEntry, reason: str) -> None:
         """Stops the run of a task, which is queued again after its exit."""
@@ -281,7 +254,7 @@
             runner=task.runner and task.runner.identifier,
             reason=reason,
         )
-        self._enter_phase(task, _state.TaskPhase.STOPPING)
+        self._phases.enter_phase(task, _state.TaskPhase.STOPPING)
         self._stop_task(task)
 
     def record_lost_run(self, task: _state.TaskEntry, reason: str) -> None:
@@ -297,7 +270,7 @@
         if task.runner is not None:
             task.runner.release_task(task, self._clock.get_monotonic())
         task.last_exited_run = max(task.last_exited_run, task.run)
-        self._requeue_task(task)
+        self._phases.requeue_task(task)
 
     def record_exit(
         self,
@@ -327,16 +300,16 @@
         if task.runner is not None:
             task.runner.release_task(task, self._clock.get_monotonic())
         else:
-            self._remove_waiting(task)
+            self._phases.remove_waiting(task)
         task.waiting_since = None
         task.run = max(task.run, run_exit.run)
         task.last_exited_run = max(task.last_exited_run, run_exit.run)
         entry = task.job
         is_done = run_exit.reason is model.ExitReason.DONE
         if task.phase is _state.TaskPhase.DONE or entry.state.is_final:
-            self._enter_phase(task, _state.TaskPhase.DONE)
+            self._phases.enter_phase(task, _state.TaskPhase.DONE)
         elif is_done and not task.step.is_long_running:
-            self._complete_task(task)
+            self._occurrences.complete_task(task)
         else:
             self._record_unsuccessful_exit(task, run_exit, runner)
         if not entry.has_started and not entry.state.is_final:
@@ -356,8 +329,8 @@
             task.failed_on |= {runner.identifier}
             if not task.step.is_long_running:
                 task.failed_runs |= {run_exit.run}
-        if not self._fail_job_at_limit(task):
-            self._requeue_task(task)
+        if not self._occurrences.fail_job_at_limit(task):
+            self._phases.requeue_task(task)
 
     def record_earlier_exit(
         self,
@@ -398,7 +371,7 @@
             runner=runner.identifier,
             failures=task.failures,
         )
-        self._fail_job_at_limit(task)
+        self._occurrences.fail_job_at_limit(task)
         return self._request_write(task.job)
 
     def _record_late_success(
@@ -416,32 +389,12 @@
             run=run_exit.run,
             runner=runner.identifier,
         )
-        self._remove_waiting(task)
+        self._phases.remove_waiting(task)
         task.is_unblocked_in_term = False
         task.waiting_since = None
-        self._complete_task(task)
+        self._occurrences.complete_task(task)
         return self._request_write(task.job)
 
-    def _fail_job_at_limit(self, task: _state.TaskEntry) -> bool:
-        """Fails the job if its task has used up its attempts.
-
-        Returns:
-            Whether the job has failed.
-        """
-        limit = task.job.job.queue.max_attempts
-        if task.failures < limit:
-            return False
-        self._log.info(
-            "job_failed",
-            job=task.key.job,
-            task=str(task.key),
-            failures=task.failures,
-            limit=limit,
-        )
-        self._metrics.failed_jobs.labels("attempts").inc()
-        self._finish_job(task.job, model.JobState.FAILED)
-        return True
-
     def record_crash(
         self, task: _state.TaskEntry, role: model.CrashRole, address: str
     ) -> None:
@@ -469,97 +422,4 @@
             crashes=sorted(task.crashes),
         )
         self._metrics.failed_jobs.labels("crashes").inc()
-        self._finish_job(task.job, model.JobState.FAILED)
-
-    def _complete_task(self, task: _state.TaskEntry) -> None:
-        self._enter_phase(task, _state.TaskPhase.DONE)
-        task.checkpoint = ""
-        entry = task.job
-        occurrence = entry.occurrences[task.key.occurrence]
-        if task.step.is_gang:
-            # The exit of one member completes the whole gang.
-            occurrence.remaining[task.key.step] = 0
-            for member in occurrence.steps[task.key.step]:
-                self._remove_waiting(member)
-                if not member.is_placed:
-                    self._enter_phase(member, _state.TaskPhase.DONE)
-                elif member.phase is not _state.TaskPhase.DONE:
-                    member.phase = _state.TaskPhase.DONE
-        else:
-            occurrence.remaining[task.key.step] -= 1
-        if occurrence.remaining[task.key.step] == 0:
-            occurrence.is_unblocked_in_term = task.is_unblocked_in_term
-            self._requeue_unblocked_tasks(occurrence)
-            self._close_finished_occurrences(entry)
-
-    def _close_finished_occurrences(self, entry: _state.JobEntry) -> None:
-        while (
-            entry.finished_occurrences in entry.occurrences
-            and entry.occurrences[entry.finished_occurrences].is_finished
-        ):
-            del entry.occurrences[entry.finished_occurrences]
-            entry.finished_occurrences += 1
-        if entry.finished_occurrences == entry.job.occurrences:
-            self._log.info("job_completed", job=entry.identifier)
-            self._finish_job(entry, model.JobState.COMPLETED)
-
-    def _finish_job(
-        self, entry: _state.JobEntry, state: model.JobState
-    ) -> None:
-        entry.state = state
-        for task in entry.iterate_tasks():
-            self._remove_waiting(task)
-            if task.is_placed and task.phase in (
-                _state.TaskPhase.STARTING,
-                _state.TaskPhase.RUNNING,
-            ):
-                self._enter_phase(task, _state.TaskPhase.STOPPING)
-                self._stop_task(task)
-            elif not task.is_placed:
-                self._enter_phase(task, _state.TaskPhase.DONE)
-        self._request_write(entry)
-        self._on_finished(entry)
-
-    def _requeue_unblocked_tasks(
-        self, occurrence: _state.OccurrenceEntry
-    ) -> None:
-        for step_index, tasks in enumerate(occurrence.steps):
-            step = tasks[0].step
-            if any(occurrence.remaining[before] for before in step.after):
-                continue
-            for task in tasks:
-                if task.phase is _state.TaskPhase.BLOCKED:
-                    task.is_unblocked_in_term = occurrence.is_unblocked_in_term
-                    self._requeue_task(task)
-
-    def _requeue_task(self, task: _state.TaskEntry) -> None:
-        entry = task.job
-        if entry.state.is_final or task.phase is _state.TaskPhase.DONE:
-            self._enter_phase(task, _state.TaskPhase.DONE)
-            return
-        task.confirmed = None
-        key = task.key
-        occurrence = entry.occurrences[key.occurrence]
-        if any(occurrence.remaining[before] for before in task.step.after):
-            self._enter_phase(task, _state.TaskPhase.BLOCKED)
-            return
-        self._enter_phase(task, _state.TaskPhase.WAITING)
-        if task.waiting_since is None:
-            task.waiting_since = task.phase_since
-        name = (key.job, key.occurrence, key.step)
-        self._waiting.setdefault(name, {})[key.index] = task
-        self._wake()
-
-    def _remove_waiting(self, task: _state.TaskEntry) -> None:
-        key = task.key
-        name = (key.job, key.occurrence, key.step)
-        group = self._waiting.get(name)
-        if group is not None and group.pop(key.index, None) is not None:
-            if not group:
-                del self._waiting[name]
-
-    def _enter_phase(
-        self, task: _state.TaskEntry, phase: _state.TaskPhase
-    ) -> None:
-        task.phase = phase
-        task.phase_since = self._clock.get_monotonic()
+        self._occurrences.finish_job(task.job, model.JobState.FAILED)
