Break the import circle of the scheduler's state modules

_state.py named RunnerEntry of _fleet.py for the type of a task's runner, and _fleet.py imports _state.py, directly and through _crash_suspects.py. A task now refers to its runner by a protocol with what is used through it, so that _state.py imports neither.

--- a/tamarackhatch/scheduler/_commands.py
+++ b/tamarackhatch/scheduler/_commands.py
@@ -303,7 +303,7 @@
         self._context.job_tracker.evict_task(task, f"start {outcome.value}")
 
     async def _deliver_stop(
-        self, task: _state.TaskEntry, entry: _fleet.RunnerEntry, run: int
+        self, task: _state.TaskEntry, entry: _state.TaskRunner, run: int
     ) -> None:
         command = platform.RunCommand(task.key, run)
         while task.run == run and task.runner is entry:
@@ -316,7 +316,7 @@
             await self._context.clock.sleep(_RETRY_PAUSE)
 
     async def _send_stop(
-        self, entry: _fleet.RunnerEntry, command: platform.RunCommand
+        self, entry: _state.TaskRunner, command: platform.RunCommand
     ) -> bool:
         context = self._context
         if not context.leader_lease.is_valid:
@@ -347,7 +347,7 @@
     async def _deliver_speed_limit(
         self,
         task: _state.TaskEntry,
-        entry: _fleet.RunnerEntry,
+        entry: _state.TaskRunner,
         run: int,
         percent: int,
     ) -> None:
@@ -386,7 +386,7 @@
         self,
         kind: str,
         task: _state.TaskEntry,
-        entry: _fleet.RunnerEntry,
+        entry: _state.TaskRunner,
         reason: str,
     ) -> None:
         self._context.log.info(
--- a/tamarackhatch/scheduler/_state.py
+++ b/tamarackhatch/scheduler/_state.py
@@ -9,11 +9,9 @@
 import attrs
 
 from tamarackhatch import model
+from tamarackhatch import placement
 from tamarackhatch import records
 
-if typing.TYPE_CHECKING:
-    from tamarackhatch.scheduler import _fleet
-
 
 class TaskPhase(enum.Enum):
     """Phase of a task.
@@ -51,6 +49,27 @@
     slow_runners: frozenset[str] = frozenset()
 
 
+class TaskRunner(typing.Protocol):
+    """What a task knows of the runner that it is placed on.
+
+    Attributes:
+        record: The runner's latest row in the registry.
+        load: Tasks placed on the runner and their resources.
+    """
+
+    record: model.Runner
+    load: placement.RunnerLoad
+
+    @property
+    def identifier(self) -> str:
+        """Identifier of the runner."""
+        ...
+
+    def release_task(self, task: "TaskEntry", now: datetime.timedelta) -> None:
+        """Releases the capacity of a task that can no longer run here."""
+        ...
+
+
 @attrs.define(eq=False)
 class TaskEntry:
     """A task.
@@ -99,7 +118,7 @@
     step: model.Step
     job: "JobEntry"
     phase: TaskPhase = TaskPhase.BLOCKED
-    runner: "_fleet.RunnerEntry | None" = None
+    runner: TaskRunner | None = None
     run: int = 0
     last_exited_run: int = 0
     failed_runs: frozenset[int] = frozenset()
