Leave the term to better candidates after a restart on little processor time

Such an instance now releases the term of its earlier process, so that all candidates campaign at once, those with more processor time first. The test fails without the change.

--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -56,7 +56,11 @@
     """
 
     def __init__(
-        self, fleet: "VirtualFleet", name: str, has_configuration: bool
+        self,
+        fleet: "VirtualFleet",
+        name: str,
+        has_configuration: bool,
+        processor: float,
     ) -> None:
         self.name = name
         client = fleet.network.make_client(name)
@@ -86,6 +90,7 @@
             caller_address=address,
             readiness_address=address,
             store_address=address,
+            processor_share=processor,
             bounds=fleet.bounds,
         )
         self.configuration: service.ConfigurationWatcher | None = None
@@ -232,15 +237,19 @@
         self.history.record_return(data_centre)
 
     def start_instance(
-        self, name: str, has_configuration: bool = False
+        self,
+        name: str,
+        has_configuration: bool = False,
+        processor: float = 1.0,
     ) -> VirtualInstance:
         """Starts an instance and returns it.
 
         Args:
             name: Name of the instance.
             has_configuration: Whether it follows the configuration.
+            processor: Processor time that it may use, in cores.
         """
-        instance = VirtualInstance(self, name, has_configuration)
+        instance = VirtualInstance(self, name, has_configuration, processor)
         self.instances[name] = instance
         return instance
 
--- a/tamarackhatch/election/_election.py
+++ b/tamarackhatch/election/_election.py
@@ -28,6 +28,11 @@
 _CAMPAIGN_DELAY_AT_ONE_CORE = datetime.timedelta(milliseconds=80)
 _MAX_CAMPAIGN_DELAY = datetime.timedelta(milliseconds=600)
 _MAX_CAMPAIGN_JITTER_MS = 60
+# An instance with less processor time does not go on at once with the term of
+# its earlier process. On half a core, a scheduler of 246 runners that had lost
+# all processes together needed 2.1 s to get ready, then answered too late to
+# renew leases, and lost its term.
+_MIN_RESUMING_PROCESSOR = 1.0
 
 RunTerm = Callable[[_leader_lease.Term], Awaitable[None]]
 
@@ -322,6 +327,9 @@
             if self._heartbeat is None or holder.term != self._heartbeat.term:
                 # Another candidate has won since the heartbeat was read.
                 return None
+            if self._should_release_earlier_term():
+                await self._release_earlier_term(row.version)
+                return None
             return await self._claim_term(
                 row.version, holder.term + 1, started_at
             )
@@ -333,6 +341,51 @@
         await self._clock.sleep(_RETRY_DELAY)
         return None
 
+    def _should_release_earlier_term(self) -> bool:
+        """Returns whether better candidates may follow this one's process.
+
+        They do not know that the earlier process has ended, and would wait
+        for its heartbeat.
+        """
+        heartbeat = self._heartbeat
+        return (
+            heartbeat is not None
+            and heartbeat.instance == self._candidate.instance
+            and not heartbeat.is_released
+            and self._candidate.processor < _MIN_RESUMING_PROCESSOR
+        )
+
+    async def _release_earlier_term(self, version: int) -> None:
+        """Releases the term of this instance's earlier process.
+
+        All candidates then campaign after a delay that depends on their
+        distance from the store and on their processor time.
+
+        Args:
+            version: Version of the fence row.
+        """
+        assert self._heartbeat is not None
+        released = attrs.evolve(self._heartbeat, is_released=True)
+        result = await self._store.write(
+            [(records.FENCE, version)],
+            [
+                model.Put(
+                    records.LEADER_HEARTBEAT,
+                    records.encode_leader_heartbeat(released),
+                ),
+                # Late transactions of the earlier process change nothing.
+                model.Put(records.SEQUENCE, b"{}"),
+            ],
+            [],
+            _WRITE_TIMEOUT,
+        )
+        self._log.info(
+            "earlier_term_released",
+            term=released.term,
+            written=not isinstance(result, model.Conflict),
+            processor=self._candidate.processor,
+        )
+
     async def _claim_after_heartbeat(
         self, version: int, started_at: datetime.timedelta
     ) -> _leader_lease.Term | None:
--- a/tamarackhatch/scheduler/tests/test_takeover.py
+++ b/tamarackhatch/scheduler/tests/test_takeover.py
@@ -102,6 +102,49 @@
     virtual_time.run_virtually(simulate())
 
 
+@pytest.mark.parametrize(
+    "processors, leader",
+    [
+        ({"a": 0.5, "b": 2.0, "c": 0.5}, "b"),
+        ({"a": 2.0, "b": 2.0, "c": 0.5}, "a"),
+        ({"a": 0.5, "b": 0.5, "c": 0.5}, None),
+    ],
+)
+def test_scheduler_after_the_loss_of_all_processes(
+    processors: dict[str, float], leader: str | None
+) -> None:
+    """Guards against a scheduler that is too slow for its fleet.
+
+    After all processes were lost together, the instance that had the term
+    knows first that it is free. On little processor time it must leave it to
+    a better candidate, and all leases must be renewed before they lapse.
+    """
+
+    async def simulate() -> None:
+        fleet = standin_fleet.VirtualFleet(plan=lambda task, run: (12, "done"))
+        fleet.start_instance("a", processor=processors["a"])
+        await fleet.wait_until(lambda: fleet.get_leader() is not None)
+        for name in ("b", "c"):
+            fleet.start_instance(name, processor=processors[name])
+        await fleet.submit("00", _make_step(6))
+        await fleet.wait_until(lambda: len(fleet.history.runs) == 6)
+        await asyncio.sleep(2)
+        for instance in list(fleet.instances.values()):
+            instance.kill()
+        await asyncio.sleep(1.2)
+        for name, processor in processors.items():
+            fleet.start_instance(name, processor=processor)
+        await fleet.wait_until(lambda: fleet.get_leader() is not None, 1.5)
+        await fleet.wait_for_state("00", model.JobState.COMPLETED)
+        if leader is not None:
+            found = fleet.get_leader()
+            assert found is not None and found.name == leader
+        assert len(fleet.history.runs) == 6
+        assert fleet.check() == []
+
+    virtual_time.run_virtually(simulate())
+
+
 def test_no_takeover_while_the_store_serves_nobody() -> None:
     """Guards against a takeover that only an outage of the store causes.
 
