Keep candidates between placement passes, and skip demands without capacity

Each pass forecast the loads of all 246 runners anew and compared every waiting step with every runner.

The choice stays equal to the full search.

--- a/tamarackhatch/placement/__init__.py
+++ b/tamarackhatch/placement/__init__.py
@@ -1,9 +1,11 @@
 """Placement of tasks on runners, and throttling of best-effort tasks."""
 
 from tamarackhatch.placement._candidate import CandidateRunner
+from tamarackhatch.placement._candidate_cache import CandidateCache
 from tamarackhatch.placement._choice import Choice
 from tamarackhatch.placement._choice import choose_runners
 from tamarackhatch.placement._choice import is_allowed
+from tamarackhatch.placement._infeasible_demands import InfeasibleDemands
 from tamarackhatch.placement._interference import InterferenceFactor
 from tamarackhatch.placement._interference import InterferenceModel
 from tamarackhatch.placement._interference import InterferenceTable
@@ -29,9 +31,11 @@
 
 __all__ = [
     "BestEffortState",
+    "CandidateCache",
     "CandidateRunner",
     "Choice",
     "InterferenceFactor",
+    "InfeasibleDemands",
     "InterferenceModel",
     "InterferenceTable",
     "JobSample",
--- a/tamarackhatch/placement/_candidate.py
+++ b/tamarackhatch/placement/_candidate.py
@@ -1,6 +1,8 @@
 """Runners that one placement pass chooses from."""
 
 import datetime
+import math
+import typing
 
 import attrs
 
@@ -33,6 +35,20 @@
         return self.limit - self.own_load - self.best_effort_utilisation
 
 
+class BestEffortLimit(typing.NamedTuple):
+    """Bounds of a new best-effort task of one image on one runner.
+
+    Attributes:
+        max_share: Share of the runner's processors up to which it can use
+            them at full speed without a target violation; may be negative.
+        utilisation_per_share: Largest utilisation that it adds to a serving
+            task, for each share of the processors that it uses.
+    """
+
+    max_share: float
+    utilisation_per_share: float
+
+
 class CandidateRunner:
     """A runner on which new tasks may be placed.
 
@@ -42,6 +58,9 @@
             run.
         headrooms: Headroom of its serving tasks, one entry for each image.
         serving_cpu_share: Share of its processors that serving tasks use.
+        created_at: Monotonic time of its forecasts.
+        serving_changes: Count of the load's changes that they are based on.
+        best_effort_changes: The same for the best-effort tasks.
     """
 
     def __init__(
@@ -56,6 +75,10 @@
         self.failure_score = failure_score
         self.headrooms: list[ImageHeadroom] = []
         self.serving_cpu_share = 0.0
+        self.created_at = now
+        self.serving_changes = load.serving_changes
+        self.best_effort_changes = load.best_effort_changes
+        self._limits: dict[str, BestEffortLimit] = {}
         self._interference = interference
         self._policy = policy
         self._add_headrooms(now)
@@ -68,6 +91,8 @@
 
     def update_headrooms(self) -> None:
         """Recomputes the utilisation by best-effort tasks from the load."""
+        self.best_effort_changes = self.load.best_effort_changes
+        self._limits.clear()
         if not self.headrooms:
             return
         non_interfering_cpu = self.load.best_effort_usage.non_interfering_cpu
@@ -84,6 +109,23 @@
             )
             headroom.best_effort_utilisation /= self.processors
 
+    def get_best_effort_limit(self, image: str) -> BestEffortLimit:
+        """Returns the bounds of a new best-effort task of an image."""
+        limit = self._limits.get(image)
+        if limit is None:
+            limit = self._limits[image] = self._compute_limit(image)
+        return limit
+
+    def _compute_limit(self, image: str) -> BestEffortLimit:
+        max_share = math.inf
+        utilisation_per_share = 0.0
+        for headroom in self.headrooms:
+            factor = self.estimate_factor(headroom.image, image)
+            if factor:
+                max_share = min(max_share, headroom.remaining / factor)
+            utilisation_per_share = max(utilisation_per_share, factor)
+        return BestEffortLimit(max_share, utilisation_per_share)
+
     def estimate_factor(self, serving: str, best_effort: str) -> float:
         """Returns an upper estimate of the factor of a pair of images."""
         return self._interference.estimate_factor(
--- a/tamarackhatch/placement/_choice.py
+++ b/tamarackhatch/placement/_choice.py
@@ -192,16 +192,11 @@
     score: float,
 ) -> RunnerRating:
     requested_share = step.resources.processors / candidate.processors
+    limit = candidate.get_best_effort_limit(step.image)
     speed_limit = 1.0
-    added_utilisation = 0.0
-    for headroom in candidate.headrooms:
-        factor = candidate.estimate_factor(headroom.image, step.image)
-        utilisation = factor * requested_share
-        if utilisation and utilisation > headroom.remaining:
-            speed_limit = min(
-                speed_limit, max(0.0, headroom.remaining / utilisation)
-            )
-        added_utilisation = max(added_utilisation, utilisation)
+    if requested_share > limit.max_share:
+        speed_limit = max(0.0, limit.max_share / requested_share)
+    added_utilisation = limit.utilisation_per_share * requested_share
     cpu_share = _compute_cpu_share(step, candidate)
     if not candidate.headrooms:
         added_utilisation = policy.empty_runner_cost
--- a/tamarackhatch/placement/_load.py
+++ b/tamarackhatch/placement/_load.py
@@ -51,6 +51,8 @@
             in thousandths of a core.
         best_effort_usage: CPU use of the best-effort tasks that run there.
         step_counts: Number of tasks by job, occurrence and step.
+        serving_changes: Number of changes of the serving tasks.
+        best_effort_changes: Number of changes of the best-effort tasks.
     """
 
     identifier: str
@@ -73,6 +75,8 @@
     step_counts: collections.Counter[tuple[str, int, int]] = attrs.field(
         factory=collections.Counter
     )
+    serving_changes: int = 0
+    best_effort_changes: int = 0
 
     @property
     def rack(self) -> str:
@@ -122,6 +126,7 @@
         self.reserved_memory_mb += sign * reservation.memory_mb
         self.reserved_accelerators += sign * reservation.accelerators
         if step.is_best_effort:
+            self.best_effort_changes += 1
             self.best_effort_cpu += sign * step.resources.processors
             self.best_effort_cpu_by_image[step.image] += (
                 sign * step.resources.processors
@@ -129,6 +134,7 @@
             if not self.best_effort_cpu_by_image[step.image]:
                 del self.best_effort_cpu_by_image[step.image]
         elif step.is_serving:
+            self.serving_changes += 1
             self._adjust_serving(key.job, step, sign)
         else:
             self.batch_cpu += sign * reservation.processors
--- a/tamarackhatch/placement/tests/test_reference.py
+++ b/tamarackhatch/placement/tests/test_reference.py
@@ -146,3 +146,24 @@
         assert load.reserved_cpu <= load.capacity.processors
         assert load.reserved_memory_mb <= load.capacity.memory_mb
         assert load.reserved_accelerators <= load.capacity.accelerators
+
+
+@hypothesis.given(runners=_RUNNERS, steps=strategies.lists(_STEPS, max_size=6))
+def test_infeasible_demands_equal_full_search(
+    runners: list[_RunnerSetup], steps: list[model.Step]
+) -> None:
+    """Guards against leaving out steps that a runner could take."""
+    candidates = _make_candidates(runners)
+    demands = placement.InfeasibleDemands()
+    for number, step in enumerate(steps):
+        keys = [
+            model.TaskKey(f"new{number}", 0, 0, index)
+            for index in range(step.count)
+        ]
+        is_covered = demands.covers("s", step, 0.85)
+        choices = placement.choose_runners(
+            keys, step, candidates, _POLICY, min_speed=0.85
+        )
+        assert not (is_covered and choices)
+        if len(choices) < len(keys) and not step.max_per_runner:
+            demands.add("s", step, 0.85)
--- a/tamarackhatch/scheduler/_dispatcher.py
+++ b/tamarackhatch/scheduler/_dispatcher.py
@@ -33,8 +33,13 @@
         self._context = context
         self._commands = commands
         self._large_tasks = _large_tasks.LargeTaskReserver(context)
-        # Policy of the present placement pass, by service.
+        self._candidate_cache = placement.CandidateCache(
+            context.interference, context.policy
+        )
+        # Policies, candidates and demands of the present placement pass.
         self._policies: dict[str, placement.PlacementPolicy] = {}
+        self._candidates: dict[str, list[placement.CandidateRunner]] = {}
+        self._infeasible = placement.InfeasibleDemands()
         self._has_paused_starts = False
         self._paused_version: int | None = None
         self._registry_read = datetime.timedelta.min
@@ -98,6 +103,8 @@
         )
         self._place_suspects(groups, candidates)
         self._large_tasks.begin_pass(waiting, candidates)
+        self._candidates = candidates
+        self._infeasible.clear()
         self._policies = {
             service: placement.adapt_policy(
                 context.policy,
@@ -257,20 +264,17 @@
             now - self._registry_read > context.settings.bounds.contact
         )
         candidates: dict[str, list[placement.CandidateRunner]] = {}
+        self._candidate_cache.retain(context.fleet)
         for entry in context.list_open_runners():
             service = entry.record.service
             if is_outdated and not context.enforces_capacity(service):
                 continue
             if entry.is_schedulable(now) and not entry.is_isolated(now):
-                candidates.setdefault(service, []).append(
-                    placement.CandidateRunner(
-                        entry.load,
-                        context.interference,
-                        context.policy,
-                        now,
-                        entry.failure_score,
-                    )
+                candidate = self._candidate_cache.get_candidate(
+                    entry.load, now
                 )
+                candidate.failure_score = entry.failure_score
+                candidates.setdefault(service, []).append(candidate)
         return candidates
 
     def _place_group(
@@ -311,22 +315,36 @@
         """Chooses runners for tasks of one step, and reserves capacity."""
         if not tasks:
             return []
-        policy = self._policies.get(
-            tasks[0].job.job.queue.service, self._context.policy
-        )
+        service = tasks[0].job.job.queue.service
+        policy = self._policies.get(service, self._context.policy)
         waited = tasks[0].compute_wait(self._context.get_now())
         # A moved task has waited before, and its place may be taken.
         may_be_slower = (
             waited >= policy.full_speed_wait or tasks[0].departure is not None
         )
-        return placement.choose_runners(
+        min_speed = policy.min_speed if may_be_slower else 1.0
+        step = tasks[0].step
+        are_all = candidates is self._candidates.get(service)
+        if are_all and self._infeasible.covers(service, step, min_speed):
+            return []
+        choices = placement.choose_runners(
             [task.key for task in tasks],
-            tasks[0].step,
+            step,
             candidates,
             policy,
-            min_speed=policy.min_speed if may_be_slower else 1.0,
+            min_speed=min_speed,
             is_excluded=excluded.__contains__,
         )
+        if (
+            are_all
+            and len(choices) < len(tasks)
+            and not excluded
+            and not step.max_per_runner
+            # Places of an incomplete gang are given back.
+            and not step.is_gang
+        ):
+            self._infeasible.add(service, step, min_speed)
+        return choices
 
     def filter_by_ticket(
         self,
