Forward requests to an instance that reaches the store

Cause: the store refuses a third of the instances for 9 s while it serves the others. Callers of these instances got 504 and lost their jobs, although a neighbour of the same data centre reached the store.

Change: with the new optional setting internal_address, instances write rows to the table instances-0 and know each other from them.

--- a/standins/network.py
+++ b/standins/network.py
@@ -78,6 +78,13 @@
     Attributes:
         unreachable_from: Names of clients that cannot reach it; "*" stands
             for all.
+        lost_answers_to: Names of clients whose calls are executed, but whose
+            answers are lost.
+        refused_clients: Status with which the calls of a client are refused,
+            by its name.
+        reset_clients: Names of clients whose connections are reset.
+        late_clients: Names of clients whose calls get no answer and are
+            executed after a delay.
         lost_writes: Names of clients whose transactions never reach it.
         lost_feeds: Names of clients whose requests for changes of a table
             never reach it, with the table.
@@ -95,6 +102,10 @@
     """
 
     unreachable_from: set[str] = attrs.field(factory=set)
+    lost_answers_to: set[str] = attrs.field(factory=set)
+    refused_clients: dict[str, int] = attrs.field(factory=dict)
+    reset_clients: set[str] = attrs.field(factory=set)
+    late_clients: set[str] = attrs.field(factory=set)
     lost_writes: set[str] = attrs.field(factory=set)
     lost_feeds: set[tuple[str, str]] = attrs.field(factory=set)
     lost_reads: set[tuple[str, str]] = attrs.field(factory=set)
@@ -172,13 +183,20 @@
                     raise transport.CallNotSentError("connection refused")
                 if not call.is_permitted():
                     raise transport.CallNotSentError("not permitted")
+                if name in faults.reset_clients:
+                    raise BrokenConnectionError
+                if name in faults.refused_clients:
+                    await asyncio.sleep(faults.delay_s)
+                    return transport.Answer(faults.refused_clients[name], b"")
                 request = _decode(call)
                 fault_draw = self._random.random()
-                if fault_draw < faults.late_call_share:
+                is_late = name in faults.late_clients
+                if is_late or fault_draw < faults.late_call_share:
                     self._schedule_late_call(handler, request, faults)
                     await asyncio.sleep(timeout)
                 response = await self._execute(handler, request, faults)
-                if fault_draw > 1 - faults.lost_answer_share:
+                is_lost = name in faults.lost_answers_to
+                if is_lost or fault_draw > 1 - faults.lost_answer_share:
                     await asyncio.sleep(timeout)
                 await asyncio.sleep(faults.delay_s)
                 if faults.unreachable_from & {name, "*"}:
--- a/tamarackhatch/observability/_metrics.py
+++ b/tamarackhatch/observability/_metrics.py
@@ -105,6 +105,19 @@
             ["kind", "reason"],
             registry=self._registry,
         )
+        self.forwarded_requests = prometheus_client.Counter(
+            "tamarackhatch_forwarded_requests",
+            "Requests that other instances were asked to carry out, by kind"
+            " and by the outcome of each call.",
+            ["kind", "outcome"],
+            registry=self._registry,
+        )
+        self.is_fit = prometheus_client.Gauge(
+            "tamarackhatch_is_fit",
+            "1 while this instance is fit for callers; instances without an"
+            " internal address report 0.",
+            registry=self._registry,
+        )
         self.unreadable_entries = prometheus_client.Counter(
             "tamarackhatch_unreadable_entries",
             "Malformed entries of other systems that were skipped, by source.",
--- a/tamarackhatch/records/__init__.py
+++ b/tamarackhatch/records/__init__.py
@@ -8,6 +8,9 @@
 from tamarackhatch.records._configuration_changes import decode_change_part
 from tamarackhatch.records._configuration_changes import encode_change
 from tamarackhatch.records._configuration_changes import encode_copy
+from tamarackhatch.records._instances import decode_instance
+from tamarackhatch.records._instances import encode_instance
+from tamarackhatch.records._instances import InstanceRecord
 from tamarackhatch.records._interference import decode_interference
 from tamarackhatch.records._interference import encode_interference
 from tamarackhatch.records._job_store import JobStore
@@ -24,8 +27,10 @@
 from tamarackhatch.records._names import FENCE
 from tamarackhatch.records._names import get_cancel_ref
 from tamarackhatch.records._names import get_cancelled_job
+from tamarackhatch.records._names import get_instance_ref
 from tamarackhatch.records._names import get_job_ref
 from tamarackhatch.records._names import get_progress_ref
+from tamarackhatch.records._names import INSTANCES_TABLE
 from tamarackhatch.records._names import INTERFERENCE
 from tamarackhatch.records._names import is_change_ref
 from tamarackhatch.records._names import JOB_PARTITIONS
@@ -51,7 +56,9 @@
     "ChangeAssembler",
     "ChangePart",
     "FENCE",
+    "INSTANCES_TABLE",
     "INTERFERENCE",
+    "InstanceRecord",
     "JOBS_TABLE",
     "JOB_PARTITIONS",
     "JobProgress",
@@ -70,6 +77,7 @@
     "TrackedRunner",
     "decode_change",
     "decode_change_part",
+    "decode_instance",
     "decode_interference",
     "decode_job",
     "decode_leader_heartbeat",
@@ -77,6 +85,7 @@
     "decode_tracked_runners",
     "encode_change",
     "encode_copy",
+    "encode_instance",
     "encode_interference",
     "encode_job",
     "encode_leader_heartbeat",
@@ -85,6 +94,7 @@
     "find_row",
     "get_cancel_ref",
     "get_cancelled_job",
+    "get_instance_ref",
     "get_job_ref",
     "get_progress_ref",
     "is_change_ref",
--- a/tamarackhatch/records/_names.py
+++ b/tamarackhatch/records/_names.py
@@ -15,6 +15,7 @@
 INTERFERENCE_TABLE: typing.Final = f"factors-{CELL}"
 CONFIGURATION_TABLE: typing.Final = f"configuration-{CELL}"
 TRACKED_RUNNERS_TABLE: typing.Final = f"roster-{CELL}"
+INSTANCES_TABLE: typing.Final = f"instances-{CELL}"
 # All rows that the scheduler writes are in one partition, so that one
 # transaction can write them on condition that the fence row is unchanged.
 SCHEDULER_PARTITION: typing.Final = ""
@@ -45,6 +46,11 @@
 _CANCEL_SUFFIX: typing.Final = ".cancel"
 
 
+def get_instance_ref(name: str) -> model.RowRef:
+    """Returns the name of the row by which others know an instance."""
+    return model.RowRef(INSTANCES_TABLE, "", name)
+
+
 def get_change_ref(slot: int, part: int) -> model.RowRef:
     """Returns the name of a row with part of a configuration change."""
     return model.RowRef(
--- a/tamarackhatch/server/_instance.py
+++ b/tamarackhatch/server/_instance.py
@@ -11,6 +11,7 @@
 from tornado import httputil
 
 from tamarackhatch import clock
+from tamarackhatch import entry
 from tamarackhatch import errors
 from tamarackhatch import observability
 from tamarackhatch import platform
@@ -26,6 +27,7 @@
 # runner accepts 64 from all instances together, and each new one has a price.
 _MAX_RUNNER_CONNECTIONS = 4
 _MAX_STORE_CONNECTIONS = 16
+_MAX_PEER_CONNECTIONS = 4
 # The settings file may change without a SIGHUP.
 _SETTINGS_POLL_INTERVAL = datetime.timedelta(seconds=1)
 # The load balancer checks readiness once a second, and stops sending new
@@ -75,15 +77,17 @@
         self._runner_client = transport.HttpClient(
             time_source, _MAX_RUNNER_CONNECTIONS
         )
+        self._peer_client: transport.HttpClient | None = None
+        self._store_calls = entry.CallCounter()
         self._store_traffic = observability.StoreTraffic(
             time_source, self._log.for_component("store"), self._metrics
         )
-        store_liveness = records.StoreLiveness(time_source)
+        self._store_liveness = records.StoreLiveness(time_source)
         self._store = platform.PlatformStore(
             self._store_client,
             str(initial_settings.store_address),
-            self._store_traffic.record_call,
-            store_liveness.record_answer,
+            self._record_store_call,
+            self._record_store_answer,
         )
         self._configuration_watcher = service.ConfigurationWatcher(
             self._store,
@@ -110,12 +114,13 @@
         self._configuration_watcher.set_publications(
             self._role, self._role.request_publication
         )
+        self._entry = self._make_entry()
         self._job_service = service.JobService(
             records.JobStore(
                 self._store,
                 time_source,
                 lambda: self._role.term,
-                store_liveness,
+                self._store_liveness,
                 records.CallReporter(
                     self._log.for_component("store"), self._metrics
                 ).record,
@@ -125,6 +130,12 @@
             time_source,
             self._log.for_component("service"),
             self._metrics,
+            None if self._entry is None else self._entry.forwarder,
+        )
+        self._receiver = (
+            None
+            if self._entry is None
+            else self._entry.make_receiver(self._job_service)
         )
         self._ingress = platform.Ingress(
             self._job_service,
@@ -136,10 +147,15 @@
     @property
     def is_ready(self) -> bool:
         """Whether the load balancer may send new connections here."""
+        if (
+            self._stop_requested.is_set()
+            or self._configuration_watcher.configuration is None
+        ):
+            return False
+        if self._entry is not None:
+            return self._entry.is_in_rotation
         return (
-            not self._stop_requested.is_set()
-            and self._configuration_watcher.configuration is not None
-            and self._configuration_watcher.time_since_answer
+            self._configuration_watcher.time_since_answer
             < _MAX_TIME_SINCE_STORE_ANSWER
         )
 
@@ -165,11 +181,48 @@
                 ("role", self._role.run),
                 ("settings", self._watch_settings),
                 ("store traffic", self._store_traffic.run),
+                *([("entry", self._entry.run)] if self._entry else []),
             )
         ]
         await self._stop_requested.wait()
         await self._shut_down(tasks)
 
+    def _record_store_call(
+        self, kind: str, table: str, answer_bytes: int | None
+    ) -> None:
+        self._store_calls.record_call()
+        self._store_traffic.record_call(kind, table, answer_bytes)
+
+    def _record_store_answer(self) -> None:
+        self._store_calls.record_answer()
+        self._store_liveness.record_answer()
+
+    def _make_entry(self) -> entry.EntryNode | None:
+        """Returns the connection with other instances, if it is set up."""
+        address = self._initial_settings.internal_address
+        if address is None:
+            return None
+        self._peer_client = transport.HttpClient(
+            self._clock, _MAX_PEER_CONNECTIONS
+        )
+        return entry.EntryNode(
+            records.InstanceRecord(
+                self._initial_settings.instance,
+                self._initial_settings.data_centre,
+                str(address),
+                is_fit=True,
+            ),
+            self._store,
+            self._peer_client,
+            self._store_liveness,
+            self._store_calls,
+            self._configuration_watcher,
+            self._stop_requested.is_set,
+            self._clock,
+            self._log.for_component("entry"),
+            self._metrics,
+        )
+
     def _make_advice_client(self) -> platform.AdviceClient | None:
         address = self._initial_settings.advice_address
         if address is None:
@@ -191,6 +244,16 @@
             bindings.append(
                 (initial_settings.metrics_address, self._serve_metrics)
             )
+        if self._receiver is not None:
+            address = initial_settings.internal_address
+            assert address is not None
+            server = httpserver.HTTPServer(
+                self._receiver.handle_request,
+                max_header_size=_MAX_HEADER_BYTES,
+                max_body_size=entry.MAX_BODY_BYTES,
+            )
+            server.listen(address.port, address.host)
+            self._servers.append(server)
         if initial_settings.interface_address is not None:
             # Imported only if it is served, since memory has a price.
             from tamarackhatch import api
@@ -219,6 +282,7 @@
             if (
                 elapsed >= _MIN_NOT_READY_TIME
                 and not self._ingress.in_flight
+                and not (self._receiver and self._receiver.in_flight)
                 and not self._role.is_active
             ):
                 break
@@ -232,6 +296,8 @@
             await server.close_all_connections()
         self._store_client.close()
         self._runner_client.close()
+        if self._peer_client is not None:
+            self._peer_client.close()
         self._log.info("stopped", in_flight=self._ingress.in_flight)
 
     async def _watch_settings(self) -> None:
--- a/tamarackhatch/service/_jobs.py
+++ b/tamarackhatch/service/_jobs.py
@@ -1,6 +1,7 @@
 """Carries out requests of callers, independent of their interface."""
 
 import asyncio
+from collections.abc import Awaitable
 from collections.abc import Callable
 import datetime
 import typing
@@ -29,6 +30,43 @@
         ...
 
 
+RunHere = Callable[[], Awaitable[model.JobLookup]]
+
+
+class Forwarder(typing.Protocol):
+    """Carries out requests here or, if the store fails here, elsewhere."""
+
+    async def submit(
+        self, job: model.Job, deadline: datetime.timedelta, run_here: RunHere
+    ) -> model.Outcome:
+        """Submits a job.
+
+        Args:
+            job: The job.
+            deadline: Monotonic time until which the answer must be ready.
+            run_here: Carries the request out at this instance.
+        """
+        ...
+
+    async def cancel(
+        self,
+        identifier: str,
+        deadline: datetime.timedelta,
+        run_here: RunHere,
+    ) -> model.Outcome:
+        """Cancels a job; the arguments are as for a submission."""
+        ...
+
+    async def get_state(
+        self,
+        identifier: str,
+        deadline: datetime.timedelta,
+        run_here: RunHere,
+    ) -> model.JobLookup:
+        """Reads a job's state; the arguments are as for a submission."""
+        ...
+
+
 class JobService:
     """Submits and cancels jobs, and returns their state.
 
@@ -43,6 +81,7 @@
         time_source: clock.Clock,
         log: observability.Log,
         metrics: observability.Metrics,
+        forwarder: Forwarder | None = None,
     ) -> None:
         """Creates the job service of one instance.
 
@@ -53,7 +92,10 @@
             time_source: Source of time.
             log: Logger of the service.
             metrics: Metrics of the instance.
+            forwarder: Forwards requests to other instances; None if all are
+                carried out here.
         """
+        self._forwarder = forwarder
         self._store = store
         self._pending = pending
         self._configuration = configuration
@@ -144,14 +186,15 @@
             timeout: How long the caller waits for the answer.
         """
         started_at = self._clock.get_monotonic()
-        outcome = model.Outcome.DONE
-        try:
-            await self._store.submit(
-                job, started_at + timeout - _ANSWER_MARGIN
+        deadline = started_at + timeout - _ANSWER_MARGIN
+        if self._forwarder is None:
+            outcome = await self.submit_here(job, deadline)
+        else:
+            outcome = await self._forwarder.submit(
+                job,
+                deadline,
+                lambda: _wrap(self.submit_here(job, deadline)),
             )
-        except model.StoreOutcomeUnknownError as error:
-            self._log_failed_write(job.identifier, error)
-            outcome = model.Outcome.UNKNOWN
         self._record_request(
             "submit", job.identifier, job.queue.name, outcome, started_at
         )
@@ -169,20 +212,14 @@
         """
         started_at = self._clock.get_monotonic()
         deadline = started_at + timeout - _ANSWER_MARGIN
-        outcome = model.Outcome.DONE
-        try:
-            if await self._store.is_stored(identifier, deadline):
-                await self._store.cancel(identifier, deadline)
-            else:
-                outcome = model.Outcome.NO_JOB
-        except model.StoreOutcomeUnknownError as error:
-            self._log_failed_write(identifier, error)
-            outcome = model.Outcome.UNKNOWN
-        except model.StoreUnavailableError as error:
-            self._log.info(
-                "job_read_failed", job=identifier, reason=error.message
+        if self._forwarder is None:
+            outcome = await self.cancel_here(identifier, deadline)
+        else:
+            outcome = await self._forwarder.cancel(
+                identifier,
+                deadline,
+                lambda: _wrap(self.cancel_here(identifier, deadline)),
             )
-            outcome = model.Outcome.NOT_DONE
         self._record_request(
             "cancel", identifier, queue.name, outcome, started_at
         )
@@ -199,31 +236,85 @@
             timeout: How long the caller waits for the answer.
         """
         started_at = self._clock.get_monotonic()
-        state = None
-        try:
-            state = await self._store.read_state(
-                identifier, started_at + timeout - _ANSWER_MARGIN
-            )
-            outcome = (
-                model.Outcome.NO_JOB if state is None else model.Outcome.DONE
-            )
-        except (
-            model.StoreUnavailableError,
-            records.MalformedRowError,
-        ) as error:
-            self._log.info(
-                "job_read_failed", job=identifier, reason=error.message
+        deadline = started_at + timeout - _ANSWER_MARGIN
+        if self._forwarder is None:
+            lookup = await self.get_state_here(identifier, deadline)
+        else:
+            lookup = await self._forwarder.get_state(
+                identifier,
+                deadline,
+                lambda: self.get_state_here(identifier, deadline),
             )
-            outcome = model.Outcome.NOT_DONE
         self._record_request(
             "status",
             identifier,
             queue.name,
-            outcome,
+            lookup.outcome,
             started_at,
-            state and state.value,
+            lookup.state and lookup.state.value,
         )
-        return model.JobLookup(outcome, state)
+        return lookup
+
+    async def submit_here(
+        self, job: model.Job, deadline: datetime.timedelta
+    ) -> model.Outcome:
+        """Submits a job to the store, and never forwards it.
+
+        Args:
+            job: The job.
+            deadline: Monotonic time until which the answer must be ready.
+        """
+        try:
+            await self._store.submit(job, deadline)
+        except model.StoreOutcomeUnknownError as error:
+            self._log_failed_write(job.identifier, error)
+            return model.Outcome.UNKNOWN
+        return model.Outcome.DONE
+
+    async def cancel_here(
+        self, identifier: str, deadline: datetime.timedelta
+    ) -> model.Outcome:
+        """Cancels a job in the store, and never forwards the cancellation.
+
+        Args:
+            identifier: Identifier of the job.
+            deadline: Monotonic time until which the answer must be ready.
+        """
+        try:
+            if not await self._store.is_stored(identifier, deadline):
+                return model.Outcome.NO_JOB
+            await self._store.cancel(identifier, deadline)
+        except model.StoreOutcomeUnknownError as error:
+            self._log_failed_write(identifier, error)
+            return model.Outcome.UNKNOWN
+        except model.StoreUnavailableError as error:
+            self._log_failed_read(identifier, error.message)
+            return model.Outcome.NOT_DONE
+        return model.Outcome.DONE
+
+    async def get_state_here(
+        self, identifier: str, deadline: datetime.timedelta
+    ) -> model.JobLookup:
+        """Reads the state of a job from the store.
+
+        Args:
+            identifier: Identifier of the job.
+            deadline: Monotonic time until which the answer must be ready.
+        """
+        try:
+            state = await self._store.read_state(identifier, deadline)
+        except (
+            model.StoreUnavailableError,
+            records.MalformedRowError,
+        ) as error:
+            self._log_failed_read(identifier, error.message)
+            return model.JobLookup(model.Outcome.NOT_DONE)
+        if state is None:
+            return model.JobLookup(model.Outcome.NO_JOB)
+        return model.JobLookup(model.Outcome.DONE, state)
+
+    def _log_failed_read(self, identifier: str, reason: str) -> None:
+        self._log.info("job_read_failed", job=identifier, reason=reason)
 
     def _log_failed_write(
         self, identifier: str, error: model.StoreOutcomeUnknownError
@@ -254,3 +345,8 @@
             configuration=configuration and configuration.version,
             duration_ms=round(elapsed * 1000),
         )
+
+
+async def _wrap(outcome: Awaitable[model.Outcome]) -> model.JobLookup:
+    """Returns an outcome in the form that all requests have in common."""
+    return model.JobLookup(await outcome)
--- a/tamarackhatch/settings/_settings.py
+++ b/tamarackhatch/settings/_settings.py
@@ -104,6 +104,8 @@
             any.
         interface_address: Address at which the project's own job interface is
             served; None turns it off.
+        internal_address: Address at which other instances forward requests to
+            this one; None turns forwarding off in both directions.
         bounds: Time bounds of the deployment.
         scheduling: Leases and intervals of the scheduler.
         logging: Volume of the log.
@@ -119,6 +121,7 @@
     metrics_address: _kinds.Address | None = None
     advice_address: _kinds.Address | None = None
     interface_address: _kinds.Address | None = None
+    internal_address: _kinds.Address | None = None
     bounds: Bounds = Bounds()
     scheduling: Scheduling = Scheduling()
     logging: Logging = Logging()
@@ -229,6 +232,11 @@
         is_nullable=True,
     ),
     documents.Key("interface_address", _kinds.AddressKind(), is_nullable=True),
+    documents.Key(
+        "internal_address",
+        _kinds.AddressKind(minimum_port=1),
+        is_nullable=True,
+    ),
     documents.Key("bounds", documents.Nested(_make_bounds, _BOUNDS_KEYS)),
     documents.Key(
         "scheduling", documents.Nested(_make_scheduling, _SCHEDULING_KEYS)
