Test forwarding and fitness, and describe them

Cause: instances send each other messages for the first time, which docs/design.md excluded.

Tables of tests cover hysteresis, the time in rotation, the order of neighbours, malformed messages and rows, and two real processes of which the store refuses one. A receiver whose request has just been given up after 0.8 s now answers "not here" at that moment too.

--- a/standins/processes.py
+++ b/standins/processes.py
@@ -79,7 +79,12 @@
         self.store.put("op", "config", value)
 
     async def start_instance(
-        self, name: str, module: str = "tamarackhatch", *arguments: str
+        self,
+        name: str,
+        module: str = "tamarackhatch",
+        *arguments: str,
+        store_address: str | None = None,
+        has_internal_address: bool = False,
     ) -> None:
         """Starts a process and waits until it is ready.
 
@@ -87,8 +92,11 @@
             name: Name of the instance.
             module: Python module to run with the arguments of ``serve``.
             *arguments: Further arguments.
+            store_address: Address at which it reaches the store; None for
+                that of the others.
+            has_internal_address: Whether other instances know it.
         """
-        caller, readiness = _get_free_ports(2)
+        caller, readiness, internal = _get_free_ports(3)
         path = self._folder / f"{name}.jsonc"
         path.write_bytes(
             orjson.dumps(
@@ -97,7 +105,14 @@
                     "data_centre": "here",
                     "caller_address": f"127.0.0.1:{caller}",
                     "readiness_address": f"127.0.0.1:{readiness}",
-                    "store_address": self._store_server.address,
+                    "store_address": (
+                        store_address or self._store_server.address
+                    ),
+                    "internal_address": (
+                        f"127.0.0.1:{internal}"
+                        if has_internal_address
+                        else None
+                    ),
                 }
             )
         )
@@ -116,6 +131,20 @@
         self._ports[name] = caller
         await self._wait_until_ready(readiness)
 
+    async def submit_at(
+        self, name: str, identifier: str, prefix: str, document: object
+    ) -> int:
+        """Submits a job at one instance and returns the status."""
+        response = await self._client.fetch(
+            f"http://127.0.0.1:{self._ports[name]}{prefix}{identifier}",
+            method="POST",
+            body=orjson.dumps(document),
+            headers={"Host": HOST},
+            request_timeout=4.0,
+            raise_error=False,
+        )
+        return response.code
+
     def remove_instance(self, name: str) -> asyncio.subprocess.Process:
         """Returns an instance's process, which gets no more requests."""
         del self._ports[name]
--- a/tamarackhatch/entry/_trigger.py
+++ b/tamarackhatch/entry/_trigger.py
@@ -56,4 +56,4 @@
         if self._failing_since is None:
             return False
         since = max(self._failing_since, last_answer or _NO_TIME)
-        return now - since > _MAX_SILENCE
+        return now - since >= _MAX_SILENCE
