Ask the next instance only after 0.4 s, and test the limits

Cause: each attempt here that was given up also moved the question to the next instance forward, so that a second one was asked after 0.2 s.

Change: a failed attempt here brings forward only the first question. Tests cover the answer time from both sides, the calls of a sender and the bytes to other data centres; each fails if its limit is removed.

--- a/tamarackhatch/entry/_forwarder.py
+++ b/tamarackhatch/entry/_forwarder.py
@@ -386,8 +386,9 @@
             self._is_unknown |= result.outcome is model.Outcome.UNKNOWN
             now = self._forwarder.now
             self._retry_at = now + _LOCAL_RETRY_PAUSE
-            # The store has failed, and waiting for it helps nobody.
-            self._forward_at = min(self._forward_at, now)
+            if not self._asked:
+                # The store has failed, and waiting for it helps nobody.
+                self._forward_at = min(self._forward_at, now)
         for task in [task for task in self._calls if task.done()]:
             del self._calls[task]
             answer = task.result()
--- a/tamarackhatch/entry/tests/fleet.py
+++ b/tamarackhatch/entry/tests/fleet.py
@@ -200,11 +200,12 @@
         name: str,
         identifier: str,
         timeout: datetime.timedelta = TIMEOUT,
+        size: int = 4,
     ) -> Answer:
-        """Submits a job at an instance."""
+        """Submits a job, with a specification of ``size`` characters."""
         began = asyncio.get_running_loop().time()
         job = model.Job(
-            identifier, QUEUE, "work", (STEP,), self.clock.get_utc()
+            identifier, QUEUE, "w" * size, (STEP,), self.clock.get_utc()
         )
         outcome = await self.instances[name].service.submit(job, timeout)
         return Answer(outcome, asyncio.get_running_loop().time() - began)
--- a/tamarackhatch/entry/tests/test_forwarding.py
+++ b/tamarackhatch/entry/tests/test_forwarding.py
@@ -446,3 +446,60 @@
             assert answer.duration_s <= timeout_ms / 1000
 
     _run(scenario)
+
+
+def test_next_neighbour_is_not_asked_before_0_4_s() -> None:
+    """Guards against load on a second instance while the first one works."""
+
+    async def scenario(fleet: entry_fleet.EntryFleet) -> None:
+        counts = {name: _count_calls(fleet, name) for name in "bc"}
+        fleet.cut_off("503", "a")
+        for name in "bc":
+            fleet.get_faults(name).delay_s = 0.17
+        answer = await fleet.submit("a", _ID)
+        assert answer.outcome is model.Outcome.DONE
+        assert sum(sum(count.values()) for count in counts.values()) == 1
+
+    _run(scenario, *_PAIR, "north-a/c")
+
+
+def test_calls_of_a_sender_are_limited() -> None:
+    """Guards against one sender that keeps its neighbours busy."""
+
+    async def scenario(fleet: entry_fleet.EntryFleet) -> None:
+        counts = _count_calls(fleet, "b")
+        fleet.cut_off("503", "a")
+        await fleet.submit("a", _ID)
+        async with asyncio.TaskGroup() as group:
+            for index in range(400):
+                group.create_task(fleet.submit("a", f"{index:016}"))
+                await asyncio.sleep(0.0025)
+        # 60 at once and 30 a second, for two seconds at most.
+        assert 60 <= sum(counts.values()) <= 120
+
+    _run(scenario)
+
+
+@pytest.mark.parametrize(
+    ("neighbour", "all_pass"), [("c", False), ("b", True)]
+)
+def test_bytes_to_other_data_centres_are_limited(
+    neighbour: str, all_pass: bool
+) -> None:
+    """Guards against jobs that fill the link between two data centres."""
+
+    async def scenario(fleet: entry_fleet.EntryFleet) -> None:
+        others = {"b", "c"} - {neighbour}
+        for name in others:
+            fleet.network.remove(fleet.instances[name].address)
+        fleet.cut_off("503", "a")
+        outcomes = []
+        for index in range(20):
+            outcomes.append(
+                (await fleet.submit("a", f"{index:016}", size=40_000)).outcome
+            )
+        accepted = outcomes.count(model.Outcome.DONE)
+        # 512 KiB at once, and 128 KiB a second while requests fail.
+        assert accepted == 20 if all_pass else 12 <= accepted < 20
+
+    _run(scenario, *_PAIR, "north-b/c")
