Take no fitness readings before the first configuration

Cause: the age of a configuration that was never read counts from the start of the machine. So an instance that needed over a second for its first read was unfit, and waited for 3 s of good readings after it.

Change: readings start with the first configuration. A test with each of the four faults checks that a refused instance leaves the rotation and returns.

Result: the tests of the package pass.

--- a/tamarackhatch/entry/_node.py
+++ b/tamarackhatch/entry/_node.py
@@ -161,6 +161,11 @@
         while True:
             due = self._clock.get_monotonic() + _READING_INTERVAL
             await self._clock.sleep(_READING_INTERVAL)
+            if self._configuration.configuration is None:
+                # An instance that starts is not ready anyway, and must not
+                # wait for 3 s of good readings after that.
+                self._calls.take()
+                continue
             now = self._clock.get_monotonic()
             last_answer = self._liveness.last_answer or self._started_at
             reading = _fitness.Reading(
--- a/tamarackhatch/entry/tests/fleet.py
+++ b/tamarackhatch/entry/tests/fleet.py
@@ -32,10 +32,9 @@
 class _FixedConfiguration:
     """Configuration of an instance that never changes by itself."""
 
-    def __init__(self, liveness: records.StoreLiveness) -> None:
+    def __init__(self) -> None:
         self.configuration: model.Configuration | None = CONFIGURATION
         self.time_since_answer = datetime.timedelta()
-        self._liveness = liveness
 
 
 class EntryInstance:
@@ -79,7 +78,7 @@
             lambda kind, table, size: calls.record_call(),
             record_answer,
         )
-        self.configuration = _FixedConfiguration(liveness)
+        self.configuration = _FixedConfiguration()
         self.node: entry.EntryNode | None = None
         if fleet.has_internal_addresses:
             self.node = entry.EntryNode(
--- a/tamarackhatch/entry/tests/test_receiver.py
+++ b/tamarackhatch/entry/tests/test_receiver.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import base64
+import datetime
 import json
 import pathlib
 import random
@@ -15,6 +16,7 @@
 from tamarackhatch import model
 from tamarackhatch import records
 
+_SECOND = datetime.timedelta(seconds=1)
 _ID = "00000000000000a1"
 _PATH = f"/v1/forwarded/jobs/{_ID}"
 
@@ -324,3 +326,46 @@
         assert not record.is_fit
 
     virtual_time.run_virtually(simulate())
+
+
+def test_instance_that_starts_slowly_is_in_rotation_at_once() -> None:
+    """Guards against 3 s of waiting after the first configuration."""
+
+    async def simulate() -> None:
+        fleet = entry_fleet.EntryFleet("north-a/a", "north-a/b")
+        instance = fleet.instances["a"]
+        instance.configuration.configuration = None
+        instance.configuration.time_since_answer = 9999 * _SECOND
+        await fleet.discover()
+        assert instance.node is not None
+        assert instance.node.is_in_rotation
+        body = orjson.dumps(_make_body(fleet))
+        assert (await _post(fleet, _PATH, body))[1] == {"outcome": "not here"}
+        instance.configuration.configuration = entry_fleet.CONFIGURATION
+        instance.configuration.time_since_answer = 0 * _SECOND
+        await asyncio.sleep(2)
+        assert instance.node.is_in_rotation
+        body = orjson.dumps(_make_body(fleet))
+        assert (await _post(fleet, _PATH, body))[1] == {"outcome": "done"}
+
+    virtual_time.run_virtually(simulate())
+
+
+@pytest.mark.parametrize("fault", ["503", "429", "reset", "silence"])
+def test_refused_instance_leaves_the_rotation_and_returns(fault: str) -> None:
+    """Guards against readiness that ignores what the store answers."""
+
+    async def simulate() -> None:
+        fleet = entry_fleet.EntryFleet("north-a/a", "north-a/b")
+        await fleet.discover()
+        node = fleet.instances["a"].node
+        assert node is not None
+        fleet.cut_off(fault, "a")
+        await asyncio.sleep(5)
+        assert not node.is_in_rotation
+        await asyncio.sleep(4)
+        fleet.reconnect()
+        await asyncio.sleep(6)
+        assert node.is_in_rotation
+
+    virtual_time.run_virtually(simulate())
