Hold writes for half of the caller's time if no instance reaches the store

Each attempt of a caller was answered 504 after 0.5 to 0.8 s, and callers retry four times, at once; 30 of 120 callers of the first two seconds lost their jobs. Forwarding does not help, because all instances are in the same position. The new test, an outage of 4.2 s for six instances, fails without the change.

--- a/tamarackhatch/entry/_forwarder.py
+++ b/tamarackhatch/entry/_forwarder.py
@@ -27,6 +27,11 @@
 # With less time left, no instance could carry out a request.
 _MIN_TIMEOUT = 100 * _MILLISECOND
 _LOCAL_RETRY_PAUSE = 200 * _MILLISECOND
+# Share of the caller's time for which a write is tried here although no
+# instance has carried it out. A store that refuses all instances does so at
+# once, and a caller that retries four times would lose its job in an outage
+# of four seconds. The other half is left for another instance.
+_HOLD_SHARE = 0.5
 # An instance serves a few requests a second; a burst of them at the beginning
 # of an outage is forwarded as a whole.
 _MAX_REQUESTS_IN_FLIGHT = 64
@@ -264,6 +269,9 @@
         self._forwarder = forwarder
         self._request = request
         self._deadline = deadline
+        self._hold_until = (
+            forwarder.now + (deadline - forwarder.now) * _HOLD_SHARE
+        )
         self._run_here = run_here
         self._forward_at = forward_at
         self._may_forward = may_forward
@@ -282,13 +290,9 @@
             while True:
                 self._forward_if_due()
                 self._retry_if_due()
-                if self._here is None and not self._calls:
+                if not self._is_in_progress:
                     return self._make_indefinite_result()
-                await asyncio.wait(
-                    self._list_attempts(),
-                    timeout=self._compute_wait_s(),
-                    return_when=asyncio.FIRST_COMPLETED,
-                )
+                await self._wait()
                 result = self._collect_results()
                 if result is not None:
                     return result
@@ -306,12 +310,28 @@
         self._retry_at = None
         self._here = asyncio.ensure_future(self._run_here())
 
-    def _retry_if_due(self) -> None:
-        """Tries again here while another instance has the request.
+    @property
+    def _is_in_progress(self) -> bool:
+        return self._here is not None or bool(self._calls) or self._is_held
+
+    @property
+    def _is_held(self) -> bool:
+        """Whether to try again here though no other instance has the request.
 
-        Without such an instance the caller had better ask elsewhere.
+        Only where others are known: if nothing is forwarded, the caller had
+        better ask elsewhere. A read is worth no such wait, because its caller
+        asks again.
         """
-        if self._retry_at is None or not self._calls:
+        return (
+            not self._forwarder.directory.is_empty
+            and self._request.kind is not _messages.Kind.STATE
+            and self._retry_at is not None
+            and self._retry_at < self._hold_until
+        )
+
+    def _retry_if_due(self) -> None:
+        """Tries again here while another instance has the request."""
+        if self._retry_at is None or not (self._calls or self._is_held):
             return
         now = self._forwarder.now
         if self._retry_at <= now < self._deadline - _MIN_TIMEOUT:
@@ -353,6 +373,19 @@
         candidates = self._forwarder.directory.list_candidates(now)
         return next((p for p in candidates if p.name not in names), None)
 
+    async def _wait(self) -> None:
+        attempts = self._list_attempts()
+        timeout_s = self._compute_wait_s()
+        if attempts:
+            await asyncio.wait(
+                attempts,
+                timeout=timeout_s,
+                return_when=asyncio.FIRST_COMPLETED,
+            )
+        else:
+            assert timeout_s is not None
+            await asyncio.sleep(timeout_s)
+
     def _list_attempts(self) -> list[asyncio.Task[typing.Any]]:
         attempts: list[asyncio.Task[typing.Any]] = list(self._calls)
         if self._here is not None:
--- a/tamarackhatch/entry/tests/test_forwarding.py
+++ b/tamarackhatch/entry/tests/test_forwarding.py
@@ -433,6 +433,38 @@
     _run(scenario, *names)
 
 
+@pytest.mark.parametrize("fault", _FAULTS)
+def test_no_job_is_lost_in_an_outage_for_all_instances(fault: str) -> None:
+    """Guards against callers that use up their retries within an outage.
+
+    The store serves nobody for 4.2 s. Callers retry at most four times, at
+    once and at other instances.
+    """
+    names = [f"north-a/{index}" for index in range(6)]
+
+    async def scenario(fleet: entry_fleet.EntryFleet) -> None:
+        outcomes: list[model.Outcome] = []
+
+        async def call(index: int) -> None:
+            for attempt in range(5):
+                answer = await fleet.submit(
+                    f"{(index + attempt) % 6}", f"{index:016}"
+                )
+                if answer.outcome is model.Outcome.DONE:
+                    break
+            outcomes.append(answer.outcome)
+
+        async with asyncio.TaskGroup() as group:
+            fleet.cut_off(fault, *fleet.instances)
+            for index in range(84):
+                group.create_task(call(index))
+                await asyncio.sleep(0.05)
+            fleet.reconnect()
+        assert outcomes == [model.Outcome.DONE] * 84
+
+    _run(scenario, *names)
+
+
 def test_short_time_of_a_caller_is_kept() -> None:
     """Guards against an answer after the caller has stopped waiting."""
 
