Eject runners that fail or hang, and limit starts on unproven ones

A runner that fails everything is the emptiest one and attracted work, and tasks with two attempts failed for good on the next failing runner. The package health keeps evidence from exits, ejects and probes runners, and lets last attempts start only on proven ones. It replaces RunnerEntry.failure_score. The tests in virtual time complete all jobs beside two failing runners.

--- a/tamarackhatch/observability/_metrics.py
+++ b/tamarackhatch/observability/_metrics.py
@@ -121,6 +121,17 @@
             "Data centres in which the active scheduler starts nothing.",
             registry=self._registry,
         )
+        self.ejected_runners = prometheus_client.Gauge(
+            "tamarackhatch_ejected_runners",
+            "Runners that get only probes, because they fail or hang.",
+            registry=self._registry,
+        )
+        self.ejections = prometheus_client.Counter(
+            "tamarackhatch_ejections",
+            "Runners that were no longer trusted, by the reason.",
+            ["reason"],
+            registry=self._registry,
+        )
         self.straggler_moves = prometheus_client.Counter(
             "tamarackhatch_straggler_moves",
             "Moves of slow runs that have ended, by outcome.",
--- a/tamarackhatch/placement/_candidate.py
+++ b/tamarackhatch/placement/_candidate.py
@@ -1,6 +1,7 @@
 """Runners that one placement pass chooses from."""
 
 import datetime
+import sys
 
 import attrs
 
@@ -38,8 +39,11 @@
 
     Attributes:
         load: Reservations and CPU use of its tasks.
-        failure_score: Number of failed runs there, halved by each successful
-            run.
+        penalty: How much worse it is because of failed runs there, 0 to 2.
+        start_limit: Number of batch tasks there from which on it gets no more
+            of them.
+        is_limit_strict: Whether the limit holds even if no other runner has
+            capacity.
         headrooms: Headroom of its serving tasks, one entry for each image.
         serving_cpu_share: Share of its processors that serving tasks use.
     """
@@ -50,10 +54,11 @@
         interference: _interference.InterferenceModel,
         policy: _policy.PlacementPolicy,
         now: datetime.timedelta,
-        failure_score: float = 0.0,
     ) -> None:
         self.load = load
-        self.failure_score = failure_score
+        self.penalty = 0.0
+        self.start_limit = sys.maxsize
+        self.is_limit_strict = True
         self.headrooms: list[ImageHeadroom] = []
         self.serving_cpu_share = 0.0
         self._interference = interference
--- a/tamarackhatch/placement/_choice.py
+++ b/tamarackhatch/placement/_choice.py
@@ -13,6 +13,9 @@
 from tamarackhatch.placement import _load
 from tamarackhatch.placement import _policy
 
+# More than all other differences between two runners.
+_OVER_LIMIT_PENALTY = 1000.0
+
 
 @attrs.frozen
 class RunnerRating:
@@ -111,7 +114,12 @@
     load = candidate.load
     if not load.has_capacity(step) or not is_allowed(load, key, step):
         return None
-    return rate_runner(step, candidate, policy)
+    rating = rate_runner(step, candidate, policy)
+    if load.transient_count < candidate.start_limit or step.is_long_running:
+        return rating
+    if candidate.is_limit_strict:
+        return None
+    return RunnerRating(rating.score - _OVER_LIMIT_PENALTY, rating.speed_limit)
 
 
 def rate_runner(
@@ -121,7 +129,7 @@
 ) -> RunnerRating:
     """Returns the rating of a runner with capacity for a task of a step."""
     load = candidate.load
-    score = -policy.failure_weight * candidate.failure_score
+    score = -policy.failure_weight * candidate.penalty
     if step.preferred_rack and step.preferred_rack not in load.labels:
         score -= policy.locality_weight
     if step.is_best_effort:
--- a/tamarackhatch/placement/_load.py
+++ b/tamarackhatch/placement/_load.py
@@ -43,6 +43,7 @@
         reserved_accelerators: Number of accelerators that all tasks reserve.
         best_effort_cpu: CPU that best-effort tasks request, in thousandths of
             a core.
+        transient_count: Number of tasks that are not long-running.
         batch_cpu: Part of reserved_cpu that serving tasks do not reserve.
         unassigned: Resources of runs there that are being stopped and belong
             to no task that is assigned to the runner.
@@ -61,6 +62,7 @@
     reserved_memory_mb: int = 0
     reserved_accelerators: int = 0
     best_effort_cpu: int = 0
+    transient_count: int = 0
     batch_cpu: int = 0
     unassigned: model.Resources = model.Resources()
     serving: dict[str, ServingGroup] = attrs.field(factory=dict)
@@ -121,6 +123,8 @@
         self.reserved_cpu += sign * reservation.processors
         self.reserved_memory_mb += sign * reservation.memory_mb
         self.reserved_accelerators += sign * reservation.accelerators
+        if not step.is_long_running:
+            self.transient_count += sign
         if step.is_best_effort:
             self.best_effort_cpu += sign * step.resources.processors
             self.best_effort_cpu_by_image[step.image] += (
--- a/tamarackhatch/placement/_policy.py
+++ b/tamarackhatch/placement/_policy.py
@@ -52,7 +52,7 @@
             expected to be in use.
         empty_runner_cost: Cost of a runner without serving tasks, which is
             kept for best-effort tasks that interfere with every serving image.
-        failure_weight: Weight of each recent failed run on a runner.
+        failure_weight: Weight of the penalty for failed runs on a runner.
         locality_weight: Weight of a runner outside the rack of a task's data.
         violation_timeout: Time that a serving task may be reported over its
             target before all best-effort tasks on its runner are stopped,
--- a/tamarackhatch/scheduler/_context.py
+++ b/tamarackhatch/scheduler/_context.py
@@ -8,6 +8,7 @@
 
 from tamarackhatch import clock
 from tamarackhatch import election
+from tamarackhatch import health
 from tamarackhatch import observability
 from tamarackhatch import placement
 from tamarackhatch import platform
@@ -40,6 +41,8 @@
         policy: Weights and limits of placement.
         tickets: Requests and caches tickets of the placement policy service.
         load_monitor: Counts the work of the scheduler.
+        stalls: Finds runners that hang.
+        health: Knows which runners fail.
         evacuations: Knows the data centres in which nothing may start.
         enforces_capacity: Returns whether the runners of a service reject
             tasks that do not fit; False if that is not known.
@@ -60,6 +63,8 @@
     policy: placement.PlacementPolicy
     tickets: _tickets.TicketCache
     load_monitor: _load_monitor.LoadMonitor
+    stalls: health.StallDetector
+    health: health.HealthMonitor
     evacuations: _evacuations.EvacuationWatcher
     enforces_capacity: Callable[[str], bool]
     wake: asyncio.Event
--- a/tamarackhatch/scheduler/_dispatcher.py
+++ b/tamarackhatch/scheduler/_dispatcher.py
@@ -8,6 +8,7 @@
 from tamarackhatch.scheduler import _context
 from tamarackhatch.scheduler import _crash_suspects
 from tamarackhatch.scheduler import _fleet
+from tamarackhatch.scheduler import _health
 from tamarackhatch.scheduler import _isolation
 from tamarackhatch.scheduler import _large_tasks
 from tamarackhatch.scheduler import _load_monitor
@@ -33,6 +34,9 @@
         self._context = context
         self._commands = commands
         self._large_tasks = _large_tasks.LargeTaskReserver(context)
+        self._probes = _health.ProbePlacer(
+            context, self._is_paused, self._place_task
+        )
         # Policy of the present placement pass, by service.
         self._policies: dict[str, placement.PlacementPolicy] = {}
         self._has_paused_starts = False
@@ -107,6 +111,7 @@
             )
             for service, group in candidates.items()
         }
+        self._probes.place_probes(groups)
         for order, group in ordered:
             self._run_group(group, order, is_grouping, candidates)
         counters = context.load_monitor.counters
@@ -261,16 +266,16 @@
             service = entry.record.service
             if is_outdated and not context.enforces_capacity(service):
                 continue
-            if entry.is_schedulable(now) and not entry.is_isolated(now):
+            if (
+                entry.is_schedulable(now)
+                and not entry.is_isolated(now)
+                and not context.health.is_ejected(entry.identifier)
+            ):
                 candidates.setdefault(service, []).append(
-                    placement.CandidateRunner(
-                        entry.load,
-                        context.interference,
-                        context.policy,
-                        now,
-                        entry.failure_score,
-                    )
+                    _health.make_candidate(context, entry, now)
                 )
+        for group in candidates.values():
+            _health.relax_limits(group)
         return candidates
 
     def _place_group(
@@ -284,17 +289,32 @@
             return self._place_gang(tasks, candidates)
         allowed = self.filter_by_ticket(first, candidates)
         now = self._context.get_now()
-        others = []
+        others: list[_state.TaskEntry] = []
+        last_attempts: list[_state.TaskEntry] = []
         placed = 0
         for task in tasks:
+            is_last = _health.is_last_attempt(task)
             exclusions = task.list_exclusions(now)
             if not exclusions:
-                others.append(task)
+                (last_attempts if is_last else others).append(task)
+                continue
+            possible = allowed
+            if is_last:
+                possible = _health.filter_for_last_attempt(
+                    self._context, task, allowed
+                )
             for excluded in exclusions:
-                choices = self._choose_runners([task], allowed, excluded)
+                choices = self._choose_runners([task], possible, excluded)
                 placed += self._start_chosen_tasks(choices)
                 if choices:
                     break
+        if last_attempts:
+            possible = _health.filter_for_last_attempt(
+                self._context, last_attempts[0], allowed
+            )
+            placed += self._start_chosen_tasks(
+                self._choose_runners(last_attempts, possible)
+            )
         placed += self._start_chosen_tasks(
             self._choose_runners(others, allowed)
         )
@@ -302,6 +322,15 @@
             self._request_tickets(first, candidates)
         return placed
 
+    def _place_task(
+        self,
+        task: _state.TaskEntry,
+        candidates: list[placement.CandidateRunner],
+    ) -> int:
+        """Starts one task, and returns the number of started tasks."""
+        allowed = self.filter_by_ticket(task, candidates)
+        return self._start_chosen_tasks(self._choose_runners([task], allowed))
+
     def _choose_runners(
         self,
         tasks: list[_state.TaskEntry],
@@ -355,22 +384,10 @@
     ) -> None:
         """Requests tickets for runners with capacity that lack one."""
         timing = task.job.job.queue.advice
-        if timing is None:
-            return
-        step = _get_step_name(task)
-        tickets = self._context.tickets
-        runners = [
-            candidate.load
-            for candidate in candidates
-            if candidate.load.has_capacity(task.step)
-            and placement.is_allowed(candidate.load, task.key, task.step)
-            and not tickets.is_denied(step, candidate.load.identifier)
-            and not tickets.get_ticket(step, candidate.load.identifier)
-        ]
-        runners.sort(key=lambda load: load.reserved_cpu)
-        tickets.request_tickets(
-            step, [load.identifier for load in runners], timing
-        )
+        if timing is not None:
+            self._context.tickets.request_for_candidates(
+                task.key, task.step, candidates, timing
+            )
 
     def _place_gang(
         self,
@@ -420,6 +437,8 @@
             or ""
         )
         context.job_tracker.begin_start(task, entry)
+        if not task.step.is_long_running:
+            context.health.record_start(entry.identifier, context.get_now())
         self._commands.start_task(task, entry, round(speed_limit * 100))
         context.log.info(
             "task_placed",
--- a/tamarackhatch/scheduler/_fleet.py
+++ b/tamarackhatch/scheduler/_fleet.py
@@ -59,8 +59,6 @@
         supposed_crashes: Runs, with their tasks, that are recorded as ended
             by a crash because the runner does not answer. None of them counts
             if the same incarnation answers again.
-        failure_score: Score of failed runs on the runner: each failure adds 1,
-            each successful run halves the score.
         avoid_until: Monotonic time until which it gets no new tasks.
     """
 
@@ -94,7 +92,6 @@
     supposed_crashes: list[tuple[_state.TaskEntry, int]] = attrs.field(
         factory=list
     )
-    failure_score: float = 0.0
     avoid_until: datetime.timedelta = datetime.timedelta()
 
     @property
--- a/tamarackhatch/scheduler/_runner_manager.py
+++ b/tamarackhatch/scheduler/_runner_manager.py
@@ -12,6 +12,7 @@
 from tamarackhatch.scheduler import _context
 from tamarackhatch.scheduler import _dispatcher
 from tamarackhatch.scheduler import _fleet
+from tamarackhatch.scheduler import _health
 from tamarackhatch.scheduler import _runner_reconciler
 
 _CHECK_INTERVAL = datetime.timedelta(milliseconds=25)
@@ -174,6 +175,7 @@
         if self._reconcilers.pop(identifier).knows_all_runs:
             self._unreconciled.discard(identifier)
         del self._context.fleet[identifier]
+        _health.forget_runner(self._context, identifier)
         self._write_tracked_runners()
 
     def _update_runner(
--- a/tamarackhatch/scheduler/_runner_reconciler.py
+++ b/tamarackhatch/scheduler/_runner_reconciler.py
@@ -10,6 +10,7 @@
 from tamarackhatch.scheduler import _crash_recorder
 from tamarackhatch.scheduler import _crash_suspects
 from tamarackhatch.scheduler import _fleet
+from tamarackhatch.scheduler import _health
 from tamarackhatch.scheduler import _state
 from tamarackhatch.scheduler import _throttling
 
@@ -163,6 +164,7 @@
             context.log.warning(
                 "runner_not_answering", runner=entry.identifier, reason=reason
             )
+            _health.record_loss(context, entry.identifier)
             is_timeout = now - sent > wait + _MAX_BREAK_DELAY
             entry.lost_contact_at = entry.clock_read if is_timeout else now
             if not is_timeout:
@@ -324,13 +326,18 @@
                 self._apply_running_task(item)
 
     def _apply_new_incarnation(self, report: model.RunnerReport) -> None:
-        entry, settings = self._entry, self._context.settings
+        context, entry = self._context, self._entry
+        settings = context.settings
         if entry.incarnation:
-            self._context.log.warning(
+            context.log.warning(
                 "runner_restarted",
                 runner=entry.identifier,
                 incarnation=report.incarnation,
             )
+            _health.forget_runner(context, entry.identifier)
+        elif entry.is_restored and report.running:
+            # Idle, it may have been ejected by an earlier scheduler.
+            context.health.trust(entry.identifier)
         entry.supposed_crashes.clear()
         entry.processed_exit = entry.acknowledged_exit = 0
         entry.pending_acks.clear()
@@ -372,22 +379,13 @@
                 generation = context.job_tracker.record_exit(
                     task, run_exit, entry
                 )
-                self._update_failure_score(task, run_exit)
+                _health.record_exit(context, entry, task, run_exit)
             else:
                 generation = context.job_tracker.record_earlier_exit(
                     task, run_exit, entry
                 )
         entry.pending_acks[run_exit.number] = generation
 
-    def _update_failure_score(
-        self, task: _state.TaskEntry, run_exit: model.RunExit
-    ) -> None:
-        entry = self._entry
-        if run_exit.reason is model.ExitReason.FAILED:
-            entry.failure_score += 1.0
-        elif run_exit.reason is model.ExitReason.DONE:
-            entry.failure_score *= 0.5
-
     def _apply_running_task(self, item: model.RunningTask) -> None:
         context, entry = self._context, self._entry
         task = context.job_tracker.find_task(item.task)
--- a/tamarackhatch/scheduler/_scheduler.py
+++ b/tamarackhatch/scheduler/_scheduler.py
@@ -4,6 +4,7 @@
 import datetime
 
 from tamarackhatch import election
+from tamarackhatch import health
 from tamarackhatch import model
 from tamarackhatch import placement
 from tamarackhatch import platform
@@ -15,6 +16,7 @@
 from tamarackhatch.scheduler import _dispatcher
 from tamarackhatch.scheduler import _evacuations
 from tamarackhatch.scheduler import _garbage_collector
+from tamarackhatch.scheduler import _health
 from tamarackhatch.scheduler import _job_tracker
 from tamarackhatch.scheduler import _load_monitor
 from tamarackhatch.scheduler import _runner_manager
@@ -107,6 +109,8 @@
             policy=dependencies.policy,
             tickets=self._tickets,
             load_monitor=_load_monitor.LoadMonitor(time_source, log, metrics),
+            health=health.HealthMonitor(),
+            stalls=health.StallDetector(),
             evacuations=self._evacuations,
             enforces_capacity=dependencies.enforces_capacity,
             wake=wake,
@@ -133,6 +137,7 @@
             self._dispatcher.list_candidates,
             self._dispatcher.filter_by_ticket,
         )
+        self._health_controller = _health.HealthController(self._context)
         self._runner_manager = _runner_manager.RunnerManager(
             self._context, self._commands, self._dispatcher
         )
@@ -232,6 +237,7 @@
             group.create_task(self._job_watcher.follow())
             group.create_task(self._dispatcher.run())
             group.create_task(self._straggler_mover.run())
+            group.create_task(self._health_controller.run())
             group.create_task(self._tickets.run())
             group.create_task(self._garbage_collector.run())
             group.create_task(
--- a/tamarackhatch/scheduler/_tickets.py
+++ b/tamarackhatch/scheduler/_tickets.py
@@ -3,6 +3,7 @@
 import asyncio
 import collections
 from collections.abc import Callable
+from collections.abc import Iterable
 from collections.abc import Sequence
 import datetime
 
@@ -11,6 +12,7 @@
 from tamarackhatch import clock
 from tamarackhatch import model
 from tamarackhatch import observability
+from tamarackhatch import placement
 from tamarackhatch import platform
 
 StepName = tuple[str, int, int]
@@ -86,6 +88,35 @@
             for step in [name for name in table if name[0] == job]:
                 del table[step]
 
+    def request_for_candidates(
+        self,
+        key: model.TaskKey,
+        definition: model.Step,
+        candidates: Iterable[placement.CandidateRunner],
+        timing: model.AdviceTiming,
+    ) -> None:
+        """Requests tickets for runners with capacity that lack one.
+
+        Args:
+            key: A task of the step.
+            definition: The step.
+            candidates: Runners that may get its tasks.
+            timing: Expected duration of the policy's answer.
+        """
+        step = (key.job, key.occurrence, key.step)
+        runners = [
+            candidate.load
+            for candidate in candidates
+            if candidate.load.has_capacity(definition)
+            and placement.is_allowed(candidate.load, key, definition)
+            and not self.is_denied(step, candidate.load.identifier)
+            and not self.get_ticket(step, candidate.load.identifier)
+        ]
+        runners.sort(key=lambda load: load.reserved_cpu)
+        self.request_tickets(
+            step, [load.identifier for load in runners], timing
+        )
+
     def request_tickets(
         self,
         step: StepName,
--- a/tamarackhatch/scheduler/tests/test_straggler_mover.py
+++ b/tamarackhatch/scheduler/tests/test_straggler_mover.py
@@ -7,6 +7,7 @@
 import attrs
 import pytest
 
+from tamarackhatch import health
 from tamarackhatch import model
 from tamarackhatch import observability
 from tamarackhatch import placement
@@ -80,6 +81,9 @@
         ]
         for entry in self.runners:
             entry.is_tracked = True
+        monitor = health.HealthMonitor()
+        for entry in self.runners:
+            monitor.trust(entry.identifier)
         self.context = typing.cast(
             typing.Any,
             types.SimpleNamespace(
@@ -87,6 +91,7 @@
                 clock=clock,
                 list_open_runners=lambda: self.runners,
                 fleet={entry.identifier: entry for entry in self.runners},
+                health=monitor,
                 job_tracker=self.tracker,
                 metrics=self.metrics,
                 log=log,
