--- a/tamarackhatch/scheduler/tests/test_runner_health.py
+++ b/tamarackhatch/scheduler/tests/test_runner_health.py
@@ -95,16 +95,16 @@
 ) -> None:
     """Guards against last attempts on failing runners.
 
-    Two runners of twelve fail within 0.2 s, so that they are always the
-    emptiest ones; without ejection they attract most of the work, and tasks
-    with two attempts fail on one after the other.
+    The work fills the sound runners. Three runners of twelve fail within
+    0.2 s, so that they always have capacity: without ejection, tasks with two
+    attempts fail on one after the other.
     """
 
     async def simulate() -> None:
-        trial = _Trial(12, {3, 8}, tmp_path / "log")
+        trial = _Trial(12, {3, 8, 10}, tmp_path / "log")
         await trial.start()
-        names = await trial.submit_jobs("0", 60, _TASKS)
-        await asyncio.sleep(8)
+        names = await trial.submit_jobs("0", 60, _TASKS, 0.15)
+        await asyncio.sleep(15)
         assert await trial.count_states(names) == {"completed": 60}
         for index in trial.failing:
             # A handful before the ejection, then a few probes.
@@ -137,16 +137,16 @@
     """Guards against a successor that fails jobs while it learns again."""
 
     async def simulate() -> None:
-        trial = _Trial(12, {3, 8}, tmp_path / "log")
+        trial = _Trial(12, {3, 8, 10}, tmp_path / "log")
         await trial.start("a", "b")
         leader = trial.fleet.get_leader()
         assert leader is not None
-        names = await trial.submit_jobs("0", 20, _TASKS)
+        names = await trial.submit_jobs("0", 20, _TASKS, 0.15)
         assert trial.list_events("runner_ejected")
         leader.kill()
         del trial.fleet.instances[leader.name]
-        names += await trial.submit_jobs("1", 30, _TASKS)
-        await asyncio.sleep(10)
+        names += await trial.submit_jobs("1", 30, _TASKS, 0.15)
+        await asyncio.sleep(20)
         assert await trial.count_states(names) == {"completed": 50}
         assert trial.fleet.check() == []
 
