--- a/tamarackhatch/health/_monitor.py
+++ b/tamarackhatch/health/_monitor.py
@@ -104,9 +104,9 @@
 
     def record_probe(self, runner: str, name: _records.RunName) -> None:
         """Records that a run starts on an ejected runner."""
-        record = self._records[runner]
-        record.probe = name
-        self._add_event("runner_probed", runner, record.reason.value)
+        self._records[runner].probe = name
+        reason = self._records[runner].reason.value
+        self._add_event("runner_probed", runner, reason)
 
     def defer_probe(self, runner: str, now: datetime.timedelta) -> None:
         """Records that there was no task to probe a runner with."""
@@ -230,12 +230,10 @@
 
     def get_probes(self) -> dict[str, _records.RunName]:
         """Returns the probes in flight, by runner."""
-        probes = {}
-        for runner in self._ejected:
-            probe = self._records[runner].probe
-            if probe is not None:
-                probes[runner] = probe
-        return probes
+        probes = {
+            runner: self._records[runner].probe for runner in self._ejected
+        }
+        return {runner: probe for runner, probe in probes.items() if probe}
 
     def compute_score(self, runner: str) -> float:
         """Returns the evidence that a runner is failing.
@@ -350,7 +348,7 @@
         elif self.compute_score(outcome.runner) >= _records.EJECTION_SCORE:
             self._eject(outcome.runner, _Reason.FAILURES, now, rate)
         if self._failed_jobs.is_failing(outcome.job):
-            self._readmit_cleared_runners(outcome.job, now)
+            self._readmit_cleared(outcome.job, now)
 
     def _attribute_failure(self, record: _records.RunnerRecord) -> None:
         """Counts a failure as usual for its queue."""
@@ -358,9 +356,7 @@
             self._rates.record_exit(record.unexplained, True)
             record.unexplained = ""
 
-    def _readmit_cleared_runners(
-        self, job: str, now: datetime.timedelta
-    ) -> None:
+    def _readmit_cleared(self, job: str, now: datetime.timedelta) -> None:
         """Readmits runners that were ejected for failures of a bad job."""
         for runner in self._failed_jobs.get_runners(job):
             record = self._records.get(runner)
