Bound the search for probes and keep limits current without a count per failure

A due probe without a suitable task made each pass walk all waiting groups, and each failure counted the runners of all services.

--- a/tamarackhatch/health/_monitor.py
+++ b/tamarackhatch/health/_monitor.py
@@ -17,13 +17,9 @@
 _LAST_ATTEMPT_WAIT = datetime.timedelta(seconds=1)
 # Where many runners appear to fail, ejections are limited and evidence grows.
 _MAX_FAILED_JOBS = 50
-# Long-running tasks fail at any time by themselves, but seldom at once.
-_LONG_RUNNING_WEIGHT = 0.1
-_EARLY_LONG_RUNNING_WEIGHT = 0.5
-_EARLY_FAILURE = datetime.timedelta(seconds=2)
 # Without a task that may serve as a probe, a runner returns after this time.
 _MAX_WAIT_FOR_PROBE = datetime.timedelta(seconds=30)
-_PROBE_RETRY = datetime.timedelta(milliseconds=250)
+_PROBE_RETRY = datetime.timedelta(milliseconds=50)
 # A runner that stops answering so often in this time counts as unproven.
 _FLAPPING_TIME = datetime.timedelta(seconds=10)
 _FLAPPING_LOSSES = 3
@@ -90,6 +86,10 @@
             for runner in ejected[: max(0, excess)]:
                 self._readmit(runner, "limit", now)
 
+    def has_limit(self, service: str) -> bool:
+        """Returns whether it is set how many runners may be ejected."""
+        return service in self._limits
+
     def record_start(self, runner: str, now: datetime.timedelta) -> None:
         """Records that a run starts on a runner."""
         if runner in self._unrestricted:
@@ -111,6 +111,7 @@
     def defer_probe(self, runner: str, now: datetime.timedelta) -> None:
         """Records that there was no task to probe a runner with."""
         record = self._records[runner]
+        record.retry_at = now + _PROBE_RETRY
         if now - record.ejected_until >= _MAX_WAIT_FOR_PROBE:
             self._readmit(runner, "no task to probe with", now)
 
@@ -118,7 +119,7 @@
         """Records that a probe ended without saying how sound a runner is."""
         record = self._records[runner]
         record.probe = None
-        record.ejected_until = now + _PROBE_RETRY
+        record.retry_at = now + _PROBE_RETRY
 
     def record_exit(
         self, outcome: _records.RunOutcome, now: datetime.timedelta
@@ -226,6 +227,7 @@
             for runner in self._ejected
             if self._records[runner].probe is None
             and now >= self._records[runner].ejected_until
+            and now >= self._records[runner].retry_at
         ]
 
     def get_probes(self) -> dict[str, _records.RunName]:
@@ -316,12 +318,7 @@
         rate = self._rates.estimate_rate(outcome.queue)
         weight = _rates.compute_weights(rate).failure
         if outcome.is_long_running:
-            is_early = now - outcome.started < _EARLY_FAILURE
-            weight *= (
-                _EARLY_LONG_RUNNING_WEIGHT
-                if is_early
-                else _LONG_RUNNING_WEIGHT
-            )
+            weight *= _rates.get_long_running_share(now - outcome.started)
         elif not record.is_ejected and not record.has_failed_last:
             # Failures in a row count once, and only if the runner turns out
             # to be sound, so that failing runners do not raise the rate with
--- a/tamarackhatch/health/_rates.py
+++ b/tamarackhatch/health/_rates.py
@@ -1,5 +1,6 @@
 """Usual failure rates of queues, and what one exit says beyond them."""
 
+import datetime
 import math
 
 import attrs
@@ -14,6 +15,11 @@
 # Runners that fail part of what they start fail 40 % of it or more.
 _FAILING_RATE = 0.4
 
+# Long-running tasks fail at any time by themselves, but seldom at once.
+_LONG_RUNNING_SHARE = 0.1
+_EARLY_LONG_RUNNING_SHARE = 0.5
+_EARLY_FAILURE = datetime.timedelta(seconds=2)
+
 
 @attrs.frozen
 class Weights:
@@ -42,6 +48,17 @@
     )
 
 
+def get_long_running_share(run_time: datetime.timedelta) -> float:
+    """Returns the share at which a long-running task's failure counts.
+
+    Args:
+        run_time: How long it ran.
+    """
+    if run_time < _EARLY_FAILURE:
+        return _EARLY_LONG_RUNNING_SHARE
+    return _LONG_RUNNING_SHARE
+
+
 @attrs.define
 class _Count:
     exits: float = 0.0
--- a/tamarackhatch/health/_records.py
+++ b/tamarackhatch/health/_records.py
@@ -129,6 +129,7 @@
         reason: Why it was ejected last.
         pause: Pause before the next probe.
         ejected_until: Monotonic time until which it is not probed.
+        retry_at: Monotonic time until which no task for a probe is sought.
         probe: The probe in flight; None without one.
         successes: Successes in a row since it was ejected.
         losses: Monotonic times at which it stopped answering.
@@ -148,6 +149,7 @@
     reason: EjectionReason = EjectionReason.FAILURES
     pause: datetime.timedelta = FIRST_PAUSE
     ejected_until: datetime.timedelta = datetime.timedelta()
+    retry_at: datetime.timedelta = datetime.timedelta()
     probe: RunName | None = None
     successes: int = 0
     losses: collections.deque[datetime.timedelta] = attrs.field(
--- a/tamarackhatch/scheduler/_dispatcher.py
+++ b/tamarackhatch/scheduler/_dispatcher.py
@@ -4,6 +4,7 @@
 import datetime
 
 from tamarackhatch import placement
+from tamarackhatch.scheduler import _attempts
 from tamarackhatch.scheduler import _commands
 from tamarackhatch.scheduler import _context
 from tamarackhatch.scheduler import _crash_suspects
@@ -288,36 +289,15 @@
         if first.step.is_gang:
             return self._place_gang(tasks, candidates)
         allowed = self.filter_by_ticket(first, candidates)
-        now = self._context.get_now()
-        others: list[_state.TaskEntry] = []
-        last_attempts: list[_state.TaskEntry] = []
         placed = 0
-        for task in tasks:
-            is_last = _health.is_last_attempt(task)
-            exclusions = task.list_exclusions(now)
-            if not exclusions:
-                (last_attempts if is_last else others).append(task)
-                continue
-            possible = allowed
-            if is_last:
-                possible = _health.filter_for_last_attempt(
-                    self._context, task, allowed
+        for batch in _attempts.list_batches(self._context, tasks, allowed):
+            for excluded in batch.exclusions:
+                choices = self._choose_runners(
+                    batch.tasks, batch.candidates, excluded
                 )
-            for excluded in exclusions:
-                choices = self._choose_runners([task], possible, excluded)
                 placed += self._start_chosen_tasks(choices)
                 if choices:
                     break
-        if last_attempts:
-            possible = _health.filter_for_last_attempt(
-                self._context, last_attempts[0], allowed
-            )
-            placed += self._start_chosen_tasks(
-                self._choose_runners(last_attempts, possible)
-            )
-        placed += self._start_chosen_tasks(
-            self._choose_runners(others, allowed)
-        )
         if placed < len(tasks):
             self._request_tickets(first, candidates)
         return placed
--- a/tamarackhatch/scheduler/_health.py
+++ b/tamarackhatch/scheduler/_health.py
@@ -7,6 +7,7 @@
 from tamarackhatch import health
 from tamarackhatch import model
 from tamarackhatch import placement
+from tamarackhatch.scheduler import _attempts
 from tamarackhatch.scheduler import _context
 from tamarackhatch.scheduler import _crash_suspects
 from tamarackhatch.scheduler import _fleet
@@ -31,36 +32,6 @@
 Group = dict[int, _state.TaskEntry]
 
 
-def count_attempts_left(task: _state.TaskEntry) -> int:
-    """Returns how many more runs of a task may fail, with this one."""
-    return task.job.job.queue.max_attempts - task.failures
-
-
-def is_last_attempt(task: _state.TaskEntry) -> bool:
-    """Returns whether another failed run of a task fails its job."""
-    return not task.step.is_long_running and count_attempts_left(task) <= 1
-
-
-def filter_for_last_attempt(
-    context: _context.SchedulerContext,
-    task: _state.TaskEntry,
-    candidates: Candidates,
-) -> Candidates:
-    """Returns the runners on which a last attempt may start now.
-
-    A task without a failed run waits for sound runners only if some are known:
-    when a term begins nothing is known, and a wait gains nothing.
-    """
-    waited = task.compute_wait(context.get_now())
-    monitor = context.health
-    allowed = [
-        candidate
-        for candidate in candidates
-        if monitor.may_start(candidate.load.identifier, True, waited)
-    ]
-    return allowed if allowed or task.failures else candidates
-
-
 def make_candidate(
     context: _context.SchedulerContext,
     entry: _fleet.RunnerEntry,
@@ -116,7 +87,8 @@
     is_failure = run_exit.reason is model.ExitReason.FAILED
     queue = task.job.job.queue.name
     if is_failure:
-        _update_limits(context, now)
+        if not context.health.has_limit(entry.record.service):
+            _update_limits(context, now)
     else:
         context.stalls.record_exit(entry.identifier, queue, now)
     context.health.record_exit(
@@ -293,13 +265,13 @@
             return False
         if task.step.is_long_running:
             return task.compute_wait(now) >= _LONG_RUNNING_PROBE_WAIT
-        return not is_last_attempt(task)
+        return not _attempts.is_last_attempt(task)
 
 
 def _get_probe_order(
     task: _state.TaskEntry,
 ) -> tuple[bool, int, datetime.timedelta]:
-    attempts = min(count_attempts_left(task), _AMPLE_ATTEMPTS)
+    attempts = min(_attempts.count_attempts_left(task), _AMPLE_ATTEMPTS)
     return task.step.is_long_running, -attempts, task.step.estimate
 
 
--- a/tamarackhatch/scheduler/_scheduler.py
+++ b/tamarackhatch/scheduler/_scheduler.py
@@ -206,6 +206,7 @@
             for task in tasks:
                 task.cancel()
             self._metrics.is_scheduler.set(0)
+            self._metrics.ejected_runners.set(0)
             self._log.info("term_ended", term=self._term.number)
 
     def _record_finished(self, job: _state.JobEntry) -> None:
