--- a/tamarackhatch/scheduler/tests/test_runner_health.py
+++ b/tamarackhatch/scheduler/tests/test_runner_health.py
@@ -3,6 +3,7 @@
 import asyncio
 import collections
 import pathlib
+import random
 
 import attrs
 import orjson
@@ -23,7 +24,8 @@
     """A fleet on which some runners fail what they start.
 
     Attributes:
-        failing: Indices of the runners that fail everything.
+        failing: Indices of the runners that fail.
+        failing_of_five: How many of five runs they fail.
         fleet: The fleet.
     """
 
@@ -31,6 +33,8 @@
         self, runners: int, failing: set[int], log_path: pathlib.Path
     ) -> None:
         self.failing = failing
+        self.failing_of_five = 5
+        self._random = random.Random(1)
         self._log_path = log_path
         self.fleet = standin_fleet.VirtualFleet(0, log_path=str(log_path))
         for index in range(runners):
@@ -38,7 +42,12 @@
 
     def _make_plan(self, index: int) -> runner.Plan:
         def plan(task: str, run: int) -> tuple[float, str]:
-            return (0.2, "failed") if index in self.failing else (0.8, "done")
+            if (
+                index in self.failing
+                and self._random.randrange(5) < self.failing_of_five
+            ):
+                return 0.2, "failed"
+            return 0.8, "done"
 
         return plan
 
@@ -230,3 +239,24 @@
         assert len(trial.fleet.history.runs) == 22
 
     virtual_time.run_virtually(simulate())
+
+
+def test_runner_that_fails_two_fifths(tmp_path: pathlib.Path) -> None:
+    """Guards against runners that fail part of their work unnoticed.
+
+    Successes between the failures must not keep such a runner in use.
+    """
+
+    async def simulate() -> None:
+        trial = _Trial(12, {3, 8, 10}, tmp_path / "log")
+        trial.failing_of_five = 2
+        await trial.start()
+        names = await trial.submit_jobs("0", 100, _TASKS, 0.15)
+        await asyncio.sleep(25)
+        assert await trial.count_states(names) == {"completed": 100}
+        failed = sum(
+            run.exit_reason == "failed" for run in trial.fleet.history.runs
+        )
+        assert failed <= 60
+
+    virtual_time.run_virtually(simulate())
