Test probes of long-running work, single attempts and flapping runners

Nothing showed that a runner returns to a service in which no batch task with attempts to spare runs, or that one which flaps loses its proof.

--- a/tamarackhatch/scheduler/tests/test_runner_health.py
+++ b/tamarackhatch/scheduler/tests/test_runner_health.py
@@ -26,6 +26,7 @@
     Attributes:
         failing: Indices of the runners that fail.
         failing_of_five: How many of five runs they fail.
+        work_s: Seconds that other runs take.
         fleet: The fleet.
     """
 
@@ -34,6 +35,7 @@
     ) -> None:
         self.failing = failing
         self.failing_of_five = 5
+        self.work_s = 0.8
         self._random = random.Random(1)
         self._log_path = log_path
         self.fleet = standin_fleet.VirtualFleet(0, log_path=str(log_path))
@@ -47,7 +49,7 @@
                 and self._random.randrange(5) < self.failing_of_five
             ):
                 return 0.2, "failed"
-            return 0.8, "done"
+            return self.work_s, "done"
 
         return plan
 
@@ -260,3 +262,81 @@
         assert failed <= 60
 
     virtual_time.run_virtually(simulate())
+
+
+def test_service_with_long_running_tasks_only(tmp_path: pathlib.Path) -> None:
+    """Guards against runners that return to no service without batch work.
+
+    Tasks that run until they are cancelled serve as probes by being ready.
+    """
+
+    async def simulate() -> None:
+        trial = _Trial(3, {1}, tmp_path / "log")
+        trial.work_s = 600.0
+        await trial.start()
+        step = model.Step(1, _TASK, is_long_running=True)
+        for number in range(20):
+            await trial.fleet.submit(f"{number:02}", step)
+        await asyncio.sleep(20)
+        trial.failing.clear()
+        for number in range(20, 24):
+            await trial.fleet.submit(f"{number:02}", step)
+        await asyncio.sleep(60)
+        running = sum(len(added.running) for added in trial.fleet.runners)
+        assert running == 24
+
+    virtual_time.run_virtually(simulate())
+
+
+def test_work_with_a_single_attempt_gets_a_recovered_runner(
+    tmp_path: pathlib.Path,
+) -> None:
+    """Guards against runners that stay ejected where no task may probe.
+
+    Work with a single attempt returns to it once it has waited for others.
+    """
+
+    async def simulate() -> None:
+        trial = _Trial(6, {2}, tmp_path / "log")
+        await trial.start()
+        queue = attrs.evolve(_URGENT, max_attempts=1)
+
+        async def submit(prefix: str, count: int, tasks: int) -> None:
+            for number in range(count):
+                name = f"{prefix}{number}"
+                await trial.fleet.submit(
+                    name, model.Step(tasks, _TASK), queue=queue
+                )
+                await asyncio.sleep(0.2)
+
+        await submit("0", 20, 9)
+        assert trial.list_events("runner_ejected")
+        trial.failing.clear()
+        await submit("1", 200, 9)
+        began = asyncio.get_running_loop().time()
+        await submit("2", 40, 13)
+        assert trial.count_runs(2, began) >= 10
+
+    virtual_time.run_virtually(simulate())
+
+
+def test_runner_that_flaps_is_limited(tmp_path: pathlib.Path) -> None:
+    """Guards against work on a runner that answers only now and then."""
+
+    async def simulate() -> None:
+        trial = _Trial(6, set(), tmp_path / "log")
+        await trial.start()
+        await trial.submit_jobs("0", 10)
+        flapping = trial.fleet.runners[2]
+        for _ in range(4):
+            flapping.is_down = True
+            await asyncio.sleep(0.6)
+            flapping.is_down = False
+            await asyncio.sleep(1.6)
+        (event,) = trial.list_events("runner_unproven")
+        assert event["runner"] == flapping.identifier
+        names = await trial.submit_jobs("1", 10)
+        await asyncio.sleep(3)
+        assert await trial.count_states(names) == {"completed": 10}
+
+    virtual_time.run_virtually(simulate())
