--- a/tamarackhatch/placement/_candidate.py
+++ b/tamarackhatch/placement/_candidate.py
@@ -2,6 +2,7 @@
 
 import datetime
 import math
+import sys
 import typing
 
 import attrs
@@ -54,8 +55,11 @@
 
     Attributes:
         load: Reservations and CPU use of its tasks.
-        failure_score: Number of failed runs there, halved by each successful
-            run.
+        penalty: How much worse it is because of failed runs there, 0 to 2.
+        start_limit: Number of batch tasks there from which on it gets no more
+            of them.
+        is_limit_strict: Whether the limit holds even if no other runner has
+            capacity.
         headrooms: Headroom of its serving tasks, one entry for each image.
         serving_cpu_share: Share of its processors that serving tasks use.
         created_at: Monotonic time of its forecasts.
@@ -69,10 +73,8 @@
         interference: _interference.InterferenceModel,
         policy: _policy.PlacementPolicy,
         now: datetime.timedelta,
-        failure_score: float = 0.0,
     ) -> None:
         self.load = load
-        self.failure_score = failure_score
         self.headrooms: list[ImageHeadroom] = []
         self.serving_cpu_share = 0.0
         self.created_at = now
@@ -81,9 +83,16 @@
         self._limits: dict[str, BestEffortLimit] = {}
         self._interference = interference
         self._policy = policy
+        self.clear_restrictions()
         self._add_headrooms(now)
         self.update_headrooms()
 
+    def clear_restrictions(self) -> None:
+        """Removes the penalty and the limit of starts."""
+        self.penalty = 0.0
+        self.start_limit = sys.maxsize
+        self.is_limit_strict = True
+
     @property
     def processors(self) -> int:
         """Processors of the runner, in thousandths of a core."""
--- a/tamarackhatch/scheduler/_dispatcher.py
+++ b/tamarackhatch/scheduler/_dispatcher.py
@@ -4,10 +4,12 @@
 import datetime
 
 from tamarackhatch import placement
+from tamarackhatch.scheduler import _attempts
 from tamarackhatch.scheduler import _commands
 from tamarackhatch.scheduler import _context
 from tamarackhatch.scheduler import _crash_suspects
 from tamarackhatch.scheduler import _fleet
+from tamarackhatch.scheduler import _health
 from tamarackhatch.scheduler import _isolation
 from tamarackhatch.scheduler import _large_tasks
 from tamarackhatch.scheduler import _load_monitor
@@ -33,6 +35,9 @@
         self._context = context
         self._commands = commands
         self._large_tasks = _large_tasks.LargeTaskReserver(context)
+        self._probes = _health.ProbePlacer(
+            context, self._is_paused, self._place_task
+        )
         self._candidate_cache = placement.CandidateCache(
             context.interference, context.policy
         )
@@ -114,6 +119,7 @@
             )
             for service, group in candidates.items()
         }
+        self._probes.place_probes(groups)
         for order, group in ordered:
             self._run_group(group, order, is_grouping, candidates)
         counters = context.load_monitor.counters
@@ -269,12 +275,18 @@
             service = entry.record.service
             if is_outdated and not context.enforces_capacity(service):
                 continue
-            if entry.is_schedulable(now) and not entry.is_isolated(now):
+            if (
+                entry.is_schedulable(now)
+                and not entry.is_isolated(now)
+                and not context.health.is_ejected(entry.identifier)
+            ):
                 candidate = self._candidate_cache.get_candidate(
                     entry.load, now
                 )
-                candidate.failure_score = entry.failure_score
+                _health.restrict_candidate(context, candidate, entry, now)
                 candidates.setdefault(service, []).append(candidate)
+        for group in candidates.values():
+            _health.relax_limits(group)
         return candidates
 
     def _place_group(
@@ -287,25 +299,28 @@
         if first.step.is_gang:
             return self._place_gang(tasks, candidates)
         allowed = self.filter_by_ticket(first, candidates)
-        now = self._context.get_now()
-        others = []
         placed = 0
-        for task in tasks:
-            exclusions = task.list_exclusions(now)
-            if not exclusions:
-                others.append(task)
-            for excluded in exclusions:
-                choices = self._choose_runners([task], allowed, excluded)
+        for batch in _attempts.list_batches(self._context, tasks, allowed):
+            for excluded in batch.exclusions:
+                choices = self._choose_runners(
+                    batch.tasks, batch.candidates, excluded
+                )
                 placed += self._start_chosen_tasks(choices)
                 if choices:
                     break
-        placed += self._start_chosen_tasks(
-            self._choose_runners(others, allowed)
-        )
         if placed < len(tasks):
             self._request_tickets(first, candidates)
         return placed
 
+    def _place_task(
+        self,
+        task: _state.TaskEntry,
+        candidates: list[placement.CandidateRunner],
+    ) -> int:
+        """Starts one task, and returns the number of started tasks."""
+        allowed = self.filter_by_ticket(task, candidates)
+        return self._start_chosen_tasks(self._choose_runners([task], allowed))
+
     def _choose_runners(
         self,
         tasks: list[_state.TaskEntry],
@@ -373,22 +388,10 @@
     ) -> None:
         """Requests tickets for runners with capacity that lack one."""
         timing = task.job.job.queue.advice
-        if timing is None:
-            return
-        step = _get_step_name(task)
-        tickets = self._context.tickets
-        runners = [
-            candidate.load
-            for candidate in candidates
-            if candidate.load.has_capacity(task.step)
-            and placement.is_allowed(candidate.load, task.key, task.step)
-            and not tickets.is_denied(step, candidate.load.identifier)
-            and not tickets.get_ticket(step, candidate.load.identifier)
-        ]
-        runners.sort(key=lambda load: load.reserved_cpu)
-        tickets.request_tickets(
-            step, [load.identifier for load in runners], timing
-        )
+        if timing is not None:
+            self._context.tickets.request_for_candidates(
+                task.key, task.step, candidates, timing
+            )
 
     def _place_gang(
         self,
@@ -438,6 +441,8 @@
             or ""
         )
         context.job_tracker.begin_start(task, entry)
+        if not task.step.is_long_running:
+            context.health.record_start(entry.identifier, context.get_now())
         self._commands.start_task(task, entry, round(speed_limit * 100))
         context.log.info(
             "task_placed",
