Keep one runner of a service open beside a late crash suspect

A batch task that was lost in three crashes is observed alone as long as it runs. On the only runner of a service nothing else started for 99 s.

--- a/tamarackhatch/scheduler/_dispatcher.py
+++ b/tamarackhatch/scheduler/_dispatcher.py
@@ -269,22 +269,22 @@
         is_outdated = (
             now - self._registry_read > context.settings.bounds.contact
         )
-        candidates: dict[str, list[placement.CandidateRunner]] = {}
         self._candidate_cache.retain(context.fleet)
-        for entry in context.list_open_runners():
-            service = entry.record.service
-            if is_outdated and not context.enforces_capacity(service):
-                continue
-            if (
-                entry.is_schedulable(now)
-                and not entry.is_isolated(now)
-                and not context.health.is_ejected(entry.identifier)
-            ):
-                candidate = self._candidate_cache.get_candidate(
-                    entry.load, now
-                )
-                _health.restrict_candidate(context, candidate, entry, now)
-                candidates.setdefault(service, []).append(candidate)
+        entries = [
+            entry
+            for entry in context.list_open_runners()
+            if entry.is_schedulable(now)
+            and not context.health.is_ejected(entry.identifier)
+            and not (
+                is_outdated
+                and not context.enforces_capacity(entry.record.service)
+            )
+        ]
+        candidates: dict[str, list[placement.CandidateRunner]] = {}
+        for entry in _isolation.list_unclosed(entries, now):
+            candidate = self._candidate_cache.get_candidate(entry.load, now)
+            _health.restrict_candidate(context, candidate, entry, now)
+            candidates.setdefault(entry.record.service, []).append(candidate)
         for group in candidates.values():
             _health.relax_limits(group)
         return candidates
--- a/tamarackhatch/scheduler/_isolation.py
+++ b/tamarackhatch/scheduler/_isolation.py
@@ -3,6 +3,7 @@
 import collections
 from collections.abc import Iterable
 from collections.abc import Mapping
+from collections.abc import Sequence
 import datetime
 
 from tamarackhatch import placement
@@ -42,6 +43,34 @@
     )
 
 
+def list_unclosed(
+    entries: Sequence[_fleet.RunnerEntry], now: datetime.timedelta
+) -> list[_fleet.RunnerEntry]:
+    """Returns the runners that are not closed to tasks beside a suspect.
+
+    A task that may crash its runner late is observed as long as it runs. If
+    all runners of a service were closed for that, nothing else of the service
+    would start meanwhile. The suspect is then observed alone only until it is
+    settled.
+
+    Args:
+        entries: All runners on which tasks could start otherwise.
+        now: Monotonic time.
+    """
+    closed = [entry for entry in entries if entry.is_isolated(now)]
+    if not closed:
+        return list(entries)
+    unclosed = [entry for entry in entries if entry not in closed]
+    services = {entry.record.service for entry in unclosed}
+    unclosed += (
+        entry
+        for entry in closed
+        if entry.record.service not in services
+        and not entry.has_starting_run(now)
+    )
+    return unclosed
+
+
 def order_suspects(
     tasks: Iterable[_state.TaskEntry],
 ) -> list[_state.TaskEntry]:
