Leave out runners without room before rating them for best-effort tasks

The room is now computed once for each runner and image until the runner's load changes. The differential test against the full search passes.

--- a/tamarackhatch/placement/_candidate.py
+++ b/tamarackhatch/placement/_candidate.py
@@ -65,6 +65,7 @@
         created_at: Monotonic time of its forecasts.
         serving_changes: Count of the load's changes that they are based on.
         best_effort_changes: The same for the best-effort tasks.
+        batch_cpu: The load's CPU of batch tasks that they are based on.
     """
 
     def __init__(
@@ -80,7 +81,9 @@
         self.created_at = now
         self.serving_changes = load.serving_changes
         self.best_effort_changes = load.best_effort_changes
+        self.batch_cpu = load.batch_cpu
         self._limits: dict[str, BestEffortLimit] = {}
+        self._rooms: dict[str, float] = {}
         self._interference = interference
         self._policy = policy
         self.clear_restrictions()
@@ -101,7 +104,9 @@
     def update_headrooms(self) -> None:
         """Recomputes the utilisation by best-effort tasks from the load."""
         self.best_effort_changes = self.load.best_effort_changes
+        self.batch_cpu = self.load.batch_cpu
         self._limits.clear()
+        self._rooms.clear()
         if not self.headrooms:
             return
         non_interfering_cpu = self.load.best_effort_usage.non_interfering_cpu
@@ -125,6 +130,27 @@
             limit = self._limits[image] = self._compute_limit(image)
         return limit
 
+    def get_best_effort_room(self, image: str) -> float:
+        """Returns the processors left for a best-effort task of an image.
+
+        In thousandths of a core. A new task that uses more is slowed down.
+        Infinite without serving tasks, beside which nothing is slowed down.
+        """
+        room = self._rooms.get(image)
+        if room is None:
+            room = self._rooms[image] = self._compute_room(image)
+        return room
+
+    def _compute_room(self, image: str) -> float:
+        if not self.headrooms:
+            return math.inf
+        load = self.load
+        unused = (
+            self._policy.max_cpu_usage - self.serving_cpu_share
+        ) * self.processors - (load.best_effort_cpu + load.batch_cpu)
+        limit = self.get_best_effort_limit(image)
+        return min(limit.max_share * self.processors, unused)
+
     def _compute_limit(self, image: str) -> BestEffortLimit:
         max_share = math.inf
         utilisation_per_share = 0.0
--- a/tamarackhatch/placement/_candidate_cache.py
+++ b/tamarackhatch/placement/_candidate_cache.py
@@ -45,7 +45,10 @@
                 load, self._interference, self._policy, now
             )
             self._candidates[load.identifier] = candidate
-        elif candidate.best_effort_changes != load.best_effort_changes:
+        elif (
+            candidate.best_effort_changes != load.best_effort_changes
+            or candidate.batch_cpu != load.batch_cpu
+        ):
             candidate.update_headrooms()
         return candidate
 
--- a/tamarackhatch/placement/_choice.py
+++ b/tamarackhatch/placement/_choice.py
@@ -15,6 +15,9 @@
 
 # More than all other differences between two runners.
 _OVER_LIMIT_PENALTY = 1000.0
+# In thousandths of a core. The filter of runners computes the same limit as a
+# rating in another order; it must not leave out what the rating allows.
+_ROUNDING_ERROR = 0.001
 
 
 @attrs.frozen
@@ -80,7 +83,7 @@
         return []
     included_candidates = [
         candidate
-        for candidate in candidates
+        for candidate in _list_fast(step, candidates, min_speed)
         if not is_excluded(candidate.load.identifier)
     ]
     heap: list[tuple[float, int, float]] = []
@@ -104,6 +107,27 @@
     return choices
 
 
+def _list_fast(
+    step: model.Step,
+    candidates: Iterable[_candidate.CandidateRunner],
+    min_speed: float,
+) -> Iterable[_candidate.CandidateRunner]:
+    """Returns the runners that may be fast enough for a task.
+
+    When more best-effort tasks wait than fit, this leaves out most runners at
+    a small part of the cost of their ratings.
+    """
+    if not step.is_best_effort or not min_speed:
+        return candidates
+    image = step.image
+    needed = step.resources.processors * min_speed - _ROUNDING_ERROR
+    return [
+        candidate
+        for candidate in candidates
+        if candidate.get_best_effort_room(image) >= needed
+    ]
+
+
 def _rate_if_possible(
     key: model.TaskKey,
     step: model.Step,
