Do not render log lines beyond the rate limit

A scheduler under load logs about 1,300 lines a second and writes 200 of them; the others were rendered before they were dropped. Records of runners are no longer created for each look-up either.

--- a/tamarackhatch/health/_monitor.py
+++ b/tamarackhatch/health/_monitor.py
@@ -262,7 +262,10 @@
         return 2.0 * min(1.0, max(0.0, score) / _records.EJECTION_SCORE)
 
     def _get_record(self, runner: str) -> _records.RunnerRecord:
-        return self._records.setdefault(runner, _records.RunnerRecord())
+        record = self._records.get(runner)
+        if record is None:
+            record = self._records[runner] = _records.RunnerRecord()
+        return record
 
     def _list_ejected(self, service: str) -> list[str]:
         return [
--- a/tamarackhatch/observability/_log.py
+++ b/tamarackhatch/observability/_log.py
@@ -42,20 +42,32 @@
         """Changes the rate limit, in lines per second."""
         self._lines_per_s = lines_per_s
 
-    def write(self, line: bytes, is_urgent: bool) -> None:
-        """Writes a line, or drops it.
+    def admit_line(self) -> bool:
+        """Returns whether a line that is not urgent may be written now.
 
-        Urgent lines are not subject to the rate limit, but count towards it.
+        Otherwise it counts as dropped. A caller that asks first need not
+        render lines that are dropped.
         """
-        now = self._clock.get_monotonic()
-        if now - self._window_start >= _RATE_WINDOW:
-            self._start_window(now)
-        if self._lines_in_window >= self._lines_per_s and not is_urgent:
+        self._update_window()
+        if self._lines_in_window >= self._lines_per_s:
             self._dropped_lines += 1
-            return
+            return False
+        return True
+
+    def write(self, line: bytes) -> None:
+        """Writes a line, or drops it if the reader is too slow.
+
+        The line counts towards the rate limit, but is not subject to it.
+        """
+        self._update_window()
         self._lines_in_window += 1
         self._send(line)
 
+    def _update_window(self) -> None:
+        now = self._clock.get_monotonic()
+        if now - self._window_start >= _RATE_WINDOW:
+            self._start_window(now)
+
     def _start_window(self, now: datetime.timedelta) -> None:
         self._window_start = now
         self._lines_in_window = 0
@@ -123,12 +135,16 @@
 
     def debug(self, event: str, **fields: typing.Any) -> None:
         """Logs an event that is needed only for debugging."""
-        if self._levels.minimum <= _LEVELS["debug"]:
+        if self._levels.minimum <= _LEVELS["debug"] and (
+            self._sink.admit_line()
+        ):
             self._logger.debug(event, **fields)
 
     def info(self, event: str, **fields: typing.Any) -> None:
         """Logs a decision or a change of state."""
-        if self._levels.minimum <= _LEVELS["info"]:
+        if self._levels.minimum <= _LEVELS["info"] and (
+            self._sink.admit_line()
+        ):
             self._logger.info(event, **fields)
 
     def summary(self, event: str, **fields: typing.Any) -> None:
@@ -158,24 +174,18 @@
 
 
 class _SinkLogger:
-    """Passes rendered lines to the sink.
-
-    Summaries, warnings and errors are urgent.
-    """
+    """Passes rendered lines to the sink."""
 
     def __init__(self, sink: LineSink) -> None:
         self._sink = sink
 
     def debug(self, line: bytes) -> None:
-        self._sink.write(line, False)
+        self._sink.write(line)
 
     info = debug
-
-    def warning(self, line: bytes) -> None:
-        self._sink.write(line, True)
-
-    error = warning
-    msg = warning
+    warning = debug
+    error = debug
+    msg = debug
 
 
 def _render(
--- a/tamarackhatch/observability/tests/test_log.py
+++ b/tamarackhatch/observability/tests/test_log.py
@@ -62,6 +62,21 @@
     assert (first["event"], first["count"]) == ("log_lines_dropped", 5)
 
 
+def test_dropped_lines_are_not_rendered() -> None:
+    """Guards against processor time for lines that nobody reads."""
+    log, _, reader, _ = _make_log(3)
+    rendered = []
+
+    class Field:
+        def __str__(self) -> str:
+            rendered.append(self)
+            return "text"
+
+    for _ in range(8):
+        log.info("placed", field=Field())
+    assert len(_read_events(reader)) == len(rendered) == 3
+
+
 def test_full_pipe_does_not_block() -> None:
     """Guards against a process that blocks on a full log pipe."""
     log, _, reader, _ = _make_log(10**9)
