Collect garbage less often

In a profile of 246 runners the collections took 0.68 s of 11.4 s of processor time, with five full ones of 58 ms; with higher thresholds 0.13 s of 11.2 s and one full one.

--- a/tamarackhatch/server/_run.py
+++ b/tamarackhatch/server/_run.py
@@ -1,6 +1,7 @@
 """Runs an instance in this process."""
 
 import asyncio
+import gc
 import sys
 
 from tamarackhatch import clock
@@ -8,6 +9,12 @@
 from tamarackhatch.server import _instance
 from tamarackhatch import settings
 
+# Objects that may be created between two garbage collections, and collections
+# of each generation between two of the next. A scheduler keeps a large heap
+# and creates few reference cycles: with the defaults of Python, collections
+# took 6 % of its processor time, with pauses of 60 ms.
+_COLLECTION_THRESHOLDS = (20_000, 20, 20)
+
 
 def serve(path: str) -> None:
     """Runs an instance until SIGTERM or SIGINT, then stops it gracefully.
@@ -19,6 +26,9 @@
         FindingsError: The settings file has faults.
     """
     initial_settings = settings.load_settings(path)
+    gc.set_threshold(*_COLLECTION_THRESHOLDS)
+    # What was imported stays for the life of the process.
+    gc.freeze()
     asyncio.run(_run_instance(path, initial_settings))
 
 
