--- a/tamarackhatch/placement/_candidate_cache.py
+++ b/tamarackhatch/placement/_candidate_cache.py
@@ -14,8 +14,9 @@
 from tamarackhatch.placement import _policy
 
 # Samples of serving tasks are half a second old when they arrive, and
-# forecasts look 2.5 s ahead.
-_MAX_AGE = datetime.timedelta(milliseconds=100)
+# forecasts look 2.5 s ahead. Under load, passes are up to 100 ms apart: with
+# that age nothing would be kept when it matters most.
+_MAX_AGE = datetime.timedelta(milliseconds=250)
 
 
 class CandidateCache:
