Keep upper estimates of factors until the next sample

A placement pass computed the factor and its deviation of each pair of images on each runner. 10.40 s instead of 10.65 s of processor time in the profile of 246 runners, with the same number of tasks placed.

--- a/tamarackhatch/placement/_interference.py
+++ b/tamarackhatch/placement/_interference.py
@@ -143,6 +143,9 @@
             str, collections.deque[_Observation]
         ] = {}
         self._peaks: dict[str, _Peak] = {}
+        # Upper estimates of factors by serving image, then by best-effort
+        # image and weight; those of an image are dropped with each sample.
+        self._estimates: dict[str, dict[tuple[str, float], float]] = {}
 
     def get_factor(self, serving: str, best_effort: str) -> float:
         """Returns the factor of a best-effort image on a serving image."""
@@ -162,9 +165,15 @@
             uncertainty_weight: Number of standard deviations that are added
                 to the factor.
         """
-        return self.get_factor(serving, best_effort) + uncertainty_weight * (
-            self.get_deviation(serving, best_effort)
-        )
+        # A placement pass asks for each pair on many runners.
+        estimates = self._estimates.setdefault(serving, {})
+        key = (best_effort, uncertainty_weight)
+        estimate = estimates.get(key)
+        if estimate is None:
+            estimate = estimates[key] = self.get_factor(
+                serving, best_effort
+            ) + uncertainty_weight * self.get_deviation(serving, best_effort)
+        return estimate
 
     def get_deviation(self, serving: str, best_effort: str) -> float:
         """Returns the standard deviation of a pair's factor."""
@@ -237,6 +246,7 @@
         self, table: InterferenceTable, now: datetime.timedelta
     ) -> None:
         """Adds the stored estimates of an earlier scheduler."""
+        self._estimates.clear()
         for factor in table.factors:
             self._get_regression(factor.serving).add_known_factor(
                 factor.best_effort, factor.mean, factor.deviation
@@ -323,6 +333,7 @@
         history: Sequence[_Observation],
     ) -> None:
         """Adds the differences to recent observations to the regression."""
+        self._estimates.pop(sample.image, None)
         for earlier in history:
             if earlier.is_saturated and latest.is_saturated:
                 continue
--- a/tamarackhatch/placement/tests/test_interference.py
+++ b/tamarackhatch/placement/tests/test_interference.py
@@ -151,3 +151,28 @@
         assert successor.get_deviation("watch", image) == pytest.approx(
             predecessor.get_deviation("watch", image), abs=0.05
         )
+
+
+def test_upper_estimates_follow_samples_and_imports() -> None:
+    """Guards against estimates that are kept beyond the next sample."""
+    interference = placement.InterferenceModel()
+
+    def check_estimates() -> float:
+        for weight in (0.0, 1.0):
+            expected = interference.get_factor("watch", "heavy") + weight * (
+                interference.get_deviation("watch", "heavy")
+            )
+            estimate = interference.estimate_factor("watch", "heavy", weight)
+            assert estimate == expected
+        return expected
+
+    first = check_estimates()
+    _observe_job(interference, 8)
+    second = check_estimates()
+    interference.import_interference(
+        placement.InterferenceTable(
+            (placement.InterferenceFactor("watch", "heavy", 9.0, 0.1),)
+        ),
+        datetime.timedelta(seconds=9),
+    )
+    assert len({first, second, check_estimates()}) == 3
