Separate the dispatcher's decisions from the starts that follow

A dry run has to decide as a placement pass does, and must not start anything. The order of groups, the list of candidates and the choice of runners are now modules of their own without side effects; the dispatcher calls them and starts what they choose.

--- a/tamarackhatch/placement/__init__.py
+++ b/tamarackhatch/placement/__init__.py
@@ -5,6 +5,8 @@
 from tamarackhatch.placement._choice import Choice
 from tamarackhatch.placement._choice import choose_runners
 from tamarackhatch.placement._choice import is_allowed
+from tamarackhatch.placement._choice import rate_if_possible
+from tamarackhatch.placement._choice import RunnerRating
 from tamarackhatch.placement._infeasible_demands import InfeasibleDemands
 from tamarackhatch.placement._interference import InterferenceFactor
 from tamarackhatch.placement._interference import InterferenceModel
@@ -12,6 +14,7 @@
 from tamarackhatch.placement._interference import JobSample
 from tamarackhatch.placement._load import RunnerLoad
 from tamarackhatch.placement._order import assess_prospect
+from tamarackhatch.placement._order import describe_precedence
 from tamarackhatch.placement._order import make_order_key
 from tamarackhatch.placement._order import OrderKey
 from tamarackhatch.placement._order import Prospect
@@ -45,6 +48,7 @@
     "Reservation",
     "Reservations",
     "RunnerLoad",
+    "RunnerRating",
     "ServingState",
     "TransientRun",
     "Urgency",
@@ -55,7 +59,9 @@
     "choose_speed_limits",
     "compute_free_share",
     "compute_release_time",
+    "describe_precedence",
     "infer_speed_limit",
     "is_allowed",
     "make_order_key",
+    "rate_if_possible",
 ]
--- a/tamarackhatch/placement/_choice.py
+++ b/tamarackhatch/placement/_choice.py
@@ -32,11 +32,19 @@
 
 
 class Choice(typing.NamedTuple):
-    """A task, the runner chosen for it, and its speed limit there, 0 to 1."""
+    """A task and the runner chosen for it.
+
+    Attributes:
+        key: The task.
+        candidate: The runner.
+        speed_limit: Speed limit of the task there, 0 to 1.
+        score: Score of the runner when it was chosen.
+    """
 
     key: model.TaskKey
     candidate: _candidate.CandidateRunner
     speed_limit: float
+    score: float = 0.0
 
 
 def is_allowed(
@@ -85,7 +93,7 @@
     ]
     heap: list[tuple[float, int, float]] = []
     for index, candidate in enumerate(included_candidates):
-        rating = _rate_if_possible(keys[0], step, candidate, policy)
+        rating = rate_if_possible(keys[0], step, candidate, policy)
         if rating is not None and rating.speed_limit >= min_speed:
             heap.append((-rating.score, index, rating.speed_limit))
     heapq.heapify(heap)
@@ -93,18 +101,18 @@
     for key in keys:
         if not heap:
             break
-        _, index, speed_limit = heapq.heappop(heap)
+        negative_score, index, speed_limit = heapq.heappop(heap)
         candidate = included_candidates[index]
         candidate.load.add_task(key, step)
         candidate.update_headrooms()
-        choices.append(Choice(key, candidate, speed_limit))
-        rating = _rate_if_possible(key, step, candidate, policy)
+        choices.append(Choice(key, candidate, speed_limit, -negative_score))
+        rating = rate_if_possible(key, step, candidate, policy)
         if rating is not None and rating.speed_limit >= min_speed:
             heapq.heappush(heap, (-rating.score, index, rating.speed_limit))
     return choices
 
 
-def _rate_if_possible(
+def rate_if_possible(
     key: model.TaskKey,
     step: model.Step,
     candidate: _candidate.CandidateRunner,
--- a/tamarackhatch/placement/_load.py
+++ b/tamarackhatch/placement/_load.py
@@ -93,6 +93,21 @@
         """Removes the reservation of a task."""
         self._adjust(key, step, -1)
 
+    def copy(self) -> "RunnerLoad":
+        """Returns a load to which tasks can be added without changing this.
+
+        The CPU use of the best-effort tasks that run is shared, because it
+        does not depend on tasks that are only placed.
+        """
+        return attrs.evolve(
+            self,
+            serving={
+                job: attrs.evolve(group) for job, group in self.serving.items()
+            },
+            best_effort_cpu_by_image=self.best_effort_cpu_by_image.copy(),
+            step_counts=self.step_counts.copy(),
+        )
+
     def has_capacity(self, step: model.Step) -> bool:
         """Returns whether a task of the step fits into the capacity left."""
         reservation = step.reserved
--- a/tamarackhatch/placement/_order.py
+++ b/tamarackhatch/placement/_order.py
@@ -53,6 +53,15 @@
     OVERDUE_BATCH = 5
 
 
+_RANK_DESCRIPTIONS = {
+    Rank.STARVED: "tasks that have waited too long",
+    Rank.BATCH: "batch tasks that can meet their objective",
+    Rank.LONG_RUNNING_FIRST: "long-running tasks that have waited",
+    Rank.LATE_BATCH: "batch tasks that are late or have no objective",
+    Rank.LONG_RUNNING: "new long-running tasks",
+    Rank.OVERDUE_BATCH: "batch tasks that nobody waits for any more",
+}
+
 Urgency = tuple[float, Rank]
 
 
@@ -163,3 +172,27 @@
     is_starved = group.waited >= policy.max_long_running_wait
     rank = Rank.STARVED if is_starved else Rank.LONG_RUNNING_FIRST
     return OrderKey(group.priority, rank, 0, False, "", group.accepted)
+
+
+def describe_precedence(first: OrderKey, second: OrderKey) -> str:
+    """Returns in words why a group of tasks precedes another one."""
+    if first.priority != second.priority:
+        return (
+            f"its priority {first.priority:g} is more urgent than "
+            f"{second.priority:g}"
+        )
+    if first.rank != second.rank:
+        return (
+            f"{_RANK_DESCRIPTIONS[first.rank]} precede "
+            f"{_RANK_DESCRIPTIONS[second.rank]}"
+        )
+    if first.demand != second.demand:
+        return (
+            f"its job asks for less: {first.demand / 1000:g} cores, not "
+            f"{second.demand / 1000:g}"
+        )
+    if first.is_unlimited != second.is_unlimited:
+        return "it limits the tasks on one runner"
+    if first.image != second.image:
+        return "tasks are placed image by image"
+    return "its job was accepted earlier"
--- a/tamarackhatch/placement/_reservations.py
+++ b/tamarackhatch/placement/_reservations.py
@@ -116,7 +116,7 @@
         """
         failed = []
         for reservation in list(self._by_step.values()):
-            is_old = now - reservation.since >= _MAX_DURATION
+            is_old = _is_old(reservation, now)
             if is_old:
                 failed.append(reservation)
                 self._resting[reservation.runner] = now + _REST
@@ -127,6 +127,16 @@
         }
         return failed
 
+    def list_current(
+        self, waiting: Collection[StepKey], now: datetime.timedelta
+    ) -> list[Reservation]:
+        """Returns the reservations that `expire` would leave in force."""
+        return [
+            reservation
+            for reservation in self._by_step.values()
+            if reservation.step in waiting and not _is_old(reservation, now)
+        ]
+
     def release(self, step: StepKey) -> None:
         """Ends the reservation for a step, if there is one."""
         self._by_step.pop(step, None)
@@ -189,3 +199,7 @@
         reservation = Reservation(step, runner, now, urgency)
         self._by_step[step] = reservation
         return reservation
+
+
+def _is_old(reservation: Reservation, now: datetime.timedelta) -> bool:
+    return now - reservation.since >= _MAX_DURATION
--- /dev/null
+++ b/tamarackhatch/scheduler/_candidates.py
@@ -0,0 +1,66 @@
+"""Lists the runners on which waiting tasks may be placed now."""
+
+from collections.abc import Callable
+import datetime
+
+from tamarackhatch import placement
+from tamarackhatch.scheduler import _context
+from tamarackhatch.scheduler import _fleet
+from tamarackhatch.scheduler import _health
+
+Candidates = dict[str, list[placement.CandidateRunner]]
+MakeCandidate = Callable[
+    [placement.RunnerLoad, datetime.timedelta], placement.CandidateRunner
+]
+
+
+def list_candidates(
+    context: _context.SchedulerContext,
+    make_candidate: MakeCandidate,
+    is_registry_outdated: bool,
+    service: str | None = None,
+) -> Candidates:
+    """Returns the runners that may start tasks now, by service.
+
+    Args:
+        context: Shared components of the scheduler.
+        make_candidate: Returns the candidate of a runner's load for a
+            monotonic time.
+        is_registry_outdated: Whether runners may have shrunk since the
+            registry was read.
+        service: Service whose runners are listed; None for all.
+    """
+    now = context.get_now()
+    candidates: Candidates = {}
+    for entry in context.list_open_runners():
+        name = entry.record.service
+        if service is not None and name != service:
+            continue
+        if is_registry_outdated and not context.enforces_capacity(name):
+            continue
+        if is_available(context, entry, now):
+            candidate = make_candidate(entry.load, now)
+            _health.restrict_candidate(context, candidate, entry, now)
+            candidates.setdefault(name, []).append(candidate)
+    for group in candidates.values():
+        _health.relax_limits(group)
+    return candidates
+
+
+def is_available(
+    context: _context.SchedulerContext,
+    entry: _fleet.RunnerEntry,
+    now: datetime.timedelta,
+) -> bool:
+    """Returns whether tasks that are no probes may start on a runner.
+
+    Args:
+        context: Shared components of the scheduler.
+        entry: A runner in a data centre that is not evacuated.
+        now: Monotonic time.
+    """
+    return (
+        entry.is_schedulable(now)
+        and not entry.is_isolated(now)
+        and not context.health.is_ejected(entry.identifier)
+    )
--- a/tamarackhatch/scheduler/_dispatcher.py
+++ b/tamarackhatch/scheduler/_dispatcher.py
@@ -4,16 +4,15 @@
 import datetime
 
 from tamarackhatch import placement
-from tamarackhatch.scheduler import _attempts
+from tamarackhatch.scheduler import _candidates
 from tamarackhatch.scheduler import _commands
 from tamarackhatch.scheduler import _context
-from tamarackhatch.scheduler import _crash_suspects
 from tamarackhatch.scheduler import _fleet
+from tamarackhatch.scheduler import _group_order
 from tamarackhatch.scheduler import _health
-from tamarackhatch.scheduler import _isolation
 from tamarackhatch.scheduler import _large_tasks
 from tamarackhatch.scheduler import _load_monitor
-from tamarackhatch.scheduler import _prospects
+from tamarackhatch.scheduler import _runner_choice
 from tamarackhatch.scheduler import _state
 
 # Events within this time share one placement pass.
@@ -21,7 +20,7 @@
 # Runners may become schedulable again without an event.
 _MAX_PASS_INTERVAL = datetime.timedelta(milliseconds=250)
 
-Group = dict[int, _state.TaskEntry]
+Group = _group_order.Group
 
 
 class Dispatcher:
@@ -36,19 +35,30 @@
         self._commands = commands
         self._large_tasks = _large_tasks.LargeTaskReserver(context)
         self._probes = _health.ProbePlacer(
-            context, self._is_paused, self._place_task
+            context, self.is_paused, self._place_task
         )
+        self._chooser = _runner_choice.RunnerChooser(context)
         self._candidate_cache = placement.CandidateCache(
             context.interference, context.policy
         )
-        # Policies, candidates and demands of the present placement pass.
-        self._policies: dict[str, placement.PlacementPolicy] = {}
-        self._candidates: dict[str, list[placement.CandidateRunner]] = {}
-        self._infeasible = placement.InfeasibleDemands()
         self._has_paused_starts = False
         self._paused_version: int | None = None
         self._registry_read = datetime.timedelta.min
 
+    @property
+    def is_registry_outdated(self) -> bool:
+        """Whether runners may have shrunk since the registry was read.
+
+        Not every runner rejects tasks that do not fit.
+        """
+        age = self._context.get_now() - self._registry_read
+        return age > self._context.settings.bounds.contact
+
+    @property
+    def large_tasks(self) -> _large_tasks.LargeTaskReserver:
+        """Keeps runners free for large tasks."""
+        return self._large_tasks
+
     def mark_registry_read(self, time: datetime.timedelta) -> None:
         """Records that all registry rows of a monotonic time were applied."""
         self._registry_read = time
@@ -93,32 +103,16 @@
         if not waiting:
             return
         began = context.get_now()
-        ordered = sorted(
-            (
-                (self._get_order_key(group), group)
-                for group in waiting.values()
-            ),
-            key=lambda item: item[0],
-        )
+        ordered = _group_order.order_groups(context, waiting.values())
         groups = [group for _, group in ordered]
-        is_grouping = self._is_grouping(groups)
+        is_grouping = self.is_grouping(groups)
         candidates = self.list_candidates()
         self._large_tasks.is_long_running_waiting = any(
             next(iter(group.values())).step.is_long_running for group in groups
         )
         self._place_suspects(groups, candidates)
         self._large_tasks.begin_pass(waiting, candidates)
-        self._candidates = candidates
-        self._infeasible.clear()
-        self._policies = {
-            service: placement.adapt_policy(
-                context.policy,
-                placement.compute_free_share(
-                    candidate.load for candidate in group
-                ),
-            )
-            for service, group in candidates.items()
-        }
+        self._chooser.begin_pass(candidates)
         self._probes.place_probes(groups)
         for order, group in ordered:
             self._run_group(group, order, is_grouping, candidates)
@@ -134,16 +128,13 @@
         candidates: dict[str, list[placement.CandidateRunner]],
     ) -> None:
         result = self._context.load_monitor.waiting
-        tasks = [task for task in group.values() if not self._is_paused(task)]
-        result.paused += len(group) - len(tasks)
-        waiting = len(tasks)
-        tasks = [
-            task for task in tasks if not _crash_suspects.is_suspect(task)
-        ]
-        result.suspects += waiting - len(tasks)
+        selection = _group_order.select_tasks(group, self.is_paused)
+        result.paused += selection.paused
+        result.suspects += selection.suspects
+        tasks = selection.tasks
         if not tasks:
             return
-        if is_grouping and _is_new(tasks[0]):
+        if is_grouping and _group_order.is_new(tasks[0]):
             result.grouped += len(tasks)
             return
         first = tasks[0]
@@ -166,56 +157,25 @@
     ) -> None:
         """Starts suspects of crashes, at most one on each runner.
 
-        Removes their runners from the candidates. They go before other tasks,
-        which would fill the empty runners, and use a limited share of the
-        runners.
+        Removes their runners from the candidates.
         """
-        context = self._context
-        suspects = [
-            task
-            for group in groups
-            for task in group.values()
-            if _crash_suspects.is_suspect(task) and not self._is_paused(task)
-        ]
-        if not suspects:
-            return
-        now = context.get_now()
-        allowances = _isolation.count_allowances(
-            context.list_open_runners(), now
-        )
-        for task in _isolation.order_suspects(suspects):
-            service = task.job.job.queue.service
-            group = candidates.get(service, [])
-            if allowances[service] <= 0:
-                continue
-            allowed = self.filter_by_ticket(task, group)
-            chosen = self._choose_runners(
-                [task],
-                _isolation.list_isolation_candidates(
-                    task, allowed, context.fleet, now
-                ),
-            )
-            context.load_monitor.counters.placed += len(chosen)
-            self._start_chosen_tasks(chosen)
-            reserved = [candidate for _, candidate, _ in chosen]
-            if not chosen:
-                self._request_tickets(task, group)
-                candidate = _isolation.find_reserved_candidate(
-                    task, allowed, context.fleet, now
-                )
-                reserved = [] if candidate is None else [candidate]
-            for candidate in reserved:
-                allowances[service] -= 1
-                group.remove(candidate)
+        for decision in self._chooser.choose_for_suspects(
+            groups, candidates, self.is_paused
+        ):
+            choices = decision.choices
+            self._context.load_monitor.counters.placed += len(choices)
+            self._start_chosen_tasks(choices)
+            if not choices:
+                self._request_tickets(decision.task, decision.candidates)
 
-    def _is_grouping(self, groups: list[Group]) -> bool:
+    def is_grouping(self, groups: list[Group]) -> bool:
         """Returns whether new long-running tasks are still being collected.
 
         They are placed together once the oldest has waited long enough.
         """
         firsts = (next(iter(group.values())) for group in groups)
         oldest = min(
-            (task.phase_since for task in firsts if _is_new(task)),
+            (task.phase_since for task in firsts if _group_order.is_new(task)),
             default=None,
         )
         if oldest is None:
@@ -224,32 +184,8 @@
             self._context.policy.grouping_delay
         )
 
-    def _get_order_key(self, group: Group) -> placement.OrderKey:
-        task = next(iter(group.values()))
-        now = self._context.get_now()
-        is_moved = any(waiting.departure for waiting in group.values())
-        step = task.step
-        priority, accepted = task.job.order
-        return placement.make_order_key(
-            placement.WaitingGroup(
-                priority,
-                accepted,
-                max(waiting.compute_wait(now) for waiting in group.values()),
-                step.is_long_running,
-                not step.max_per_runner,
-                step.image,
-                # A moved task has waited and worked before.
-                (
-                    0
-                    if is_moved or step.is_long_running
-                    else task.job.compute_demand()
-                ),
-                _prospects.assess_job(task, self._context.clock.get_utc()),
-            ),
-            self._context.policy,
-        )
-
-    def _is_paused(self, task: _state.TaskEntry) -> bool:
+    def is_paused(self, task: _state.TaskEntry) -> bool:
+        """Returns whether a task must not start yet after a takeover."""
         if not self._has_paused_starts:
             return False
         if (
@@ -260,34 +196,14 @@
         version = self._paused_version
         return version is None or task.job.version <= version
 
-    def list_candidates(self) -> dict[str, list[placement.CandidateRunner]]:
+    def list_candidates(self) -> _candidates.Candidates:
         """Returns the runners that may start tasks now, by service."""
-        context = self._context
-        now = context.get_now()
-        # A runner may have shrunk since, and not every runner rejects tasks
-        # that do not fit.
-        is_outdated = (
-            now - self._registry_read > context.settings.bounds.contact
+        self._candidate_cache.retain(self._context.fleet)
+        return _candidates.list_candidates(
+            self._context,
+            self._candidate_cache.get_candidate,
+            self.is_registry_outdated,
         )
-        candidates: dict[str, list[placement.CandidateRunner]] = {}
-        self._candidate_cache.retain(context.fleet)
-        for entry in context.list_open_runners():
-            service = entry.record.service
-            if is_outdated and not context.enforces_capacity(service):
-                continue
-            if (
-                entry.is_schedulable(now)
-                and not entry.is_isolated(now)
-                and not context.health.is_ejected(entry.identifier)
-            ):
-                candidate = self._candidate_cache.get_candidate(
-                    entry.load, now
-                )
-                _health.restrict_candidate(context, candidate, entry, now)
-                candidates.setdefault(service, []).append(candidate)
-        for group in candidates.values():
-            _health.relax_limits(group)
-        return candidates
 
     def _place_group(
         self,
@@ -296,18 +212,21 @@
     ) -> int:
         """Starts tasks of one step, and returns their number."""
         first = tasks[0]
+        members: list[_state.TaskEntry] = []
         if first.step.is_gang:
-            return self._place_gang(tasks, candidates)
-        allowed = self.filter_by_ticket(first, candidates)
-        placed = 0
-        for batch in _attempts.list_batches(self._context, tasks, allowed):
-            for excluded in batch.exclusions:
-                choices = self._choose_runners(
-                    batch.tasks, batch.candidates, excluded
-                )
-                placed += self._start_chosen_tasks(choices)
-                if choices:
-                    break
+            members = _runner_choice.list_members(first)
+            if len(tasks) < len(members):
+                return 0
+        choices = self._chooser.choose_for_group(tasks, candidates)
+        if members and choices:
+            run = max(task.run for task in members)
+            checkpoint = next(
+                (task.checkpoint for task in members if task.checkpoint), ""
+            )
+            for task in members:
+                task.run = run
+                task.checkpoint = checkpoint
+        placed = self._start_chosen_tasks(choices)
         if placed < len(tasks):
             self._request_tickets(first, candidates)
         return placed
@@ -319,47 +238,7 @@
     ) -> int:
         """Starts one task, and returns the number of started tasks."""
         allowed = self.filter_by_ticket(task, candidates)
-        return self._start_chosen_tasks(self._choose_runners([task], allowed))
-
-    def _choose_runners(
-        self,
-        tasks: list[_state.TaskEntry],
-        candidates: list[placement.CandidateRunner],
-        excluded: frozenset[str] = frozenset(),
-    ) -> list[placement.Choice]:
-        """Chooses runners for tasks of one step, and reserves capacity."""
-        if not tasks:
-            return []
-        service = tasks[0].job.job.queue.service
-        policy = self._policies.get(service, self._context.policy)
-        waited = tasks[0].compute_wait(self._context.get_now())
-        # A moved task has waited before, and its place may be taken.
-        may_be_slower = (
-            waited >= policy.full_speed_wait or tasks[0].departure is not None
-        )
-        min_speed = policy.min_speed if may_be_slower else 1.0
-        step = tasks[0].step
-        are_all = candidates is self._candidates.get(service)
-        if are_all and self._infeasible.covers(service, step, min_speed):
-            return []
-        choices = placement.choose_runners(
-            [task.key for task in tasks],
-            step,
-            candidates,
-            policy,
-            min_speed=min_speed,
-            is_excluded=excluded.__contains__,
-        )
-        if (
-            are_all
-            and len(choices) < len(tasks)
-            and not excluded
-            and not step.max_per_runner
-            # Places of an incomplete gang are given back.
-            and not step.is_gang
-        ):
-            self._infeasible.add(service, step, min_speed)
-        return choices
+        return self._start_chosen_tasks(self._chooser.choose([task], allowed))
 
     def filter_by_ticket(
         self,
@@ -370,16 +249,7 @@
 
         A queue without a placement policy allows all runners.
         """
-        if task.job.job.queue.advice is None:
-            return candidates
-        step = _get_step_name(task)
-        return [
-            candidate
-            for candidate in candidates
-            if self._context.tickets.get_ticket(
-                step, candidate.load.identifier
-            )
-        ]
+        return _runner_choice.filter_by_ticket(self._context, task, candidates)
 
     def _request_tickets(
         self,
@@ -393,38 +263,14 @@
                 task.key, task.step, candidates, timing
             )
 
-    def _place_gang(
-        self,
-        tasks: list[_state.TaskEntry],
-        candidates: list[placement.CandidateRunner],
-    ) -> int:
-        occurrence = tasks[0].job.occurrences[tasks[0].key.occurrence]
-        members = occurrence.steps[tasks[0].key.step]
-        if len(tasks) < len(members):
-            return 0
-        allowed = self.filter_by_ticket(members[0], candidates)
-        choices = self._choose_runners(members, allowed)
-        if len(choices) < len(members):
-            for key, candidate, _ in choices:
-                candidate.load.remove_task(key, members[0].step)
-                candidate.update_headrooms()
-            self._request_tickets(members[0], candidates)
-            return 0
-        run = max(task.run for task in members)
-        checkpoint = next((t.checkpoint for t in members if t.checkpoint), "")
-        for task in members:
-            task.run = run
-            task.checkpoint = checkpoint
-        return self._start_chosen_tasks(choices)
-
     def _start_chosen_tasks(self, choices: list[placement.Choice]) -> int:
         """Starts the chosen tasks and returns their number."""
-        for key, candidate, speed_limit in choices:
-            task = self._context.job_tracker.find_task(key)
+        for choice in choices:
+            task = self._context.job_tracker.find_task(choice.key)
             assert task is not None
             # Starting the task reserves its capacity again.
-            candidate.load.remove_task(key, task.step)
-            self._start_task(task, candidate, speed_limit)
+            choice.candidate.load.remove_task(choice.key, task.step)
+            self._start_task(task, choice.candidate, choice.speed_limit)
         return len(choices)
 
     def _start_task(
@@ -437,7 +283,9 @@
         entry: _fleet.RunnerEntry = context.fleet[chosen.load.identifier]
         waited = task.compute_wait(context.get_now())
         task.ticket = (
-            context.tickets.get_ticket(_get_step_name(task), entry.identifier)
+            context.tickets.get_ticket(
+                _runner_choice.get_step_name(task), entry.identifier
+            )
             or ""
         )
         context.job_tracker.begin_start(task, entry)
@@ -454,11 +302,3 @@
             best_effort_cpu=entry.load.best_effort_cpu,
             speed_limit_percent=round(speed_limit * 100),
         )
-
-
-def _is_new(task: _state.TaskEntry) -> bool:
-    return task.step.is_long_running and not task.run
-
-
-def _get_step_name(task: _state.TaskEntry) -> tuple[str, int, int]:
-    return (task.key.job, task.key.occurrence, task.key.step)
--- a/tamarackhatch/scheduler/_evacuations.py
+++ b/tamarackhatch/scheduler/_evacuations.py
@@ -71,6 +71,11 @@
         """Whether evacuations are followed."""
         return self._bound is not None
 
+    @property
+    def is_known(self) -> bool:
+        """Whether it is known which data centres are evacuated."""
+        return self._bound is None or self._is_current(self._bound)
+
     def is_evacuated(self, data_centre: str) -> bool:
         """Returns whether nothing may start in a data centre.
 
--- a/tamarackhatch/scheduler/_fleet.py
+++ b/tamarackhatch/scheduler/_fleet.py
@@ -232,6 +232,14 @@
         elapsed = (now - self.clock_read) * (1 - _MAX_CLOCK_DRIFT_SHARE)
         return self.clock + elapsed > reading + _EXPIRY_MARGIN
 
+    def is_answering(self, now: datetime.timedelta) -> bool:
+        """Returns whether the runner's latest answer is recent."""
+        return (
+            not self.missed_renewals
+            and self.clock_read is not None
+            and now - self.clock_read < MAX_TIME_SINCE_ANSWER
+        )
+
     def is_schedulable(self, now: datetime.timedelta) -> bool:
         """Returns whether new tasks may be placed on the runner."""
         return (
--- /dev/null
+++ b/tamarackhatch/scheduler/_group_order.py
@@ -0,0 +1,89 @@
+"""Order in which a placement pass considers the groups of waiting tasks."""
+
+from collections.abc import Callable
+from collections.abc import Iterable
+
+import attrs
+
+from tamarackhatch import placement
+from tamarackhatch.scheduler import _context
+from tamarackhatch.scheduler import _crash_suspects
+from tamarackhatch.scheduler import _prospects
+from tamarackhatch.scheduler import _state
+
+# Waiting tasks of one step, by index.
+Group = dict[int, _state.TaskEntry]
+OrderedGroup = tuple[placement.OrderKey, Group]
+IsPaused = Callable[[_state.TaskEntry], bool]
+
+
+@attrs.frozen
+class Selection:
+    """Tasks of a group that a placement pass may place beside others.
+
+    Attributes:
+        tasks: The tasks.
+        paused: Number of tasks whose start is paused.
+        suspects: Number of tasks that may have crashed a runner.
+    """
+
+    tasks: list[_state.TaskEntry]
+    paused: int
+    suspects: int
+
+
+def order_groups(
+    context: _context.SchedulerContext, groups: Iterable[Group]
+) -> list[OrderedGroup]:
+    """Returns the groups with their sort keys, the first to place first."""
+    return sorted(
+        ((_get_order_key(context, group), group) for group in groups),
+        key=lambda item: item[0],
+    )
+
+
+def select_tasks(group: Group, is_paused: IsPaused) -> Selection:
+    """Returns the tasks that may be placed beside others now.
+
+    Args:
+        group: The waiting tasks of a step.
+        is_paused: Returns whether a task must not start yet.
+    """
+    running = [task for task in group.values() if not is_paused(task)]
+    tasks = [task for task in running if not _crash_suspects.is_suspect(task)]
+    return Selection(
+        tasks, len(group) - len(running), len(running) - len(tasks)
+    )
+
+
+def is_new(task: _state.TaskEntry) -> bool:
+    """Returns whether a long-running task waits for others of its image."""
+    return task.step.is_long_running and not task.run
+
+
+def _get_order_key(
+    context: _context.SchedulerContext, group: Group
+) -> placement.OrderKey:
+    task = next(iter(group.values()))
+    now = context.get_now()
+    is_moved = any(waiting.departure for waiting in group.values())
+    step = task.step
+    priority, accepted = task.job.order
+    return placement.make_order_key(
+        placement.WaitingGroup(
+            priority,
+            accepted,
+            max(waiting.compute_wait(now) for waiting in group.values()),
+            step.is_long_running,
+            not step.max_per_runner,
+            step.image,
+            # A moved task has waited and worked before.
+            (
+                0
+                if is_moved or step.is_long_running
+                else task.job.compute_demand()
+            ),
+            _prospects.assess_job(task, context.clock.get_utc()),
+        ),
+        context.policy,
+    )
--- a/tamarackhatch/scheduler/_job_tracker.py
+++ b/tamarackhatch/scheduler/_job_tracker.py
@@ -12,7 +12,6 @@
 from tamarackhatch.scheduler import _state
 from tamarackhatch.scheduler import _task_phases
 
-_EPOCH = datetime.datetime(1970, 1, 1, tzinfo=datetime.timezone.utc)
 # Run numbers of a term are above those of earlier terms, because a scheduler
 # does not know all runs that its predecessors started.
 _RUNS_PER_TERM = 1000
@@ -143,10 +142,7 @@
             return
         entry = _state.JobEntry(job, version)
         self._jobs[job.identifier] = entry
-        entry.order = (
-            job.queue.priority,
-            (job.accepted_at - _EPOCH).total_seconds(),
-        )
+        entry.order = _state.compute_order(job)
         if progress is not None:
             entry.state = progress.state
             entry.has_started = progress.state is not model.JobState.QUEUED
--- a/tamarackhatch/scheduler/_large_tasks.py
+++ b/tamarackhatch/scheduler/_large_tasks.py
@@ -1,6 +1,7 @@
 """Keeps runners free for tasks that need more than the usual free pieces."""
 
 from collections.abc import Collection
+from collections.abc import Iterable
 import datetime
 
 from tamarackhatch import placement
@@ -52,10 +53,36 @@
                 job=failed.step[0],
                 runner=failed.runner,
             )
+        self._take_out(self._reservations.active, candidates)
+
+    def make_view(
+        self,
+        waiting: Collection[StepKey],
+        candidates: dict[str, list[placement.CandidateRunner]],
+    ) -> "LargeTaskReserver":
+        """Returns a reserver for a dry run, with the present reservations.
+
+        Args:
+            waiting: Steps with waiting tasks.
+            candidates: Runners that may get tasks, by service; those that are
+                reserved are removed.
+        """
+        view = LargeTaskReserver(self._context)
+        view._take_out(
+            self._reservations.list_current(waiting, self._context.get_now()),
+            candidates,
+        )
+        return view
+
+    def _take_out(
+        self,
+        reservations: Iterable[placement.Reservation],
+        candidates: dict[str, list[placement.CandidateRunner]],
+    ) -> None:
+        """Takes the reserved runners out of the candidates."""
         self._kept = []
         reserved = {
-            reservation.runner: reservation
-            for reservation in self._reservations.active
+            reservation.runner: reservation for reservation in reservations
         }
         if not reserved:
             return
@@ -135,7 +162,7 @@
             return
         reservation = self._reservations.reserve(
             step,
-            self._list_options(unplaced[0], candidates),
+            self.list_options(unplaced[0], candidates),
             now,
             order.urgency,
         )
@@ -153,11 +180,19 @@
             self._context.metrics.reservations.labels("used").inc()
             self._reservations.release(step)
 
-    def _list_options(
+    def list_options(
         self,
         task: _state.TaskEntry,
         candidates: list[placement.CandidateRunner],
     ) -> list[tuple[str, datetime.timedelta]]:
+        """Returns the expected time until a task fits on each runner.
+
+        Runners on which it does not fit even then are left out.
+
+        Args:
+            task: The task.
+            candidates: The runners.
+        """
         options = []
         for candidate in candidates:
             load = candidate.load
--- a/tamarackhatch/scheduler/_prospects.py
+++ b/tamarackhatch/scheduler/_prospects.py
@@ -25,13 +25,31 @@
         # Without an objective, batch work has no claim to precede
         # long-running tasks that have waited for a while.
         return placement.Prospect.LATE
-    objective = (
-        queue.stretch * _ESTIMATE_ERROR * entry.longest_chain
-        + queue.target_latency
-    )
+    objective = compute_order_objective(entry)
     due = entry.job.accepted_at
     if entry.job.schedule is not None:
         due = entry.job.schedule.get_due(task.key.occurrence)
     return placement.assess_prospect(
         now - due, task.step.estimate / _ESTIMATE_ERROR, objective
     )
+
+
+def compute_objective(
+    entry: _state.JobEntry, estimate_error: float = 1.0
+) -> datetime.timedelta:
+    """Returns the latency objective of a job, from its acceptance on.
+
+    Args:
+        entry: The job, of a queue with an objective.
+        estimate_error: Factor by which the estimated run times may be short.
+    """
+    queue = entry.job.queue
+    return (
+        queue.stretch * estimate_error * entry.longest_chain
+        + queue.target_latency
+    )
+
+
+def compute_order_objective(entry: _state.JobEntry) -> datetime.timedelta:
+    """Returns the objective that counts for the order of a job."""
+    return compute_objective(entry, _ESTIMATE_ERROR)
--- a/tamarackhatch/scheduler/_state.py
+++ b/tamarackhatch/scheduler/_state.py
@@ -12,6 +12,8 @@
 from tamarackhatch import placement
 from tamarackhatch import records
 
+_EPOCH = datetime.datetime(1970, 1, 1, tzinfo=datetime.timezone.utc)
+
 
 class TaskPhase(enum.Enum):
     """Phase of a task.
@@ -256,6 +258,12 @@
         )
 
 
+def compute_order(job: model.Job) -> tuple[float, ...]:
+    """Returns the order of a job; see `JobEntry`."""
+    accepted = (job.accepted_at - _EPOCH).total_seconds()
+    return (job.queue.priority, accepted)
+
+
 def compute_longest_chain(
     steps: Sequence[model.Step],
 ) -> datetime.timedelta:
--- a/tamarackhatch/scheduler/_stragglers.py
+++ b/tamarackhatch/scheduler/_stragglers.py
@@ -133,7 +133,7 @@
         running: dict[model.TaskKey, _state.TaskEntry] = {}
         observations: dict[model.TaskKey, _Observation] = {}
         for entry in self._context.fleet.values():
-            is_answering = _is_answering(entry, now)
+            is_answering = entry.is_answering(now)
             for key, task in entry.tasks.items():
                 if not _is_observed(task):
                     continue
@@ -421,15 +421,6 @@
     )
 
 
-def _is_answering(entry: _fleet.RunnerEntry, now: datetime.timedelta) -> bool:
-    """Returns whether a runner's reports are recent."""
-    return (
-        not entry.missed_renewals
-        and entry.clock_read is not None
-        and now - entry.clock_read < _fleet.MAX_TIME_SINCE_ANSWER
-    )
-
-
 def _compute_following(
     steps: tuple[model.Step, ...], index: int
 ) -> datetime.timedelta:
--- a/tamarackhatch/scheduler/_tickets.py
+++ b/tamarackhatch/scheduler/_tickets.py
@@ -165,8 +165,7 @@
             )
             await self._clock.sleep(_RETRY_PAUSE)
             return
-        timing = request.timing
-        duration = timing.decision + len(request.runners) * timing.per_runner
+        duration = estimate_duration(request.timing, len(request.runners))
         asked = self._clock.get_monotonic()
         try:
             advice = await self._client.request_tickets(
@@ -199,3 +198,17 @@
                 denied.add(runner)
             else:
                 tickets[runner] = _Ticket(text, expires)
+
+
+def estimate_duration(
+    timing: model.AdviceTiming, runners: int
+) -> datetime.timedelta:
+    """Returns how long the policy service takes for one request.
+
+    Args:
+        timing: Its response times.
+        runners: Number of runners to ask about; those beyond the maximum of a
+            request are ignored.
+    """
+    asked = min(runners, _MAX_RUNNERS_PER_REQUEST)
+    return timing.decision + asked * timing.per_runner
