Answer where a job would be placed: dry run, POST /v1/where, command

Operators could not find out where a job would go without submitting it. The active scheduler now makes the decisions of one placement pass about a given job on copies of the loads, and serves the answer at its metrics address. Other instances name it by the new heartbeat field metrics_address. The command 'where' asks it and prints text or JSON.

--- a/standins/processes.py
+++ b/standins/processes.py
@@ -30,6 +30,8 @@
         store: Stand-in of the metadata store.
         runners: Stand-ins of the runners.
         processes: Processes by the name of their instance.
+        settings_paths: Settings files by the name of their instance.
+        metrics_ports: Ports of the metrics addresses by the same name.
     """
 
     def __init__(self, folder: pathlib.Path, max_attempts: int = 3) -> None:
@@ -43,6 +45,8 @@
         self.store = store.StoreStandIn()
         self.runners: list[runner.RunnerStandIn] = []
         self.processes: dict[str, asyncio.subprocess.Process] = {}
+        self.settings_paths: dict[str, pathlib.Path] = {}
+        self.metrics_ports: dict[str, int] = {}
         self._folder = folder
         self._max_attempts = max_attempts
         self._store_server = servers.StandInServer(self.store.handle)
@@ -96,8 +100,10 @@
                 that of the others.
             has_internal_address: Whether other instances know it.
         """
-        caller, readiness, internal = _get_free_ports(3)
+        caller, readiness, internal, metrics = _get_free_ports(4)
         path = self._folder / f"{name}.jsonc"
+        self.settings_paths[name] = path
+        self.metrics_ports[name] = metrics
         path.write_bytes(
             orjson.dumps(
                 {
@@ -105,6 +111,7 @@
                     "data_centre": "here",
                     "caller_address": f"127.0.0.1:{caller}",
                     "readiness_address": f"127.0.0.1:{readiness}",
+                    "metrics_address": f"127.0.0.1:{metrics}",
                     "store_address": (
                         store_address or self._store_server.address
                     ),
--- a/tamarackhatch/api/_job_document.py
+++ b/tamarackhatch/api/_job_document.py
@@ -147,9 +147,13 @@
     specification: str = ""
 
 
-def read_job(body: bytes) -> JobDocument:
+def read_job(body: bytes, file: str = "body") -> JobDocument:
     """Returns the job that a request body describes.
 
+    Args:
+        body: The body.
+        file: Name of the body in findings.
+
     Raises:
         FindingsError: The body has faults; all of them are reported.
     """
@@ -158,12 +162,12 @@
         text = body.decode()
     except UnicodeDecodeError:
         collector.add_finding(
-            errors.SourceLocation("body", 1, 1),
+            errors.SourceLocation(file, 1, 1),
             errors.ErrorCode.SYNTAX,
-            "the body is not UTF-8",
+            "the text is not UTF-8",
         )
         collector.raise_findings()
-    node = documents.parse_text(text, "body", collector)
+    node = documents.parse_text(text, file, collector)
     values = None
     if node is not None:
         values = documents.read_object(node, "", _JOB_KEYS, collector)
--- a/tamarackhatch/cli/_main.py
+++ b/tamarackhatch/cli/_main.py
@@ -119,6 +119,78 @@
             raise cappa.Exit(code=_EXIT_FAILED)
 
 
+@cappa.command(
+    name="where",
+    help="Explains where a job would be placed now, without submitting it.",
+)
+@attrs.frozen
+class Where:
+    """Explains where a job would be placed now, and why (a dry run).
+
+    Attributes:
+        settings: Path of the settings file of any instance.
+        job: Job file; None for a job of one step by the options.
+        queue: Queue of that job.
+        tasks: Number of its tasks.
+        processors: Processor time of each task, in thousandths of a core.
+        memory_mb: Memory of each task, in megabytes.
+        preferred_rack: Rack that holds the data of the tasks.
+        output: ``text`` or ``json``.
+    """
+
+    settings: Settings
+    job: typing.Annotated[
+        str | None,
+        cappa.Arg(help="Job file, in the format of PUT /v1/jobs/ID."),
+    ] = None
+    queue: typing.Annotated[
+        str | None, cappa.Arg(long=True, help="Queue of a job without a file.")
+    ] = None
+    tasks: typing.Annotated[
+        int | None, cappa.Arg(long=True, help="Number of tasks.")
+    ] = None
+    processors: typing.Annotated[
+        int | None,
+        cappa.Arg(
+            long=True,
+            help="Processor time of a task, in thousandths of a core.",
+        ),
+    ] = None
+    memory_mb: typing.Annotated[
+        int | None,
+        cappa.Arg(long=True, help="Memory of a task, in megabytes."),
+    ] = None
+    preferred_rack: typing.Annotated[
+        str | None, cappa.Arg(long=True, help="Rack that holds the data.")
+    ] = None
+    output: typing.Annotated[
+        typing.Literal["text", "json"],
+        cappa.Arg(long=True, help="Form of the output."),
+    ] = "text"
+
+    def __call__(self) -> None:
+        from tamarackhatch.cli import _where
+
+        options = _where.JobOptions(
+            self.queue,
+            self.tasks,
+            self.processors,
+            self.memory_mb,
+            self.preferred_rack,
+        )
+        try:
+            with _report_findings():
+                source = _where.read_job(self.job, options)
+                document = _where.ask(self.settings, source)
+        except _where.UsageError as error:
+            print(error, file=sys.stderr)
+            raise cappa.Exit(code=_EXIT_FINDINGS) from error
+        except _where.NoAnswerError as error:
+            print(error, file=sys.stderr)
+            raise cappa.Exit(code=_EXIT_FAILED) from error
+        print(_where.format_output(document, self.output == "json"), end="")
+
+
 @cappa.command(name="version", help="Prints the version.")
 @attrs.frozen
 class Version:
@@ -133,7 +205,9 @@
 class Tamarackhatch:
     """Scheduler for latency-critical services and batch work."""
 
-    command: cappa.Subcommands[Serve | Check | Status | Explain | Version]
+    command: cappa.Subcommands[
+        Serve | Check | Status | Explain | Where | Version
+    ]
 
 
 @contextlib.contextmanager
--- a/tamarackhatch/errors/_codes.py
+++ b/tamarackhatch/errors/_codes.py
@@ -43,6 +43,8 @@
     DUPLICATE_REQUEST = "TH307"
     UNKNOWN_SERVICE = "TH308"
     NO_AUTHORITY = "TH309"
+    NOT_ACTIVE_SCHEDULER = "TH310"
+    TOO_MANY_REQUESTS = "TH311"
 
     # 400: jobs and tasks
     BAD_JOB = "TH401"
--- a/tamarackhatch/records/_leadership.py
+++ b/tamarackhatch/records/_leadership.py
@@ -13,6 +13,7 @@
 _MAX_ROW_BYTES = 65_536
 _MAX_PLAIN_BYTES = 4_096
 _PACKED_PENDING = "packed_pending"
+_METRICS_ADDRESS = "metrics_address"
 
 
 @attrs.frozen
@@ -35,6 +36,8 @@
             cannot read the operator's table.
         position: Version of the store up to which it has read that table.
         is_pending_known: Whether ``pending`` is complete; if not, it is empty.
+        metrics_address: ``host:port`` at which the scheduler answers
+            operators; empty if it has none, and in rows of earlier builds.
     """
 
     instance: str
@@ -46,6 +49,7 @@
     configuration: int | None = None
     position: int = 0
     is_pending_known: bool = True
+    metrics_address: str = ""
 
     @property
     def publication(self) -> model.Publication | None:
@@ -91,6 +95,8 @@
         del document["configuration"], document["position"]
     if heartbeat.is_pending_known:
         del document["is_pending_known"]
+    if not heartbeat.metrics_address:
+        del document[_METRICS_ADDRESS]
     value = orjson.dumps(document)
     if len(value) <= _MAX_PLAIN_BYTES:
         return value
@@ -118,6 +124,11 @@
             document["pending"] = _pending_counts.unpack_pending(
                 document[_PACKED_PENDING]
             )
+        if _METRICS_ADDRESS in document and not isinstance(
+            document[_METRICS_ADDRESS], str
+        ):
+            # Operators' calls depend on it, and the election does not.
+            del document[_METRICS_ADDRESS]
         # A newer build may add fields. It must be possible to take over from
         # it.
         heartbeat = LeaderHeartbeat(
--- a/tamarackhatch/scheduler/_scheduler.py
+++ b/tamarackhatch/scheduler/_scheduler.py
@@ -14,6 +14,7 @@
 from tamarackhatch.scheduler import _context
 from tamarackhatch.scheduler import _dependencies
 from tamarackhatch.scheduler import _dispatcher
+from tamarackhatch.scheduler import _dry_run
 from tamarackhatch.scheduler import _evacuations
 from tamarackhatch.scheduler import _garbage_collector
 from tamarackhatch.scheduler import _health
@@ -24,6 +25,7 @@
 from tamarackhatch.scheduler import _stragglers
 from tamarackhatch.scheduler import _tickets
 from tamarackhatch.scheduler import _writer
+from tamarackhatch import where
 
 _READ_TIMEOUT = datetime.timedelta(milliseconds=1500)
 _RETRY_PAUSE = datetime.timedelta(milliseconds=150)
@@ -69,7 +71,10 @@
             time_source,
             self._leader_lease,
             records.LeaderHeartbeat(
-                candidate.instance, candidate.incarnation, term.number
+                candidate.instance,
+                candidate.incarnation,
+                term.number,
+                metrics_address=configured.public_metrics_address or "",
             ),
             configured.scheduling.leader_heartbeat_interval,
             self._count_pending,
@@ -145,6 +150,7 @@
         self._jobs_without_progress: set[str] = set()
         self._stopping = asyncio.Event()
         self._has_loaded_jobs = False
+        self._is_ready = False
         self._job_watcher = records.TableWatcher(
             store,
             time_source,
@@ -176,6 +182,24 @@
         """Number of unfinished jobs without a started task, by queue."""
         return self._count_pending()
 
+    @property
+    def is_ready(self) -> bool:
+        """Whether the jobs and the runners have been read."""
+        return self._is_ready
+
+    def try_placement(
+        self, job: model.Job, configuration: int
+    ) -> where.Answer:
+        """Returns where a job would be placed now; changes nothing.
+
+        Args:
+            job: The job.
+            configuration: Version of the configuration.
+        """
+        return _dry_run.DryRun(self._context, self._dispatcher, job).run(
+            configuration
+        )
+
     def request_publication(self) -> None:
         """Requests that a new configuration be published."""
         self._writer.request_publication()
@@ -226,6 +250,7 @@
         self._has_loaded_jobs = True
         self._runner_manager.restore_tracked_runners(tracked_runners)
         await self._runner_watcher.load()
+        self._is_ready = True
         self._log.info(
             "scheduler_ready",
             term=self._term.number,
--- a/tamarackhatch/scheduler/_writer.py
+++ b/tamarackhatch/scheduler/_writer.py
@@ -244,6 +244,7 @@
             self._count_pending(),
             None if publication is None else publication.version,
             0 if publication is None else publication.position,
+            metrics_address=self._heartbeat.metrics_address,
         )
         return model.Put(
             records.LEADER_HEARTBEAT,
--- a/tamarackhatch/server/_instance.py
+++ b/tamarackhatch/server/_instance.py
@@ -19,6 +19,7 @@
 from tamarackhatch import scheduler
 from tamarackhatch.server import _role
 from tamarackhatch.server import _supervision
+from tamarackhatch.server import _where
 from tamarackhatch import service
 from tamarackhatch import settings
 from tamarackhatch import transport
@@ -39,6 +40,8 @@
 # An instance without an answer from the store for this time is not ready.
 _MAX_TIME_SINCE_STORE_ANSWER = datetime.timedelta(milliseconds=2500)
 _MAX_HEADER_BYTES = 65536
+# Somewhat longer bodies than accepted ones are answered with an error.
+_MAX_OPERATOR_BODY_BYTES = 4 * _where.MAX_BODY_BYTES
 
 
 class Instance:
@@ -137,6 +140,13 @@
             if self._entry is None
             else self._entry.make_receiver(self._job_service)
         )
+        self._where = _where.WhereHandler(
+            self._role,
+            self._job_service,
+            self._configuration_watcher,
+            time_source,
+            self._log.for_component("where"),
+        )
         self._ingress = platform.Ingress(
             self._job_service,
             time_source.get_utc,
@@ -262,7 +272,13 @@
             bindings.append((initial_settings.interface_address, application))
         for address, handler in bindings:
             server = httpserver.HTTPServer(
-                handler, max_header_size=_MAX_HEADER_BYTES
+                handler,
+                max_header_size=_MAX_HEADER_BYTES,
+                max_body_size=(
+                    _MAX_OPERATOR_BODY_BYTES
+                    if address is initial_settings.metrics_address
+                    else None
+                ),
             )
             server.listen(address.port, address.host)
             self._servers.append(server)
@@ -327,6 +343,9 @@
             _send_answer(request, 503, "Service Unavailable", b"not ready\n")
 
     def _serve_metrics(self, request: httputil.HTTPServerRequest) -> None:
+        if request.path == _where.PATH:
+            self._where.handle_request(request)
+            return
         _send_answer(request, 200, "OK", self._metrics.render())
 
 
--- a/tamarackhatch/server/_role.py
+++ b/tamarackhatch/server/_role.py
@@ -7,7 +7,9 @@
 
 from tamarackhatch import election
 from tamarackhatch import model
+from tamarackhatch import records
 from tamarackhatch import scheduler
+from tamarackhatch import where
 
 # The number of pending jobs may be two seconds old. A takeover takes longer,
 # so an older number is used meanwhile.
@@ -84,6 +86,40 @@
         """Monotonic time of the store's latest answer to the election."""
         return self._election.last_answer
 
+    @property
+    def active_scheduler(self) -> records.LeaderHeartbeat | None:
+        """Heartbeat of the active scheduler in another process, if any."""
+        heartbeat = self._election.heartbeat
+        if (
+            self._scheduler is not None
+            or heartbeat is None
+            or heartbeat.is_released
+            or self._election.heartbeat_age
+            > self._dependencies.settings.scheduling.leader_timeout
+        ):
+            return None
+        return heartbeat
+
+    @property
+    def is_scheduler_ready(self) -> bool:
+        """Whether this is the active scheduler, and has read its state."""
+        return self._scheduler is not None and self._scheduler.is_ready
+
+    def try_placement(
+        self, job: model.Job, configuration: int
+    ) -> where.Answer | None:
+        """Returns where a job would be placed now, without submitting it.
+
+        None unless this is the active scheduler, and it is ready.
+
+        Args:
+            job: The job.
+            configuration: Version of the configuration.
+        """
+        if self._scheduler is None or not self._scheduler.is_ready:
+            return None
+        return self._scheduler.try_placement(job, configuration)
+
     async def poll_publication(self) -> None:
         """Reads what the active scheduler has published up to now.
 
--- a/tamarackhatch/settings/_settings.py
+++ b/tamarackhatch/settings/_settings.py
@@ -131,6 +131,25 @@
         """Processor time that the process may use, in reference cores."""
         return self.processor_share * self.processor_speed
 
+    @property
+    def public_metrics_address(self) -> str | None:
+        """Address at which others reach the metrics; None if not known.
+
+        A wildcard stands for the host of another address of the instance.
+        """
+        address = self.metrics_address
+        if address is None or not address.port:
+            return None
+        hosts = (address, self.internal_address, self.caller_address)
+        return next(
+            (
+                str(attrs.evolve(address, host=known.host))
+                for known in hosts
+                if known is not None and not known.is_wildcard
+            ),
+            None,
+        )
+
     @property
     def takeover_wait(self) -> datetime.timedelta:
         """Time after a takeover during which earlier leases may be valid.
