--- a/standins/runner.py
+++ b/standins/runner.py
@@ -39,6 +39,7 @@
         address: ``host:port`` of the runner.
         service: Service to which the runner belongs.
         data_centre: Data centre that it registers; empty for none.
+        labels: Labels that it registers; the last one is its rack.
         state: State that it registers, such as "ready".
         is_registering: Whether it registers.
         ticket: Ticket that each start must have; None accepts all starts.
@@ -68,6 +69,7 @@
         self.address = address
         self.service = service
         self.data_centre = "here"
+        self.labels = ["a", "r1"]
         self.state = "ready"
         self.is_registering = True
         self.ticket: str | None = None
@@ -172,7 +174,7 @@
                 "mem_mb": self.capacity.memory_mb,
                 "gpu": self.capacity.accelerators,
             },
-            "labels": ["a", "r1"],
+            "labels": self.labels,
             "born": self._incarnation,
             "seq": self._registration_number,
         }
--- a/tamarackhatch/cli/_where.py
+++ b/tamarackhatch/cli/_where.py
@@ -169,7 +169,8 @@
         self._source = source
         self._clock = clock.SystemClock()
         self._client = transport.HttpClient(self._clock, _CONNECTIONS)
-        self._reason = ""
+        # Why the instances asked since the last pause have not answered.
+        self._reasons: list[str] = []
 
     async def run(self, first: str) -> Document:
         """Returns the answer.
@@ -196,17 +197,18 @@
                     following = self._handle_refusal(address, answer, document)
                 elif address == first:
                     break
-                if self._clock.get_monotonic() >= deadline:
-                    break
                 if following is None or following in asked:
+                    if self._clock.get_monotonic() >= deadline:
+                        break
                     # A takeover is in progress, or dry runs are limited.
                     await self._clock.sleep(_RETRY_PAUSE)
                     asked.clear()
+                    self._reasons.clear()
                     following = first
                 address = following
         finally:
             self._client.close()
-        raise NoAnswerError(self._reason)
+        raise NoAnswerError("\n".join(self._reasons))
 
     async def _call(self, address: str) -> transport.Answer | None:
         call = transport.Call(
@@ -218,7 +220,7 @@
             transport.CallNotSentError,
             transport.CallLostError,
         ) as error:
-            self._reason = f"no answer from {address}: {error}"
+            self._reasons.append(f"no answer from {address}: {error}")
             return None
 
     def _handle_refusal(
@@ -231,12 +233,12 @@
             NoAnswerError: Another attempt would have the same outcome.
         """
         message = str(document.get("error", "no reason given"))
-        self._reason = f"{address} answered {answer.status}: {message}"
+        self._reasons.append(f"{address} answered {answer.status}: {message}")
         if answer.status == http.HTTPStatus.CONFLICT:
             following = document.get("metrics_address")
             if _is_address(following):
                 return str(following)
-            raise NoAnswerError(self._reason)
+            raise NoAnswerError("\n".join(self._reasons))
         if answer.status == http.HTTPStatus.BAD_REQUEST and document.get(
             "findings"
         ):
@@ -248,7 +250,7 @@
             http.HTTPStatus.SERVICE_UNAVAILABLE,
         ):
             return None
-        raise NoAnswerError(self._reason)
+        raise NoAnswerError("\n".join(self._reasons))
 
     def _read_finding(self, item: Document) -> errors.Finding:
         return errors.Finding(
--- a/tamarackhatch/placement/tests/test_order.py
+++ b/tamarackhatch/placement/tests/test_order.py
@@ -94,3 +94,42 @@
     assert placement.make_order_key(first, _POLICY) < placement.make_order_key(
         second, _POLICY
     )
+
+
+@pytest.mark.parametrize(
+    ("first", "second", "expected"),
+    [
+        (
+            _BATCH,
+            attrs.evolve(_BATCH, priority=2),
+            "its priority 0 is more urgent than 2",
+        ),
+        (
+            _BATCH,
+            attrs.evolve(_BATCH, prospect=placement.Prospect.LATE),
+            "batch tasks that can meet their objective precede batch tasks "
+            "that are late or have no objective",
+        ),
+        (
+            _BATCH,
+            attrs.evolve(_BATCH, demand=24_500),
+            "its job asks for less: 20 cores, not 24.5",
+        ),
+        (
+            _BATCH,
+            attrs.evolve(_BATCH, accepted=101.0),
+            "its job was accepted earlier",
+        ),
+    ],
+)
+def test_precedence_in_words(
+    first: placement.WaitingGroup,
+    second: placement.WaitingGroup,
+    expected: str,
+) -> None:
+    """Guards against a stated reason that is not the one that decided."""
+    keys = [
+        placement.make_order_key(item, _POLICY) for item in (first, second)
+    ]
+    assert keys[0] < keys[1]
+    assert placement.describe_precedence(keys[0], keys[1]) == expected
--- a/tamarackhatch/records/tests/test_records.py
+++ b/tamarackhatch/records/tests/test_records.py
@@ -266,6 +266,79 @@
     assert records.encode_leader_heartbeat(heartbeat) == row
 
 
+_PLAIN_BEAT = (
+    b'{"instance":"a","incarnation":"a-1","term":3,"count":12,'
+    b'"is_released":false,"pending":{"q":5},"configuration":7,"position":99'
+)
+
+
+@pytest.mark.parametrize(
+    ("row", "address"),
+    [
+        pytest.param(_PLAIN_BEAT + b"}", "", id="earlier build"),
+        pytest.param(
+            _PLAIN_BEAT + b',"metrics_address":"10.0.0.1:9100"}',
+            "10.0.0.1:9100",
+            id="this build",
+        ),
+        pytest.param(
+            _PLAIN_BEAT + b',"metrics_address":"10.0.0.1:9100","waits":[1]}',
+            "10.0.0.1:9100",
+            id="later build with another field",
+        ),
+        pytest.param(
+            _PLAIN_BEAT + b',"metrics_address":{"host":"h"}}',
+            "",
+            id="later build with another form",
+        ),
+        pytest.param(_PLAIN_BEAT + b',"metrics_address":null}', "", id="null"),
+    ],
+)
+def test_heartbeats_of_other_builds_are_read(row: bytes, address: str) -> None:
+    """Guards against a live scheduler that is taken for dead in an upgrade."""
+    assert records.decode_leader_heartbeat(row) == records.LeaderHeartbeat(
+        "a",
+        "a-1",
+        3,
+        12,
+        pending={"q": 5},
+        configuration=7,
+        position=99,
+        metrics_address=address,
+    )
+
+
+@pytest.mark.parametrize(
+    ("address", "row"),
+    [
+        # Without an address the row is that of earlier builds.
+        ("", _PLAIN_BEAT + b"}"),
+        (
+            "10.0.0.1:9100",
+            _PLAIN_BEAT + b',"metrics_address":"10.0.0.1:9100"}',
+        ),
+    ],
+)
+def test_heartbeat_with_metrics_address_keeps_its_form(
+    address: str, row: bytes
+) -> None:
+    """Guards against a row that builds before the field cannot read.
+
+    They take the fields that they know and ignore all others.
+    """
+    heartbeat = records.LeaderHeartbeat(
+        "a",
+        "a-1",
+        3,
+        12,
+        pending={"q": 5},
+        configuration=7,
+        position=99,
+        metrics_address=address,
+    )
+    assert records.encode_leader_heartbeat(heartbeat) == row
+
+
 def test_tracked_runners_row_keeps_its_form() -> None:
     """Guards against a list misread by other releases in an upgrade."""
     row = (
--- a/tamarackhatch/settings/tests/test_settings.py
+++ b/tamarackhatch/settings/tests/test_settings.py
@@ -98,3 +98,32 @@
     with pytest.raises(errors.FindingsError) as caught:
         _load(_VALID.replace(old, new), tmp_path)
     assert expected in str(caught.value)
+
+
+@pytest.mark.parametrize(
+    ("metrics", "internal", "expected"),
+    [
+        (None, None, None),
+        ("10.0.0.1:9100", None, "10.0.0.1:9100"),
+        # The system chooses the port, which nobody else knows.
+        ("10.0.0.1:0", None, None),
+        ("0.0.0.0:9100", "10.0.0.2:9200", "10.0.0.2:9100"),
+        ("[::]:9100", None, "127.0.0.1:9100"),
+        ("[fd00::1]:9100", None, "[fd00::1]:9100"),
+    ],
+)
+def test_public_metrics_address(
+    metrics: str | None,
+    internal: str | None,
+    expected: str | None,
+    tmp_path: pathlib.Path,
+) -> None:
+    """Guards against an address that leads other machines to themselves."""
+    keys = {"metrics_address": metrics, "internal_address": internal}
+    text = "".join(
+        f'"{name}": "{value}",\n  '
+        for name, value in keys.items()
+        if value is not None
+    )
+    loaded = _load(_VALID.replace('"bounds"', text + '"bounds"'), tmp_path)
+    assert loaded.public_metrics_address == expected
--- a/tamarackhatch/where/_text.py
+++ b/tamarackhatch/where/_text.py
@@ -94,7 +94,8 @@
             f"start; goes first because {step['reason']}"
         )
     if work["steps"] > len(work["first"]):
-        yield f"  and {work['steps'] - len(work['first'])} more steps"
+        more = work["steps"] - len(work["first"])
+        yield f"  and {_count(more, 'more step')}"
 
 
 def _format_step(step: Document) -> Iterator[str]:
