--- a/tamarackhatch/placement/tests/test_reservations.py
+++ b/tamarackhatch/placement/tests/test_reservations.py
@@ -115,3 +115,23 @@
     reservations.reserve(_STEP, [("a", _SECOND)], _SECOND)
     assert not reservations.expire(set(), 2 * _SECOND)
     assert not reservations.active
+
+
+def test_current_reservations_are_those_that_the_next_pass_keeps() -> None:
+    """Guards against a dry run that changes reservations, or trusts old ones.
+
+    A pass without waiting tasks ends none, so that old ones may be left.
+    """
+    reservations = placement.Reservations()
+    for step, since_s in ((_STEP, 10.0), (("01", 0, 0), 8.0)):
+        reservations.reserve(
+            step, [(f"i-{since_s}", _SECOND)], since_s * _SECOND
+        )
+    reservations.reserve(("02", 0, 0), [("i-2", _SECOND)], 10 * _SECOND)
+    waiting = {_STEP, ("01", 0, 0)}
+    now = 11 * _SECOND
+    current = reservations.list_current(waiting, now)
+    assert len(reservations.active) == 3
+    assert [item.step for item in current] == [_STEP]
+    reservations.expire(waiting, now)
+    assert list(reservations.active) == current
--- a/tamarackhatch/scheduler/tests/test_dry_run.py
+++ b/tamarackhatch/scheduler/tests/test_dry_run.py
@@ -46,6 +46,10 @@
     image="report",
     estimate=_SECOND,
 )
+_ALMOST_WIDE = attrs.evolve(
+    _BATCH, resources=model.Resources(14 * _CORE, 1_000)
+)
+_SMALL = model.Resources(_CORE, 1_000)
 _RACKS = ("r1", "r1", "r2", "r2", "r3", "r3")
 
 Submission = tuple[str, model.Queue, tuple[model.Step, ...]]
@@ -177,6 +181,28 @@
             id="last attempt",
         ),
         pytest.param((), _POLICY_QUEUE, (_BATCH,), id="no ticket yet"),
+        pytest.param(
+            (
+                # Leaves 2 cores free on the smallest runner.
+                ("01", _QUEUE, (attrs.evolve(_ALMOST_WIDE, count=6),)),
+                ("02", _QUEUE, (attrs.evolve(_WIDE, count=9),)),
+            ),
+            _LATER,
+            (attrs.evolve(_BATCH, count=30),),
+            id="reserved runner with free capacity",
+        ),
+        pytest.param(
+            (("01", _QUEUE, (attrs.evolve(_BATCH, count=59),)),),
+            _QUEUE,
+            (attrs.evolve(_BATCH, count=3, resources=_SMALL),),
+            id="scarce capacity, where small tasks fill the fullest runners",
+        ),
+        pytest.param(
+            (("long", _QUEUE, (attrs.evolve(_SERVING, count=6),)),),
+            _QUEUE,
+            (attrs.evolve(_BEST_EFFORT, count=8, resources=_SMALL),),
+            id="best-effort tasks of which some would be slowed down",
+        ),
     ],
 )
 def test_scheduler_does_as_the_dry_run_says(
--- a/tamarackhatch/server/_where.py
+++ b/tamarackhatch/server/_where.py
@@ -19,6 +19,9 @@
 from tamarackhatch import records
 from tamarackhatch import where
 
+if typing.TYPE_CHECKING:
+    from tamarackhatch import api
+
 PATH = "/v1/where"
 # The parser, which finds the place of each error, needs 13 ms for a KiB.
 MAX_BODY_BYTES = 16_384
@@ -219,13 +222,9 @@
                 errors.ErrorCode.STORE_UNAVAILABLE,
                 "this instance has not read a configuration yet",
             )
-        # Imported only if it is used, since memory has a price.
-        from tamarackhatch import api
-
         try:
             # The parser takes up to 0.2 s, in which leases are renewed.
-            document = await asyncio.to_thread(api.read_job, body)
-            _check_task_count(document.steps)
+            document = await asyncio.to_thread(_read_job, body)
         except errors.FindingsError as error:
             return _make_findings(error)
         lookup = await self._queues.find_named_queue(
@@ -274,13 +273,17 @@
         return Reply(200, where.write_answer(answer))
 
 
-def _check_task_count(steps: tuple[model.Step, ...]) -> None:
-    """Checks that a dry run is short enough for the scheduler.
+def _read_job(body: bytes) -> "api.JobDocument":
+    """Returns the job that a body describes.
 
     Raises:
-        FindingsError: The job has too many tasks.
+        FindingsError: The body has faults, or the job has too many tasks.
     """
-    count = sum(step.count for step in steps)
+    # Imported only if it is used, since memory has a price.
+    from tamarackhatch import api
+
+    document = api.read_job(body)
+    count = sum(step.count for step in document.steps)
     if count > MAX_TASKS:
         raise errors.FindingsError(
             [
@@ -292,6 +295,7 @@
                 )
             ]
         )
+    return document
 
 
 def _make_findings(error: errors.FindingsError) -> Reply:
--- a/tamarackhatch/server/tests/test_where.py
+++ b/tamarackhatch/server/tests/test_where.py
@@ -252,6 +252,28 @@
     ]
 
 
+@pytest.mark.parametrize(
+    "body",
+    [
+        b"",
+        b"\xff",
+        b"null",
+        b"[]",
+        b"{",
+        b"[" * 500,
+        b'{"queue": 5, "steps": []}',
+        b'{"queue": "renewals", "steps": [5]}',
+        b'{"queue": "renewals", "steps": [{"count": ' + b"9" * 5000 + b"}]}",
+        _make_body(specification=5),
+    ],
+)
+def test_malformed_body_is_answered(body: bytes) -> None:
+    """Guards against a call that ends without an answer or with 500."""
+    handler = _make_handler(_Role(), _Queues())
+    reply = asyncio.run(handler.answer("POST", body))
+    assert reply.status == 400 and reply.document["findings"]
+
+
 def test_number_of_tasks_is_bounded() -> None:
     """Guards against one call that keeps the scheduler busy for seconds."""
     role = _Role()
