--- a/tamarackhatch/observability/_metrics.py
+++ b/tamarackhatch/observability/_metrics.py
@@ -168,6 +168,12 @@
             ["outcome"],
             registry=self._registry,
         )
+        self.dry_runs = prometheus_client.Counter(
+            "tamarackhatch_dry_runs",
+            "Questions where a job would be placed, by the answer's status.",
+            ["status"],
+            registry=self._registry,
+        )
         self.waiting = prometheus_client.Gauge(
             "tamarackhatch_waiting_tasks",
             "Tasks that wait for a runner.",
--- a/tamarackhatch/server/_instance.py
+++ b/tamarackhatch/server/_instance.py
@@ -146,6 +146,7 @@
             self._configuration_watcher,
             time_source,
             self._log.for_component("where"),
+            self._metrics,
         )
         self._ingress = platform.Ingress(
             self._job_service,
--- a/tamarackhatch/server/_where.py
+++ b/tamarackhatch/server/_where.py
@@ -103,6 +103,7 @@
         configurations: Configurations,
         time_source: clock.Clock,
         log: observability.Log,
+        metrics: observability.Metrics,
     ) -> None:
         """Creates the handler of an instance.
 
@@ -112,12 +113,14 @@
             configurations: Source of the configuration.
             time_source: Source of time.
             log: Logger of the handler.
+            metrics: Metrics of the instance.
         """
         self._role = role
         self._queues = queues
         self._configurations = configurations
         self._clock = time_source
         self._log = log
+        self._metrics = metrics
         self._is_busy = False
         self._next_start = datetime.timedelta()
         self._in_flight: set[asyncio.Task[None]] = set()
@@ -135,6 +138,7 @@
             # The operator must not wait for an answer that never comes.
             self._log.error("dry_run_failed", reason=repr(error))
             reply = Reply(500, {"error": "internal error"})
+        self._metrics.dry_runs.labels(str(reply.status)).inc()
         connection = request.connection
         if connection is None:
             return
--- a/tamarackhatch/server/tests/test_where.py
+++ b/tamarackhatch/server/tests/test_where.py
@@ -105,7 +105,9 @@
     log = observability.Log(
         sink, time_source, observability.LevelFilter(), "where"
     )
-    return _where.WhereHandler(role, queues, queues, time_source, log)
+    return _where.WhereHandler(
+        role, queues, queues, time_source, log, observability.Metrics()
+    )
 
 
 _STANDBY = _Role(is_active=False, is_scheduler_ready=False)
