Name unproven runners in a dry run of last attempts

The batches of a step include an empty one with all runners, so that runners on which a last attempt may not start were listed as possible. Only batches with tasks count now. The reasons that depend on a runner's past are tested.

--- a/tamarackhatch/scheduler/_dry_run.py
+++ b/tamarackhatch/scheduler/_dry_run.py
@@ -206,6 +206,7 @@
         possible = frozenset(
             candidate.load.identifier
             for batch in batches
+            if batch.tasks
             for candidate in batch.candidates
         )
         rated: list[_Rated] = []
--- a/tamarackhatch/scheduler/tests/test_dry_run.py
+++ b/tamarackhatch/scheduler/tests/test_dry_run.py
@@ -13,9 +13,11 @@
 from standins import fleet as standin_fleet
 from standins import runner
 from standins import virtual_time
+from tamarackhatch import health
 from tamarackhatch import model
 from tamarackhatch.scheduler import _context
 from tamarackhatch.scheduler import _scheduler
+from tamarackhatch.scheduler import _state
 from tamarackhatch import where
 
 _SECOND = datetime.timedelta(seconds=1)
@@ -468,6 +470,84 @@
     assert {item.reason: item.examples for item in answer.excluded} == expected
 
 
+def _isolate(context: _context.SchedulerContext) -> None:
+    """Lets a task that may crash its runner run on the first runner."""
+    entry = context.fleet["i-0"]
+    job = model.Job("00", _QUEUE, "", (_BATCH,), context.clock.get_utc())
+    key = model.TaskKey("00", 0, 0, 0)
+    entry.suspects[key] = _state.TaskEntry(
+        key,
+        _BATCH,
+        _state.JobEntry(job, 1),
+        _state.TaskPhase.RUNNING,
+        entry,
+        run=2,
+        crashes={1: model.CrashRole.SUSPECT},
+        placed_at=context.get_now(),
+        confirmed=context.get_now(),
+    )
+
+
+def _trust_others(context: _context.SchedulerContext) -> None:
+    """Records that all runners but the first have been used before."""
+    for identifier in context.fleet:
+        if identifier != "i-0":
+            context.health.trust(identifier)
+
+
+def _prove_others(context: _context.SchedulerContext) -> None:
+    """Records that all runners but the first have run a task."""
+    for identifier in context.fleet:
+        if identifier != "i-0":
+            context.health.record_exit(
+                health.RunOutcome(
+                    identifier,
+                    standin_fleet.SERVICE,
+                    (model.TaskKey("00", 0, 0, 0), 1),
+                    _QUEUE.name,
+                    False,
+                    context.get_now(),
+                    False,
+                ),
+                context.get_now(),
+            )
+
+
+@pytest.mark.parametrize(
+    ("change", "earlier_tasks", "max_attempts", "expected"),
+    [
+        (_isolate, 0, 3, where.Exclusion.ISOLATED),
+        # Four tasks may start at once on a runner that is not known.
+        (_trust_others, 30, 3, where.Exclusion.START_LIMIT),
+        (_prove_others, 0, 1, where.Exclusion.NOT_PROVEN),
+    ],
+)
+def test_runners_with_doubtful_health_have_their_reason(
+    change: typing.Callable[[_context.SchedulerContext], None],
+    earlier_tasks: int,
+    max_attempts: int,
+    expected: where.Exclusion,
+) -> None:
+    """Guards against a wrong reason where the runner's past decides."""
+
+    async def simulate() -> where.Answer:
+        fleet = await _start_fleet()
+        _, context = _get_scheduler(fleet)
+        change(context)
+        if earlier_tasks:
+            step = attrs.evolve(_BATCH, count=earlier_tasks, resources=_SMALL)
+            await fleet.submit("01", step)
+            await asyncio.sleep(0.3)
+        queue = attrs.evolve(_QUEUE, max_attempts=max_attempts)
+        step = attrs.evolve(_BATCH, count=1, resources=_SMALL)
+        return _ask(fleet, (step,), queue)
+
+    (answer,) = virtual_time.run_virtually(simulate()).steps
+    assert [(item.reason, item.examples) for item in answer.excluded] == [
+        (expected, ("i-0",))
+    ]
+
+
 def test_evacuated_and_unknown_data_centres() -> None:
     """Guards against two reasons that need different actions in one word."""
 
--- a/tamarackhatch/where/_text.py
+++ b/tamarackhatch/where/_text.py
@@ -147,7 +147,7 @@
     )
     percent = rated["speed_limit_percent"]
     limit = "" if percent == 100 else f", speed limit {percent} %"
-    return f"{rated['runner']} ({place}) score {rated['score']:.3f}{limit}"
+    return f"{rated['runner']} ({place}) score {rated['score']:z.3f}{limit}"
 
 
 def _format_tasks(tasks: list[int]) -> str:
