--- a/tamarackhatch/scheduler/_exclusions.py
+++ b/tamarackhatch/scheduler/_exclusions.py
@@ -5,7 +5,6 @@
 """
 
 import collections
-from collections.abc import Collection
 from collections.abc import Iterable
 import datetime
 
@@ -86,18 +85,15 @@
 
 def group_exclusions(
     reasons: Iterable[tuple[str, where.Exclusion]],
-    omitted: Collection[str] = (),
 ) -> tuple[where.ExcludedRunners, ...]:
     """Returns excluded runners by reason, the most frequent reason first.
 
     Args:
         reasons: Identifiers of the runners, each with its reason.
-        omitted: Runners that are left out.
     """
     groups: dict[where.Exclusion, list[str]] = collections.defaultdict(list)
     for runner, reason in reasons:
-        if runner not in omitted:
-            groups[reason].append(runner)
+        groups[reason].append(runner)
     return tuple(
         where.ExcludedRunners(
             reason, len(runners), tuple(runners[:_MAX_EXAMPLES])
