Check the size of a job in the command before it is sent

A file of over 64 KiB was answered by the HTTP server without a reason. The bounds are shared by the command and the scheduler now. Answers of other programs and findings of later builds no longer end in a traceback.

--- a/tamarackhatch/cli/_where.py
+++ b/tamarackhatch/cli/_where.py
@@ -17,7 +17,6 @@
 from tamarackhatch import transport
 from tamarackhatch import where
 
-_PATH = "/v1/where"
 _CONNECTIONS = 1
 _TIMEOUT = datetime.timedelta(seconds=5)
 # A takeover takes up to 3 s; a scheduler that limits dry runs is free sooner.
@@ -129,7 +128,11 @@
 
 
 def _check(source: JobSource) -> JobSource:
-    api.read_job(source.body, source.name)
+    # A large document is not parsed, since that takes long.
+    where.check_size(len(source.body), 0, source.name)
+    document = api.read_job(source.body, source.name)
+    tasks = sum(step.count for step in document.steps)
+    where.check_size(len(source.body), tasks, source.name)
     return source
 
 
@@ -212,7 +215,7 @@
 
     async def _call(self, address: str) -> transport.Answer | None:
         call = transport.Call(
-            "POST", address, _PATH, _TIMEOUT, self._source.body
+            "POST", address, where.PATH, _TIMEOUT, self._source.body
         )
         try:
             return await self._client.send(call)
@@ -242,9 +245,14 @@
         if answer.status == http.HTTPStatus.BAD_REQUEST and document.get(
             "findings"
         ):
-            raise errors.FindingsError(
-                [self._read_finding(item) for item in document["findings"]]
-            )
+            try:
+                findings = [
+                    self._read_finding(item) for item in document["findings"]
+                ]
+            except (KeyError, TypeError, ValueError) as error:
+                # A later build may have further codes.
+                raise NoAnswerError("\n".join(self._reasons)) from error
+            raise errors.FindingsError(findings)
         if answer.status in (
             http.HTTPStatus.TOO_MANY_REQUESTS,
             http.HTTPStatus.SERVICE_UNAVAILABLE,
@@ -272,11 +280,14 @@
         document = orjson.loads(answer.body)
     except orjson.JSONDecodeError:
         document = None
-    if not isinstance(document, dict):
+    is_answer = answer.status != http.HTTPStatus.OK or (
+        isinstance(document, dict) and "steps" in document
+    )
+    if not is_answer or not isinstance(document, dict):
         raise NoAnswerError(
-            f"{address} answered {answer.status} without a JSON object; the "
-            "instance runs a build without this command, or the address "
-            "belongs to another program"
+            f"{address} answered {answer.status} without the JSON object of a "
+            "dry run; the instance runs a build without this command, or the "
+            "address belongs to another program"
         )
     return document
 
--- a/tamarackhatch/cli/tests/test_where.py
+++ b/tamarackhatch/cli/tests/test_where.py
@@ -166,6 +166,18 @@
             "the instance runs a build without this command",
             id="instance of an earlier build",
         ),
+        pytest.param(
+            [(200, {"status": "up"})],
+            1,
+            "or the address belongs to another program",
+            id="another program",
+        ),
+        pytest.param(
+            [(400, {"error": "TH999 new", "findings": [{"code": "TH999"}]})],
+            1,
+            "answered 400: TH999 new",
+            id="finding of a later build",
+        ),
         pytest.param(
             [
                 (
@@ -283,6 +295,29 @@
     assert code == 2 and expected in output
 
 
+@pytest.mark.parametrize(
+    ("body", "expected"),
+    [
+        (b" " * 20_000 + _JOB, "JOB.json:1:1: TH302 the job has 20"),
+        (
+            _JOB.replace(b'"count": 2', b'"count": 2001'),
+            "JOB.json:1:1: TH105 the job has 2001 tasks",
+        ),
+        (_JOB[:20], "JOB.json:1:21: TH101 unexpected end of file"),
+    ],
+)
+def test_faulty_job_files(
+    body: bytes, expected: str, tmp_path: pathlib.Path
+) -> None:
+    """Guards against a faulty job that is sent to the scheduler."""
+    path = tmp_path / "JOB.json"
+    path.write_bytes(body)
+    # Nobody listens there.
+    settings = _write_settings(tmp_path, "127.0.0.1:9")
+    code, output = asyncio.run(_run_command("--settings", settings, str(path)))
+    assert code == 2 and expected in output
+
+
 def test_settings_without_metrics_address(tmp_path: pathlib.Path) -> None:
     """Guards against an error that does not name the missing setting."""
     path = _write_settings(tmp_path, None)
--- a/tamarackhatch/server/_instance.py
+++ b/tamarackhatch/server/_instance.py
@@ -23,6 +23,7 @@
 from tamarackhatch import service
 from tamarackhatch import settings
 from tamarackhatch import transport
+from tamarackhatch import where
 
 # Connections to each host; calls beyond them wait for a free connection. A
 # runner accepts 64 from all instances together, and each new one has a price.
@@ -41,7 +42,7 @@
 _MAX_TIME_SINCE_STORE_ANSWER = datetime.timedelta(milliseconds=2500)
 _MAX_HEADER_BYTES = 65536
 # Somewhat longer bodies than accepted ones are answered with an error.
-_MAX_OPERATOR_BODY_BYTES = 4 * _where.MAX_BODY_BYTES
+_MAX_OPERATOR_BODY_BYTES = 4 * where.MAX_BODY_BYTES
 
 
 class Instance:
@@ -344,7 +345,7 @@
             _send_answer(request, 503, "Service Unavailable", b"not ready\n")
 
     def _serve_metrics(self, request: httputil.HTTPServerRequest) -> None:
-        if request.path == _where.PATH:
+        if request.path == where.PATH:
             self._where.handle_request(request)
             return
         _send_answer(request, 200, "OK", self._metrics.render())
--- a/tamarackhatch/server/_where.py
+++ b/tamarackhatch/server/_where.py
@@ -22,11 +22,6 @@
 if typing.TYPE_CHECKING:
     from tamarackhatch import api
 
-PATH = "/v1/where"
-# The parser, which finds the place of each error, needs 13 ms for a KiB.
-MAX_BODY_BYTES = 16_384
-# A dry run keeps the scheduler from other work while it places these.
-MAX_TASKS = 2_000
 # Dry runs use at most this share of the scheduler's time.
 _MAX_TIME_SHARE = 0.1
 _QUEUE_TIMEOUT = datetime.timedelta(seconds=2)
@@ -166,12 +161,12 @@
         """
         if method != "POST":
             return _make_error(405, errors.ErrorCode.BAD_REQUEST, "use POST")
-        if len(body) > MAX_BODY_BYTES:
+        if len(body) > where.MAX_BODY_BYTES:
             return _make_error(
                 413,
                 errors.ErrorCode.BODY_TOO_LARGE,
-                f"the job has {len(body)} bytes, and at most {MAX_BODY_BYTES} "
-                "are accepted",
+                f"the job has {len(body)} bytes, and at most "
+                f"{where.MAX_BODY_BYTES} are accepted",
             )
         if not self._role.is_active:
             return self._name_active_scheduler()
@@ -287,18 +282,8 @@
     from tamarackhatch import api
 
     document = api.read_job(body)
-    count = sum(step.count for step in document.steps)
-    if count > MAX_TASKS:
-        raise errors.FindingsError(
-            [
-                errors.Finding(
-                    errors.SourceLocation("body", 1, 1),
-                    errors.ErrorCode.OUT_OF_RANGE,
-                    f"the job has {count} tasks, and a dry run accepts at "
-                    f"most {MAX_TASKS}",
-                )
-            ]
-        )
+    tasks = sum(step.count for step in document.steps)
+    where.check_size(len(body), tasks, "body")
     return document
 
 
--- a/tamarackhatch/server/tests/test_where.py
+++ b/tamarackhatch/server/tests/test_where.py
@@ -123,7 +123,7 @@
             _Role(),
             _Queues(),
             "POST",
-            bytes(_where.MAX_BODY_BYTES + 1),
+            bytes(where.MAX_BODY_BYTES + 1),
             413,
             "the job has 16385 bytes, and at most 16384 are accepted",
             id="too large",
--- a/tamarackhatch/where/__init__.py
+++ b/tamarackhatch/where/__init__.py
@@ -12,6 +12,10 @@
 from tamarackhatch.where._answer import StepState
 from tamarackhatch.where._answer import WaitingStep
 from tamarackhatch.where._document import write_answer
+from tamarackhatch.where._limits import check_size
+from tamarackhatch.where._limits import MAX_BODY_BYTES
+from tamarackhatch.where._limits import MAX_TASKS
+from tamarackhatch.where._limits import PATH
 from tamarackhatch.where._text import format_answer
 
 __all__ = [
@@ -20,12 +24,16 @@
     "EarlierWork",
     "ExcludedRunners",
     "Exclusion",
+    "MAX_BODY_BYTES",
+    "MAX_TASKS",
     "Objective",
+    "PATH",
     "RatedRunner",
     "Remark",
     "StepAnswer",
     "StepState",
     "WaitingStep",
+    "check_size",
     "format_answer",
     "write_answer",
 ]
