--- a/tamarackhatch/where/_text.py
+++ b/tamarackhatch/where/_text.py
@@ -70,7 +70,10 @@
 
 def _format_objective(objective: Document | None) -> str:
     if objective is None:
-        return "Objective: none, so the job goes after those that have one."
+        return (
+            "Objective: none. Of one priority, batch jobs that can meet theirs "
+            "go first."
+        )
     return (
         f"Objective: done within {_format_ms(objective['latency_ms'])}; for "
         f"its order {_format_ms(objective['order_latency_ms'])} count, since "
