--- a/tamarackhatch/where/_text.py
+++ b/tamarackhatch/where/_text.py
@@ -71,8 +71,8 @@
 def _format_objective(objective: Document | None) -> str:
     if objective is None:
         return (
-            "Objective: none. Of one priority, batch jobs that can meet theirs "
-            "go first."
+            "Objective: none. Of one priority, batch jobs that can meet "
+            "theirs go first."
         )
     return (
         f"Objective: done within {_format_ms(objective['latency_ms'])}; for "
