--- /dev/null
+++ b/tamarackhatch/admission/_estimator.py
@@ -0,0 +1,236 @@
+"""The scheduler's estimate of how long new batch work waits."""
+
+import collections
+from collections.abc import Iterable
+from collections.abc import Mapping
+import datetime
+
+import attrs
+
+from tamarackhatch import model
+from tamarackhatch import placement
+
+_SECOND = datetime.timedelta(seconds=1)
+# Starts of the last seconds give the rate. A second of a burst may start
+# nothing, while a step of its tasks runs for 2 to 3 s.
+_RATE_WINDOW = datetime.timedelta(seconds=4)
+_BUCKET = datetime.timedelta(milliseconds=500)
+# Tasks that have waited for this long prove that tasks of their size do not
+# start at once. A best-effort task waits 2 s for a runner at full speed even
+# beside free capacity.
+_MIN_BLOCKED_TIME = datetime.timedelta(milliseconds=2500)
+# Limits of the summaries, which all instances read with each heartbeat. What
+# is left out shortens the estimated waits.
+_MAX_SUMMARIES = 16
+_MAX_LEVELS = 8
+_MAX_POINTS = 6
+_MAX_BLOCKED = 4
+
+_Kind = tuple[str, bool]
+
+
+@attrs.frozen
+class WaitingWork:
+    """Waiting batch tasks of one step.
+
+    Attributes:
+        service: Name of the service.
+        step: The step.
+        order: Sort key of the tasks.
+        count: Number of tasks whose work counts.
+        waited: How long the first of them has waited.
+        may_run_anywhere: Whether nothing but capacity keeps a task from
+            starting, so that its wait tells something of other tasks.
+    """
+
+    service: str
+    step: model.Step
+    order: placement.OrderKey
+    count: int
+    waited: datetime.timedelta
+    may_run_anywhere: bool
+
+
+@attrs.frozen
+class Pool:
+    """Runners of a service that may start tasks.
+
+    Attributes:
+        free: For each resource, the most that is free on any one runner.
+        batch_processors: Millicores that batch tasks reserve.
+        best_effort_processors: Millicores that best-effort tasks ask for.
+    """
+
+    free: model.Resources = model.Resources()
+    batch_processors: int = 0
+    best_effort_processors: int = 0
+
+    def add_runner(self, load: placement.RunnerLoad) -> "Pool":
+        """Returns the pool with another runner."""
+        capacity, unassigned = load.capacity, load.unassigned
+        return Pool(
+            model.Resources(
+                max(
+                    self.free.processors,
+                    capacity.processors
+                    - load.reserved_cpu
+                    - unassigned.processors,
+                ),
+                max(
+                    self.free.memory_mb,
+                    capacity.memory_mb
+                    - load.reserved_memory_mb
+                    - unassigned.memory_mb,
+                ),
+                max(
+                    self.free.accelerators,
+                    capacity.accelerators
+                    - load.reserved_accelerators
+                    - unassigned.accelerators,
+                ),
+            ),
+            self.batch_processors + load.batch_cpu,
+            self.best_effort_processors + load.best_effort_cpu,
+        )
+
+
+class WaitEstimator:
+    """Records starts, and summarises the work that waits."""
+
+    def __init__(self) -> None:
+        self._started: dict[_Kind, collections.Counter[int]] = {}
+
+    def record_start(
+        self, service: str, step: model.Step, now: datetime.timedelta
+    ) -> None:
+        """Records the start of a task."""
+        if step.is_long_running:
+            return
+        buckets = self._started.setdefault(
+            (service, step.is_best_effort), collections.Counter()
+        )
+        buckets[now // _BUCKET] += _compute_work(step)
+
+    def summarise(
+        self,
+        waiting: Iterable[WaitingWork],
+        pools: Mapping[str, Pool],
+        now: datetime.timedelta,
+    ) -> tuple[model.WaitSummary, ...]:
+        """Returns summaries of the kinds of work of which some is blocked.
+
+        Args:
+            waiting: All waiting batch tasks.
+            pools: The runners by service.
+            now: Monotonic time.
+        """
+        self._expire(now)
+        by_kind: dict[_Kind, list[WaitingWork]] = {}
+        for work in waiting:
+            kind = (work.service, work.step.is_best_effort)
+            by_kind.setdefault(kind, []).append(work)
+        summaries = []
+        for kind, works in by_kind.items():
+            blocked = _list_blocked(works)
+            pool = pools.get(kind[0], Pool())
+            rate = self._estimate_rate(kind, pool)
+            # Without any progress there is no figure for the wait. Serving
+            # tasks that hold everything may still end at any time.
+            if blocked and rate > 0:
+                summaries.append(
+                    model.WaitSummary(
+                        *kind, rate, pool.free, blocked, _list_levels(works)
+                    )
+                )
+        summaries.sort(key=lambda summary: -summary.levels[-1].total_work)
+        return tuple(summaries[:_MAX_SUMMARIES])
+
+    def _expire(self, now: datetime.timedelta) -> None:
+        oldest = (now - _RATE_WINDOW) // _BUCKET
+        for kind, buckets in list(self._started.items()):
+            for number in [n for n in buckets if n < oldest]:
+                del buckets[number]
+            if not buckets:
+                del self._started[kind]
+
+    def _estimate_rate(self, kind: _Kind, pool: Pool) -> int:
+        """Returns the work that a service gets done in a second.
+
+        Tasks that start in bursts make the starts of the last seconds too few
+        at times, so that the work in progress counts if it is more.
+        """
+        started = self._started.get(kind, collections.Counter())
+        window_s = _RATE_WINDOW / _SECOND
+        in_progress = (
+            pool.best_effort_processors if kind[1] else pool.batch_processors
+        )
+        return max(int(started.total() / window_s), in_progress)
+
+
+def _compute_work(step: model.Step) -> int:
+    """Returns the work of one task, in millicore seconds."""
+    return int(step.resources.processors * (step.estimate / _SECOND))
+
+
+def _list_blocked(works: list[WaitingWork]) -> tuple[model.BlockedTask, ...]:
+    """Returns the smallest tasks that have waited for a while."""
+    found = {
+        model.BlockedTask(
+            work.step.resources,
+            work.step.image if work.step.is_best_effort else "",
+        )
+        for work in works
+        if work.may_run_anywhere and work.waited >= _MIN_BLOCKED_TIME
+    }
+    smallest = [
+        task
+        for task in found
+        if not any(
+            other != task
+            and other.image == task.image
+            and other.resources.fits_in(task.resources)
+            for other in found
+        )
+    ]
+    smallest.sort(key=lambda task: (task.resources.processors, task.image))
+    return tuple(smallest[:_MAX_BLOCKED])
+
+
+def _list_levels(works: list[WaitingWork]) -> tuple[model.WaitLevel, ...]:
+    by_priority: dict[int, list[WaitingWork]] = {}
+    for work in works:
+        by_priority.setdefault(int(work.order.priority), []).append(work)
+    levels = []
+    total = 0
+    for priority in sorted(by_priority):
+        urgent = total
+        amounts: collections.Counter[int] = collections.Counter()
+        for work in by_priority[priority]:
+            amount = _compute_work(work.step) * work.count
+            total += amount
+            # Work of a later rank goes behind a new job.
+            if work.order.rank <= placement.Rank.BATCH:
+                amounts[work.order.demand] += amount
+        levels.append(
+            model.WaitLevel(
+                priority, urgent, total, _make_points(urgent, amounts)
+            )
+        )
+    return tuple(levels[:_MAX_LEVELS])
+
+
+def _make_points(
+    urgent: int, amounts: Mapping[int, int]
+) -> tuple[model.WorkPoint, ...]:
+    points = []
+    work = urgent
+    for demand in sorted(amounts):
+        work += amounts[demand]
+        points.append(model.WorkPoint(demand, work))
+    if len(points) <= _MAX_POINTS:
+        return tuple(points)
+    last = len(points) - 1
+    return tuple(
+        points[last * index // (_MAX_POINTS - 1)]
+        for index in range(_MAX_POINTS)
+    )
--- a/tamarackhatch/api/_interface.py
+++ b/tamarackhatch/api/_interface.py
@@ -31,6 +31,7 @@
     model.Outcome.NO_JOB: 404,
     model.Outcome.NOT_DONE: 503,
     model.Outcome.UNKNOWN: 504,
+    model.Outcome.REFUSED: 429,
 }
 
 
@@ -65,9 +66,11 @@
             document.steps,
             self._clock.get_utc(),
         )
-        self._write_outcome(
-            await self._service.submit(job, self._caller_timeout)
-        )
+        submission = await self._service.submit(job, self._caller_timeout)
+        if submission.outcome is model.Outcome.REFUSED:
+            seconds = model.count_retry_seconds(submission)
+            self.set_header("Retry-After", str(seconds))
+        self._write_outcome(submission.outcome)
 
     async def get(self, identifier: str) -> None:
         """Returns the state of the job."""
--- a/tamarackhatch/election/_election.py
+++ b/tamarackhatch/election/_election.py
@@ -64,6 +64,9 @@
         run_term: RunTerm,
         log: observability.Log,
         on_row: Callable[[model.Row], None] = lambda row: None,
+        on_heartbeat: Callable[[records.LeaderHeartbeat], None] = (
+            lambda heartbeat: None
+        ),
     ) -> None:
         """Creates the election of one process.
 
@@ -79,6 +82,8 @@
             on_row: Called with each other row of the heartbeat's table, in
                 the order of their versions and before the heartbeat of the
                 same transaction is applied.
+            on_heartbeat: Called with each heartbeat that was certainly
+                written since the store's previous answer.
         """
         self._store = store
         self._clock = time_source
@@ -87,6 +92,7 @@
         self._run_term = run_term
         self._log = log
         self._on_row = on_row
+        self._on_heartbeat = on_heartbeat
         self._heartbeat: records.LeaderHeartbeat | None = None
         self._version = 0
         self._row_version = 0
@@ -255,6 +261,7 @@
             return
         if self._heartbeat is not None and not self._is_answer_late:
             self._heartbeat_time = self._clock.get_monotonic()
+            self._on_heartbeat(heartbeat)
             if heartbeat.publication is not None:
                 self._publication = heartbeat.publication
                 self._publication_time = self._heartbeat_time
--- a/tamarackhatch/entry/_forwarder.py
+++ b/tamarackhatch/entry/_forwarder.py
@@ -42,7 +42,9 @@
 _DISTANT_BYTE_BURST = 524_288
 _DISTANT_BYTES_PER_S = 131_072
 # Outcomes after which no other instance has to be asked.
-_DEFINITE = frozenset((model.Outcome.DONE, model.Outcome.NO_JOB))
+_DEFINITE = frozenset(
+    (model.Outcome.DONE, model.Outcome.NO_JOB, model.Outcome.REFUSED)
+)
 
 RunHere = Callable[[], Awaitable[model.JobLookup]]
 
@@ -98,13 +100,17 @@
         return self._trigger.is_failing(self.now, self._liveness.last_answer)
 
     async def submit(
-        self, job: model.Job, deadline: datetime.timedelta, run_here: RunHere
-    ) -> model.Outcome:
+        self,
+        job: model.Job,
+        store_version: int,
+        deadline: datetime.timedelta,
+        run_here: RunHere,
+    ) -> model.JobLookup:
         """Submits a job; see `carry_out`."""
         request = _messages.ForwardedRequest(
-            _messages.Kind.SUBMISSION, job.identifier, job
+            _messages.Kind.SUBMISSION, job.identifier, job, store_version
         )
-        return (await self.carry_out(request, deadline, run_here)).outcome
+        return await self.carry_out(request, deadline, run_here)
 
     async def cancel(
         self,
--- a/tamarackhatch/entry/_messages.py
+++ b/tamarackhatch/entry/_messages.py
@@ -45,11 +45,15 @@
         kind: Kind of the request.
         identifier: Identifier of the job.
         job: The job; None unless it is submitted.
+        store_version: A version that the store had reached when the caller's
+            attempt began; None if the job is not submitted, or if the sender
+            is of a build that does not know refusals.
     """
 
     kind: Kind
     identifier: str
     job: model.Job | None = None
+    store_version: int | None = None
 
     @property
     def path(self) -> str:
@@ -93,6 +97,7 @@
         # The stored form of a job does not say where it was submitted.
         document["host"] = queue.host
         document["path_prefix"] = queue.path_prefix
+        document["store_version"] = request.store_version
         document["job"] = orjson.Fragment(records.encode_job(request.job))
     return orjson.dumps(document)
 
@@ -107,16 +112,19 @@
     kind, identifier = _decode_path(path)
     try:
         document = orjson.loads(body)
-        job = None
+        job = store_version = None
         if kind is Kind.SUBMISSION:
             job = _decode_job(identifier, document)
+            store_version = document.get("store_version")
+            if store_version is not None and type(store_version) is not int:
+                raise TypeError("store_version is not a whole number")
         timeout_ms, sent_ms = document["timeout_ms"], document["sent_ms"]
         if type(timeout_ms) is not int or type(sent_ms) is not int:
             raise TypeError("a time is not a whole number")
         if not 0 <= timeout_ms <= _MAX_TIMEOUT_MS:
             raise ValueError(f"timeout_ms is {timeout_ms}")
         return ReceivedRequest(
-            ForwardedRequest(kind, identifier, job),
+            ForwardedRequest(kind, identifier, job, store_version),
             timeout_ms * _MILLISECOND,
             _EPOCH + sent_ms * _MILLISECOND,
         )
@@ -137,9 +145,11 @@
     """Returns the body of an answer; None if the request was not tried."""
     if lookup is None:
         return orjson.dumps({"outcome": _NOT_HERE})
-    document = {"outcome": lookup.outcome.value}
+    document: dict[str, typing.Any] = {"outcome": lookup.outcome.value}
     if lookup.state is not None:
         document["state"] = lookup.state.value
+    if lookup.retry_after is not None:
+        document["retry_after_ms"] = lookup.retry_after // _MILLISECOND
     return orjson.dumps(document)
 
 
@@ -157,8 +167,18 @@
         state = None
         if kind is Kind.STATE and outcome is model.Outcome.DONE:
             state = model.JobState(document["state"])
-        return model.JobLookup(outcome, state)
-    except (LookupError, TypeError, ValueError) as error:
+        retry_after = None
+        if outcome is model.Outcome.REFUSED:
+            if type(document["retry_after_ms"]) is not int:
+                raise TypeError("retry_after_ms is not a whole number")
+            retry_after = document["retry_after_ms"] * _MILLISECOND
+        return model.JobLookup(outcome, state, retry_after)
+    except (
+        ArithmeticError,
+        LookupError,
+        TypeError,
+        ValueError,
+    ) as error:
         raise MalformedMessageError(
             f"malformed answer to a forwarded request: {error!r}"
         ) from error
--- a/tamarackhatch/entry/_receiver.py
+++ b/tamarackhatch/entry/_receiver.py
@@ -28,8 +28,11 @@
     """Carries out requests at the store, and never forwards them."""
 
     async def submit_here(
-        self, job: model.Job, deadline: datetime.timedelta
-    ) -> model.Outcome:
+        self,
+        job: model.Job,
+        deadline: datetime.timedelta,
+        store_version: int | None,
+    ) -> model.JobLookup:
         """Submits a job."""
         ...
 
@@ -178,7 +181,9 @@
         job = self._apply_configuration(request.job)
         if job is None:
             return None
-        return model.JobLookup(await self._service.submit_here(job, deadline))
+        return await self._service.submit_here(
+            job, deadline, request.store_version
+        )
 
     def _apply_configuration(self, job: model.Job) -> model.Job | None:
         """Returns the job with the queue as it is configured now.
--- a/tamarackhatch/entry/tests/fleet.py
+++ b/tamarackhatch/entry/tests/fleet.py
@@ -206,8 +206,10 @@
         job = model.Job(
             identifier, QUEUE, "w" * size, (STEP,), self.clock.get_utc()
         )
-        outcome = await self.instances[name].service.submit(job, timeout)
-        return Answer(outcome, asyncio.get_running_loop().time() - began)
+        lookup = await self.instances[name].service.submit(job, timeout)
+        return Answer(
+            lookup.outcome, asyncio.get_running_loop().time() - began
+        )
 
     async def cancel(self, name: str, identifier: str) -> Answer:
         """Cancels a job at an instance."""
--- a/tamarackhatch/model/__init__.py
+++ b/tamarackhatch/model/__init__.py
@@ -10,6 +10,7 @@
 from tamarackhatch.model._configuration_change import ConfigurationSource
 from tamarackhatch.model._configuration_change import EMPTY_CONFIGURATION
 from tamarackhatch.model._configuration_change import Publication
+from tamarackhatch.model._jobs import compute_longest_chain
 from tamarackhatch.model._jobs import CrashRole
 from tamarackhatch.model._jobs import Job
 from tamarackhatch.model._jobs import JobState
@@ -34,13 +35,19 @@
 from tamarackhatch.model._runners import Runner
 from tamarackhatch.model._runners import RunnerReport
 from tamarackhatch.model._runners import RunningTask
+from tamarackhatch.model._service import count_retry_seconds
 from tamarackhatch.model._service import JobLookup
 from tamarackhatch.model._service import JobService
 from tamarackhatch.model._service import Outcome
 from tamarackhatch.model._service import QueueLookup
+from tamarackhatch.model._waits import BlockedTask
+from tamarackhatch.model._waits import WaitLevel
+from tamarackhatch.model._waits import WaitSummary
+from tamarackhatch.model._waits import WorkPoint
 
 __all__ = [
     "AdviceTiming",
+    "BlockedTask",
     "Committed",
     "Configuration",
     "ConfigurationChange",
@@ -77,5 +84,10 @@
     "StoreUnavailableError",
     "TableStore",
     "TaskKey",
+    "WaitLevel",
+    "WaitSummary",
+    "WorkPoint",
     "compute_change",
+    "compute_longest_chain",
+    "count_retry_seconds",
 ]
--- a/tamarackhatch/model/_jobs.py
+++ b/tamarackhatch/model/_jobs.py
@@ -1,5 +1,6 @@
 """Jobs, their steps and their tasks, as submitters describe them."""
 
+from collections.abc import Sequence
 import datetime
 import enum
 import functools
@@ -115,6 +116,24 @@
         return attrs.evolve(self.resources, processors=0)
 
 
+def compute_longest_chain(
+    steps: Sequence[Step],
+) -> datetime.timedelta:
+    """Returns the estimated run time of the longest chain of steps.
+
+    Args:
+        steps: The steps of a job; each depends on earlier ones only.
+    """
+    ends: list[datetime.timedelta] = []
+    for step in steps:
+        begin = max(
+            (ends[before] for before in step.after),
+            default=datetime.timedelta(),
+        )
+        ends.append(begin + step.estimate)
+    return max(ends, default=datetime.timedelta())
+
+
 @attrs.frozen
 class Schedule:
     """Times at which a repeated job is due.
--- a/tamarackhatch/model/_service.py
+++ b/tamarackhatch/model/_service.py
@@ -2,6 +2,7 @@
 
 import datetime
 import enum
+import math
 import typing
 
 import attrs
@@ -9,6 +10,8 @@
 from tamarackhatch.model import _configuration
 from tamarackhatch.model import _jobs
 
+_SECOND = datetime.timedelta(seconds=1)
+
 
 class Outcome(enum.Enum):
     """Outcome of a caller's request.
@@ -19,6 +22,8 @@
         NO_JOB: No job has the identifier.
         NOT_DONE: Nothing was done; another attempt may succeed.
         UNKNOWN: The request may be carried out, now or later.
+        REFUSED: The job is not stored, and no earlier attempt will store it;
+            the caller may return later.
     """
 
     DONE = "done"
@@ -26,6 +31,7 @@
     NO_JOB = "no job"
     NOT_DONE = "not done"
     UNKNOWN = "unknown"
+    REFUSED = "refused"
 
 
 @attrs.frozen
@@ -43,15 +49,29 @@
 
 @attrs.frozen
 class JobLookup:
-    """Result of a request for the state of a job.
+    """Result of a request about a job.
 
     Attributes:
-        outcome: DONE, NO_JOB or NOT_DONE.
-        state: The state; None unless the outcome is DONE.
+        outcome: The outcome.
+        state: State of the job; None unless the request was for it and the
+            outcome is DONE.
+        retry_after: Time after which the caller may return, in whole seconds;
+            None unless the outcome is REFUSED.
     """
 
     outcome: Outcome
     state: _jobs.JobState | None = None
+    retry_after: datetime.timedelta | None = None
+
+
+def count_retry_seconds(lookup: JobLookup) -> int:
+    """Returns after how many whole seconds a refused caller may return.
+
+    At least 1, because some clients repeat a request at once for 0.
+    """
+    if lookup.retry_after is None:
+        return 1
+    return max(1, math.ceil(lookup.retry_after / _SECOND))
 
 
 class JobService(typing.Protocol):
@@ -87,9 +107,11 @@
 
     async def submit(
         self, job: _jobs.Job, timeout: datetime.timedelta
-    ) -> Outcome:
+    ) -> JobLookup:
         """Submits a job; a repeated submission changes nothing.
 
+        Its outcome is DONE, UNKNOWN or REFUSED.
+
         Args:
             job: The job.
             timeout: How long the caller waits for the answer.
--- a/tamarackhatch/observability/_metrics.py
+++ b/tamarackhatch/observability/_metrics.py
@@ -118,6 +118,12 @@
             " internal address report 0.",
             registry=self._registry,
         )
+        self.refused_jobs = prometheus_client.Counter(
+            "tamarackhatch_refused_jobs",
+            "Submissions that were refused, because the job could not have"
+            " been served in time.",
+            registry=self._registry,
+        )
         self.unreadable_entries = prometheus_client.Counter(
             "tamarackhatch_unreadable_entries",
             "Malformed entries of other systems that were skipped, by source.",
--- a/tamarackhatch/placement/__init__.py
+++ b/tamarackhatch/placement/__init__.py
@@ -13,8 +13,10 @@
 from tamarackhatch.placement._load import RunnerLoad
 from tamarackhatch.placement._order import assess_prospect
 from tamarackhatch.placement._order import make_order_key
+from tamarackhatch.placement._order import MAX_LATENESS
 from tamarackhatch.placement._order import OrderKey
 from tamarackhatch.placement._order import Prospect
+from tamarackhatch.placement._order import Rank
 from tamarackhatch.placement._order import Urgency
 from tamarackhatch.placement._order import WaitingGroup
 from tamarackhatch.placement._policy import PlacementPolicy
@@ -34,14 +36,16 @@
     "CandidateCache",
     "CandidateRunner",
     "Choice",
-    "InterferenceFactor",
     "InfeasibleDemands",
+    "InterferenceFactor",
     "InterferenceModel",
     "InterferenceTable",
     "JobSample",
+    "MAX_LATENESS",
     "OrderKey",
     "PlacementPolicy",
     "Prospect",
+    "Rank",
     "Reservation",
     "Reservations",
     "RunnerLoad",
--- a/tamarackhatch/placement/_order.py
+++ b/tamarackhatch/placement/_order.py
@@ -13,7 +13,7 @@
 
 # Up to this multiple of its objective a job is late; after that its caller no
 # longer has a use for it.
-_MAX_LATENESS = 3.0
+MAX_LATENESS = 3.0
 
 
 class Prospect(enum.IntEnum):
@@ -132,7 +132,7 @@
     expected = elapsed + remaining
     if expected <= objective:
         return Prospect.IN_TIME
-    if expected <= _MAX_LATENESS * objective:
+    if expected <= MAX_LATENESS * objective:
         return Prospect.LATE
     return Prospect.OVERDUE
 
--- a/tamarackhatch/platform/_ingress.py
+++ b/tamarackhatch/platform/_ingress.py
@@ -27,10 +27,13 @@
     Attributes:
         status: HTTP status.
         body: JSON body; empty for none.
+        retry_after_s: After how many seconds the caller may return, if the
+            status asks it to.
     """
 
     status: int
     body: bytes = b""
+    retry_after_s: int = _RETRY_AFTER_S
 
 
 class Ingress:
@@ -90,7 +93,7 @@
             http.HTTPStatus.SERVICE_UNAVAILABLE,
             http.HTTPStatus.TOO_MANY_REQUESTS,
         ):
-            headers["Retry-After"] = str(_RETRY_AFTER_S)
+            headers["Retry-After"] = str(reply.retry_after_s)
         if self._is_keep_alive_disabled or reply.status >= 500:
             # The next connection may lead to an instance that reaches systems
             # which this one cannot reach.
@@ -169,18 +172,26 @@
             )
         except _job_body.MalformedJobError as error:
             return _make_reply(400, {"error": str(error)})
-        outcome = await self._service.submit(job, _get_timeout(request))
-        if outcome is model.Outcome.DONE:
-            return _make_reply(200, {})
-        if outcome is model.Outcome.NOT_DONE:
-            return _make_reply(503, {"error": "not accepted"})
-        return _make_reply(504, {"error": "not known whether accepted"})
+        lookup = await self._service.submit(job, _get_timeout(request))
+        return _make_submission_reply(lookup)
 
 
 def _make_reply(status: int, document: dict[str, typing.Any]) -> Reply:
     return Reply(status, orjson.dumps(document))
 
 
+def _make_submission_reply(lookup: model.JobLookup) -> Reply:
+    outcome = lookup.outcome
+    if outcome is model.Outcome.DONE:
+        return _make_reply(200, {})
+    if outcome is model.Outcome.REFUSED:
+        reply = _make_reply(429, {"error": "cannot be served in time"})
+        return reply._replace(retry_after_s=model.count_retry_seconds(lookup))
+    if outcome is model.Outcome.NOT_DONE:
+        return _make_reply(503, {"error": "not accepted"})
+    return _make_reply(504, {"error": "not known whether accepted"})
+
+
 def _make_cancel_reply(outcome: model.Outcome) -> Reply:
     if outcome is model.Outcome.DONE:
         return _make_reply(200, {})
--- a/tamarackhatch/platform/_store.py
+++ b/tamarackhatch/platform/_store.py
@@ -54,6 +54,16 @@
         self._address = address
         self._record_call = record_call
         self._on_answer = on_answer
+        self._latest_version = 0
+
+    @property
+    def latest_version(self) -> int:
+        """Highest version of the store in any answer so far; 0 for none."""
+        return self._latest_version
+
+    def _record_version(self, version: int) -> int:
+        self._latest_version = max(self._latest_version, version)
+        return version
 
     async def write(
         self,
@@ -100,7 +110,9 @@
             if answer.status == _OK:
                 document = _decoding.decode_object(answer.body)
                 return model.Committed(
-                    _decoding.get_integer(document, "schema_version")
+                    self._record_version(
+                        _decoding.get_integer(document, "schema_version")
+                    )
                 )
             if answer.status == _CONDITION_FAILED:
                 document = _decoding.decode_object(answer.body)
@@ -133,7 +145,9 @@
             return model.RowPage(
                 _decode_rows(document),
                 _decoding.get_flag(document, "has_more"),
-                _decoding.get_integer(document, "schema_version"),
+                self._record_version(
+                    _decoding.get_integer(document, "schema_version")
+                ),
             )
         except _decoding.MalformedBodyError as error:
             raise model.StoreUnavailableError(error.message) from error
@@ -151,7 +165,9 @@
             "feed", "/-/rows-feed", query, wait + _FEED_ANSWER_ALLOWANCE
         )
         try:
-            version = _decoding.get_integer(document, "schema_version")
+            version = self._record_version(
+                _decoding.get_integer(document, "schema_version")
+            )
             return model.FeedPage(
                 _decode_rows(document), max(version, after), receive_time
             )
--- a/tamarackhatch/platform/tests/test_ingress.py
+++ b/tamarackhatch/platform/tests/test_ingress.py
@@ -34,8 +34,8 @@
     ) -> model.QueueLookup:
         return self._lookup
 
-    async def submit(self, job: object, timeout: object) -> model.Outcome:
-        return self._outcome
+    async def submit(self, job: object, timeout: object) -> model.JobLookup:
+        return model.JobLookup(self._outcome)
 
     async def cancel(
         self, identifier: str, queue: object, timeout: object
--- a/tamarackhatch/records/__init__.py
+++ b/tamarackhatch/records/__init__.py
@@ -30,6 +30,8 @@
 from tamarackhatch.records._names import get_instance_ref
 from tamarackhatch.records._names import get_job_ref
 from tamarackhatch.records._names import get_progress_ref
+from tamarackhatch.records._names import get_refusal_ref
+from tamarackhatch.records._names import get_refused_job
 from tamarackhatch.records._names import INSTANCES_TABLE
 from tamarackhatch.records._names import INTERFERENCE
 from tamarackhatch.records._names import is_change_ref
@@ -46,6 +48,10 @@
 from tamarackhatch.records._progress import MalformedRowError
 from tamarackhatch.records._progress import OccurrenceProgress
 from tamarackhatch.records._progress import TaskHistory
+from tamarackhatch.records._refusals import decode_refusal
+from tamarackhatch.records._refusals import encode_refusal
+from tamarackhatch.records._refusals import Refusal
+from tamarackhatch.records._refusals import RefusalState
 from tamarackhatch.records._store_liveness import StoreLiveness
 from tamarackhatch.records._watcher import TableWatcher
 
@@ -68,6 +74,8 @@
     "MalformedRowError",
     "OccurrenceProgress",
     "PROGRESS_TABLE",
+    "Refusal",
+    "RefusalState",
     "SCHEDULER_PARTITION",
     "SEQUENCE",
     "StoreLiveness",
@@ -82,6 +90,7 @@
     "decode_job",
     "decode_leader_heartbeat",
     "decode_progress",
+    "decode_refusal",
     "decode_tracked_runners",
     "encode_change",
     "encode_copy",
@@ -90,6 +99,7 @@
     "encode_job",
     "encode_leader_heartbeat",
     "encode_progress",
+    "encode_refusal",
     "encode_tracked_runners",
     "find_row",
     "get_cancel_ref",
@@ -97,5 +107,7 @@
     "get_instance_ref",
     "get_job_ref",
     "get_progress_ref",
+    "get_refusal_ref",
+    "get_refused_job",
     "is_change_ref",
 ]
--- a/tamarackhatch/records/_job_store.py
+++ b/tamarackhatch/records/_job_store.py
@@ -2,6 +2,7 @@
 
 import collections
 from collections.abc import Callable
+from collections.abc import Sequence
 import datetime
 
 import attrs
@@ -10,8 +11,10 @@
 from tamarackhatch import model
 from tamarackhatch.records import _hedged_call
 from tamarackhatch.records import _jobs
+from tamarackhatch.records import _leadership
 from tamarackhatch.records import _names
 from tamarackhatch.records import _progress
+from tamarackhatch.records import _refusals
 from tamarackhatch.records import _store_liveness
 
 # For reads without a caller that states its deadline.
@@ -64,13 +67,23 @@
         self._final_states = collections.OrderedDict()
 
     async def submit(
-        self, job: model.Job, deadline: datetime.timedelta
-    ) -> None:
+        self,
+        job: model.Job,
+        deadline: datetime.timedelta,
+        refusal_version: int = 0,
+    ) -> _refusals.RefusalState | None:
         """Stores a job, unless a job with its identifier is stored.
 
         Args:
             job: The job.
             deadline: Monotonic time at which the caller stops waiting.
+            refusal_version: Version that the job's refusal row must have; 0
+                if there must be none. A write that began before a refusal
+                can then not be carried out after it.
+
+        Returns:
+            None if the job is stored; else the state of its refusal row,
+            which has another version.
 
         Raises:
             StoreOutcomeUnknownError: The job may be stored, now or later, by
@@ -79,7 +92,45 @@
         ref = _names.get_job_ref(job.identifier)
         stored = attrs.evolve(job, term=self._get_latest_term())
         put = model.Put(ref, _jobs.encode_job(stored))
-        await self._write_if_absent("submit", job.identifier, put, deadline)
+        result = await self._write(
+            "submit", job.identifier, refusal_version, put, deadline
+        )
+        if isinstance(result, model.Committed):
+            return None
+        return _find_refusal(result, job.identifier)
+
+    async def refuse(
+        self,
+        identifier: str,
+        refusal: _refusals.Refusal,
+        refusal_version: int,
+        deadline: datetime.timedelta,
+    ) -> _refusals.RefusalState | None:
+        """Records that a job is refused, unless it is stored.
+
+        Args:
+            identifier: Identifier of the job.
+            refusal: The record, with a token of its own.
+            refusal_version: Version that the refusal row must have; 0 if it
+                must be absent.
+            deadline: Monotonic time at which the record must be written.
+
+        Returns:
+            None if the job is stored; else the state of its refusal row. Only
+            if that holds this refusal, no write that began before it can
+            store the job.
+
+        Raises:
+            StoreOutcomeUnknownError: The record may be written, now or later.
+        """
+        ref = _names.get_refusal_ref(identifier)
+        put = model.Put(ref, _refusals.encode_refusal(refusal))
+        result = await self._write(
+            "refuse", identifier, refusal_version, put, deadline
+        )
+        if isinstance(result, model.Committed):
+            return _refusals.RefusalState(result.version, refusal)
+        return _find_refusal(result, identifier)
 
     async def cancel(
         self, identifier: str, deadline: datetime.timedelta
@@ -95,7 +146,11 @@
                 this or an earlier call.
         """
         put = model.Put(_names.get_cancel_ref(identifier), b"{}")
-        await self._write_if_absent("cancel", identifier, put, deadline)
+        # A conflict also counts as success: the row exists, because an
+        # earlier attempt, perhaps of another instance, stored it.
+        await self._write_if(
+            "cancel", identifier, [(put.ref, 0)], put, deadline
+        )
 
     async def is_stored(
         self, identifier: str, deadline: datetime.timedelta | None = None
@@ -183,14 +238,35 @@
             raise model.StoreUnavailableError(str(error)) from error
         return page.rows
 
-    async def _write_if_absent(
+    async def _write(
         self,
         kind: str,
         identifier: str,
+        refusal_version: int,
         put: model.Put,
         deadline: datetime.timedelta,
-    ) -> None:
-        """Writes a row unless it exists.
+    ) -> model.Committed | model.Conflict:
+        """Writes a row of a job unless the job is stored.
+
+        The refusal row must have a given version.
+        """
+        conditions = [
+            (_names.get_job_ref(identifier), 0),
+            (_names.get_refusal_ref(identifier), refusal_version),
+        ]
+        return await self._write_if(
+            kind, identifier, conditions, put, deadline
+        )
+
+    async def _write_if(
+        self,
+        kind: str,
+        identifier: str,
+        conditions: Sequence[tuple[model.RowRef, int]],
+        put: model.Put,
+        deadline: datetime.timedelta,
+    ) -> model.Committed | model.Conflict:
+        """Writes a row on condition of the versions of rows.
 
         A failure never says that the row is not stored, even if the store
         certainly did not apply this write: an earlier request of the caller
@@ -202,12 +278,28 @@
             timeout: datetime.timedelta, *, is_hedge: bool
         ) -> model.Committed | model.Conflict:
             return await self._store.write(
-                [(put.ref, 0)], [put], [], timeout, is_hedge=is_hedge
+                conditions, [put], [], timeout, is_hedge=is_hedge
             )
 
         try:
-            # A conflict also counts as success: the row exists, because
-            # an earlier attempt, perhaps of another instance, stored it.
-            await self._writer.call(kind, identifier, send, deadline)
+            return await self._writer.call(kind, identifier, send, deadline)
         except _hedged_call.CallGivenUpError as error:
             raise model.StoreOutcomeUnknownError(str(error)) from error
+
+
+def _find_refusal(
+    conflict: model.Conflict, identifier: str
+) -> _refusals.RefusalState | None:
+    """Returns the state of a job's refusal row; None if the job is stored.
+
+    An earlier attempt, perhaps of another instance, has stored the job then.
+    """
+    rows = tuple(row for row in conflict.rows if not row.is_deleted)
+    if _leadership.find_row(rows, _names.get_job_ref(identifier)):
+        return None
+    row = _leadership.find_row(rows, _names.get_refusal_ref(identifier))
+    if row is None:
+        return _refusals.RefusalState()
+    return _refusals.RefusalState(
+        row.version, _refusals.decode_refusal(row.value)
+    )
--- a/tamarackhatch/records/_leadership.py
+++ b/tamarackhatch/records/_leadership.py
@@ -7,12 +7,14 @@
 from tamarackhatch.records import _pending_counts
 from tamarackhatch.records import _progress
 from tamarackhatch.records import _types
+from tamarackhatch.records import _waits
 
 # Rows may have 65,536 bytes. Instances read each heartbeat, so that the
 # numbers of pending jobs are compressed well before that.
 _MAX_ROW_BYTES = 65_536
 _MAX_PLAIN_BYTES = 4_096
 _PACKED_PENDING = "packed_pending"
+_WAITS = "waits"
 
 
 @attrs.frozen
@@ -35,6 +37,8 @@
             cannot read the operator's table.
         position: Version of the store up to which it has read that table.
         is_pending_known: Whether ``pending`` is complete; if not, it is empty.
+        waits: Waiting batch work; empty if no new work has to wait, or if
+            nothing is known of it.
     """
 
     instance: str
@@ -46,6 +50,7 @@
     configuration: int | None = None
     position: int = 0
     is_pending_known: bool = True
+    waits: tuple[model.WaitSummary, ...] = ()
 
     @property
     def publication(self) -> model.Publication | None:
@@ -83,10 +88,13 @@
     """Returns the row value of a heartbeat.
 
     The numbers of pending jobs are compressed if there are many, so that the
-    row stays small. If they do not fit even then, they are left out, because
-    without a heartbeat the scheduler would lose its term.
+    row stays small. What does not fit even then is left out, the waits first,
+    because without a heartbeat the scheduler would lose its term.
     """
-    document = attrs.asdict(heartbeat)
+    document = attrs.asdict(heartbeat, recurse=False)
+    del document[_WAITS]
+    if heartbeat.waits:
+        document[_WAITS] = _waits.encode_waits(heartbeat.waits)
     if heartbeat.configuration is None:
         del document["configuration"], document["position"]
     if heartbeat.is_pending_known:
@@ -101,6 +109,10 @@
     value = orjson.dumps(document)
     if len(value) <= _MAX_ROW_BYTES:
         return value
+    if document.pop(_WAITS, None) is not None:
+        value = orjson.dumps(document)
+        if len(value) <= _MAX_ROW_BYTES:
+            return value
     del document[_PACKED_PENDING]
     document["is_pending_known"] = False
     return orjson.dumps(document)
@@ -118,6 +130,8 @@
             document["pending"] = _pending_counts.unpack_pending(
                 document[_PACKED_PENDING]
             )
+        if _WAITS in document:
+            document[_WAITS] = _waits.decode_waits(document[_WAITS])
         # A newer build may add fields. It must be possible to take over from
         # it.
         heartbeat = LeaderHeartbeat(
--- a/tamarackhatch/records/_names.py
+++ b/tamarackhatch/records/_names.py
@@ -44,6 +44,7 @@
 # handles a limited number of transactions per second.
 JOB_PARTITIONS: typing.Final = tuple("0123456789abcdef")
 _CANCEL_SUFFIX: typing.Final = ".cancel"
+_REFUSED_SUFFIX: typing.Final = ".refused"
 
 
 def get_instance_ref(name: str) -> model.RowRef:
@@ -97,11 +98,29 @@
     )
 
 
+def get_refusal_ref(identifier: str) -> model.RowRef:
+    """Returns the name of the row that records the refusals of a job."""
+    return model.RowRef(
+        JOBS_TABLE, get_job_partition(identifier), identifier + _REFUSED_SUFFIX
+    )
+
+
 def get_progress_ref(identifier: str) -> model.RowRef:
     """Returns the name of the row that holds a job's progress."""
     return model.RowRef(PROGRESS_TABLE, SCHEDULER_PARTITION, identifier)
 
 
+def get_refused_job(key: str) -> str | None:
+    """Returns the job that a refusal row is for; None for other rows.
+
+    Args:
+        key: Key of a row in the jobs table.
+    """
+    if key.endswith(_REFUSED_SUFFIX):
+        return key.removesuffix(_REFUSED_SUFFIX)
+    return None
+
+
 def get_cancelled_job(key: str) -> str | None:
     """Returns the job that a cancel row is for; None for other rows.
 
--- a/tamarackhatch/scheduler/_context.py
+++ b/tamarackhatch/scheduler/_context.py
@@ -6,6 +6,7 @@
 
 import attrs
 
+from tamarackhatch import admission
 from tamarackhatch import clock
 from tamarackhatch import election
 from tamarackhatch import health
@@ -41,6 +42,7 @@
         policy: Weights and limits of placement.
         tickets: Requests and caches tickets of the placement policy service.
         load_monitor: Counts the work of the scheduler.
+        wait_estimator: Estimates how long new work waits.
         stalls: Finds runners that hang.
         health: Knows which runners fail.
         evacuations: Knows the data centres in which nothing may start.
@@ -63,6 +65,7 @@
     policy: placement.PlacementPolicy
     tickets: _tickets.TicketCache
     load_monitor: _load_monitor.LoadMonitor
+    wait_estimator: admission.WaitEstimator
     stalls: health.StallDetector
     health: health.HealthMonitor
     evacuations: _evacuations.EvacuationWatcher
--- a/tamarackhatch/scheduler/_dependencies.py
+++ b/tamarackhatch/scheduler/_dependencies.py
@@ -9,6 +9,7 @@
 from tamarackhatch import observability
 from tamarackhatch import placement
 from tamarackhatch import platform
+from tamarackhatch import records
 from tamarackhatch import settings
 
 
@@ -30,6 +31,8 @@
             instances; None if it publishes none.
         enforces_capacity: Returns whether the runners of a service reject
             tasks that do not fit; False if that is not known.
+        on_heartbeat: Called with each heartbeat of the scheduler that is
+            stored.
     """
 
     store: model.TableStore
@@ -42,3 +45,6 @@
     policy: placement.PlacementPolicy = placement.PlacementPolicy()
     configuration: model.ConfigurationSource | None = None
     enforces_capacity: Callable[[str], bool] = lambda service: False
+    on_heartbeat: Callable[[records.LeaderHeartbeat], None] = (
+        lambda heartbeat: None
+    )
--- a/tamarackhatch/scheduler/_dispatcher.py
+++ b/tamarackhatch/scheduler/_dispatcher.py
@@ -36,7 +36,7 @@
         self._commands = commands
         self._large_tasks = _large_tasks.LargeTaskReserver(context)
         self._probes = _health.ProbePlacer(
-            context, self._is_paused, self._place_task
+            context, self.is_paused, self._place_task
         )
         self._candidate_cache = placement.CandidateCache(
             context.interference, context.policy
@@ -95,7 +95,7 @@
         began = context.get_now()
         ordered = sorted(
             (
-                (self._get_order_key(group), group)
+                (_prospects.make_order_key(group, context), group)
                 for group in waiting.values()
             ),
             key=lambda item: item[0],
@@ -134,7 +134,7 @@
         candidates: dict[str, list[placement.CandidateRunner]],
     ) -> None:
         result = self._context.load_monitor.waiting
-        tasks = [task for task in group.values() if not self._is_paused(task)]
+        tasks = [task for task in group.values() if not self.is_paused(task)]
         result.paused += len(group) - len(tasks)
         waiting = len(tasks)
         tasks = [
@@ -175,7 +175,7 @@
             task
             for group in groups
             for task in group.values()
-            if _crash_suspects.is_suspect(task) and not self._is_paused(task)
+            if _crash_suspects.is_suspect(task) and not self.is_paused(task)
         ]
         if not suspects:
             return
@@ -224,32 +224,8 @@
             self._context.policy.grouping_delay
         )
 
-    def _get_order_key(self, group: Group) -> placement.OrderKey:
-        task = next(iter(group.values()))
-        now = self._context.get_now()
-        is_moved = any(waiting.departure for waiting in group.values())
-        step = task.step
-        priority, accepted = task.job.order
-        return placement.make_order_key(
-            placement.WaitingGroup(
-                priority,
-                accepted,
-                max(waiting.compute_wait(now) for waiting in group.values()),
-                step.is_long_running,
-                not step.max_per_runner,
-                step.image,
-                # A moved task has waited and worked before.
-                (
-                    0
-                    if is_moved or step.is_long_running
-                    else task.job.compute_demand()
-                ),
-                _prospects.assess_job(task, self._context.clock.get_utc()),
-            ),
-            self._context.policy,
-        )
-
-    def _is_paused(self, task: _state.TaskEntry) -> bool:
+    def is_paused(self, task: _state.TaskEntry) -> bool:
+        """Returns whether the start of a task is paused."""
         if not self._has_paused_starts:
             return False
         if (
@@ -441,6 +417,9 @@
             or ""
         )
         context.job_tracker.begin_start(task, entry)
+        context.wait_estimator.record_start(
+            entry.record.service, task.step, context.get_now()
+        )
         if not task.step.is_long_running:
             context.health.record_start(entry.identifier, context.get_now())
         self._commands.start_task(task, entry, round(speed_limit * 100))
--- a/tamarackhatch/scheduler/_garbage_collector.py
+++ b/tamarackhatch/scheduler/_garbage_collector.py
@@ -1,4 +1,4 @@
-"""Removes rows of finished jobs after their retention time."""
+"""Removes rows of finished and of refused jobs after their retention time."""
 
 import collections
 from collections.abc import Callable
@@ -20,7 +20,7 @@
 
 
 class JobGarbageCollector:
-    """Removes finished jobs after their retention time."""
+    """Removes finished and refused jobs after their retention time."""
 
     def __init__(
         self,
@@ -37,15 +37,26 @@
         self._log = log
         self._finished: collections.deque[tuple[datetime.timedelta, str]]
         self._finished = collections.deque()
+        self._refused: collections.deque[tuple[datetime.timedelta, model.Row]]
+        self._refused = collections.deque()
 
     def record_finished(self, identifier: str) -> None:
         """Starts the retention time of a job that is finished."""
         self._finished.append((self._clock.get_monotonic(), identifier))
 
+    def record_refused(self, row: model.Row) -> None:
+        """Starts the retention time of a refusal row.
+
+        Writes that began before the refusal are conditional on its absence.
+        They must have ended before it is removed.
+        """
+        self._refused.append((self._clock.get_monotonic(), row))
+
     async def run(self) -> None:
-        """Removes rows of finished jobs until cancelled."""
+        """Removes rows until cancelled."""
         while True:
             await self._clock.sleep(_ROUND_INTERVAL)
+            await self._remove_refusals()
             for _ in range(_MAX_JOBS_PER_ROUND):
                 if not self._is_due():
                     break
@@ -55,6 +66,31 @@
                 self._finished.popleft()
                 self._remove_job(identifier)
 
+    async def _remove_refusals(self) -> None:
+        for _ in range(_MAX_JOBS_PER_ROUND):
+            if not self._refused:
+                return
+            recorded, row = self._refused[0]
+            if self._clock.get_monotonic() - recorded < self._retention:
+                return
+            try:
+                # A conflict says that the row was written again since, or was
+                # removed with the job.
+                await self._store.write(
+                    [(row.ref, row.version)], [], [row.ref], _WRITE_TIMEOUT
+                )
+            except (
+                model.StoreUnavailableError,
+                model.StoreOutcomeUnknownError,
+            ) as error:
+                self._log.info(
+                    "job_removal_failed",
+                    job=row.ref.key,
+                    reason=error.message,
+                )
+                return
+            self._refused.popleft()
+
     def _is_due(self) -> bool:
         if not self._finished:
             return False
@@ -68,6 +104,7 @@
             [
                 records.get_job_ref(identifier),
                 records.get_cancel_ref(identifier),
+                records.get_refusal_ref(identifier),
             ],
             [records.get_progress_ref(identifier)],
         )
--- a/tamarackhatch/scheduler/_prospects.py
+++ b/tamarackhatch/scheduler/_prospects.py
@@ -1,8 +1,9 @@
-"""How well jobs can still be served, from their tasks and their queue."""
+"""Order of waiting tasks, and how well their jobs can still be served."""
 
 import datetime
 
 from tamarackhatch import placement
+from tamarackhatch.scheduler import _context
 from tamarackhatch.scheduler import _state
 
 # A submitter's estimate of a run time may be short by this factor. A job that
@@ -35,3 +36,37 @@
     return placement.assess_prospect(
         now - due, task.step.estimate / _ESTIMATE_ERROR, objective
     )
+
+
+def make_order_key(
+    group: dict[int, _state.TaskEntry], context: _context.SchedulerContext
+) -> placement.OrderKey:
+    """Returns the sort key of the waiting tasks of one step.
+
+    Args:
+        group: The tasks by index.
+        context: Components of the scheduler.
+    """
+    task = next(iter(group.values()))
+    now = context.get_now()
+    is_moved = any(waiting.departure for waiting in group.values())
+    step = task.step
+    priority, accepted = task.job.order
+    return placement.make_order_key(
+        placement.WaitingGroup(
+            priority,
+            accepted,
+            max(waiting.compute_wait(now) for waiting in group.values()),
+            step.is_long_running,
+            not step.max_per_runner,
+            step.image,
+            # A moved task has waited and worked before.
+            (
+                0
+                if is_moved or step.is_long_running
+                else task.job.compute_demand()
+            ),
+            assess_job(task, context.clock.get_utc()),
+        ),
+        context.policy,
+    )
--- a/tamarackhatch/scheduler/_scheduler.py
+++ b/tamarackhatch/scheduler/_scheduler.py
@@ -3,6 +3,7 @@
 import asyncio
 import datetime
 
+from tamarackhatch import admission
 from tamarackhatch import election
 from tamarackhatch import health
 from tamarackhatch import model
@@ -23,6 +24,7 @@
 from tamarackhatch.scheduler import _state
 from tamarackhatch.scheduler import _stragglers
 from tamarackhatch.scheduler import _tickets
+from tamarackhatch.scheduler import _waits
 from tamarackhatch.scheduler import _writer
 
 _READ_TIMEOUT = datetime.timedelta(milliseconds=1500)
@@ -79,6 +81,8 @@
             ),
             log,
             metrics,
+            self._summarise_waits,
+            dependencies.on_heartbeat,
         )
         wake = asyncio.Event()
         self._tickets = _tickets.TicketCache(
@@ -109,6 +113,7 @@
             policy=dependencies.policy,
             tickets=self._tickets,
             load_monitor=_load_monitor.LoadMonitor(time_source, log, metrics),
+            wait_estimator=admission.WaitEstimator(),
             health=health.HealthMonitor(),
             stalls=health.StallDetector(),
             evacuations=self._evacuations,
@@ -132,6 +137,9 @@
         self._dispatcher = _dispatcher.Dispatcher(
             self._context, self._commands
         )
+        self._wait_reporter = _waits.WaitReporter(
+            self._context, self._dispatcher.is_paused
+        )
         self._straggler_mover = _stragglers.StragglerMover(
             self._context,
             self._dispatcher.list_candidates,
@@ -219,6 +227,9 @@
             return self._term.pending
         return self._context.job_tracker.count_pending()
 
+    def _summarise_waits(self) -> tuple[model.WaitSummary, ...]:
+        return self._wait_reporter.summarise() if self._has_loaded_jobs else ()
+
     async def _start_up(self, claim_time: datetime.timedelta) -> None:
         tracked_runners = await self._load_progress()
         # Runners report runs of jobs, so the jobs must be loaded first.
@@ -357,6 +368,10 @@
         if cancelled is not None:
             job_tracker.cancel_job(cancelled)
             return
+        refused = records.get_refused_job(row.ref.key)
+        if refused is not None:
+            self._garbage_collector.record_refused(row)
+            return
         if job_tracker.has_job(row.ref.key):
             return
         if row.ref.key in self._jobs_without_progress:
--- a/tamarackhatch/scheduler/_state.py
+++ b/tamarackhatch/scheduler/_state.py
@@ -1,6 +1,5 @@
 """The scheduler's in-memory state of jobs and tasks."""
 
-from collections.abc import Sequence
 import datetime
 import enum
 import functools
@@ -226,7 +225,7 @@
     @functools.cached_property
     def longest_chain(self) -> datetime.timedelta:
         """Estimated run time of the longest chain of dependent steps."""
-        return compute_longest_chain(self.job.steps)
+        return model.compute_longest_chain(self.job.steps)
 
     def iterate_tasks(self) -> typing.Iterator[TaskEntry]:
         """Yields the tasks of all known occurrences."""
@@ -256,24 +255,6 @@
         )
 
 
-def compute_longest_chain(
-    steps: Sequence[model.Step],
-) -> datetime.timedelta:
-    """Returns the estimated run time of the longest chain of steps.
-
-    Args:
-        steps: The steps of a job; each depends on earlier ones only.
-    """
-    ends: list[datetime.timedelta] = []
-    for step in steps:
-        begin = max(
-            (ends[before] for before in step.after),
-            default=datetime.timedelta(),
-        )
-        ends.append(begin + step.estimate)
-    return max(ends, default=datetime.timedelta())
-
-
 def build_occurrence(
     entry: JobEntry,
     number: int,
--- a/tamarackhatch/scheduler/_writer.py
+++ b/tamarackhatch/scheduler/_writer.py
@@ -68,7 +68,15 @@
         configuration: _configuration_publisher.ConfigurationPublisher,
         log: observability.Log,
         metrics: observability.Metrics,
+        summarise_waits: Callable[
+            [], tuple[model.WaitSummary, ...]
+        ] = lambda: (),
+        on_heartbeat: Callable[[records.LeaderHeartbeat], None] = (
+            lambda heartbeat: None
+        ),
     ) -> None:
+        self._summarise_waits = summarise_waits
+        self._on_heartbeat = on_heartbeat
         self._store = store
         self._clock = time_source
         self._leader_lease = leader_lease
@@ -216,6 +224,7 @@
         self._record_commit(generation, is_complete=not self._unwritten_jobs)
         if has_heartbeat:
             self._configuration.record_commit()
+            self._on_heartbeat(self._heartbeat)
         if tracked_runners is not None:
             tracked_runners.on_tracked()
         return True
@@ -244,6 +253,7 @@
             self._count_pending(),
             None if publication is None else publication.version,
             0 if publication is None else publication.position,
+            waits=() if is_release else self._summarise_waits(),
         )
         return model.Put(
             records.LEADER_HEARTBEAT,
--- a/tamarackhatch/server/_instance.py
+++ b/tamarackhatch/server/_instance.py
@@ -10,6 +10,7 @@
 from tornado import httpserver
 from tornado import httputil
 
+from tamarackhatch import admission
 from tamarackhatch import clock
 from tamarackhatch import entry
 from tamarackhatch import errors
@@ -96,6 +97,9 @@
             initial_settings.bounds.apply_configuration,
             int(self._incarnation[:2], 16) / 256,
         )
+        self._wait_figures = admission.WaitFigures(
+            initial_settings.scheduling.leader_heartbeat_interval
+        )
         self._role = _role.SchedulerRole(
             scheduler.SchedulerDependencies(
                 self._store,
@@ -107,6 +111,7 @@
                 self._metrics,
                 configuration=self._configuration_watcher,
                 enforces_capacity=self._enforces_capacity,
+                on_heartbeat=self._record_heartbeat,
             ),
             self._incarnation,
             self._configuration_watcher.apply_change_row,
@@ -131,6 +136,8 @@
             self._log.for_component("service"),
             self._metrics,
             None if self._entry is None else self._entry.forwarder,
+            self._wait_figures,
+            lambda: self._store.latest_version,
         )
         self._receiver = (
             None
@@ -197,6 +204,11 @@
         self._store_calls.record_answer()
         self._store_liveness.record_answer()
 
+    def _record_heartbeat(self, heartbeat: records.LeaderHeartbeat) -> None:
+        self._wait_figures.record_heartbeat(
+            heartbeat.term, heartbeat.waits, self._clock.get_monotonic()
+        )
+
     def _make_entry(self) -> entry.EntryNode | None:
         """Returns the connection with other instances, if it is set up."""
         address = self._initial_settings.internal_address
--- a/tamarackhatch/server/_role.py
+++ b/tamarackhatch/server/_role.py
@@ -45,6 +45,7 @@
             self._run_scheduler,
             dependencies.log.for_component("election"),
             on_row,
+            dependencies.on_heartbeat,
         )
         self._scheduler: scheduler.Scheduler | None = None
         self._is_stopping = False
--- a/tamarackhatch/service/_jobs.py
+++ b/tamarackhatch/service/_jobs.py
@@ -6,11 +6,13 @@
 import datetime
 import typing
 
+from tamarackhatch import admission
 from tamarackhatch import clock
 from tamarackhatch import model
 from tamarackhatch import observability
 from tamarackhatch import records
 from tamarackhatch.service import _configuration
+from tamarackhatch.service import _submission
 
 # Time between the answer to a caller and the end of the caller's wait.
 _ANSWER_MARGIN = datetime.timedelta(milliseconds=150)
@@ -37,12 +39,18 @@
     """Carries out requests here or, if the store fails here, elsewhere."""
 
     async def submit(
-        self, job: model.Job, deadline: datetime.timedelta, run_here: RunHere
-    ) -> model.Outcome:
+        self,
+        job: model.Job,
+        store_version: int,
+        deadline: datetime.timedelta,
+        run_here: RunHere,
+    ) -> model.JobLookup:
         """Submits a job.
 
         Args:
             job: The job.
+            store_version: A version that the store had reached when the
+                caller's attempt began.
             deadline: Monotonic time until which the answer must be ready.
             run_here: Carries the request out at this instance.
         """
@@ -82,6 +90,8 @@
         log: observability.Log,
         metrics: observability.Metrics,
         forwarder: Forwarder | None = None,
+        figures: admission.WaitFigures | None = None,
+        get_store_version: Callable[[], int] = lambda: 0,
     ) -> None:
         """Creates the job service of one instance.
 
@@ -94,7 +104,14 @@
             metrics: Metrics of the instance.
             forwarder: Forwards requests to other instances; None if all are
                 carried out here.
+            figures: Waits that the active scheduler reports; None if no job
+                is refused.
+            get_store_version: Returns a version that the store has reached.
         """
+        self._submitter = _submission.Submitter(
+            store, figures, time_source, log, metrics
+        )
+        self._get_store_version = get_store_version
         self._forwarder = forwarder
         self._store = store
         self._pending = pending
@@ -178,7 +195,7 @@
 
     async def submit(
         self, job: model.Job, timeout: datetime.timedelta
-    ) -> model.Outcome:
+    ) -> model.JobLookup:
         """Submits a job; a repeated submission changes nothing.
 
         Args:
@@ -187,18 +204,26 @@
         """
         started_at = self._clock.get_monotonic()
         deadline = started_at + timeout - _ANSWER_MARGIN
+        # All attempts for this request, here and elsewhere, rely on the same
+        # version, so that none stores the job after another has refused it.
+        version = self._get_store_version()
         if self._forwarder is None:
-            outcome = await self.submit_here(job, deadline)
+            lookup = await self.submit_here(job, deadline, version)
         else:
-            outcome = await self._forwarder.submit(
+            lookup = await self._forwarder.submit(
                 job,
+                version,
                 deadline,
-                lambda: _wrap(self.submit_here(job, deadline)),
+                lambda: self.submit_here(job, deadline, version),
             )
         self._record_request(
-            "submit", job.identifier, job.queue.name, outcome, started_at
+            "submit",
+            job.identifier,
+            job.queue.name,
+            lookup.outcome,
+            started_at,
         )
-        return outcome
+        return lookup
 
     async def cancel(
         self, identifier: str, queue: model.Queue, timeout: datetime.timedelta
@@ -256,20 +281,25 @@
         return lookup
 
     async def submit_here(
-        self, job: model.Job, deadline: datetime.timedelta
-    ) -> model.Outcome:
+        self,
+        job: model.Job,
+        deadline: datetime.timedelta,
+        store_version: int | None = None,
+    ) -> model.JobLookup:
         """Submits a job to the store, and never forwards it.
 
         Args:
             job: The job.
             deadline: Monotonic time until which the answer must be ready.
+            store_version: A version that the store had reached when the
+                caller's attempt began; None if that is not known. Then the
+                job is not refused here.
         """
         try:
-            await self._store.submit(job, deadline)
+            return await self._submitter.submit(job, deadline, store_version)
         except model.StoreOutcomeUnknownError as error:
             self._log_failed_write(job.identifier, error)
-            return model.Outcome.UNKNOWN
-        return model.Outcome.DONE
+            return model.JobLookup(model.Outcome.UNKNOWN)
 
     async def cancel_here(
         self, identifier: str, deadline: datetime.timedelta
