--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -15,6 +15,7 @@
 from standins import runner
 from standins import store
 from standins import virtual_time
+from tamarackhatch import admission
 from tamarackhatch import model
 from tamarackhatch import observability
 from tamarackhatch import placement
@@ -50,6 +51,8 @@
     Attributes:
         name: Name of the instance.
         jobs: Its job store.
+        figures: Waits that the heartbeats have reported to it.
+        service: Its service for callers, which refuses jobs.
         role: Its scheduler role.
         metrics: Its metrics.
         configuration: Its watcher of the configuration; None without one.
@@ -83,6 +86,9 @@
             liveness,
             records.CallReporter(log, self.metrics).record,
         )
+        self.figures = admission.WaitFigures(
+            settings.Scheduling().leader_heartbeat_interval
+        )
         address = settings.Address("127.0.0.1", 1)
         configured = settings.Settings(
             instance=name,
@@ -116,6 +122,11 @@
             fleet.policy,
             self.configuration,
             lambda service: fleet.enforces_capacity,
+            lambda heartbeat: self.figures.record_heartbeat(
+                heartbeat.term,
+                heartbeat.waits,
+                fleet.clock.get_monotonic(),
+            ),
         )
         watcher = self.configuration
         self.role = server.SchedulerRole(
@@ -127,6 +138,20 @@
                 else watcher.apply_change_row
             ),
         )
+        self.service = service.JobService(
+            self.jobs,
+            watcher
+            or service.ConfigurationWatcher(
+                table_store, fleet.clock, log, fleet.apply_time, 0.0
+            ),
+            self.role,
+            fleet.clock,
+            log,
+            self.metrics,
+            None,
+            self.figures,
+            lambda: table_store.latest_version,
+        )
         self._tasks = [asyncio.create_task(self.role.run())]
         if watcher is not None:
             watcher.set_publications(self.role, self.role.request_publication)
@@ -268,7 +293,7 @@
         queue: model.Queue = QUEUE,
         timeout: datetime.timedelta = _SUBMIT_TIMEOUT,
     ) -> model.Outcome:
-        """Submits a job and returns DONE or UNKNOWN.
+        """Submits a job that is never refused, and returns DONE or UNKNOWN.
 
         The job counts as accepted either way, since it may be stored.
         """
@@ -284,6 +309,27 @@
             return model.Outcome.UNKNOWN
         return model.Outcome.DONE
 
+    async def ask_service(
+        self,
+        identifier: str,
+        *steps: model.Step,
+        instance: str | None = None,
+        queue: model.Queue = QUEUE,
+        timeout: datetime.timedelta = _SUBMIT_TIMEOUT,
+    ) -> model.JobLookup:
+        """Submits a job as a caller does, and returns the answer.
+
+        The job counts as accepted unless it is refused.
+        """
+        names = list(self.instances)
+        target = self.instances[instance or names[0]]
+        job = model.Job(identifier, queue, "work", steps, self.clock.get_utc())
+        self.history.record_steps(identifier, steps)
+        lookup = await target.service.submit(job, timeout)
+        if lookup.outcome is not model.Outcome.REFUSED:
+            self.history.accepted.add(identifier)
+        return lookup
+
     async def read_state(
         self, identifier: str, instance: str | None = None
     ) -> model.JobState | None:
--- a/tamarackhatch/admission/_decision.py
+++ b/tamarackhatch/admission/_decision.py
@@ -16,9 +16,13 @@
 
 _SECOND = datetime.timedelta(seconds=1)
 _NO_TIME = datetime.timedelta()
-# Submitters' estimates, of this job and of the work before it, may be too
-# long by this factor.
+# A submitter's estimate may be too long by this factor. Estimates that are all
+# too long do not change the figure for the wait, because work that waits and
+# work that was placed are counted by the same estimates.
 _ESTIMATE_ERROR = 2.0
+# The scheduler takes a job for late only beyond its objective by estimates
+# that are longer by this factor.
+_LATE_FACTOR = 2.0
 
 
 @attrs.frozen
@@ -26,7 +30,7 @@
     """Why a job is refused.
 
     Attributes:
-        expected_wait: Least time that the job would wait for capacity.
+        expected_wait: Time that the job would wait for capacity.
         objective: Its latency objective.
         work_time: Time for which it would occupy the service's capacity.
     """
@@ -58,9 +62,14 @@
     # A job that free capacity would not help is no matter of overload.
     if elapsed + run_time > limit:
         return None
+    late_after = queue.stretch * _LATE_FACTOR * chain + queue.target_latency
     overloads = []
     for waits in reports:
-        wait = _estimate_wait(job, waits)
+        wait = _estimate_wait(job, waits, False)
+        if wait is None or elapsed + wait <= late_after:
+            return None
+        # Once the job is late, more work goes before it.
+        wait = _estimate_wait(job, waits, True)
         if wait is None or elapsed + wait + run_time <= limit:
             return None
         overloads.append(
@@ -86,17 +95,23 @@
 
 
 def _estimate_wait(
-    job: model.Job, waits: _figures.Waits
+    job: model.Job, waits: _figures.Waits, is_late: bool
 ) -> datetime.timedelta | None:
-    """Returns the least plausible wait of a job; None if it has none."""
+    """Returns the wait of a job for capacity; None if it may have none.
+
+    Args:
+        job: The job.
+        waits: What a heartbeat reports.
+        is_late: Whether the job misses its objective meanwhile.
+    """
     demand = sum(step.resources.processors * step.count for step in job.steps)
     found = []
     for step in job.steps:
         summary = _find_summary(job, step, waits)
         if summary is None or not _is_blocked(step, summary):
             return None
-        work = summary.get_work_before(job.queue.priority, demand)
-        found.append(_SECOND * (work / summary.rate / _ESTIMATE_ERROR))
+        work = summary.get_work_before(job.queue.priority, demand, is_late)
+        found.append(_SECOND * (work / summary.rate))
     return min(found)
 
 
@@ -138,5 +153,5 @@
         summary = _find_summary(job, step, waits)
         assert summary is not None
         processors = step.resources.processors * step.count
-        total += step.estimate * (processors / summary.rate / _ESTIMATE_ERROR)
+        total += step.estimate * (processors / summary.rate)
     return total
--- a/tamarackhatch/admission/_estimator.py
+++ b/tamarackhatch/admission/_estimator.py
@@ -22,8 +22,8 @@
 # Limits of the summaries, which all instances read with each heartbeat. What
 # is left out shortens the estimated waits.
 _MAX_SUMMARIES = 16
-_MAX_LEVELS = 8
-_MAX_POINTS = 6
+_MAX_LEVELS = 4
+_MAX_POINTS = 4
 _MAX_BLOCKED = 4
 
 _Kind = tuple[str, bool]
@@ -53,10 +53,11 @@
 
 @attrs.frozen
 class Pool:
-    """Runners of a service that may start tasks.
+    """Runners of a service.
 
     Attributes:
-        free: For each resource, the most that is free on any one runner.
+        free: For each resource, the most that is free on any one runner that
+            may start tasks.
         batch_processors: Millicores that batch tasks reserve.
         best_effort_processors: Millicores that best-effort tasks ask for.
     """
@@ -65,30 +66,28 @@
     batch_processors: int = 0
     best_effort_processors: int = 0
 
-    def add_runner(self, load: placement.RunnerLoad) -> "Pool":
-        """Returns the pool with another runner."""
-        capacity, unassigned = load.capacity, load.unassigned
-        return Pool(
-            model.Resources(
-                max(
-                    self.free.processors,
-                    capacity.processors
-                    - load.reserved_cpu
-                    - unassigned.processors,
-                ),
-                max(
-                    self.free.memory_mb,
-                    capacity.memory_mb
-                    - load.reserved_memory_mb
-                    - unassigned.memory_mb,
-                ),
+    def add_runner(
+        self, load: placement.RunnerLoad, is_usable: bool
+    ) -> "Pool":
+        """Returns the pool with another runner.
+
+        Args:
+            load: What the runner's tasks reserve and use.
+            is_usable: Whether any task may start there.
+        """
+        free = self.free
+        if is_usable:
+            left = load.capacity - load.unassigned
+            free = model.Resources(
+                max(free.processors, left.processors - load.reserved_cpu),
+                max(free.memory_mb, left.memory_mb - load.reserved_memory_mb),
                 max(
-                    self.free.accelerators,
-                    capacity.accelerators
-                    - load.reserved_accelerators
-                    - unassigned.accelerators,
+                    free.accelerators,
+                    left.accelerators - load.reserved_accelerators,
                 ),
-            ),
+            )
+        return Pool(
+            free,
             self.batch_processors + load.batch_cpu,
             self.best_effort_processors + load.best_effort_cpu,
         )
@@ -205,15 +204,21 @@
     for priority in sorted(by_priority):
         urgent = total
         amounts: collections.Counter[int] = collections.Counter()
+        late: collections.Counter[int] = collections.Counter()
         for work in by_priority[priority]:
             amount = _compute_work(work.step) * work.count
             total += amount
-            # Work of a later rank goes behind a new job.
             if work.order.rank <= placement.Rank.BATCH:
                 amounts[work.order.demand] += amount
+            if work.order.rank <= placement.Rank.LATE_BATCH:
+                late[work.order.demand] += amount
         levels.append(
             model.WaitLevel(
-                priority, urgent, total, _make_points(urgent, amounts)
+                priority,
+                urgent,
+                total,
+                _make_points(urgent, amounts),
+                _make_points(urgent, late),
             )
         )
     return tuple(levels[:_MAX_LEVELS])
--- a/tamarackhatch/entry/tests/fleet.py
+++ b/tamarackhatch/entry/tests/fleet.py
@@ -12,6 +12,7 @@
 from standins import network
 from standins import store
 from standins import virtual_time
+from tamarackhatch import admission
 from tamarackhatch import entry
 from tamarackhatch import model
 from tamarackhatch import observability
@@ -45,6 +46,7 @@
         service: Its service for callers.
         node: Its entry node; None without an internal address.
         configuration: Its configuration.
+        figures: Waits that it was told; none at first.
         metrics: Its metrics.
         is_stopping: Whether it has got SIGTERM.
     """
@@ -93,6 +95,9 @@
                 log,
                 self.metrics,
             )
+        self.figures = admission.WaitFigures(
+            datetime.timedelta(seconds=_HEARTBEAT_INTERVAL_S)
+        )
         self.service = service.JobService(
             records.JobStore(table_store, fleet.clock, lambda: 1, liveness),
             typing.cast(typing.Any, self.configuration),
@@ -101,6 +106,8 @@
             log,
             self.metrics,
             None if self.node is None else self.node.forwarder,
+            self.figures,
+            lambda: table_store.latest_version,
         )
         self._tasks = [
             asyncio.create_task(self._follow_heartbeat(table_store))
@@ -227,7 +234,10 @@
 
     def read_job(self, identifier: str) -> bytes | None:
         """Returns the stored row of a job, or None."""
-        ref = records.get_job_ref(identifier)
+        return self.read_row(records.get_job_ref(identifier))
+
+    def read_row(self, ref: model.RowRef) -> bytes | None:
+        """Returns the value of a row, or None."""
         value = self.store.get(ref.table, ref.key, ref.partition)
         return None if value is None else base64.b64decode(value)
 
--- a/tamarackhatch/model/_waits.py
+++ b/tamarackhatch/model/_waits.py
@@ -44,24 +44,30 @@
         total_work: Waiting work of this and more urgent priorities.
         points: Work that goes before new jobs of this priority, by rising
             demand. It includes the more urgent work.
+        late_points: The same for jobs that miss their objective, and go
+            behind those that can still meet it.
     """
 
     priority: int
     urgent_work: int
     total_work: int
     points: tuple[WorkPoint, ...] = ()
+    late_points: tuple[WorkPoint, ...] = ()
 
-    def get_work_before(self, priority: int, demand: int) -> int:
-        """Returns the work that goes before a new job, in millicore seconds.
+    def get_work_before(
+        self, priority: int, demand: int, is_late: bool
+    ) -> int:
+        """Returns the work that goes before a job, in millicore seconds.
 
         Args:
             priority: Priority of the job, this one or a less urgent one.
             demand: Millicores that its tasks ask for together.
+            is_late: Whether it misses its objective.
         """
         if priority > self.priority:
             return self.total_work
         work = self.urgent_work
-        for point in self.points:
+        for point in self.late_points if is_late else self.points:
             if point.demand > demand:
                 break
             work = point.work
@@ -90,12 +96,15 @@
     blocked: tuple[BlockedTask, ...] = ()
     levels: tuple[WaitLevel, ...] = ()
 
-    def get_work_before(self, priority: int, demand: int) -> int:
-        """Returns the work that goes before a new job, in millicore seconds.
+    def get_work_before(
+        self, priority: int, demand: int, is_late: bool
+    ) -> int:
+        """Returns the work that goes before a job, in millicore seconds.
 
         Args:
             priority: Priority of the job.
             demand: Millicores that its tasks ask for together.
+            is_late: Whether it misses its objective.
         """
         level = next(
             (
@@ -105,4 +114,6 @@
             ),
             None,
         )
-        return 0 if level is None else level.get_work_before(priority, demand)
+        if level is None:
+            return 0
+        return level.get_work_before(priority, demand, is_late)
--- a/tamarackhatch/records/_waits.py
+++ b/tamarackhatch/records/_waits.py
@@ -25,7 +25,8 @@
                     level.priority,
                     level.urgent_work,
                     level.total_work,
-                    [[point.demand, point.work] for point in level.points],
+                    _encode_points(level.points),
+                    _encode_points(level.late_points),
                 ]
                 for level in summary.levels
             ],
@@ -67,12 +68,17 @@
                 level[1],
                 level[2],
                 tuple(model.WorkPoint(*point) for point in level[3]),
+                tuple(model.WorkPoint(*point) for point in level[4]),
             )
             for level in levels
         ),
     )
 
 
+def _encode_points(points: tuple[model.WorkPoint, ...]) -> list[list[int]]:
+    return [[point.demand, point.work] for point in points]
+
+
 def _encode_resources(resources: model.Resources) -> list[int]:
     return [
         resources.processors,
--- a/tamarackhatch/scheduler/_dispatcher.py
+++ b/tamarackhatch/scheduler/_dispatcher.py
@@ -15,6 +15,7 @@
 from tamarackhatch.scheduler import _load_monitor
 from tamarackhatch.scheduler import _prospects
 from tamarackhatch.scheduler import _state
+from tamarackhatch.scheduler import _waits
 
 # Events within this time share one placement pass.
 _MIN_PASS_INTERVAL = datetime.timedelta(milliseconds=10)
@@ -35,6 +36,7 @@
         self._context = context
         self._commands = commands
         self._large_tasks = _large_tasks.LargeTaskReserver(context)
+        self._waits = _waits.WaitReporter(context, self.is_paused)
         self._probes = _health.ProbePlacer(
             context, self.is_paused, self._place_task
         )
@@ -49,6 +51,11 @@
         self._paused_version: int | None = None
         self._registry_read = datetime.timedelta.min
 
+    @property
+    def waits(self) -> _waits.WaitReporter:
+        """Reports the work that the passes leave waiting."""
+        return self._waits
+
     def mark_registry_read(self, time: datetime.timedelta) -> None:
         """Records that all registry rows of a monotonic time were applied."""
         self._registry_read = time
@@ -125,6 +132,7 @@
         counters = context.load_monitor.counters
         counters.passes += 1
         counters.pass_time += context.get_now() - began
+        self._waits.record_pass(candidates)
 
     def _run_group(
         self,
--- a/tamarackhatch/scheduler/_scheduler.py
+++ b/tamarackhatch/scheduler/_scheduler.py
@@ -24,7 +24,6 @@
 from tamarackhatch.scheduler import _state
 from tamarackhatch.scheduler import _stragglers
 from tamarackhatch.scheduler import _tickets
-from tamarackhatch.scheduler import _waits
 from tamarackhatch.scheduler import _writer
 
 _READ_TIMEOUT = datetime.timedelta(milliseconds=1500)
@@ -137,9 +136,6 @@
         self._dispatcher = _dispatcher.Dispatcher(
             self._context, self._commands
         )
-        self._wait_reporter = _waits.WaitReporter(
-            self._context, self._dispatcher.is_paused
-        )
         self._straggler_mover = _stragglers.StragglerMover(
             self._context,
             self._dispatcher.list_candidates,
@@ -228,7 +224,11 @@
         return self._context.job_tracker.count_pending()
 
     def _summarise_waits(self) -> tuple[model.WaitSummary, ...]:
-        return self._wait_reporter.summarise() if self._has_loaded_jobs else ()
+        return (
+            self._dispatcher.waits.get_summaries()
+            if self._has_loaded_jobs
+            else ()
+        )
 
     async def _start_up(self, claim_time: datetime.timedelta) -> None:
         tracked_runners = await self._load_progress()
--- a/tamarackhatch/scheduler/_waits.py
+++ b/tamarackhatch/scheduler/_waits.py
@@ -2,19 +2,31 @@
 
 from collections.abc import Callable
 from collections.abc import Iterator
+from collections.abc import Mapping
+from collections.abc import Sequence
+import datetime
 
 from tamarackhatch import admission
 from tamarackhatch import model
+from tamarackhatch import placement
 from tamarackhatch.scheduler import _context
 from tamarackhatch.scheduler import _crash_suspects
 from tamarackhatch.scheduler import _prospects
 from tamarackhatch.scheduler import _state
 
+_MILLISECOND = datetime.timedelta(milliseconds=1)
+# Shorter than the interval of heartbeats, so that each has a summary of its
+# own, and far longer than the time between two passes.
+_INTERVAL = 500 * _MILLISECOND
+# Passes take place every 250 ms while tasks wait.
+_MAX_AGE = 1000 * _MILLISECOND
+
 
 class WaitReporter:
-    """Summarises the waiting work for a heartbeat.
+    """Summarises the work that placement passes leave waiting.
 
-    Nothing is computed in a placement pass, only once for each heartbeat.
+    Capacity that becomes free is used by the next pass, 10 ms later at most.
+    What is free right after a pass is of no use to the tasks that wait.
     """
 
     def __init__(
@@ -30,15 +42,39 @@
         """
         self._context = context
         self._is_paused = is_paused
+        self._summaries: tuple[model.WaitSummary, ...] = ()
+        self._refreshed_at: datetime.timedelta | None = None
+
+    def record_pass(
+        self, candidates: Mapping[str, Sequence[placement.CandidateRunner]]
+    ) -> None:
+        """Records a placement pass that has ended.
 
-    def summarise(self) -> tuple[model.WaitSummary, ...]:
+        Args:
+            candidates: Runners that any task may use, by service.
+        """
+        context = self._context
+        now = context.get_now()
+        if (
+            self._refreshed_at is not None
+            and now - self._refreshed_at < _INTERVAL
+        ):
+            return
+        self._refreshed_at = now
+        self._summaries = context.wait_estimator.summarise(
+            list(self._list_waiting()), self._make_pools(candidates), now
+        )
+
+    def get_summaries(self) -> tuple[model.WaitSummary, ...]:
         """Returns summaries of the work that waits for capacity."""
         context = self._context
-        if not context.job_tracker.waiting:
+        if (
+            not context.job_tracker.waiting
+            or self._refreshed_at is None
+            or context.get_now() - self._refreshed_at > _MAX_AGE
+        ):
             return ()
-        return context.wait_estimator.summarise(
-            list(self._list_waiting()), self._make_pools(), context.get_now()
-        )
+        return self._summaries
 
     def _list_waiting(self) -> Iterator[admission.WaitingWork]:
         now = self._context.get_now()
@@ -56,17 +92,21 @@
                 _may_run_anywhere(first),
             )
 
-    def _make_pools(self) -> dict[str, admission.Pool]:
-        context = self._context
-        now = context.get_now()
+    def _make_pools(
+        self, candidates: Mapping[str, Sequence[placement.CandidateRunner]]
+    ) -> dict[str, admission.Pool]:
+        usable = {
+            candidate.load.identifier
+            for group in candidates.values()
+            for candidate in group
+        }
         pools: dict[str, admission.Pool] = {}
-        for entry in context.list_open_runners():
-            if entry.is_schedulable(now) and not context.health.is_ejected(
-                entry.identifier
-            ):
-                service = entry.record.service
-                pool = pools.get(service, admission.Pool())
-                pools[service] = pool.add_runner(entry.load)
+        for entry in self._context.fleet.values():
+            service = entry.record.service
+            pool = pools.get(service, admission.Pool())
+            pools[service] = pool.add_runner(
+                entry.load, entry.identifier in usable
+            )
         return pools
 
 
