--- a/tamarackhatch/admission/_estimator.py
+++ b/tamarackhatch/admission/_estimator.py
@@ -1,6 +1,7 @@
 """The scheduler's estimate of how long new batch work waits."""
 
 import collections
+from collections.abc import Callable
 from collections.abc import Iterable
 from collections.abc import Mapping
 import datetime
@@ -51,45 +52,53 @@
     may_run_anywhere: bool
 
 
-@attrs.frozen
+@attrs.define
 class Pool:
     """Runners of a service.
 
     Attributes:
-        free: For each resource, the most that is free on any one runner that
+        free_processors: Most millicores that are free on any one runner that
             may start tasks.
+        free_memory_mb: The same for the memory.
+        free_accelerators: The same for the accelerators.
         batch_processors: Millicores that batch tasks reserve.
         best_effort_processors: Millicores that best-effort tasks ask for.
     """
 
-    free: model.Resources = model.Resources()
+    free_processors: int = 0
+    free_memory_mb: int = 0
+    free_accelerators: int = 0
     batch_processors: int = 0
     best_effort_processors: int = 0
 
-    def add_runner(
-        self, load: placement.RunnerLoad, is_usable: bool
-    ) -> "Pool":
-        """Returns the pool with another runner.
+    @property
+    def free(self) -> model.Resources:
+        """For each resource, the most that is free on any one runner."""
+        return model.Resources(
+            self.free_processors, self.free_memory_mb, self.free_accelerators
+        )
+
+    def add_runner(self, load: placement.RunnerLoad, is_usable: bool) -> None:
+        """Adds a runner.
 
         Args:
             load: What the runner's tasks reserve and use.
             is_usable: Whether any task may start there.
         """
-        free = self.free
-        if is_usable:
-            left = load.capacity - load.unassigned
-            free = model.Resources(
-                max(free.processors, left.processors - load.reserved_cpu),
-                max(free.memory_mb, left.memory_mb - load.reserved_memory_mb),
-                max(
-                    free.accelerators,
-                    left.accelerators - load.reserved_accelerators,
-                ),
-            )
-        return Pool(
-            free,
-            self.batch_processors + load.batch_cpu,
-            self.best_effort_processors + load.best_effort_cpu,
+        self.batch_processors += load.batch_cpu
+        self.best_effort_processors += load.best_effort_cpu
+        if not is_usable:
+            return
+        left = load.capacity - load.unassigned
+        self.free_processors = max(
+            self.free_processors, left.processors - load.reserved_cpu
+        )
+        self.free_memory_mb = max(
+            self.free_memory_mb, left.memory_mb - load.reserved_memory_mb
+        )
+        self.free_accelerators = max(
+            self.free_accelerators,
+            left.accelerators - load.reserved_accelerators,
         )
 
 
@@ -108,34 +117,45 @@
         buckets = self._started.setdefault(
             (service, step.is_best_effort), collections.Counter()
         )
-        buckets[now // _BUCKET] += _compute_work(step)
+        bucket = now // _BUCKET
+        if bucket not in buckets:
+            _expire(buckets, now)
+        buckets[bucket] += _compute_work(step)
 
     def summarise(
         self,
         waiting: Iterable[WaitingWork],
-        pools: Mapping[str, Pool],
+        make_pools: Callable[[], Mapping[str, Pool]],
         now: datetime.timedelta,
     ) -> tuple[model.WaitSummary, ...]:
         """Returns summaries of the kinds of work of which some is blocked.
 
         Args:
             waiting: All waiting batch tasks.
-            pools: The runners by service.
+            make_pools: Returns the runners by service. It is called only if
+                some work is blocked, because it takes time.
             now: Monotonic time.
         """
-        self._expire(now)
         by_kind: dict[_Kind, list[WaitingWork]] = {}
         for work in waiting:
             kind = (work.service, work.step.is_best_effort)
             by_kind.setdefault(kind, []).append(work)
+        blocked_by_kind = {
+            kind: blocked
+            for kind, works in by_kind.items()
+            if (blocked := _list_blocked(works))
+        }
+        if not blocked_by_kind:
+            return ()
+        pools = make_pools()
         summaries = []
-        for kind, works in by_kind.items():
-            blocked = _list_blocked(works)
+        for kind, blocked in blocked_by_kind.items():
+            works = by_kind[kind]
             pool = pools.get(kind[0], Pool())
-            rate = self._estimate_rate(kind, pool)
+            rate = self._estimate_rate(kind, pool, now)
             # Without any progress there is no figure for the wait. Serving
             # tasks that hold everything may still end at any time.
-            if blocked and rate > 0:
+            if rate > 0:
                 summaries.append(
                     model.WaitSummary(
                         *kind, rate, pool.free, blocked, _list_levels(works)
@@ -144,21 +164,16 @@
         summaries.sort(key=lambda summary: -summary.levels[-1].total_work)
         return tuple(summaries[:_MAX_SUMMARIES])
 
-    def _expire(self, now: datetime.timedelta) -> None:
-        oldest = (now - _RATE_WINDOW) // _BUCKET
-        for kind, buckets in list(self._started.items()):
-            for number in [n for n in buckets if n < oldest]:
-                del buckets[number]
-            if not buckets:
-                del self._started[kind]
-
-    def _estimate_rate(self, kind: _Kind, pool: Pool) -> int:
+    def _estimate_rate(
+        self, kind: _Kind, pool: Pool, now: datetime.timedelta
+    ) -> int:
         """Returns the work that a service gets done in a second.
 
         Tasks that start in bursts make the starts of the last seconds too few
         at times, so that the work in progress counts if it is more.
         """
         started = self._started.get(kind, collections.Counter())
+        _expire(started, now)
         window_s = _RATE_WINDOW / _SECOND
         in_progress = (
             pool.best_effort_processors if kind[1] else pool.batch_processors
@@ -166,6 +181,15 @@
         return max(int(started.total() / window_s), in_progress)
 
 
+def _expire(
+    buckets: collections.Counter[int], now: datetime.timedelta
+) -> None:
+    """Removes the starts before the last seconds."""
+    oldest = (now - _RATE_WINDOW) // _BUCKET
+    for number in [number for number in buckets if number < oldest]:
+        del buckets[number]
+
+
 def _compute_work(step: model.Step) -> int:
     """Returns the work of one task, in millicore seconds."""
     return int(step.resources.processors * (step.estimate / _SECOND))
--- a/tamarackhatch/scheduler/_dispatcher.py
+++ b/tamarackhatch/scheduler/_dispatcher.py
@@ -132,7 +132,7 @@
         counters = context.load_monitor.counters
         counters.passes += 1
         counters.pass_time += context.get_now() - began
-        self._waits.record_pass(candidates)
+        self._waits.record_pass(ordered, candidates)
 
     def _run_group(
         self,
--- a/tamarackhatch/scheduler/_waits.py
+++ b/tamarackhatch/scheduler/_waits.py
@@ -11,9 +11,10 @@
 from tamarackhatch import placement
 from tamarackhatch.scheduler import _context
 from tamarackhatch.scheduler import _crash_suspects
-from tamarackhatch.scheduler import _prospects
 from tamarackhatch.scheduler import _state
 
+Group = Mapping[int, _state.TaskEntry]
+
 _MILLISECOND = datetime.timedelta(milliseconds=1)
 # Shorter than the interval of heartbeats, so that each has a summary of its
 # own, and far longer than the time between two passes.
@@ -46,11 +47,15 @@
         self._refreshed_at: datetime.timedelta | None = None
 
     def record_pass(
-        self, candidates: Mapping[str, Sequence[placement.CandidateRunner]]
+        self,
+        ordered: Sequence[tuple[placement.OrderKey, Group]],
+        candidates: Mapping[str, Sequence[placement.CandidateRunner]],
     ) -> None:
         """Records a placement pass that has ended.
 
         Args:
+            ordered: The groups of waiting tasks, of which some are empty now,
+                with their sort keys.
             candidates: Runners that any task may use, by service.
         """
         context = self._context
@@ -62,7 +67,9 @@
             return
         self._refreshed_at = now
         self._summaries = context.wait_estimator.summarise(
-            list(self._list_waiting()), self._make_pools(candidates), now
+            self._list_waiting(ordered),
+            lambda: self._make_pools(candidates),
+            now,
         )
 
     def get_summaries(self) -> tuple[model.WaitSummary, ...]:
@@ -76,16 +83,22 @@
             return ()
         return self._summaries
 
-    def _list_waiting(self) -> Iterator[admission.WaitingWork]:
+    def _list_waiting(
+        self, ordered: Sequence[tuple[placement.OrderKey, Group]]
+    ) -> Iterator[admission.WaitingWork]:
         now = self._context.get_now()
-        for group in self._context.job_tracker.waiting.values():
-            first = next(iter(group.values()))
-            if first.step.is_long_running or self._is_paused(first):
+        for order, group in ordered:
+            first = next(iter(group.values()), None)
+            if (
+                first is None
+                or first.step.is_long_running
+                or self._is_paused(first)
+            ):
                 continue
             yield admission.WaitingWork(
                 first.job.job.queue.service,
                 first.step,
-                _prospects.make_order_key(group, self._context),
+                order,
                 # It is not known how much is left of the others.
                 sum(not task.checkpoint for task in group.values()),
                 first.compute_wait(now),
@@ -103,10 +116,8 @@
         pools: dict[str, admission.Pool] = {}
         for entry in self._context.fleet.values():
             service = entry.record.service
-            pool = pools.get(service, admission.Pool())
-            pools[service] = pool.add_runner(
-                entry.load, entry.identifier in usable
-            )
+            pool = pools.setdefault(service, admission.Pool())
+            pool.add_runner(entry.load, entry.identifier in usable)
         return pools
 
 
