--- a/tamarackhatch/admission/_figures.py
+++ b/tamarackhatch/admission/_figures.py
@@ -10,6 +10,9 @@
 # Time that a slow answer of the store takes beyond two intervals.
 _SLOW_ANSWER = datetime.timedelta(milliseconds=200)
 _MAX_REPORTS = 16
+# Greatest age of a summary when it is sent, so that it is known to be no older
+# than the heartbeat by more than this.
+MAX_SUMMARY_AGE = datetime.timedelta(milliseconds=500)
 
 Waits = tuple[model.WaitSummary, ...]
 
@@ -30,7 +33,7 @@
         Args:
             heartbeat_interval: Time between two leader heartbeats.
         """
-        self._max_age = 2 * heartbeat_interval + _SLOW_ANSWER
+        self._max_age = 2 * heartbeat_interval + _SLOW_ANSWER - MAX_SUMMARY_AGE
         # A scheduler that publishes configurations sends heartbeats in quick
         # succession, which say no more than one of them.
         self._min_span = heartbeat_interval / 2
--- a/tamarackhatch/admission/tests/test_figures.py
+++ b/tamarackhatch/admission/tests/test_figures.py
@@ -17,10 +17,10 @@
         pytest.param([], 0, 0, id="none"),
         pytest.param([(0, 1, True)], 0.1, 0, id="one only"),
         pytest.param([(0, 1, True), (0.7, 1, True)], 0.8, 2, id="two"),
-        pytest.param([(0, 1, True), (0.7, 1, True)], 2.2, 2, id="age 1.5 s"),
-        pytest.param([(0, 1, True), (0.7, 1, True)], 2.4, 0, id="stale"),
+        pytest.param([(0, 1, True), (0.7, 1, True)], 1.7, 2, id="age 1.0 s"),
+        pytest.param([(0, 1, True), (0.7, 1, True)], 1.9, 0, id="stale"),
         pytest.param(
-            [(0, 1, True), (1.7, 1, True)], 1.8, 0, id="gap between them"
+            [(0, 1, True), (1.2, 1, True)], 1.3, 0, id="gap between them"
         ),
         pytest.param([(0, 1, True), (0.7, 2, True)], 0.8, 0, id="takeover"),
         pytest.param(
--- a/tamarackhatch/entry/_forwarder.py
+++ b/tamarackhatch/entry/_forwarder.py
@@ -41,10 +41,6 @@
 # several of the largest jobs.
 _DISTANT_BYTE_BURST = 524_288
 _DISTANT_BYTES_PER_S = 131_072
-# Outcomes after which no other instance has to be asked.
-_DEFINITE = frozenset(
-    (model.Outcome.DONE, model.Outcome.NO_JOB, model.Outcome.REFUSED)
-)
 
 RunHere = Callable[[], Awaitable[model.JobLookup]]
 
@@ -107,9 +103,7 @@
         run_here: RunHere,
     ) -> model.JobLookup:
         """Submits a job; see `carry_out`."""
-        request = _messages.ForwardedRequest(
-            _messages.Kind.SUBMISSION, job.identifier, job, store_version
-        )
+        request = _messages.make_submission(job, store_version)
         return await self.carry_out(request, deadline, run_here)
 
     async def cancel(
@@ -224,7 +218,7 @@
             # An instance of another build may not know such requests.
             self._record_failed_call(peer, request, "malformed", error.message)
             return model.JobLookup(model.Outcome.UNKNOWN)
-        if result is not None and result.outcome in _DEFINITE:
+        if result is not None and result.outcome in _messages.DEFINITE:
             self.directory.record_success(peer.name)
         else:
             self.directory.record_refusal(peer.name, self.now)
@@ -419,7 +413,7 @@
         if self._here is not None and self._here.done():
             here, self._here = self._here, None
             result = here.result()
-            if result.outcome in _DEFINITE:
+            if result.outcome in _messages.DEFINITE:
                 self._forwarder.record_success_here()
                 return result
             self._is_unknown |= result.outcome is model.Outcome.UNKNOWN
@@ -431,7 +425,7 @@
         for task in [task for task in self._calls if task.done()]:
             del self._calls[task]
             answer = task.result()
-            if answer is not None and answer.outcome in _DEFINITE:
+            if answer is not None and answer.outcome in _messages.DEFINITE:
                 return answer
             if answer is not None:
                 self._is_unknown |= answer.outcome is model.Outcome.UNKNOWN
--- a/tamarackhatch/entry/_messages.py
+++ b/tamarackhatch/entry/_messages.py
@@ -18,6 +18,10 @@
 _IDENTIFIER_PATTERN = re.compile("[0-9A-Za-z]{1,64}")
 # A longer wait than that of any caller would only hold memory.
 _MAX_TIMEOUT_MS = 60_000
+# Outcomes after which no other instance has to be asked.
+DEFINITE: typing.Final = frozenset(
+    (model.Outcome.DONE, model.Outcome.NO_JOB, model.Outcome.REFUSED)
+)
 # Answer of an instance that has not tried to carry out a request.
 _NOT_HERE: typing.Final = "not here"
 
@@ -61,6 +65,13 @@
         return f"{_PATH_PREFIX}{self.kind.value}/{self.identifier}"
 
 
+def make_submission(job: model.Job, store_version: int) -> ForwardedRequest:
+    """Returns the request that submits a job."""
+    return ForwardedRequest(
+        Kind.SUBMISSION, job.identifier, job, store_version
+    )
+
+
 @attrs.frozen
 class ReceivedRequest:
     """A forwarded request as it arrived.
--- a/tamarackhatch/scheduler/_dispatcher.py
+++ b/tamarackhatch/scheduler/_dispatcher.py
@@ -26,7 +26,11 @@
 
 
 class Dispatcher:
-    """Runs placement passes when tasks wait or capacity becomes free."""
+    """Runs placement passes when tasks wait or capacity becomes free.
+
+    Attributes:
+        waits: Reports the work that the passes leave waiting.
+    """
 
     def __init__(
         self,
@@ -36,7 +40,7 @@
         self._context = context
         self._commands = commands
         self._large_tasks = _large_tasks.LargeTaskReserver(context)
-        self._waits = _waits.WaitReporter(context, self.is_paused)
+        self.waits = _waits.WaitReporter(context, self.is_paused)
         self._probes = _health.ProbePlacer(
             context, self.is_paused, self._place_task
         )
@@ -51,11 +55,6 @@
         self._paused_version: int | None = None
         self._registry_read = datetime.timedelta.min
 
-    @property
-    def waits(self) -> _waits.WaitReporter:
-        """Reports the work that the passes leave waiting."""
-        return self._waits
-
     def mark_registry_read(self, time: datetime.timedelta) -> None:
         """Records that all registry rows of a monotonic time were applied."""
         self._registry_read = time
@@ -132,7 +131,7 @@
         counters = context.load_monitor.counters
         counters.passes += 1
         counters.pass_time += context.get_now() - began
-        self._waits.record_pass(ordered, candidates)
+        self.waits.record_pass(ordered, candidates)
 
     def _run_group(
         self,
--- a/tamarackhatch/scheduler/_waits.py
+++ b/tamarackhatch/scheduler/_waits.py
@@ -16,11 +16,9 @@
 Group = Mapping[int, _state.TaskEntry]
 
 _MILLISECOND = datetime.timedelta(milliseconds=1)
-# Shorter than the interval of heartbeats, so that each has a summary of its
-# own, and far longer than the time between two passes.
-_INTERVAL = 500 * _MILLISECOND
-# Passes take place every 250 ms while tasks wait.
-_MAX_AGE = 1000 * _MILLISECOND
+# Passes are at most 260 ms apart while tasks wait, so that a summary is
+# replaced before it is too old to be sent. Most passes are only 10 ms apart.
+_INTERVAL = 200 * _MILLISECOND
 
 
 class WaitReporter:
@@ -78,7 +76,8 @@
         if (
             not context.job_tracker.waiting
             or self._refreshed_at is None
-            or context.get_now() - self._refreshed_at > _MAX_AGE
+            or context.get_now() - self._refreshed_at
+            > admission.MAX_SUMMARY_AGE
         ):
             return ()
         return self._summaries
--- a/tamarackhatch/scheduler/tests/test_straggler_mover.py
+++ b/tamarackhatch/scheduler/tests/test_straggler_mover.py
@@ -7,6 +7,7 @@
 import attrs
 import pytest
 
+from tamarackhatch import admission
 from tamarackhatch import health
 from tamarackhatch import model
 from tamarackhatch import observability
@@ -100,6 +101,7 @@
                 load_monitor=_load_monitor.LoadMonitor(
                     typing.cast(typing.Any, clock), log, self.metrics
                 ),
+                wait_estimator=admission.WaitEstimator(),
                 settings=types.SimpleNamespace(
                     bounds=types.SimpleNamespace(contact=4 * _SECOND)
                 ),
