--- a/tamarackhatch/entry/tests/test_refusals.py
+++ b/tamarackhatch/entry/tests/test_refusals.py
@@ -12,6 +12,7 @@
 import pytest
 
 from standins import virtual_time
+from tamarackhatch.entry import _messages
 from tamarackhatch.entry.tests import fleet as entry_fleet
 from tamarackhatch import model
 from tamarackhatch import records
@@ -400,3 +401,56 @@
         assert trial.fleet.store.received_writes == before + 1
 
     virtual_time.run_virtually(simulate())
+
+
+@pytest.mark.parametrize("is_pending", [False, True])
+def test_returning_caller_at_an_instance_that_lags_behind(
+    is_pending: bool,
+) -> None:
+    """Guards against an untrue refusal by an instance with an old version.
+
+    It cannot tell whether the caller's attempt began before the refusal. A
+    write of a return to another instance may be pending, which relies on that
+    refusal.
+    """
+
+    async def simulate() -> None:
+        trial = _Trial("x/a", "x/b", "x/c")
+        faults = trial.fleet.store_faults
+        await trial.start("a")
+        faults.lost_reads.add(("b", "beat-0"))
+        await asyncio.sleep(2)
+        assert (await trial.submit("a")).outcome is _REFUSED
+        await trial.end_overload()
+        if is_pending:
+            faults.late_clients.add("c")
+            faults.late_delay_range_s = (8, 8)
+            assert (await trial.submit("c")).outcome is _UNKNOWN
+            faults.late_clients.clear()
+        lookup = await trial.submit("b")
+        assert lookup.outcome is _REFUSED
+        assert lookup.retry_after == _S
+        await asyncio.sleep(15)
+        assert not trial.is_stored()
+        faults.lost_reads.clear()
+        await asyncio.sleep(3)
+        assert (await trial.submit("b")).outcome is _DONE
+
+    virtual_time.run_virtually(simulate())
+
+
+@pytest.mark.parametrize(
+    "body",
+    [
+        {"outcome": "refused"},
+        {"outcome": "refused", "retry_after_ms": None},
+        {"outcome": "refused", "retry_after_ms": 1.5},
+        {"outcome": "refused", "retry_after_ms": 10**18},
+    ],
+)
+def test_malformed_refusal_of_another_instance(
+    body: dict[str, object],
+) -> None:
+    """Guards against a caller that is answered by a damaged message."""
+    with pytest.raises(_messages.MalformedMessageError):
+        _messages.decode_answer(_messages.Kind.SUBMISSION, orjson.dumps(body))
