--- a/tamarackhatch/entry/_forwarder.py
+++ b/tamarackhatch/entry/_forwarder.py
@@ -41,8 +41,6 @@
 # several of the largest jobs.
 _DISTANT_BYTE_BURST = 524_288
 _DISTANT_BYTES_PER_S = 131_072
-# Outcomes after which no other instance has to be asked.
-_DEFINITE = frozenset((model.Outcome.DONE, model.Outcome.NO_JOB))
 
 RunHere = Callable[[], Awaitable[model.JobLookup]]
 
@@ -98,13 +96,15 @@
         return self._trigger.is_failing(self.now, self._liveness.last_answer)
 
     async def submit(
-        self, job: model.Job, deadline: datetime.timedelta, run_here: RunHere
-    ) -> model.Outcome:
+        self,
+        job: model.Job,
+        store_version: int,
+        deadline: datetime.timedelta,
+        run_here: RunHere,
+    ) -> model.JobLookup:
         """Submits a job; see `carry_out`."""
-        request = _messages.ForwardedRequest(
-            _messages.Kind.SUBMISSION, job.identifier, job
-        )
-        return (await self.carry_out(request, deadline, run_here)).outcome
+        request = _messages.make_submission(job, store_version)
+        return await self.carry_out(request, deadline, run_here)
 
     async def cancel(
         self,
@@ -218,7 +218,7 @@
             # An instance of another build may not know such requests.
             self._record_failed_call(peer, request, "malformed", error.message)
             return model.JobLookup(model.Outcome.UNKNOWN)
-        if result is not None and result.outcome in _DEFINITE:
+        if result is not None and result.outcome in _messages.DEFINITE:
             self.directory.record_success(peer.name)
         else:
             self.directory.record_refusal(peer.name, self.now)
@@ -413,7 +413,7 @@
         if self._here is not None and self._here.done():
             here, self._here = self._here, None
             result = here.result()
-            if result.outcome in _DEFINITE:
+            if result.outcome in _messages.DEFINITE:
                 self._forwarder.record_success_here()
                 return result
             self._is_unknown |= result.outcome is model.Outcome.UNKNOWN
@@ -425,7 +425,7 @@
         for task in [task for task in self._calls if task.done()]:
             del self._calls[task]
             answer = task.result()
-            if answer is not None and answer.outcome in _DEFINITE:
+            if answer is not None and answer.outcome in _messages.DEFINITE:
                 return answer
             if answer is not None:
                 self._is_unknown |= answer.outcome is model.Outcome.UNKNOWN
--- a/tamarackhatch/scheduler/_dispatcher.py
+++ b/tamarackhatch/scheduler/_dispatcher.py
@@ -14,6 +14,7 @@
 from tamarackhatch.scheduler import _load_monitor
 from tamarackhatch.scheduler import _runner_choice
 from tamarackhatch.scheduler import _state
+from tamarackhatch.scheduler import _waits
 
 # Events within this time share one placement pass.
 _MIN_PASS_INTERVAL = datetime.timedelta(milliseconds=10)
@@ -24,7 +25,11 @@
 
 
 class Dispatcher:
-    """Runs placement passes when tasks wait or capacity becomes free."""
+    """Runs placement passes when tasks wait or capacity becomes free.
+
+    Attributes:
+        waits: Reports the work that the passes leave waiting.
+    """
 
     def __init__(
         self,
@@ -34,6 +39,7 @@
         self._context = context
         self._commands = commands
         self._large_tasks = _large_tasks.LargeTaskReserver(context)
+        self.waits = _waits.WaitReporter(context, self.is_paused)
         self._probes = _health.ProbePlacer(
             context, self.is_paused, self._place_task
         )
@@ -119,6 +125,7 @@
         counters = context.load_monitor.counters
         counters.passes += 1
         counters.pass_time += context.get_now() - began
+        self.waits.record_pass(ordered, candidates)
 
     def _run_group(
         self,
@@ -289,6 +296,9 @@
             or ""
         )
         context.job_tracker.begin_start(task, entry)
+        context.wait_estimator.record_start(
+            entry.record.service, task.step, context.get_now()
+        )
         if not task.step.is_long_running:
             context.health.record_start(entry.identifier, context.get_now())
         self._commands.start_task(task, entry, round(speed_limit * 100))
--- a/tamarackhatch/scheduler/_scheduler.py
+++ b/tamarackhatch/scheduler/_scheduler.py
@@ -3,6 +3,7 @@
 import asyncio
 import datetime
 
+from tamarackhatch import admission
 from tamarackhatch import election
 from tamarackhatch import health
 from tamarackhatch import model
@@ -84,6 +85,8 @@
             ),
             log,
             metrics,
+            self._summarise_waits,
+            dependencies.on_heartbeat,
         )
         wake = asyncio.Event()
         self._tickets = _tickets.TicketCache(
@@ -114,6 +117,7 @@
             policy=dependencies.policy,
             tickets=self._tickets,
             load_monitor=_load_monitor.LoadMonitor(time_source, log, metrics),
+            wait_estimator=admission.WaitEstimator(),
             health=health.HealthMonitor(),
             stalls=health.StallDetector(),
             evacuations=self._evacuations,
@@ -243,6 +247,13 @@
             return self._term.pending
         return self._context.job_tracker.count_pending()
 
+    def _summarise_waits(self) -> tuple[model.WaitSummary, ...]:
+        return (
+            self._dispatcher.waits.get_summaries()
+            if self._has_loaded_jobs
+            else ()
+        )
+
     async def _start_up(self, claim_time: datetime.timedelta) -> None:
         tracked_runners = await self._load_progress()
         # Runners report runs of jobs, so the jobs must be loaded first.
@@ -382,6 +393,10 @@
         if cancelled is not None:
             job_tracker.cancel_job(cancelled)
             return
+        refused = records.get_refused_job(row.ref.key)
+        if refused is not None:
+            self._garbage_collector.record_refused(row)
+            return
         if job_tracker.has_job(row.ref.key):
             return
         if row.ref.key in self._jobs_without_progress:
