Delay scheduling for tasks that prefer a rack

Tasks that name a rack got a small weight in the choice of a runner, so that a rack that was full for some hundred milliseconds sent them elsewhere, where they take remote_slowdown times as long.

Package forecast learns run times and forecasts when capacity becomes free; placement decides between a near start, a bounded wait and a remote start; the scheduler drives both from the dispatcher. Off without bounds.remote_slowdown.

--- a/tamarackhatch/observability/_metrics.py
+++ b/tamarackhatch/observability/_metrics.py
@@ -168,6 +168,18 @@
             ["outcome"],
             registry=self._registry,
         )
+        self.near_placements = prometheus_client.Counter(
+            "tamarackhatch_near_placements",
+            "Started tasks that prefer a rack, by outcome.",
+            ["outcome"],
+            registry=self._registry,
+        )
+        self.near_wait_seconds = prometheus_client.Histogram(
+            "tamarackhatch_near_wait_seconds",
+            "Time that a started task has waited for a runner on its rack.",
+            buckets=_LATENCY_BUCKETS_S,
+            registry=self._registry,
+        )
         self.waiting = prometheus_client.Gauge(
             "tamarackhatch_waiting_tasks",
             "Tasks that wait for a runner.",
--- a/tamarackhatch/placement/__init__.py
+++ b/tamarackhatch/placement/__init__.py
@@ -2,6 +2,7 @@
 
 from tamarackhatch.placement._candidate import CandidateRunner
 from tamarackhatch.placement._candidate_cache import CandidateCache
+from tamarackhatch.placement._choice import can_start
 from tamarackhatch.placement._choice import Choice
 from tamarackhatch.placement._choice import choose_runners
 from tamarackhatch.placement._choice import is_allowed
@@ -11,6 +12,16 @@
 from tamarackhatch.placement._interference import InterferenceTable
 from tamarackhatch.placement._interference import JobSample
 from tamarackhatch.placement._load import RunnerLoad
+from tamarackhatch.placement._locality import AwaitNear
+from tamarackhatch.placement._locality import count_places
+from tamarackhatch.placement._locality import decide_place
+from tamarackhatch.placement._locality import is_sound
+from tamarackhatch.placement._locality import MAX_NEAR_WAIT
+from tamarackhatch.placement._locality import NearOption
+from tamarackhatch.placement._locality import PlaceDecision
+from tamarackhatch.placement._locality import RemoteReason
+from tamarackhatch.placement._locality import StartNear
+from tamarackhatch.placement._locality import StartRemote
 from tamarackhatch.placement._order import assess_prospect
 from tamarackhatch.placement._order import make_order_key
 from tamarackhatch.placement._order import OrderKey
@@ -30,6 +41,7 @@
 from tamarackhatch.placement._throttling import ServingState
 
 __all__ = [
+    "AwaitNear",
     "BestEffortState",
     "CandidateCache",
     "CandidateRunner",
@@ -39,23 +51,33 @@
     "InterferenceModel",
     "InterferenceTable",
     "JobSample",
+    "MAX_NEAR_WAIT",
+    "NearOption",
     "OrderKey",
+    "PlaceDecision",
     "PlacementPolicy",
     "Prospect",
+    "RemoteReason",
     "Reservation",
     "Reservations",
     "RunnerLoad",
     "ServingState",
+    "StartNear",
+    "StartRemote",
     "TransientRun",
     "Urgency",
     "WaitingGroup",
     "adapt_policy",
     "assess_prospect",
+    "can_start",
     "choose_runners",
     "choose_speed_limits",
     "compute_free_share",
     "compute_release_time",
+    "count_places",
+    "decide_place",
     "infer_speed_limit",
     "is_allowed",
+    "is_sound",
     "make_order_key",
 ]
--- a/tamarackhatch/placement/_choice.py
+++ b/tamarackhatch/placement/_choice.py
@@ -11,6 +11,7 @@
 from tamarackhatch import model
 from tamarackhatch.placement import _candidate
 from tamarackhatch.placement import _load
+from tamarackhatch.placement import _locality
 from tamarackhatch.placement import _policy
 
 # More than all other differences between two runners.
@@ -104,6 +105,17 @@
     return choices
 
 
+def can_start(
+    key: model.TaskKey,
+    step: model.Step,
+    candidate: _candidate.CandidateRunner,
+    policy: _policy.PlacementPolicy,
+) -> bool:
+    """Returns whether a task could start on a runner now, at full speed."""
+    rating = _rate_if_possible(key, step, candidate, policy)
+    return rating is not None and rating.speed_limit >= 1.0
+
+
 def _rate_if_possible(
     key: model.TaskKey,
     step: model.Step,
@@ -130,10 +142,20 @@
     """Returns the rating of a runner with capacity for a task of a step."""
     load = candidate.load
     score = -policy.failure_weight * candidate.penalty
-    if step.preferred_rack and step.preferred_rack not in load.labels:
+    if step.preferred_rack and not _is_near(step, candidate, policy):
         score -= policy.locality_weight
     if step.is_best_effort:
-        return _rate_for_best_effort(step, candidate, policy, score)
+        rating = _rate_for_best_effort(step, candidate, policy, score)
+        if (
+            rating.speed_limit < 1.0
+            and policy.prefers_sound_near
+            and _is_near(step, candidate, policy)
+        ):
+            # A runner that throttles the task is no better for being near.
+            rating = RunnerRating(
+                rating.score - policy.locality_weight, rating.speed_limit
+            )
+        return rating
     reserved_share = (load.reserved_cpu + step.resources.processors) / (
         candidate.processors
     )
@@ -149,6 +171,17 @@
     return RunnerRating(score + policy.batch_packing * reserved_share)
 
 
+def _is_near(
+    step: model.Step,
+    candidate: _candidate.CandidateRunner,
+    policy: _policy.PlacementPolicy,
+) -> bool:
+    """Returns whether a runner is preferred for being near a step's data."""
+    return step.preferred_rack in candidate.load.labels and (
+        not policy.prefers_sound_near or _locality.is_sound(candidate, policy)
+    )
+
+
 def _compute_image_mixing(step: model.Step, load: _load.RunnerLoad) -> float:
     """Returns a measure of the other images among the serving tasks there.
 
--- a/tamarackhatch/placement/_load.py
+++ b/tamarackhatch/placement/_load.py
@@ -54,6 +54,7 @@
         step_counts: Number of tasks by job, occurrence and step.
         serving_changes: Number of changes of the serving tasks.
         best_effort_changes: Number of changes of the best-effort tasks.
+        changes: Number of changes of all tasks.
     """
 
     identifier: str
@@ -79,6 +80,7 @@
     )
     serving_changes: int = 0
     best_effort_changes: int = 0
+    changes: int = 0
 
     @property
     def rack(self) -> str:
@@ -93,6 +95,21 @@
         """Removes the reservation of a task."""
         self._adjust(key, step, -1)
 
+    def compute_free(self) -> model.Resources:
+        """Returns the resources that nothing reserves or uses.
+
+        Amounts are negative on a runner that has shrunk.
+        """
+        return (
+            self.capacity
+            - self.unassigned
+            - model.Resources(
+                self.reserved_cpu,
+                self.reserved_memory_mb,
+                self.reserved_accelerators,
+            )
+        )
+
     def has_capacity(self, step: model.Step) -> bool:
         """Returns whether a task of the step fits into the capacity left."""
         reservation = step.reserved
@@ -124,6 +141,7 @@
 
     def _adjust(self, key: model.TaskKey, step: model.Step, sign: int) -> None:
         reservation = step.reserved
+        self.changes += 1
         self.reserved_cpu += sign * reservation.processors
         self.reserved_memory_mb += sign * reservation.memory_mb
         self.reserved_accelerators += sign * reservation.accelerators
--- a/tamarackhatch/placement/_policy.py
+++ b/tamarackhatch/placement/_policy.py
@@ -54,6 +54,8 @@
             kept for best-effort tasks that interfere with every serving image.
         failure_weight: Weight of the penalty for failed runs on a runner.
         locality_weight: Weight of a runner outside the rack of a task's data.
+        prefers_sound_near: Whether that weight counts for runners outside the
+            rack alike and for those inside it that throttle the task or fail.
         violation_timeout: Time that a serving task may be reported over its
             target before all best-effort tasks on its runner are stopped,
             whatever the model predicts. The platform tolerates less than four
@@ -97,6 +99,7 @@
     empty_runner_cost: float = 0.03
     failure_weight: float = 0.5
     locality_weight: float = 0.5
+    prefers_sound_near: bool = False
     violation_timeout: datetime.timedelta = 1 * _SECOND
     starvation_wait: datetime.timedelta = 5 * _SECOND
     long_running_wait: datetime.timedelta = 5 * _SECOND
--- a/tamarackhatch/scheduler/_attempts.py
+++ b/tamarackhatch/scheduler/_attempts.py
@@ -17,11 +17,13 @@
         tasks: The tasks.
         candidates: Runners on which they may start now.
         exclusions: Sets of runners to exclude, the first to try first.
+        is_repeated: Whether a run of the tasks failed or was moved.
     """
 
     tasks: list[_state.TaskEntry]
     candidates: Candidates
     exclusions: list[frozenset[str]]
+    is_repeated: bool = False
 
 
 def list_batches(
@@ -47,7 +49,7 @@
             possible = candidates
             if is_last:
                 possible = _filter_for_last_attempt(context, task, candidates)
-            batches.append(Batch([task], possible, exclusions))
+            batches.append(Batch([task], possible, exclusions, True))
         elif is_last:
             last_attempts.append(task)
         else:
--- a/tamarackhatch/scheduler/_context.py
+++ b/tamarackhatch/scheduler/_context.py
@@ -8,6 +8,7 @@
 
 from tamarackhatch import clock
 from tamarackhatch import election
+from tamarackhatch import forecast
 from tamarackhatch import health
 from tamarackhatch import observability
 from tamarackhatch import placement
@@ -43,6 +44,7 @@
         load_monitor: Counts the work of the scheduler.
         stalls: Finds runners that hang.
         health: Knows which runners fail.
+        run_times: Knows how long tasks run.
         evacuations: Knows the data centres in which nothing may start.
         enforces_capacity: Returns whether the runners of a service reject
             tasks that do not fit; False if that is not known.
@@ -65,6 +67,7 @@
     load_monitor: _load_monitor.LoadMonitor
     stalls: health.StallDetector
     health: health.HealthMonitor
+    run_times: forecast.RunTimeModel
     evacuations: _evacuations.EvacuationWatcher
     enforces_capacity: Callable[[str], bool]
     wake: asyncio.Event
--- a/tamarackhatch/scheduler/_dispatcher.py
+++ b/tamarackhatch/scheduler/_dispatcher.py
@@ -13,6 +13,7 @@
 from tamarackhatch.scheduler import _isolation
 from tamarackhatch.scheduler import _large_tasks
 from tamarackhatch.scheduler import _load_monitor
+from tamarackhatch.scheduler import _near_places
 from tamarackhatch.scheduler import _prospects
 from tamarackhatch.scheduler import _state
 
@@ -38,6 +39,9 @@
         self._probes = _health.ProbePlacer(
             context, self._is_paused, self._place_task
         )
+        self._near_places = _near_places.NearPlacer(
+            context, self._choose_near, self._start_chosen_tasks
+        )
         self._candidate_cache = placement.CandidateCache(
             context.interference, context.policy
         )
@@ -49,6 +53,11 @@
         self._paused_version: int | None = None
         self._registry_read = datetime.timedelta.min
 
+    @property
+    def near_places(self) -> _near_places.NearPlacer:
+        """Places tasks that prefer a rack."""
+        return self._near_places
+
     def mark_registry_read(self, time: datetime.timedelta) -> None:
         """Records that all registry rows of a monotonic time were applied."""
         self._registry_read = time
@@ -75,7 +84,8 @@
         context = self._context
         while True:
             try:
-                async with asyncio.timeout(_MAX_PASS_INTERVAL.total_seconds()):
+                pause = self._near_places.limit_pause(_MAX_PASS_INTERVAL)
+                async with asyncio.timeout(pause.total_seconds()):
                     await context.wake.wait()
             except TimeoutError:
                 pass
@@ -110,6 +120,7 @@
         self._large_tasks.begin_pass(waiting, candidates)
         self._candidates = candidates
         self._infeasible.clear()
+        self._near_places.begin_pass(candidates)
         self._policies = {
             service: placement.adapt_policy(
                 context.policy,
@@ -299,8 +310,14 @@
         if first.step.is_gang:
             return self._place_gang(tasks, candidates)
         allowed = self.filter_by_ticket(first, candidates)
+        is_near_preferred = self._near_places.applies_to(first.step)
         placed = 0
         for batch in _attempts.list_batches(self._context, tasks, allowed):
+            if not batch.is_repeated and is_near_preferred:
+                placed += self._near_places.place_tasks(
+                    batch.tasks, batch.candidates
+                )
+                continue
             for excluded in batch.exclusions:
                 choices = self._choose_runners(
                     batch.tasks, batch.candidates, excluded
@@ -312,6 +329,16 @@
             self._request_tickets(first, candidates)
         return placed
 
+    def _choose_near(
+        self,
+        tasks: list[_state.TaskEntry],
+        candidates: list[placement.CandidateRunner],
+        is_full_speed: bool,
+    ) -> list[placement.Choice]:
+        return self._choose_runners(
+            tasks, candidates, is_full_speed=is_full_speed
+        )
+
     def _place_task(
         self,
         task: _state.TaskEntry,
@@ -326,6 +353,7 @@
         tasks: list[_state.TaskEntry],
         candidates: list[placement.CandidateRunner],
         excluded: frozenset[str] = frozenset(),
+        is_full_speed: bool = False,
     ) -> list[placement.Choice]:
         """Chooses runners for tasks of one step, and reserves capacity."""
         if not tasks:
@@ -337,7 +365,9 @@
         may_be_slower = (
             waited >= policy.full_speed_wait or tasks[0].departure is not None
         )
-        min_speed = policy.min_speed if may_be_slower else 1.0
+        min_speed = 1.0
+        if may_be_slower and not is_full_speed:
+            min_speed = policy.min_speed
         step = tasks[0].step
         are_all = candidates is self._candidates.get(service)
         if are_all and self._infeasible.covers(service, step, min_speed):
@@ -403,7 +433,10 @@
         if len(tasks) < len(members):
             return 0
         allowed = self.filter_by_ticket(members[0], candidates)
-        choices = self._choose_runners(members, allowed)
+        if self._near_places.applies_to(members[0].step):
+            choices = self._near_places.choose_for_gang(members, allowed)
+        else:
+            choices = self._choose_runners(members, allowed)
         if len(choices) < len(members):
             for key, candidate, _ in choices:
                 candidate.load.remove_task(key, members[0].step)
@@ -440,6 +473,7 @@
             context.tickets.get_ticket(_get_step_name(task), entry.identifier)
             or ""
         )
+        self._near_places.record_start(task, entry)
         context.job_tracker.begin_start(task, entry)
         if not task.step.is_long_running:
             context.health.record_start(entry.identifier, context.get_now())
--- a/tamarackhatch/scheduler/_job_tracker.py
+++ b/tamarackhatch/scheduler/_job_tracker.py
@@ -200,6 +200,8 @@
         self._phases.remove_waiting(task)
         runner.assign_task(task)
         task.placed_at = self._clock.get_monotonic()
+        task.near_wait = None
+        task.is_adopted = False
         task.speed_limit_percent = 100
         task.progress_percent = 0
         task.progress_reported_at = None
@@ -215,6 +217,8 @@
             self._phases.remove_waiting(task)
             runner.assign_task(task)
             task.placed_at = self._clock.get_monotonic()
+            task.near_wait = None
+            task.is_adopted = True
             # An earlier scheduler started the run and may have throttled it.
             task.speed_limit_percent = None
         task.confirmed = self._clock.get_monotonic()
--- a/tamarackhatch/scheduler/_large_tasks.py
+++ b/tamarackhatch/scheduler/_large_tasks.py
@@ -122,7 +122,11 @@
         step = _get_step_key(first)
         if any(not _is_waiting(task) for task in tasks):
             self._release(step)
-        unplaced = [task for task in tasks if _is_waiting(task)]
+        unplaced = [
+            task
+            for task in tasks
+            if _is_waiting(task) and not task.is_awaiting_near_place
+        ]
         if not unplaced:
             return
         now = self._context.get_now()
--- a/tamarackhatch/scheduler/_prospects.py
+++ b/tamarackhatch/scheduler/_prospects.py
@@ -19,19 +19,54 @@
         task: A task that waits.
         now: Time in UTC.
     """
-    entry = task.job
-    queue = entry.job.queue
+    queue = task.job.job.queue
     if not queue.target_latency:
         # Without an objective, batch work has no claim to precede
         # long-running tasks that have waited for a while.
         return placement.Prospect.LATE
     objective = (
-        queue.stretch * _ESTIMATE_ERROR * entry.longest_chain
+        queue.stretch * _ESTIMATE_ERROR * task.job.longest_chain
         + queue.target_latency
     )
-    due = entry.job.accepted_at
-    if entry.job.schedule is not None:
-        due = entry.job.schedule.get_due(task.key.occurrence)
     return placement.assess_prospect(
-        now - due, task.step.estimate / _ESTIMATE_ERROR, objective
+        _compute_elapsed(task, now),
+        task.step.estimate / _ESTIMATE_ERROR,
+        objective,
     )
+
+
+def compute_slack(
+    task: _state.TaskEntry,
+    run_time: datetime.timedelta,
+    now: datetime.datetime,
+) -> datetime.timedelta | None:
+    """Returns how long a task can wait without its job missing its objective.
+
+    Unlike the order of waiting work, this trusts the submitter's estimates: a
+    wait by choice must not use up time that may be needed.
+
+    Args:
+        task: A task that waits.
+        run_time: Its expected run time.
+        now: Time in UTC.
+
+    Returns:
+        The time, negative if the objective is missed anyway; None for a queue
+        without an objective.
+    """
+    queue, job = task.job.job.queue, task.job
+    if not queue.target_latency:
+        return None
+    objective = queue.stretch * job.longest_chain + queue.target_latency
+    following = job.compute_following(task.key.step)
+    return objective - _compute_elapsed(task, now) - run_time - following
+
+
+def _compute_elapsed(
+    task: _state.TaskEntry, now: datetime.datetime
+) -> datetime.timedelta:
+    """Returns the time since the job was accepted or became due."""
+    job = task.job.job
+    if job.schedule is None:
+        return now - job.accepted_at
+    return now - job.schedule.get_due(task.key.occurrence)
--- a/tamarackhatch/scheduler/_runner_reconciler.py
+++ b/tamarackhatch/scheduler/_runner_reconciler.py
@@ -11,6 +11,7 @@
 from tamarackhatch.scheduler import _crash_suspects
 from tamarackhatch.scheduler import _fleet
 from tamarackhatch.scheduler import _health
+from tamarackhatch.scheduler import _run_times
 from tamarackhatch.scheduler import _state
 from tamarackhatch.scheduler import _throttling
 
@@ -376,6 +377,7 @@
                 and run_exit.run > task.last_exited_run
             )
             if is_latest:
+                _run_times.record_exit(context, entry, task, run_exit)
                 generation = context.job_tracker.record_exit(
                     task, run_exit, entry
                 )
--- a/tamarackhatch/scheduler/_scheduler.py
+++ b/tamarackhatch/scheduler/_scheduler.py
@@ -4,6 +4,7 @@
 import datetime
 
 from tamarackhatch import election
+from tamarackhatch import forecast
 from tamarackhatch import health
 from tamarackhatch import model
 from tamarackhatch import placement
@@ -19,6 +20,7 @@
 from tamarackhatch.scheduler import _health
 from tamarackhatch.scheduler import _job_tracker
 from tamarackhatch.scheduler import _load_monitor
+from tamarackhatch.scheduler import _near_places
 from tamarackhatch.scheduler import _runner_manager
 from tamarackhatch.scheduler import _state
 from tamarackhatch.scheduler import _stragglers
@@ -106,11 +108,14 @@
             log=log,
             metrics=metrics,
             interference=interference,
-            policy=dependencies.policy,
+            policy=_near_places.adapt_policy(
+                dependencies.policy, configured.bounds
+            ),
             tickets=self._tickets,
             load_monitor=_load_monitor.LoadMonitor(time_source, log, metrics),
             health=health.HealthMonitor(),
             stalls=health.StallDetector(),
+            run_times=forecast.RunTimeModel(),
             evacuations=self._evacuations,
             enforces_capacity=dependencies.enforces_capacity,
             wake=wake,
@@ -137,6 +142,9 @@
             self._dispatcher.list_candidates,
             self._dispatcher.filter_by_ticket,
         )
+        self._dispatcher.near_places.set_rate_source(
+            self._straggler_mover.get_rate
+        )
         self._health_controller = _health.HealthController(self._context)
         self._runner_manager = _runner_manager.RunnerManager(
             self._context, self._commands, self._dispatcher
--- a/tamarackhatch/scheduler/_state.py
+++ b/tamarackhatch/scheduler/_state.py
@@ -49,6 +49,28 @@
     slow_runners: frozenset[str] = frozenset()
 
 
+@attrs.frozen
+class NearWait:
+    """A wait of a task for a runner on its rack.
+
+    Attributes:
+        rack: The rack.
+        since: Monotonic time since which the task could have started on some
+            runner.
+        until: Monotonic time at which the wait ends.
+        forecast: Number of the forecast in which the task holds its place.
+        is_active: Whether it waits beside capacity that it could use.
+        is_over: Whether the wait was given up; a run has at most one.
+    """
+
+    rack: str
+    since: datetime.timedelta
+    until: datetime.timedelta
+    forecast: int = 0
+    is_active: bool = True
+    is_over: bool = False
+
+
 class TaskRunner(typing.Protocol):
     """What a task knows of the runner that it is placed on.
 
@@ -107,6 +129,9 @@
         failed_on: Runners on which a run failed.
         departure: The move that stopped the latest run, until the next run is
             confirmed; None for most tasks.
+        near_wait: Its wait for a runner on its rack; None before that, and
+            once a run is placed.
+        is_adopted: Whether an earlier scheduler started the latest run.
         ready_since: Monotonic time at which the latest run was first reported
             ready, for a serving task; None before.
         is_unblocked_in_term: Whether the task waits because of the exit of a
@@ -135,6 +160,8 @@
     confirmed: datetime.timedelta | None = None
     failed_on: frozenset[str] = frozenset()
     departure: Departure | None = None
+    near_wait: NearWait | None = None
+    is_adopted: bool = False
     ready_since: datetime.timedelta | None = None
     is_unblocked_in_term: bool = False
 
@@ -148,6 +175,11 @@
         """Whether a run of the task may exist."""
         return self.runner is not None
 
+    @property
+    def is_awaiting_near_place(self) -> bool:
+        """Whether it waits by choice, beside capacity that it could use."""
+        return self.near_wait is not None and self.near_wait.is_active
+
     def list_exclusions(self, now: datetime.timedelta) -> list[frozenset[str]]:
         """Returns the sets of runners to exclude, the first to try first.
 
@@ -228,6 +260,22 @@
         """Estimated run time of the longest chain of dependent steps."""
         return compute_longest_chain(self.job.steps)
 
+    def compute_following(self, step: int) -> datetime.timedelta:
+        """Returns the estimated time of the longest chain after a step."""
+        return self._following[step]
+
+    @functools.cached_property
+    def _following(self) -> list[datetime.timedelta]:
+        steps = self.job.steps
+        following = [datetime.timedelta()] * len(steps)
+        # Each step depends on earlier ones only.
+        for index in reversed(range(len(steps))):
+            for before in steps[index].after:
+                following[before] = max(
+                    following[before], steps[index].estimate + following[index]
+                )
+        return following
+
     def iterate_tasks(self) -> typing.Iterator[TaskEntry]:
         """Yields the tasks of all known occurrences."""
         for occurrence in self.occurrences.values():
--- a/tamarackhatch/scheduler/_stragglers.py
+++ b/tamarackhatch/scheduler/_stragglers.py
@@ -115,6 +115,14 @@
         if found:
             self._move_stragglers(found, now)
 
+    def get_rate(self, task: _state.TaskEntry) -> float | None:
+        """Returns the rate of a task's run, in per cent per second.
+
+        None if it was not measured; 0 for a run at a speed limit of 0.
+        """
+        progress = self._monitor.get_progress(task.key, task.run)
+        return 0.0 if progress.stopped_since is not None else progress.rate
+
     def _update_moves(self) -> None:
         """Counts the moves that have ended, by their outcome."""
         metrics = self._context.metrics
@@ -204,7 +212,7 @@
             task.step.estimate,
             job.order[0],
             job.occurrences[key.occurrence].remaining[key.step],
-            _compute_following(job.job.steps, key.step),
+            job.compute_following(key.step),
         )
 
     def _list_late_runners(
@@ -281,6 +289,7 @@
                 and not step.is_long_running
                 and any(
                     waiting.compute_wait(now) >= _MIN_WAIT
+                    and not waiting.is_awaiting_near_place
                     and not _crash_suspects.is_suspect(waiting)
                     for waiting in group.values()
                 )
@@ -428,17 +437,3 @@
         and entry.clock_read is not None
         and now - entry.clock_read < _fleet.MAX_TIME_SINCE_ANSWER
     )
-
-
-def _compute_following(
-    steps: tuple[model.Step, ...], index: int
-) -> datetime.timedelta:
-    """Returns the estimated time of the longest chain after a step."""
-    return max(
-        (
-            step.estimate + _compute_following(steps, follower)
-            for follower, step in enumerate(steps)
-            if index in step.after
-        ),
-        default=datetime.timedelta(),
-    )
--- a/tamarackhatch/stragglers/_progress.py
+++ b/tamarackhatch/stragglers/_progress.py
@@ -173,6 +173,13 @@
         record.add(sample)
         return record.progress
 
+    def get_progress(self, task: model.TaskKey, run: int) -> RunProgress:
+        """Returns what the recorded reports of a run say."""
+        record = self._steps.get(_get_step_name(task), {}).get(task.index)
+        if record is None or record.run != run:
+            return RunProgress()
+        return record.progress
+
     def record_done(
         self, task: model.TaskKey, run: int, time: datetime.timedelta
     ) -> None:
