--- a/tamarackhatch/placement/_locality.py
+++ b/tamarackhatch/placement/_locality.py
@@ -138,7 +138,9 @@
     load, demand = candidate.load, step.reserved
     if step.required_label and step.required_label not in load.labels:
         return 0
-    count = max(0, candidate.start_limit - load.transient_count)
+    count = step.count
+    if candidate.is_limit_strict and not step.is_long_running:
+        count = max(0, candidate.start_limit - load.transient_count)
     if step.max_per_runner:
         count = min(count, step.max_per_runner)
     available = load.compute_free()
--- a/tamarackhatch/scheduler/_job_tracker.py
+++ b/tamarackhatch/scheduler/_job_tracker.py
@@ -200,7 +200,6 @@
         self._phases.remove_waiting(task)
         runner.assign_task(task)
         task.placed_at = self._clock.get_monotonic()
-        task.near_wait = None
         task.is_adopted = False
         task.speed_limit_percent = 100
         task.progress_percent = 0
@@ -217,7 +216,6 @@
             self._phases.remove_waiting(task)
             runner.assign_task(task)
             task.placed_at = self._clock.get_monotonic()
-            task.near_wait = None
             task.is_adopted = True
             # An earlier scheduler started the run and may have throttled it.
             task.speed_limit_percent = None
@@ -228,6 +226,7 @@
             waited = task.confirmed - task.phase_since
             self._metrics.start_seconds.observe(waited.total_seconds())
         task.waiting_since = None
+        task.near_wait = None
         task.departure = None
         if task.phase is not _state.TaskPhase.RUNNING:
             runner.record_running_task(task, task.confirmed)
--- a/tamarackhatch/scheduler/_near_places.py
+++ b/tamarackhatch/scheduler/_near_places.py
@@ -145,6 +145,9 @@
         rack = step.preferred_rack
         is_spread = False
         if step.is_rack_sensitive and not rack:
+            if not self._can_start(tasks[0], candidates):
+                _suspend(tasks)
+                return self._start(self._choose(tasks, candidates, False))
             rack, is_spread = self._racks.find_group_rack(tasks, candidates)
         near = self._racks.list_near(tasks[0], rack, candidates)
         if near and self._rooms.is_unchanged(tasks, rack, near, now):
@@ -156,10 +159,15 @@
         if not rest:
             return placed
         if not is_spread and self._can_start(rest[0], candidates):
-            plan = self._plan(rest, rack, near)
-            self._apply(plan)
-            waiting = {task.key for task, _ in plan.waiting}
-            rest = [task for task in rest if task.key not in waiting]
+            # Those that hold a place already must not be counted twice.
+            held = self._rooms.list_holders(rest, rack, near, now)
+            self._note_ends(held)
+            rest = [task for task in rest if task not in held]
+            if rest:
+                plan = self._plan(rest, rack, near)
+                self._apply(plan)
+                waiting = {task.key for task, _ in plan.waiting}
+                rest = [task for task in rest if task.key not in waiting]
         else:
             _suspend(rest)
         if rest:
@@ -175,6 +183,15 @@
         the gang waits for a rack.
         """
         step = members[0].step
+        wait = members[0].near_wait
+        if wait is not None and wait.is_active:
+            now = self._context.get_now()
+            near = self._racks.list_near(members[0], wait.rack, candidates)
+            if near and self._rooms.is_unchanged(
+                members, wait.rack, near, now
+            ):
+                self._note_ends(members)
+                return []
         places = _racks.count_places(candidates, step)
         racks = _racks.list_gang_racks(members, places)
         for rack in racks:
@@ -187,7 +204,7 @@
             self._undo(choices, step)
         if sum(places.values()) < len(members):
             _suspend(members)
-            return []
+            return self._choose(members, candidates, False)
         for rack in racks:
             near = self._racks.list_near(members[0], rack, candidates)
             plan = self._plan(members, rack, near)
@@ -201,7 +218,10 @@
     def record_start(
         self, task: _state.TaskEntry, entry: _fleet.RunnerEntry
     ) -> None:
-        """Counts a task that is started, before its wait is forgotten."""
+        """Counts a task that is started, and ends its wait for good.
+
+        A start that is refused must not let it wait a second time.
+        """
         if not self.applies_to(task.step):
             return
         metrics = self._context.metrics
@@ -213,6 +233,7 @@
             outcome = "waited" if is_near else "gave up"
             waited = self._context.get_now() - wait.since
             metrics.near_wait_seconds.observe(waited.total_seconds())
+            task.near_wait = attrs.evolve(wait, is_active=False, is_over=True)
         metrics.near_placements.labels(outcome).inc()
 
     def _can_start(
--- a/tamarackhatch/scheduler/_rack_rooms.py
+++ b/tamarackhatch/scheduler/_rack_rooms.py
@@ -97,6 +97,19 @@
             return False
         return all(_holds_place(task, room, now) for task in tasks)
 
+    def list_holders(
+        self,
+        tasks: list[_state.TaskEntry],
+        rack: str,
+        near: Candidates,
+        now: datetime.timedelta,
+    ) -> list[_state.TaskEntry]:
+        """Returns the tasks that hold a place in the present forecast."""
+        if not near:
+            return []
+        room = self.get_room(rack, near, now)
+        return [task for task in tasks if _holds_place(task, room, now)]
+
     def is_settled(
         self, tasks: Collection[_state.TaskEntry], now: datetime.timedelta
     ) -> bool:
--- a/tamarackhatch/scheduler/_state.py
+++ b/tamarackhatch/scheduler/_state.py
@@ -130,7 +130,7 @@
         departure: The move that stopped the latest run, until the next run is
             confirmed; None for most tasks.
         near_wait: Its wait for a runner on its rack; None before that, and
-            once a run is placed.
+            once a run is confirmed.
         is_adopted: Whether an earlier scheduler started the latest run.
         ready_since: Monotonic time at which the latest run was first reported
             ready, for a serving task; None before.
