Option of the fleet model for near runners; test of two jobs on one rack

The fleet model has one option for each field of the placement policy, and lacked the new one, which its own test found.

--- a/fleetmodel/tests/test_fleetmodel.py
+++ b/fleetmodel/tests/test_fleetmodel.py
@@ -138,6 +138,7 @@
     ("free_runner_cost", "empty_runner_cost"),
     ("failure_weight", "failure_weight"),
     ("far_weight", "locality_weight"),
+    ("prefers_sound_near", "prefers_sound_near"),
     ("harm_patience", "violation_timeout"),
     ("starvation_wait", "starvation_wait"),
     ("lasting_patience", "long_running_wait"),
--- a/tamarackhatch/scheduler/tests/test_near_places.py
+++ b/tamarackhatch/scheduler/tests/test_near_places.py
@@ -120,6 +120,31 @@
     virtual_time.run_virtually(simulate())
 
 
+def test_waiting_jobs_do_not_count_on_the_same_room(
+    tmp_path: pathlib.Path,
+) -> None:
+    """Guards against two jobs that hold the same place.
+
+    Load: a rack with room for five tasks soon, and eight tasks that name it.
+    """
+
+    async def simulate() -> None:
+        trial = near_trial.Trial(tmp_path / "log", 4)
+        await trial.start()
+        await _block_rack(trial, 1.0, 0.75)
+        step = attrs.evolve(_STEP, count=4)
+        for name in ("r1-a", "r1-b"):
+            trial.works[name] = 1.0
+            await trial.submit(name, step)
+        for name in ("r1-a", "r1-b"):
+            await trial.fleet.wait_for_state(name, model.JobState.COMPLETED)
+        outcomes = trial.count_outcomes()
+        assert (outcomes["waited"], outcomes["remote"]) == (5, 3)
+        assert not trial.list_events("near_place_given_up")
+
+    virtual_time.run_virtually(simulate())
+
+
 @pytest.mark.parametrize(
     ("blocked_s", "estimate_s", "limit_s"),
     [
