--- a/tamarackhatch/placement/tests/test_locality.py
+++ b/tamarackhatch/placement/tests/test_locality.py
@@ -117,6 +117,10 @@
         _make_candidate("near", "r1", **near),  # type: ignore[arg-type]
         _make_candidate("far", "r2"),
     ]
+    # Those that are not sound are not tried before all others.
+    assert placement.is_sound(candidates[0], _POLICY) == (
+        near.get("penalty", 0.0) < 1.0
+    )
     (choice,) = placement.choose_runners(
         [model.TaskKey("job", 0, 0, 0)],
         step,
