--- a/tamarackhatch/scheduler/_context.py
+++ b/tamarackhatch/scheduler/_context.py
@@ -9,6 +9,7 @@
 from tamarackhatch import admission
 from tamarackhatch import clock
 from tamarackhatch import election
+from tamarackhatch import forecast
 from tamarackhatch import health
 from tamarackhatch import observability
 from tamarackhatch import placement
@@ -45,6 +46,7 @@
         wait_estimator: Estimates how long new work waits.
         stalls: Finds runners that hang.
         health: Knows which runners fail.
+        run_times: Knows how long tasks run.
         evacuations: Knows the data centres in which nothing may start.
         enforces_capacity: Returns whether the runners of a service reject
             tasks that do not fit; False if that is not known.
@@ -68,6 +70,7 @@
     wait_estimator: admission.WaitEstimator
     stalls: health.StallDetector
     health: health.HealthMonitor
+    run_times: forecast.RunTimeModel
     evacuations: _evacuations.EvacuationWatcher
     enforces_capacity: Callable[[str], bool]
     wake: asyncio.Event
--- a/tamarackhatch/scheduler/_dispatcher.py
+++ b/tamarackhatch/scheduler/_dispatcher.py
@@ -12,6 +12,7 @@
 from tamarackhatch.scheduler import _health
 from tamarackhatch.scheduler import _large_tasks
 from tamarackhatch.scheduler import _load_monitor
+from tamarackhatch.scheduler import _near_places
 from tamarackhatch.scheduler import _runner_choice
 from tamarackhatch.scheduler import _state
 from tamarackhatch.scheduler import _waits
@@ -44,6 +45,9 @@
             context, self.is_paused, self._place_task
         )
         self._chooser = _runner_choice.RunnerChooser(context)
+        self._near_places = _near_places.NearPlacer(
+            context, self._choose_near, self._start_chosen_tasks
+        )
         self._candidate_cache = placement.CandidateCache(
             context.interference, context.policy
         )
@@ -65,6 +69,11 @@
         """Keeps runners free for large tasks."""
         return self._large_tasks
 
+    @property
+    def near_places(self) -> _near_places.NearPlacer:
+        """Places tasks that prefer a rack."""
+        return self._near_places
+
     def mark_registry_read(self, time: datetime.timedelta) -> None:
         """Records that all registry rows of a monotonic time were applied."""
         self._registry_read = time
@@ -91,7 +100,8 @@
         context = self._context
         while True:
             try:
-                async with asyncio.timeout(_MAX_PASS_INTERVAL.total_seconds()):
+                pause = self._near_places.limit_pause(_MAX_PASS_INTERVAL)
+                async with asyncio.timeout(pause.total_seconds()):
                     await context.wake.wait()
             except TimeoutError:
                 pass
@@ -105,6 +115,8 @@
         context = self._context
         waiting = context.job_tracker.waiting
         context.metrics.waiting.set(sum(map(len, waiting.values())))
+        if self._near_places.is_settled(waiting):
+            return
         context.load_monitor.waiting = _load_monitor.WaitingTasks()
         if not waiting:
             return
@@ -119,6 +131,7 @@
         self._place_suspects(groups, candidates)
         self._large_tasks.begin_pass(waiting, candidates)
         self._chooser.begin_pass(candidates)
+        self._near_places.begin_pass(candidates)
         self._probes.place_probes(groups)
         for order, group in ordered:
             self._run_group(group, order, is_grouping, candidates)
@@ -219,21 +232,19 @@
     ) -> int:
         """Starts tasks of one step, and returns their number."""
         first = tasks[0]
-        members: list[_state.TaskEntry] = []
         if first.step.is_gang:
-            members = _runner_choice.list_members(first)
-            if len(tasks) < len(members):
-                return 0
-        choices = self._chooser.choose_for_group(tasks, candidates)
-        if members and choices:
-            run = max(task.run for task in members)
-            checkpoint = next(
-                (task.checkpoint for task in members if task.checkpoint), ""
-            )
-            for task in members:
-                task.run = run
-                task.checkpoint = checkpoint
-        placed = self._start_chosen_tasks(choices)
+            return self._place_gang(tasks, candidates)
+        is_near_preferred = self._near_places.applies_to(first.step)
+        placed = 0
+        for batch in self._chooser.list_batches(tasks, candidates):
+            if is_near_preferred and not batch.is_repeated:
+                placed += self._near_places.place_tasks(
+                    batch.tasks, batch.candidates
+                )
+            else:
+                placed += self._start_chosen_tasks(
+                    self._chooser.choose_for_batch(batch)
+                )
         if placed < len(tasks):
             self._request_tickets(first, candidates)
         return placed
@@ -247,6 +258,43 @@
         allowed = self.filter_by_ticket(task, candidates)
         return self._start_chosen_tasks(self._chooser.choose([task], allowed))
 
+    def _choose_near(
+        self,
+        tasks: list[_state.TaskEntry],
+        candidates: list[placement.CandidateRunner],
+        is_full_speed: bool,
+    ) -> list[placement.Choice]:
+        return self._chooser.choose(
+            tasks, candidates, is_full_speed=is_full_speed
+        )
+
+    def _place_gang(
+        self,
+        tasks: list[_state.TaskEntry],
+        candidates: list[placement.CandidateRunner],
+    ) -> int:
+        """Starts a gang if all its tasks have places; returns their number."""
+        members = _runner_choice.list_members(tasks[0])
+        if len(tasks) < len(members):
+            return 0
+        allowed = self.filter_by_ticket(members[0], candidates)
+        if self._near_places.applies_to(members[0].step):
+            choices = self._near_places.choose_for_gang(members, allowed)
+            choices = _runner_choice.complete_gang(members, choices)
+        else:
+            choices = self._chooser.choose_for_group(tasks, candidates)
+        if choices:
+            run = max(task.run for task in members)
+            checkpoint = next(
+                (task.checkpoint for task in members if task.checkpoint), ""
+            )
+            for task in members:
+                task.run = run
+                task.checkpoint = checkpoint
+        else:
+            self._request_tickets(members[0], candidates)
+        return self._start_chosen_tasks(choices)
+
     def filter_by_ticket(
         self,
         task: _state.TaskEntry,
@@ -295,6 +343,7 @@
             )
             or ""
         )
+        self._near_places.record_start(task, entry)
         context.job_tracker.begin_start(task, entry)
         context.wait_estimator.record_start(
             entry.record.service, task.step, context.get_now()
--- a/tamarackhatch/scheduler/_job_tracker.py
+++ b/tamarackhatch/scheduler/_job_tracker.py
@@ -196,6 +196,7 @@
         self._phases.remove_waiting(task)
         runner.assign_task(task)
         task.placed_at = self._clock.get_monotonic()
+        task.is_adopted = False
         task.speed_limit_percent = 100
         task.progress_percent = 0
         task.progress_reported_at = None
@@ -211,6 +212,7 @@
             self._phases.remove_waiting(task)
             runner.assign_task(task)
             task.placed_at = self._clock.get_monotonic()
+            task.is_adopted = True
             # An earlier scheduler started the run and may have throttled it.
             task.speed_limit_percent = None
         task.confirmed = self._clock.get_monotonic()
@@ -220,6 +222,7 @@
             waited = task.confirmed - task.phase_since
             self._metrics.start_seconds.observe(waited.total_seconds())
         task.waiting_since = None
+        task.near_wait = None
         task.departure = None
         if task.phase is not _state.TaskPhase.RUNNING:
             runner.record_running_task(task, task.confirmed)
--- a/tamarackhatch/scheduler/_runner_choice.py
+++ b/tamarackhatch/scheduler/_runner_choice.py
@@ -75,21 +75,23 @@
             tasks: The tasks; of a gang, all that are waiting.
             candidates: Runners that may get them.
         """
-        step = tasks[0].step
         chosen: list[placement.Choice] = []
         for batch in self.list_batches(tasks, candidates):
-            for excluded in batch.exclusions:
-                choices = self.choose(batch.tasks, batch.candidates, excluded)
-                chosen += choices
-                if choices:
-                    break
-        if step.is_gang and len(chosen) < len(tasks):
-            for choice in chosen:
-                choice.candidate.load.remove_task(choice.key, step)
-                choice.candidate.update_headrooms()
-            return []
+            chosen += self.choose_for_batch(batch)
+        if tasks[0].step.is_gang:
+            return complete_gang(tasks, chosen)
         return chosen
 
+    def choose_for_batch(
+        self, batch: _attempts.Batch
+    ) -> list[placement.Choice]:
+        """Chooses runners for a batch, with the first exclusions that can."""
+        for excluded in batch.exclusions:
+            choices = self.choose(batch.tasks, batch.candidates, excluded)
+            if choices:
+                return choices
+        return []
+
     def list_batches(
         self, tasks: list[_state.TaskEntry], candidates: Runners
     ) -> list[_attempts.Batch]:
@@ -165,6 +167,7 @@
         tasks: list[_state.TaskEntry],
         candidates: Runners,
         excluded: frozenset[str] = frozenset(),
+        is_full_speed: bool = False,
     ) -> list[placement.Choice]:
         """Chooses runners for tasks of one step, and reserves capacity.
 
@@ -172,11 +175,13 @@
             tasks: The tasks.
             candidates: Runners to choose from.
             excluded: Identifiers of runners that are left out.
+            is_full_speed: Whether only runners at full speed are chosen, even
+                if the tasks have waited.
         """
         if not tasks:
             return []
         service = tasks[0].job.job.queue.service
-        min_speed = self.get_min_speed(tasks[0])
+        min_speed = 1.0 if is_full_speed else self.get_min_speed(tasks[0])
         step = tasks[0].step
         are_all = candidates is self._candidates.get(service)
         if are_all and self._infeasible.covers(service, step, min_speed):
@@ -215,6 +220,18 @@
         return policy.min_speed if may_be_slower else 1.0
 
 
+def complete_gang(
+    members: list[_state.TaskEntry], choices: list[placement.Choice]
+) -> list[placement.Choice]:
+    """Returns the choices of a gang; none, given back, if some are missing."""
+    if len(choices) == len(members):
+        return choices
+    for choice in choices:
+        choice.candidate.load.remove_task(choice.key, members[0].step)
+        choice.candidate.update_headrooms()
+    return []
+
+
 def filter_by_ticket(
     context: _context.SchedulerContext,
     task: _state.TaskEntry,
