Add a soak test of real processes with random faults

Cause: no test runs the real program under random, overlapping faults. The stand-in processes choose ports below those of outgoing connections, take bounds, and the capacity check compares only runs of the same runner.

--- /dev/null
+++ b/soak/tests/faulty.py
@@ -0,0 +1,73 @@
+"""Runs ``tamarackhatch`` with a deliberate fault in its scheduler.
+
+The last argument of the command line names the fault. Only tests use it: the
+soak test must find each fault.
+"""
+
+import datetime
+import sys
+import typing
+
+from tamarackhatch import cli
+from tamarackhatch import model
+from tamarackhatch.scheduler import _evacuations
+from tamarackhatch.scheduler import _fleet
+from tamarackhatch.scheduler import _runner_reconciler
+from tamarackhatch.scheduler import _state
+
+
+class _EarlyReconciler(_runner_reconciler.RunnerReconciler):
+    """Acknowledges exits before they are durable."""
+
+    def _apply_exit(self, run_exit: model.RunExit) -> None:
+        super()._apply_exit(run_exit)
+        self._entry.pending_acks.clear()
+        self._entry.acknowledged_exit = run_exit.number
+
+
+class _ImpatientEntry(_fleet.RunnerEntry):
+    """Takes the tasks of a runner that does not answer for lost at once."""
+
+    def is_lease_expired(self, now: datetime.timedelta) -> bool:
+        """Returns True."""
+        return True
+
+
+class _ForgetfulTask(_state.TaskEntry):
+    """Does not count failed runs."""
+
+    @property
+    def failures(self) -> int:
+        """Returns 0."""
+        return 0
+
+
+class _BlindWatcher(_evacuations.EvacuationWatcher):
+    """Does not know which data centres are evacuated."""
+
+    def is_evacuated(self, data_centre: str) -> bool:
+        """Returns False."""
+        return False
+
+
+FAULTS: dict[str, tuple[typing.Any, str, type]] = {
+    "acknowledge-early": (
+        _runner_reconciler,
+        "RunnerReconciler",
+        _EarlyReconciler,
+    ),
+    "ignore-leases": (_fleet, "RunnerEntry", _ImpatientEntry),
+    "ignore-failures": (_state, "TaskEntry", _ForgetfulTask),
+    "ignore-evacuations": (_evacuations, "EvacuationWatcher", _BlindWatcher),
+}
+
+
+def main() -> None:
+    """Runs the command line before the last argument."""
+    module, name, faulty_class = FAULTS[sys.argv.pop()]
+    setattr(module, name, faulty_class)
+    cli.main()
+
+
+if __name__ == "__main__":
+    main()
--- a/standins/history.py
+++ b/standins/history.py
@@ -255,11 +255,14 @@
 
     def _check_capacities(self) -> list[Violation]:
         violations = []
+        by_runner: dict[str, list[RunRecord]] = {}
+        for run in self.runs:
+            by_runner.setdefault(run.runner, []).append(run)
         for run in self.runs:
             reservation = self.get_reservation(run.task)
             reserved = model.Resources()
-            for other in self.runs:
-                if other.runner == run.runner and (
+            for other in by_runner[run.runner]:
+                if (
                     other is run
                     or other.started <= run.started
                     and (other.exited is None or other.exited > run.started)
--- a/standins/processes.py
+++ b/standins/processes.py
@@ -3,6 +3,7 @@
 import asyncio
 import base64
 import pathlib
+import random
 import socket
 import sys
 import typing
@@ -20,6 +21,9 @@
 SERVICE = "office"
 _START_TIMEOUT_S = 20.0
 _ANSWER_TIMEOUT_S = 30.0
+# Below the ports that the kernel gives to outgoing connections.
+_SERVER_PORTS = range(20_000, 32_000)
+_random = random.SystemRandom()
 
 
 class ProcessFleet:
@@ -85,6 +89,7 @@
         *arguments: str,
         store_address: str | None = None,
         has_internal_address: bool = False,
+        bounds: dict[str, int] | None = None,
     ) -> None:
         """Starts a process and waits until it is ready.
 
@@ -95,6 +100,7 @@
             store_address: Address at which it reaches the store; None for
                 that of the others.
             has_internal_address: Whether other instances know it.
+            bounds: Further bounds of its settings, by key.
         """
         caller, readiness, internal = _get_free_ports(3)
         path = self._folder / f"{name}.jsonc"
@@ -113,6 +119,7 @@
                         if has_internal_address
                         else None
                     ),
+                    "bounds": bounds or {},
                 }
             )
         )
@@ -145,6 +152,10 @@
         )
         return response.code
 
+    def get_address(self, name: str) -> str:
+        """Returns the address of an instance for callers."""
+        return f"127.0.0.1:{self._ports[name]}"
+
     def remove_instance(self, name: str) -> asyncio.subprocess.Process:
         """Returns an instance's process, which gets no more requests."""
         del self._ports[name]
@@ -158,11 +169,21 @@
         """
         async with asyncio.timeout(_ANSWER_TIMEOUT_S):
             while True:
-                name = self._read_leader()
+                name = self.read_leader()
                 if name in self.processes:
                     return name
                 await asyncio.sleep(0.1)
 
+    def read_leader(self) -> str:
+        """Returns the instance that the leader heartbeat names, or ''."""
+        heartbeat = records.LEADER_HEARTBEAT
+        text = self.store.get(
+            heartbeat.table, heartbeat.key, heartbeat.partition
+        )
+        if text is None:
+            return ""
+        return records.decode_leader_heartbeat(base64.b64decode(text)).instance
+
     async def submit_job(
         self, identifier: str, prefix: str, document: dict[str, typing.Any]
     ) -> None:
@@ -200,15 +221,6 @@
         for server in [self._store_server, *self._runner_servers]:
             await server.close()
 
-    def _read_leader(self) -> str:
-        heartbeat = records.LEADER_HEARTBEAT
-        text = self.store.get(
-            heartbeat.table, heartbeat.key, heartbeat.partition
-        )
-        if text is None:
-            return ""
-        return records.decode_leader_heartbeat(base64.b64decode(text)).instance
-
     async def _register_runners(self) -> None:
         while True:
             for registered in self.runners:
@@ -251,10 +263,17 @@
 
 
 def _get_free_ports(count: int) -> list[int]:
-    sockets = [socket.socket() for _ in range(count)]
+    """Returns free ports that no outgoing connection takes meanwhile."""
+    sockets: list[socket.socket] = []
     try:
-        for item in sockets:
-            item.bind(("127.0.0.1", 0))
+        while len(sockets) < count:
+            item = socket.socket()
+            sockets.append(item)
+            try:
+                item.bind(("127.0.0.1", _random.choice(_SERVER_PORTS)))
+            except OSError:
+                sockets.remove(item)
+                item.close()
         return [item.getsockname()[1] for item in sockets]
     finally:
         for item in sockets:
