--- a/soak/_callers.py
+++ b/soak/_callers.py
@@ -76,7 +76,7 @@
         async with asyncio.TaskGroup() as group:
             group.create_task(self._probe_configuration())
             while True:
-                if len(self._tasks) < _OPEN_JOBS:
+                if len(self._tasks) < _OPEN_JOBS and not self._is_stopping:
                     self.submit()
                 await asyncio.sleep(self._random.expovariate(2.5))
 
@@ -90,7 +90,7 @@
         task.add_done_callback(self._tasks.discard)
 
     def stop(self) -> None:
-        """Cancels long-running jobs from now on."""
+        """Ends submissions, and cancels long-running jobs from now on."""
         self._is_stopping = True
 
     async def close(self) -> None:
