--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 VENV := .venv
 BIN := $(VENV)/bin
 
-.PHONY: install format lint types test binary demo experiment clean
+.PHONY: install format lint types test binary demo soak experiment clean
 
 install: $(VENV)/.installed
 
@@ -13,11 +13,11 @@
 	touch $@
 
 format: install
-	$(BIN)/black --quiet tamarackhatch standins fleetmodel scripts conftest.py
+	$(BIN)/black --quiet tamarackhatch standins soak fleetmodel scripts conftest.py
 
 lint: install
-	$(BIN)/black --check --quiet tamarackhatch standins fleetmodel scripts conftest.py
-	$(BIN)/flake8 tamarackhatch standins fleetmodel scripts conftest.py
+	$(BIN)/black --check --quiet tamarackhatch standins soak fleetmodel scripts conftest.py
+	$(BIN)/flake8 tamarackhatch standins soak fleetmodel scripts conftest.py
 
 types: install
 	$(BIN)/mypy
@@ -31,6 +31,13 @@
 demo: install
 	$(BIN)/python -m standins.demo
 
+# Random faults on real processes: make soak SEEDS=50 FIRST=1 SECONDS=45
+SEEDS ?= 10
+FIRST ?= 1
+SECONDS ?= 45
+soak: install
+	$(BIN)/python -m soak --seed $(FIRST) --seeds $(SEEDS) --seconds $(SECONDS)
+
 # Compares policies: make experiment VARIANTS='-v "" -v patience=4'
 experiment: install
 	$(BIN)/python -m fleetmodel $(VARIANTS)
--- a/soak/_callers.py
+++ b/soak/_callers.py
@@ -175,13 +175,14 @@
                     path = f"{self.prefixes[version]}{0:016x}"
                     began = asyncio.get_running_loop().time()
                     answer = await self._call("GET", path, None, instance)
-                    if isinstance(answer, transport.Answer):
+                    if isinstance(answer, transport.Answer) and (
+                        answer.status in (200, 404, 410)
+                    ):
                         self._checks.record_queue(
                             instance.process,
                             version,
                             began,
-                            is_known=answer.status in (200, 410),
-                            is_unknown=answer.status == 404,
+                            is_known=answer.status != 404,
                         )
             await asyncio.sleep(_POLL_INTERVAL_S)
 
--- a/soak/_checks.py
+++ b/soak/_checks.py
@@ -162,13 +162,12 @@
         version: int,
         began: float,
         is_known: bool,
-        is_unknown: bool,
     ) -> None:
         """Records whether a process knows the queue of a version."""
         key = (process, version)
         if is_known:
             self._queues.setdefault(key, self._now)
-        elif is_unknown and began > self._queues.get(key, float("inf")):
+        elif began > self._queues.get(key, float("inf")):
             self.report(
                 "CONFIGURATION",
                 f"process {process}",
--- a/soak/_schedule.py
+++ b/soak/_schedule.py
@@ -39,27 +39,24 @@
         if isinstance(fault, _faults.Evacuation):
             shortest, longest = _EVACUATION_DURATIONS_S
         length_s = min(source.uniform(shortest, longest), end_s - time_s)
-        planned.append(_plan(time_s, length_s, fault))
+        planned.append(_plan(time_s, length_s, end_s, fault))
         if source.random() < _SERIES_SHARE:
             later_s = time_s + source.uniform(0.2, 0.9) * length_s
             if later_s < end_s - 1:
-                planned.append(
-                    _plan(
-                        later_s,
-                        min(source.uniform(*_DURATIONS_S), end_s - later_s),
-                        _draw_scheduler_failure(source),
-                    )
-                )
+                later_length_s = source.uniform(*_DURATIONS_S)
+                failure = _draw_scheduler_failure(source)
+                planned.append(_plan(later_s, later_length_s, end_s, failure))
         time_s += source.expovariate(1 / _MEAN_GAP_S)
     return _remove_overlaps(planned)
 
 
 def _plan(
-    start_s: float, length_s: float, fault: _faults.Fault
+    start_s: float, length_s: float, end_s: float, fault: _faults.Fault
 ) -> _faults.PlannedFault:
+    start_s = round(start_s, 2)
     return _faults.PlannedFault(
-        datetime.timedelta(seconds=round(start_s, 2)),
-        datetime.timedelta(seconds=round(length_s, 1)),
+        datetime.timedelta(seconds=start_s),
+        datetime.timedelta(seconds=min(round(length_s, 1), end_s - start_s)),
         fault,
     )
 
@@ -117,14 +114,14 @@
     ends: dict[tuple[object, ...], datetime.timedelta] = {}
     kept = []
     for item in sorted(planned, key=lambda item: item.start):
-        key = _get_target(item.fault)
+        key = get_target(item.fault)
         if item.start >= ends.get(key, datetime.timedelta()):
             ends[key] = item.start + item.duration
             kept.append(item)
     return tuple(kept)
 
 
-def _get_target(fault: _faults.Fault) -> tuple[object, ...]:
+def get_target(fault: _faults.Fault) -> tuple[object, ...]:
     names = ("instance", "runner", "data_centre")
     target = tuple(getattr(fault, name, None) for name in names)
     return (type(fault), *target)
