--- a/soak/_callers.py
+++ b/soak/_callers.py
@@ -5,7 +5,6 @@
 import random
 import typing
 
-import attrs
 import orjson
 
 from soak import _checks
@@ -18,37 +17,23 @@
 _MAX_ATTEMPTS = 5
 _RETRY_PAUSE_S = 0.2
 _POLL_INTERVAL_S = 0.4
-_REFUSALS = (404, 429, 503)
+# Stand for a call that was lost and for one that was not sent.
+_LOST, _NOT_SENT = 0, 1
+_REFUSALS = (_NOT_SENT, 404, 429, 503)
 _OPEN_JOBS = 25
 # A write that a link holds back arrives at the latest after this time.
 _LATE_WRITE_S = 15.0
-# Connections of the callers to one instance.
-_CONNECTIONS = 8
-MAIN_PREFIX = "/renewals/"
+_CONNECTIONS_TO_INSTANCE = 8
 # The first digit of an identifier tells the kind of the job.
 LONG_RUNNING, FAILING, BEST_EFFORT, BATCH = "abcd"
 _KINDS = LONG_RUNNING + FAILING + BEST_EFFORT + BATCH * 7
 
 
-@attrs.frozen
-class _Instance:
-    """An instance that callers know.
-
-    Attributes:
-        process: Identifies the process; an instance that starts again is
-            another one.
-        address: Where it serves callers.
-    """
-
-    process: int
-    address: str
-
-
 class Callers:
     """All callers of a run, over connections that stay open.
 
     Attributes:
-        prefixes: Path prefixes of the queues, by version of the
+        prefixes: Path prefixes of the queues, by the version of the
             configuration that added them.
     """
 
@@ -58,11 +43,14 @@
         checks: _checks.Checks,
         seed: int,
     ) -> None:
-        self.prefixes = [MAIN_PREFIX]
+        self.prefixes = ["/renewals/"]
         self._fleet = fleet
         self._checks = checks
         self._random = random.Random(f"callers {seed}")
-        self._client = transport.HttpClient(clock.SystemClock(), _CONNECTIONS)
+        self._client = transport.HttpClient(
+            clock.SystemClock(), _CONNECTIONS_TO_INSTANCE
+        )
+        self._time = asyncio.get_running_loop().time
         self._tasks: set[asyncio.Task[None]] = set()
         self._is_stopping = False
 
@@ -95,127 +83,102 @@
 
     async def close(self) -> None:
         """Abandons all requests."""
-        tasks = list(self._tasks)
-        for task in tasks:
+        for task in self._tasks:
             task.cancel()
-        await asyncio.gather(*tasks, return_exceptions=True)
+        await asyncio.gather(*self._tasks, return_exceptions=True)
         self._client.close()
 
-    async def _follow_job(self, identifier: str, path: str) -> None:
-        document = _make_job(identifier, self._random)
-        outcome = await self._submit_job(identifier, path, document)
-        if outcome is _checks.Submission.REFUSED:
-            return
-        time = asyncio.get_running_loop().time
-        delay_s = self._random.uniform(1, 8)
-        is_cancelled = identifier[0] == LONG_RUNNING
-        if not is_cancelled and self._random.random() > 0.15:
-            delay_s = float("inf")
-        cancel_time = time() + delay_s
-        give_up_time = time() + _LATE_WRITE_S
-        while not self._checks.is_finished(identifier):
-            if time() >= cancel_time or (is_cancelled and self._is_stopping):
-                if await self._cancel(identifier, path):
-                    cancel_time, is_cancelled = float("inf"), False
-            began = time()
-            answer = await self._call("GET", path)
-            if isinstance(answer, transport.Answer):
-                if answer.status == 200:
-                    text = orjson.loads(answer.body)["state"]
-                    self._checks.record_state(
-                        identifier, began, model.JobState(text)
-                    )
-                elif answer.status == 410:
-                    self._checks.record_absence(identifier, began)
-                    is_unknown = outcome is _checks.Submission.UNKNOWN
-                    if is_unknown and began > give_up_time:
-                        return
+    async def _follow_job(self, job: str, path: str) -> None:
+        document = _make_job(job, self._random)
+        self._checks.record_submission(job, document)
+        is_stored = await self._submit_job(path, orjson.dumps(document))
+        if is_stored is not None:
+            self._checks.record_outcome(job, is_stored)
+        needs_cancellation = job[0] == LONG_RUNNING
+        cancel_time = self._time() + self._random.uniform(1, 8)
+        if not needs_cancellation and self._random.random() > 0.15:
+            cancel_time = float("inf")
+        give_up_time = self._time() + _LATE_WRITE_S
+        while is_stored is not False and not self._checks.is_finished(job):
+            is_last_chance = needs_cancellation and self._is_stopping
+            if self._time() >= cancel_time or is_last_chance:
+                if await self._cancel(job, path):
+                    cancel_time, needs_cancellation = float("inf"), False
+            began = self._time()
+            status, body = await self._call("GET", path)
+            if status == 200:
+                state = model.JobState(orjson.loads(body)["state"])
+                self._checks.record_state(job, began, state)
+            elif status == 410:
+                self._checks.record_absence(job, began)
+                if is_stored is None and began > give_up_time:
+                    return
             await asyncio.sleep(_POLL_INTERVAL_S)
 
-    async def _submit_job(
-        self, identifier: str, path: str, document: dict[str, typing.Any]
-    ) -> _checks.Submission:
-        """Submits a job at up to five instances in turn."""
-        self._checks.record_submission(identifier, document)
-        body = orjson.dumps(document)
-        outcome = _checks.Submission.REFUSED
+    async def _submit_job(self, path: str, body: bytes) -> bool | None:
+        """Submits a job at up to five instances in turn.
+
+        Returns whether the job is stored; None if that is not known.
+        """
+        outcome: bool | None = False
         for _ in range(_MAX_ATTEMPTS):
-            answer = await self._call("POST", path, body)
-            if isinstance(answer, transport.Answer):
-                if answer.status == 200:
-                    outcome = _checks.Submission.ACCEPTED
-                    break
-                if answer.status not in _REFUSALS:
-                    outcome = _checks.Submission.UNKNOWN
-            elif isinstance(answer, transport.CallLostError):
-                outcome = _checks.Submission.UNKNOWN
+            status, _body = await self._call("POST", path, body)
+            if status == 200:
+                return True
+            if status not in _REFUSALS:
+                outcome = None
             await asyncio.sleep(_RETRY_PAUSE_S)
-        self._checks.record_outcome(identifier, outcome)
         return outcome
 
-    async def _cancel(self, identifier: str, path: str) -> bool:
+    async def _cancel(self, job: str, path: str) -> bool:
         """Cancels a job, and returns whether that was acknowledged."""
         for _ in range(_MAX_ATTEMPTS):
-            began = asyncio.get_running_loop().time()
-            answer = await self._call("DELETE", path)
-            if isinstance(answer, transport.Answer):
-                if answer.status == 200:
-                    self._checks.record_cancellation(identifier)
-                    return True
-                if answer.status == 410:
-                    self._checks.record_absence(identifier, began)
+            began = self._time()
+            status, _body = await self._call("DELETE", path)
+            if status == 200:
+                self._checks.record_cancellation(job)
+                return True
+            if status == 410:
+                self._checks.record_absence(job, began)
             await asyncio.sleep(_RETRY_PAUSE_S)
         return False
 
     async def _probe_configuration(self) -> None:
         """Asks each instance for a job of each of the latest queues."""
         while True:
-            for instance in self._list_instances():
+            for name, process in list(self._fleet.processes.items()):
                 for version in range(len(self.prefixes))[-3:]:
                     path = f"{self.prefixes[version]}{0:016x}"
-                    began = asyncio.get_running_loop().time()
-                    answer = await self._call("GET", path, None, instance)
-                    if isinstance(answer, transport.Answer) and (
-                        answer.status in (200, 404, 410)
-                    ):
+                    began = self._time()
+                    status, _ = await self._call("GET", path, None, name)
+                    if status in (404, 410):
                         self._checks.record_queue(
-                            instance.process,
-                            version,
-                            began,
-                            is_known=answer.status != 404,
+                            process.pid, version, began, status == 410
                         )
             await asyncio.sleep(_POLL_INTERVAL_S)
 
-    def _list_instances(self) -> list[_Instance]:
-        return [
-            _Instance(process.pid, self._fleet.get_address(name))
-            for name, process in self._fleet.processes.items()
-        ]
-
     async def _call(
         self,
         method: str,
         path: str,
         body: bytes | None = None,
-        instance: _Instance | None = None,
-    ) -> transport.Answer | Exception:
+        name: str = "",
+    ) -> tuple[int, bytes]:
         """Sends a request to an instance, by default to a random one."""
-        instances = self._list_instances()
-        if instance is None and not instances:
-            return transport.CallNotSentError("no instance")
-        target = instance or self._random.choice(instances)
-        call = transport.Call(
-            method,
-            target.address,
-            path,
-            _TIMEOUT,
-            body,
-            (f"Host: {processes.HOST}",),
-        )
+        names = list(self._fleet.processes)
+        name = name or self._random.choice(names or [""])
+        if name not in names:
+            return _NOT_SENT, b""
+        address = self._fleet.get_address(name)
+        headers = (f"Host: {processes.HOST}",)
+        call = transport.Call(method, address, path, _TIMEOUT, body, headers)
         try:
-            return await self._client.send(call)
-        except (transport.CallLostError, transport.CallNotSentError) as error:
-            return error
+            answer = await self._client.send(call)
+        except transport.CallLostError:
+            return _LOST, b""
+        except transport.CallNotSentError:
+            return _NOT_SENT, b""
+        return answer.status, answer.body
 
 
 def plan_run(task: str, run: int) -> tuple[float, str]:
@@ -227,7 +190,7 @@
     return source.uniform(0.2, 3.0), "failed" if is_failing else "done"
 
 
-def _make_job(identifier: str, source: random.Random) -> dict[str, typing.Any]:
+def _make_job(job: str, source: random.Random) -> dict[str, typing.Any]:
     step: dict[str, typing.Any] = {
         "count": source.randint(1, 4),
         "cpu": source.choice([500, 1000, 2000]),
@@ -235,10 +198,9 @@
         "est_runtime_ms": 1500,
         "image": "renew",
     }
-    if identifier[0] == LONG_RUNNING:
+    steps = [step, {**step, "count": 2, "after": [0]}]
+    if job[0] == LONG_RUNNING:
         steps = [{**step, "long_running": True, "target_ms": 50}]
-    elif identifier[0] == BEST_EFFORT:
+    elif job[0] == BEST_EFFORT:
         steps = [{**step, "fills": True}]
-    else:
-        steps = [step, {**step, "count": 2, "after": [0]}]
     return {"spec": "renew", "steps": steps}
--- a/soak/_checks.py
+++ b/soak/_checks.py
@@ -1,8 +1,9 @@
-"""Checks what callers and runners observe."""
+"""Checks what callers and runners observe; times are loop times in s."""
 
 import asyncio
 from collections.abc import Iterator
-import enum
+import contextlib
+import math
 import typing
 
 import attrs
@@ -12,64 +13,34 @@
 from tamarackhatch import model
 
 MAX_ATTEMPTS = 3
-# Bounds of the users' platform, in seconds.
 _CANCEL_S = 4.0
-_DRAIN_S = 2.5
-_EVACUATION_S = history.EVACUATION_BOUND_S
-
-
-class Submission(enum.Enum):
-    """What a caller knows after its last attempt.
-
-    Attributes:
-        ACCEPTED: An instance has accepted the job.
-        REFUSED: All attempts were refused, or were never sent.
-        UNKNOWN: An attempt may have stored the job, or may still store it.
-    """
-
-    ACCEPTED = "accepted"
-    REFUSED = "refused"
-    UNKNOWN = "unknown"
+# Bound of each order, and scopes whose disturbances extend it. An evacuation
+# must be obeyed without a store, too.
+_ORDERS = {
+    "DRAINING": (2.5, frozenset({_timeline.MACHINE, _timeline.CONTROL})),
+    "EVACUATED": (history.EVACUATION_BOUND_S, frozenset({_timeline.MACHINE})),
+}
 
 
 @attrs.define
 class _Order:
-    """An operator's order about runners; times are in seconds.
-
-    Attributes:
-        rule: Rule that a start after the bound breaks.
-        bound_s: Time until it must be obeyed.
-        scopes: Scopes whose disturbances extend the bound.
-        runners: Names of the runners concerned.
-        given: When the store had recorded it.
-        ended: When it was withdrawn; infinite while it is in force.
-    """
+    """Order to start nothing on some runners, until it is withdrawn."""
 
     rule: str
-    bound_s: float
-    scopes: frozenset[str]
     runners: frozenset[str]
     given: float
-    ended: float = float("inf")
+    ended: float = math.inf
 
 
 @attrs.define
 class _KnownJob:
-    """What callers know about a job; times are in seconds.
-
-    Attributes:
-        steps: Number of tasks of each step.
-        accepted: When it was accepted.
-        cancelled: When a cancellation was acknowledged.
-        final: The first final state that was shown.
-        final_time: When it was shown.
-    """
+    """Tasks of a job's first step, and what callers were answered when."""
 
-    steps: list[int]
-    accepted: float = float("inf")
-    cancelled: float = float("inf")
+    first_count: int
+    accepted: float = math.inf
+    cancelled: float = math.inf
     final: model.JobState | None = None
-    final_time: float = float("inf")
+    final_time: float = math.inf
 
 
 class Checks:
@@ -110,39 +81,28 @@
         ]
         self._history.accepted.add(job)
         self._history.record_steps(job, steps)
-        self._jobs[job] = _KnownJob([step.count for step in steps])
+        self._jobs[job] = _KnownJob(steps[0].count)
 
-    def record_outcome(self, job: str, outcome: Submission) -> None:
-        """Records what the caller knows after its last attempt."""
-        if outcome is Submission.ACCEPTED:
+    def record_outcome(self, job: str, is_stored: bool) -> None:
+        """Records that a job was accepted, or all its attempts refused."""
+        if is_stored:
             self._jobs[job].accepted = self._now
-        elif outcome is Submission.REFUSED:
+        else:
             self._history.accepted.discard(job)
             self._history.refused.add(job)
 
     def record_state(
         self, job: str, began: float, state: model.JobState
     ) -> None:
-        """Records a state that an instance showed.
-
-        Args:
-            job: Identifier of the job.
-            began: When the request was sent.
-            state: The state.
-        """
+        """Records a state that was shown to a request sent at ``began``."""
         known = self._jobs[job]
         if known.final is None and state.is_final:
             known.final, known.final_time = state, self._now
             if state is model.JobState.COMPLETED:
                 self._history.completed[job] = self._now
-            if state is model.JobState.FAILED:
-                self._check_failed_job(job)
-            if state is model.JobState.CANCELLED and known.cancelled == float(
-                "inf"
-            ):
-                # The caller learns only so that its cancellation, whose
-                # answer was lost, was carried out.
-                known.cancelled = self._now
+            elif state is model.JobState.CANCELLED:
+                # The answer to the cancellation may have been lost.
+                known.cancelled = min(known.cancelled, self._now)
         elif began > known.final_time and state is not known.final:
             self.report("REVERTED", job, f"{known.final} became {state}")
 
@@ -157,53 +117,33 @@
         self._jobs[job].cancelled = min(self._jobs[job].cancelled, self._now)
 
     def record_queue(
-        self,
-        process: int,
-        version: int,
-        began: float,
-        is_known: bool,
+        self, process: int, version: int, began: float, is_known: bool
     ) -> None:
         """Records whether a process knows the queue of a version."""
         key = (process, version)
         if is_known:
             self._queues.setdefault(key, self._now)
-        elif began > self._queues.get(key, float("inf")):
-            self.report(
-                "CONFIGURATION",
-                f"process {process}",
-                f"lost the queue of version {version}",
-            )
-
-    def record_order(
-        self, is_evacuation: bool, runners: frozenset[str]
-    ) -> typing.Callable[[], None]:
-        """Records an evacuation or a drain; returns how to withdraw it."""
-        scopes = frozenset({_timeline.MACHINE, _timeline.CONTROL})
-        order = _Order("DRAINING", _DRAIN_S, scopes, runners, self._now)
-        if is_evacuation:
-            # It must be obeyed without a store, too.
-            scopes = frozenset({_timeline.MACHINE})
-            order = _Order(
-                "EVACUATED", _EVACUATION_S, scopes, runners, self._now
-            )
+        elif began > self._queues.get(key, math.inf):
+            subject = f"process {process}"
+            self.report("CONFIGURATION", subject, f"lost version {version}")
+
+    @contextlib.contextmanager
+    def expect_no_starts(self, rule: str, *runners: str) -> Iterator[None]:
+        """Expects no starts on runners, from the bound of the order on."""
+        order = _Order(rule, frozenset(runners), self._now)
         self._orders.append(order)
-
-        def withdraw() -> None:
-            order.ended = self._now
-
-        return withdraw
+        yield
+        order.ended = self._now
 
     def is_finished(self, job: str) -> bool:
         """Returns whether a final state was shown."""
         return self._jobs[job].final is not None
 
-    def list_unfinished(self) -> list[str]:
-        """Returns the accepted jobs without a final state."""
-        return [
-            name
-            for name, job in self._jobs.items()
-            if job.accepted < float("inf") and job.final is None
-        ]
+    def report_unfinished(self) -> None:
+        """Reports the accepted jobs without a final state as lost."""
+        for name, job in self._jobs.items():
+            if job.accepted < math.inf and job.final is None:
+                self.report("LOST", name, "accepted, but did not end")
 
     def find_violations(self) -> list[history.Violation]:
         """Returns all violations so far."""
@@ -217,12 +157,15 @@
 
     def _check_orders(self) -> Iterator[history.Violation]:
         for order in self._orders:
+            bound_s, scopes = _ORDERS[order.rule]
             for run in self._history.runs:
                 if (
                     run.runner in order.runners
-                    and order.given + order.bound_s < run.started < order.ended
-                    and self._measure(order.scopes, order.given, run)
-                    > order.bound_s
+                    and order.given + bound_s < run.started < order.ended
+                    and self._timeline.measure_quiet(
+                        scopes | {run.runner}, order.given, run.started
+                    )
+                    > bound_s
                 ):
                     yield history.Violation(
                         order.rule,
@@ -231,30 +174,17 @@
                         f"{run.started:.2f} s, ordered at {order.given:.2f} s",
                     )
 
-    def _measure(
-        self,
-        scopes: frozenset[str],
-        since: float,
-        run: history.RunRecord,
-        until: float | None = None,
-    ) -> float:
-        """Measures the undisturbed time until a run's start, or ``until``."""
-        return self._timeline.measure_quiet(
-            scopes | {run.runner},
-            since,
-            run.started if until is None else until,
-        )
-
     def _check_cancellations(self) -> Iterator[history.Violation]:
-        scopes = frozenset({_timeline.MACHINE, _timeline.CONTROL})
+        scopes = {_timeline.MACHINE, _timeline.CONTROL}
         for run in self._history.runs:
             job = self._jobs.get(run.task.split(".")[0])
-            if job is None:
-                continue
             end = self._now if run.exited is None else run.exited
-            if end <= job.cancelled + _CANCEL_S:
+            if job is None or end <= job.cancelled + _CANCEL_S:
                 continue
-            if self._measure(scopes, job.cancelled, run, end) > _CANCEL_S:
+            quiet_s = self._timeline.measure_quiet(
+                scopes | {run.runner}, job.cancelled, end
+            )
+            if quiet_s > _CANCEL_S:
                 yield history.Violation(
                     "CANCELLED",
                     run.task,
@@ -266,28 +196,14 @@
         done: dict[str, float] = {}
         for run in self._history.runs:
             if run.exit_reason == "done" and run.exited is not None:
-                done[run.task] = min(
-                    run.exited, done.get(run.task, run.exited)
-                )
+                done[run.task] = min(run.exited, done.get(run.task, math.inf))
         for run in self._history.runs:
             job, occurrence, step, _ = run.task.split(".")
             if step == "0" or job not in self._jobs:
                 continue
-            for index in range(self._jobs[job].steps[0]):
+            for index in range(self._jobs[job].first_count):
                 earlier = f"{job}.{occurrence}.0.{index}"
-                if done.get(earlier, float("inf")) > run.started:
+                if done.get(earlier, math.inf) > run.started:
                     yield history.Violation(
                         "ORDER", run.task, f"started before {earlier} was done"
                     )
-
-    def _check_failed_job(self, job: str) -> None:
-        """Checks that a task of a failed job has used up its attempts."""
-        failures: dict[str, int] = {}
-        for run in self._history.runs:
-            if run.task.split(".")[0] == job and run.exit_reason in (
-                "failed",
-                "crashed",
-            ):
-                failures[run.task] = failures.get(run.task, 0) + 1
-        if max(failures.values(), default=0) < MAX_ATTEMPTS:
-            self.report("GAVE UP", job, f"failed after {failures}")
--- a/soak/_deployment.py
+++ b/soak/_deployment.py
@@ -17,7 +17,9 @@
 from tamarackhatch import records
 
 _BOUNDS = {"evacuation_ms": 5000, "stop_timeout_ms": 400, "restore_ms": 250}
-_GRACE_S = 6.0
+# After SIGTERM, the platform ends a process after 6 s; a busy machine and a
+# pause by another fault may add to that.
+_GRACE_S = 15.0
 _POLL_S = 0.05
 # The loop is taken to be on time if a timer is late by less than this.
 _USUAL_LATENESS_S = 0.02
@@ -25,10 +27,9 @@
 _HEARTBEAT_S = 1.6
 # Time that a successor has to read the store and to reach the runners.
 _TAKEOVER_S = 2.5
-_FAILURE_S = 0.1
 
 
-class StoreFront:
+class _StoreFront:
     """The store as one instance sees it.
 
     Attributes:
@@ -42,7 +43,6 @@
         self._handle = handle
 
     async def handle(self, request: network.Request) -> network.Response:
-        """Answers one call."""
         if self.status:
             return network.Response(self.status)
         response = await self._handle(request)
@@ -63,7 +63,6 @@
         store_links: Proxies from each instance to the store, by name.
         runner_links: Proxies to each runner, by index.
         failing_runners: Indices of the runners on which all tasks fail.
-        version: Version of the configuration.
     """
 
     def __init__(
@@ -71,7 +70,7 @@
         folder: pathlib.Path,
         seed: int,
         timeline: _timeline.Timeline,
-        arguments: tuple[str, ...] = ("tamarackhatch",),
+        arguments: tuple[str, ...],
     ) -> None:
         """Creates a deployment that is not started yet.
 
@@ -86,14 +85,15 @@
         self.timeline = timeline
         self.checks = _checks.Checks(self.fleet.history, timeline)
         self.callers = _callers.Callers(self.fleet, self.checks, seed)
-        self.fronts: dict[str, StoreFront] = {}
+        self.fronts: dict[str, _StoreFront] = {}
         self.store_links: dict[str, _proxy.Proxy] = {}
         self.runner_links: list[_proxy.Proxy] = []
         self.failing_runners: set[int] = set()
-        self.version = 0
+        self._version = 0
         self._arguments = arguments
         self._servers: list[servers.StandInServer] = []
         self._ended: set[int] = set()
+        self._ready: set[int] = set()
         self._tasks: list[asyncio.Task[None]] = []
 
     async def open(self) -> None:
@@ -102,14 +102,14 @@
         for index in range(_schedule.RUNNERS):
             await self._add_runner(index)
         for index in range(_schedule.INSTANCES):
-            name = get_instance_name(index)
-            front = StoreFront(self.fleet.store.handle)
+            name = f"entry-{index}"
+            front = _StoreFront(self.fleet.store.handle)
             server = servers.StandInServer(front.handle)
-            link = _proxy.Proxy(server.address)
-            await link.open()
-            self.fronts[name], self.store_links[name] = front, link
             self._servers.append(server)
-            await self.start_instance(name)
+            self.fronts[name] = front
+            self.store_links[name] = _proxy.Proxy(server.address)
+            await self.store_links[name].open()
+            await self._start_instance(name)
         await self.fleet.find_scheduler()
         self._tasks.append(asyncio.create_task(self._watch_scheduler()))
         self._tasks.append(asyncio.create_task(self.callers.run()))
@@ -121,7 +121,7 @@
         await asyncio.gather(*self._tasks, return_exceptions=True)
         await self.callers.close()
         for name in list(self.fleet.processes):
-            await self.kill_instance(name)
+            await self.end_instance(name, signal.SIGKILL)
         await self.fleet.close()
         for link in [*self.store_links.values(), *self.runner_links]:
             await link.close()
@@ -130,20 +130,25 @@
 
     def publish_configuration(self) -> None:
         """Adds a queue, except in the first version."""
-        if self.version:
-            self.callers.prefixes.append(f"/checks-{self.version}/")
-        self.version += 1
-        self.fleet.publish_configuration(self.version, self.callers.prefixes)
+        if self._version:
+            self.callers.prefixes.append(f"/checks-{self._version}/")
+        self._version += 1
+        self.fleet.publish_configuration(self._version, self.callers.prefixes)
 
     def find_instance(self, index: int) -> str | None:
         """Returns the name of an instance whose process exists, or None."""
-        name = get_instance_name(index)
+        name = f"entry-{index}"
         if index == _faults.ACTIVE_SCHEDULER:
             name = self.fleet.read_leader()
         return name if name in self.fleet.processes else None
 
-    async def start_instance(self, name: str) -> None:
-        """Starts an instance, and waits some time until it is ready."""
+    def restart_instance(self, name: str) -> None:
+        """Starts an instance in the background, unless it runs."""
+        self._tasks.append(asyncio.create_task(self._start_instance(name)))
+
+    async def _start_instance(self, name: str) -> None:
+        if name in self.fleet.processes:
+            return
         module, *arguments = self._arguments
         try:
             await self.fleet.start_instance(
@@ -157,46 +162,40 @@
         except TimeoutError:
             # It cannot be ready while the store does not answer.
             pass
-        if name in self.fleet.processes:
-            self._tasks.append(asyncio.create_task(self._watch_process(name)))
-
-    async def stop_instance(self, name: str) -> None:
-        """Stops an instance gracefully, and checks the time that it takes."""
-        process = self.fleet.processes[name]
-        self._ended.add(process.pid)
-        since = asyncio.get_running_loop().time()
-        process.terminate()
-        while process.returncode is None:
-            await asyncio.sleep(_POLL_S)
-            now = asyncio.get_running_loop().time()
-            scopes = {_timeline.MACHINE, name}
-            if self.timeline.measure_quiet(scopes, since, now) > _GRACE_S:
-                self.checks.report("STOP", name, "did not end in time")
-                process.kill()
-                await process.wait()
-        if process.returncode not in (0, -signal.SIGKILL):
-            self.checks.report(
-                "STOP", name, f"ended with code {process.returncode}"
-            )
-        self._forget(name, process)
-
-    async def kill_instance(self, name: str) -> None:
-        """Kills an instance; callers know it until its process has ended."""
+        else:
+            self._ready.add(self.fleet.processes[name].pid)
+
+    def check_processes(self) -> None:
+        """Reports processes that ended without having been told to."""
+        for name, process in list(self.fleet.processes.items()):
+            code = process.returncode
+            if code is not None and process.pid not in self._ended:
+                self.checks.report("EXITED", name, f"ended with code {code}")
+                self.fleet.remove_instance(name)
+
+    async def end_instance(self, name: str, number: signal.Signals) -> None:
+        """Ends an instance; callers use it until its process has ended."""
         process = self.fleet.processes[name]
         self._ended.add(process.pid)
         if process.returncode is None:
+            process.send_signal(number)
+        try:
+            async with asyncio.timeout(_GRACE_S):
+                await process.wait()
+        except TimeoutError:
+            self.checks.report("STOP", name, f"still runs after {number}")
             process.kill()
             await process.wait()
-        self._forget(name, process)
-
-    def _forget(self, name: str, process: asyncio.subprocess.Process) -> None:
+        code = process.returncode
+        if code not in (0, -signal.SIGKILL) and process.pid in self._ready:
+            self.checks.report("STOP", name, f"ended with code {code}")
         if self.fleet.processes.get(name) is process:
             self.fleet.remove_instance(name)
 
     async def _add_runner(self, index: int) -> None:
         def plan(task: str, run: int) -> tuple[float, str]:
             if index in self.failing_runners:
-                return _FAILURE_S, "failed"
+                return 0.1, "failed"
             return _callers.plan_run(task, run)
 
         added = runner.RunnerStandIn(
@@ -210,44 +209,26 @@
         added.address = link.address
         self.runner_links.append(link)
 
-    async def _watch_process(self, name: str) -> None:
-        """Reports a process that ends without having been told to."""
-        process = self.fleet.processes[name]
-        code = await process.wait()
-        if process.pid not in self._ended:
-            self.checks.report("EXITED", name, f"ended with code {code}")
-            self._forget(name, process)
-
     async def _watch_scheduler(self) -> None:
         """Records when the machine is late and no scheduler is active."""
-        time = asyncio.get_running_loop().time
-        beat, leader = self._read_heartbeat(), self.fleet.read_leader()
-        beat_time = time()
+        time, row = asyncio.get_running_loop().time, records.LEADER_HEARTBEAT
+        beat, leader, beat_time = None, self.fleet.read_leader(), time()
         gap: _timeline.Interval | None = None
         while True:
             expected = time() + _POLL_S
             await asyncio.sleep(_POLL_S)
             now = time()
             if now > expected + _USUAL_LATENESS_S:
-                late = self.timeline.begin(_timeline.MACHINE, expected)
-                late.end = now
-            if self._read_heartbeat() == beat:
+                self.timeline.begin(_timeline.MACHINE, expected).end = now
+            latest = self.fleet.store.get(row.table, row.key, row.partition)
+            if latest == beat:
                 if gap is None and now > beat_time + _HEARTBEAT_S:
                     gap = self.timeline.begin(_timeline.CONTROL, beat_time)
                 continue
             if self.fleet.read_leader() != leader:
                 leader = self.fleet.read_leader()
                 gap = gap or self.timeline.begin(_timeline.CONTROL, beat_time)
-                gap.end, gap = now + _TAKEOVER_S, None
-            if gap is not None:
-                gap.end, gap = now, None
-            beat, beat_time = self._read_heartbeat(), now
-
-    def _read_heartbeat(self) -> str | None:
-        row = records.LEADER_HEARTBEAT
-        return self.fleet.store.get(row.table, row.key, row.partition)
-
-
-def get_instance_name(index: int) -> str:
-    """Returns the name of an instance."""
-    return f"entry-{index}"
+                gap.end = now + _TAKEOVER_S
+            elif gap is not None:
+                gap.end = now
+            beat, beat_time, gap = latest, now, None
--- a/soak/_faults.py
+++ b/soak/_faults.py
@@ -2,93 +2,45 @@
 
 import datetime
 import enum
+import signal
 
 import attrs
 
-# Index that stands for the instance that is the active scheduler when the
-# fault begins.
+# Stands for the instance that is the active scheduler when the fault begins.
 ACTIVE_SCHEDULER = -1
 
-
-class LinkFault(enum.Enum):
-    """What a proxy does to the connections of a link.
-
-    Attributes:
-        DELAY: Everything arrives later.
-        RESET: Open connections are reset, and new ones are served.
-        CUT_REQUESTS: What clients send arrives after the fault has ended.
-        CUT_ANSWERS: What servers send arrives after the fault has ended.
-        DROP: Everything is discarded, and no connection is closed.
-    """
-
-    DELAY = "delay"
-    RESET = "reset"
-    CUT_REQUESTS = "cut requests"
-    CUT_ANSWERS = "cut answers"
-    DROP = "drop"
+StoreKind = enum.Enum("StoreKind", "DOWN SILENT SLOW VERY_SLOW HISTORY_LOST")
+InstanceKind = enum.Enum("InstanceKind", "REFUSED BUSY ANSWERS_LOST")
+LinkKind = enum.Enum("LinkKind", "DELAY RESET CUT_REQUESTS CUT_ANSWERS DROP")
+RunnerKind = enum.Enum("RunnerKind", "FAILS SLOW HANGS RESTARTS DRAINS")
 
 
 @attrs.frozen
 class Fault:
-    """A fault; the index of an instance may be `ACTIVE_SCHEDULER`."""
+    """A fault; instances and runners are given by index."""
 
 
 @attrs.frozen
-class StopProcess(Fault):
-    """An instance gets SIGTERM, and starts again afterwards."""
+class ProcessFault(Fault):
+    """An instance gets a signal; later it is started again or continued."""
 
     instance: int
+    signal: signal.Signals
 
 
 @attrs.frozen
-class KillProcess(Fault):
-    """An instance gets SIGKILL, and starts again afterwards."""
-
-    instance: int
-
-
-@attrs.frozen
-class PauseProcess(Fault):
-    """An instance gets SIGSTOP, and SIGCONT afterwards."""
-
-    instance: int
-
-
-@attrs.frozen
-class StoreUnavailable(Fault):
-    """The store answers every call with 503."""
-
-
-@attrs.frozen
-class StoreSilent(Fault):
-    """The store answers no call."""
-
-
-@attrs.frozen
-class StoreSlow(Fault):
-    """The store takes this many times as long as usual."""
-
-    factor: float
-
-
-@attrs.frozen
-class StoreHistoryLost(Fault):
-    """The store discards its past changes."""
-
-
-@attrs.frozen
-class StoreRefusesInstance(Fault):
-    """The store refuses one instance with a status."""
+class StoreFault(Fault):
+    """The store fails for all instances, is slow, or loses its history."""
 
-    instance: int
-    status: int
+    kind: StoreKind
 
 
 @attrs.frozen
-class StoreAnswersLost(Fault):
-    """Transactions of one instance are carried out, but not answered."""
+class InstanceStoreFault(Fault):
+    """The store answers one instance 503 or 429, or not after a write."""
 
     instance: int
+    kind: InstanceKind
 
 
 @attrs.frozen
@@ -96,7 +48,7 @@
     """The link from one instance to the store is disturbed."""
 
     instance: int
-    kind: LinkFault
+    kind: LinkKind
 
 
 @attrs.frozen
@@ -104,36 +56,15 @@
     """The link from all instances to one runner is disturbed."""
 
     runner: int
-    kind: LinkFault
-
-
-@attrs.frozen
-class RunnerFailsTasks(Fault):
-    """All tasks that start on a runner fail."""
-
-    runner: int
-
-
-@attrs.frozen
-class RunnerSlow(Fault):
-    """A runner runs its tasks at a share of their speed; 0 for a hang."""
-
-    runner: int
-    speed: float
-
-
-@attrs.frozen
-class RunnerRestarts(Fault):
-    """A runner loses its runs and starts again."""
-
-    runner: int
+    kind: LinkKind
 
 
 @attrs.frozen
-class RunnerDrains(Fault):
-    """A runner drains, and is ready again afterwards."""
+class RunnerFault(Fault):
+    """A runner fails all tasks, is slow, hangs, restarts or drains."""
 
     runner: int
+    kind: RunnerKind
 
 
 @attrs.frozen
@@ -164,7 +95,6 @@
     fault: Fault
 
     def __str__(self) -> str:
-        return (
-            f"{self.start.total_seconds():6.2f} s, for "
-            f"{self.duration.total_seconds():4.1f} s: {self.fault}"
-        )
+        start_s = self.start.total_seconds()
+        length_s = self.duration.total_seconds()
+        return f"{start_s:6.2f} s, for {length_s:4.1f} s: {self.fault}"
--- a/soak/_injection.py
+++ b/soak/_injection.py
@@ -2,270 +2,159 @@
 
 import asyncio
 import base64
+from collections.abc import AsyncIterator
 import contextlib
 import functools
 import signal
 
 from soak import _deployment
 from soak import _faults
-from soak import _proxy
 from soak import _timeline
 
 # Time after which connections and feeds work again behind a disturbance.
 _STORE_RECOVERY_S = 1.0
 _RUNNER_RECOVERY_S = 3.0
 _EMPTY_ROW = base64.b64encode(b"{}").decode()
-_Deployment = _deployment.Deployment
+_Target = _deployment.Deployment
+_Context = AsyncIterator[None]
 
 
-@functools.singledispatch
-async def inject(
-    fault: _faults.Fault, target: _Deployment, duration_s: float
-) -> None:
-    """Injects a fault, and lifts it after its duration.
-
-    Args:
-        fault: The fault.
-        target: The deployment.
-        duration_s: Seconds until the fault is lifted.
-    """
-    raise TypeError(f"no injection of {fault}")
-
-
-@inject.register
-async def _(
-    fault: _faults.StopProcess, target: _Deployment, duration_s: float
-) -> None:
-    name = target.find_instance(fault.instance)
-    if name is not None:
-        await target.stop_instance(name)
-        await asyncio.sleep(duration_s)
-        await _restart(target, name)
+async def inject(item: _faults.PlannedFault, target: _Target) -> None:
+    """Injects a fault, and lifts it after its duration."""
+    async with _apply(item.fault, target):
+        await asyncio.sleep(item.duration.total_seconds())
 
 
-@inject.register
-async def _(
-    fault: _faults.KillProcess, target: _Deployment, duration_s: float
-) -> None:
+@functools.singledispatch
+@contextlib.asynccontextmanager
+async def _apply(fault: _faults.Fault, target: _Target) -> _Context:
+    """Applies a fault while the context lasts."""
+    if isinstance(fault, _faults.Burst):
+        for _ in range(fault.jobs):
+            target.callers.submit()
+    else:
+        target.publish_configuration()
+    yield
+
+
+@_apply.register
+@contextlib.asynccontextmanager
+async def _(fault: _faults.ProcessFault, target: _Target) -> _Context:
     name = target.find_instance(fault.instance)
-    if name is not None:
-        await target.kill_instance(name)
-        await asyncio.sleep(duration_s)
-        await _restart(target, name)
-
-
-async def _restart(target: _Deployment, name: str) -> None:
-    """Starts an instance, unless another fault has done so."""
-    if name not in target.fleet.processes:
-        await target.start_instance(name)
-
-
-@inject.register
-async def _(
-    fault: _faults.PauseProcess, target: _Deployment, duration_s: float
-) -> None:
+    if name is None:
+        yield
+    elif fault.signal is signal.SIGSTOP:
+        process = target.fleet.processes[name]
+        with target.timeline.disturb(name):
+            process.send_signal(signal.SIGSTOP)
+            yield
+        if process.returncode is None:
+            process.send_signal(signal.SIGCONT)
+    else:
+        await target.end_instance(name, fault.signal)
+        yield
+        target.restart_instance(name)
+
+
+@_apply.register
+@contextlib.asynccontextmanager
+async def _(fault: _faults.StoreFault, target: _Target) -> _Context:
+    store, kind = target.fleet.store, _faults.StoreKind
+    with target.timeline.disturb(_timeline.CONTROL, _STORE_RECOVERY_S):
+        if fault.kind is kind.HISTORY_LOST:
+            store.discard_history()
+            yield
+        elif fault.kind is kind.DOWN:
+            store.is_down = True
+            yield
+            store.is_down = False
+        elif fault.kind is kind.SILENT:
+            store.is_unresponsive = True
+            yield
+            store.is_unresponsive = False
+        else:
+            store.slow_down(20 if fault.kind is kind.SLOW else 76)
+            yield
+            store.slow_down(1)
+
+
+@_apply.register
+@contextlib.asynccontextmanager
+async def _(fault: _faults.InstanceStoreFault, target: _Target) -> _Context:
     name = target.find_instance(fault.instance)
     if name is None:
+        yield
         return
-    process = target.fleet.processes[name]
-    with target.timeline.disturb(name):
-        process.send_signal(signal.SIGSTOP)
-        try:
-            await asyncio.sleep(duration_s)
-        finally:
-            if process.returncode is None:
-                process.send_signal(signal.SIGCONT)
-
-
-@inject.register
-async def _(
-    fault: _faults.StoreUnavailable, target: _Deployment, duration_s: float
-) -> None:
-    target.fleet.store.is_down = True
-    with _disturb_store(target):
-        try:
-            await asyncio.sleep(duration_s)
-        finally:
-            target.fleet.store.is_down = False
-
-
-@inject.register
-async def _(
-    fault: _faults.StoreSilent, target: _Deployment, duration_s: float
-) -> None:
-    target.fleet.store.is_unresponsive = True
-    with _disturb_store(target):
-        try:
-            await asyncio.sleep(duration_s)
-        finally:
-            target.fleet.store.is_unresponsive = False
-
-
-@inject.register
-async def _(
-    fault: _faults.StoreSlow, target: _Deployment, duration_s: float
-) -> None:
-    target.fleet.store.slow_down(fault.factor)
-    with _disturb_store(target):
-        try:
-            await asyncio.sleep(duration_s)
-        finally:
-            target.fleet.store.slow_down(1.0)
-
-
-@inject.register
-async def _(
-    fault: _faults.StoreHistoryLost, target: _Deployment, duration_s: float
-) -> None:
-    target.fleet.store.discard_history()
-
-
-@inject.register
-async def _(
-    fault: _faults.StoreRefusesInstance,
-    target: _Deployment,
-    duration_s: float,
-) -> None:
-    name = target.find_instance(fault.instance)
-    if name is not None:
-        target.fronts[name].status = fault.status
-        with _disturb_store(target):
-            try:
-                await asyncio.sleep(duration_s)
-            finally:
-                target.fronts[name].status = 0
-
-
-@inject.register
-async def _(
-    fault: _faults.StoreAnswersLost, target: _Deployment, duration_s: float
-) -> None:
+    front, kind = target.fronts[name], _faults.InstanceKind
+    with target.timeline.disturb(_timeline.CONTROL, _STORE_RECOVERY_S):
+        if fault.kind is kind.ANSWERS_LOST:
+            front.loses_answers = True
+            yield
+            front.loses_answers = False
+        else:
+            front.status = 503 if fault.kind is kind.REFUSED else 429
+            yield
+            front.status = 0
+
+
+@_apply.register
+@contextlib.asynccontextmanager
+async def _(fault: _faults.StoreLinkFault, target: _Target) -> _Context:
     name = target.find_instance(fault.instance)
-    if name is not None:
-        target.fronts[name].loses_answers = True
-        with _disturb_store(target):
-            try:
-                await asyncio.sleep(duration_s)
-            finally:
-                target.fronts[name].loses_answers = False
-
-
-@inject.register
-async def _(
-    fault: _faults.StoreLinkFault, target: _Deployment, duration_s: float
-) -> None:
-    name = target.find_instance(fault.instance)
-    if name is not None:
-        with _disturb_store(target):
-            await _disturb_link(
-                target.store_links[name], fault.kind, duration_s
-            )
+    if name is None:
+        yield
+        return
+    with target.timeline.disturb(_timeline.CONTROL, _STORE_RECOVERY_S):
+        with target.store_links[name].disturb(fault.kind):
+            yield
 
 
-@inject.register
-async def _(
-    fault: _faults.RunnerLinkFault, target: _Deployment, duration_s: float
-) -> None:
+@_apply.register
+@contextlib.asynccontextmanager
+async def _(fault: _faults.RunnerLinkFault, target: _Target) -> _Context:
     name = target.fleet.runners[fault.runner].identifier
     with target.timeline.disturb(name, _RUNNER_RECOVERY_S):
-        await _disturb_link(
-            target.runner_links[fault.runner], fault.kind, duration_s
-        )
-
-
-@inject.register
-async def _(
-    fault: _faults.RunnerFailsTasks, target: _Deployment, duration_s: float
-) -> None:
-    target.failing_runners.add(fault.runner)
-    try:
-        await asyncio.sleep(duration_s)
-    finally:
+        with target.runner_links[fault.runner].disturb(fault.kind):
+            yield
+
+
+@_apply.register
+@contextlib.asynccontextmanager
+async def _(fault: _faults.RunnerFault, target: _Target) -> _Context:
+    store, kind = target.fleet.store, _faults.RunnerKind
+    runner = target.fleet.runners[fault.runner]
+    if fault.kind is kind.FAILS:
+        target.failing_runners.add(fault.runner)
+        yield
         target.failing_runners.discard(fault.runner)
-
-
-@inject.register
-async def _(
-    fault: _faults.RunnerSlow, target: _Deployment, duration_s: float
-) -> None:
-    target.fleet.runners[fault.runner].speed = fault.speed
-    try:
-        await asyncio.sleep(duration_s)
-    finally:
-        target.fleet.runners[fault.runner].speed = 1.0
-
-
-@inject.register
-async def _(
-    fault: _faults.RunnerRestarts, target: _Deployment, duration_s: float
-) -> None:
-    target.fleet.runners[fault.runner].crash()
-    target.runner_links[fault.runner].add_fault(_faults.LinkFault.RESET)
-
-
-@inject.register
-async def _(
-    fault: _faults.RunnerDrains, target: _Deployment, duration_s: float
-) -> None:
-    drained = target.fleet.runners[fault.runner]
-    drained.state = "draining"
-    drained.register(target.fleet.store)
-    withdraw = target.checks.record_order(
-        False, frozenset({drained.identifier})
-    )
-    await asyncio.sleep(duration_s)
-    withdraw()
-    drained.state = "ready"
-    drained.register(target.fleet.store)
-
-
-@inject.register
-async def _(
-    fault: _faults.Evacuation, target: _Deployment, duration_s: float
-) -> None:
+    elif fault.kind is kind.RESTARTS:
+        runner.crash()
+        link = target.runner_links[fault.runner]
+        with link.disturb(_faults.LinkKind.RESET):
+            yield
+    elif fault.kind is kind.DRAINS:
+        runner.state = "draining"
+        runner.register(store)
+        with target.checks.expect_no_starts("DRAINING", runner.identifier):
+            yield
+        runner.state = "ready"
+        runner.register(store)
+    else:
+        runner.speed = 0.0 if fault.kind is kind.HANGS else 0.3
+        yield
+        runner.speed = 1.0
+
+
+@_apply.register
+@contextlib.asynccontextmanager
+async def _(fault: _faults.Evacuation, target: _Target) -> _Context:
     key = f"evacuate/{fault.data_centre}"
+    runners = [
+        item.identifier
+        for item in target.fleet.runners
+        if item.data_centre == fault.data_centre
+    ]
     target.fleet.store.put("op", key, _EMPTY_ROW)
-    withdraw = target.checks.record_order(
-        True,
-        frozenset(
-            item.identifier
-            for item in target.fleet.runners
-            if item.data_centre == fault.data_centre
-        ),
-    )
-    await asyncio.sleep(duration_s)
-    withdraw()
+    with target.checks.expect_no_starts("EVACUATED", *runners):
+        yield
     target.fleet.store.remove("op", key)
-
-
-@inject.register
-async def _(
-    fault: _faults.ConfigurationChange,
-    target: _Deployment,
-    duration_s: float,
-) -> None:
-    target.publish_configuration()
-
-
-@inject.register
-async def _(
-    fault: _faults.Burst, target: _Deployment, duration_s: float
-) -> None:
-    for _ in range(fault.jobs):
-        target.callers.submit()
-
-
-def _disturb_store(
-    target: _Deployment,
-) -> contextlib.AbstractContextManager[None]:
-    return target.timeline.disturb(_timeline.CONTROL, _STORE_RECOVERY_S)
-
-
-async def _disturb_link(
-    link: _proxy.Proxy, kind: _faults.LinkFault, duration_s: float
-) -> None:
-    link.add_fault(kind)
-    try:
-        await asyncio.sleep(duration_s)
-    finally:
-        link.remove_fault(kind)
--- a/soak/_proxy.py
+++ b/soak/_proxy.py
@@ -1,7 +1,8 @@
 """Loopback proxy that disturbs the connections of one link."""
 
 import asyncio
-import enum
+from collections.abc import Iterator
+import contextlib
 import socket
 import struct
 
@@ -15,38 +16,35 @@
 _RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 
 
-class _Direction(enum.Enum):
-    REQUESTS = _faults.LinkFault.CUT_REQUESTS
-    ANSWERS = _faults.LinkFault.CUT_ANSWERS
-
-
 @attrs.define(eq=False)
 class _Connection:
-    """Both halves of a connection through the proxy.
+    """Writers to both sides, and whether all traffic is discarded for good.
 
-    Attributes:
-        writers: Towards the client, and towards the server.
-        is_discarded: Whether its traffic is discarded for good. A link that
-            dropped packets of a connection never resumes it within the
-            time-outs of this system's callers.
+    A connection whose packets were dropped for seconds does not resume within
+    the time-outs of its users.
     """
 
     writers: list[asyncio.StreamWriter]
-    is_discarded: bool = False
+    is_discarded: bool
+
+    def reset(self) -> None:
+        for writer in self.writers:
+            end = writer.get_extra_info("socket")
+            if end is not None and end.fileno() >= 0:
+                end.setsockopt(
+                    socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE
+                )
+            writer.transport.abort()
 
 
 class Proxy:
     """Passes connections on to one server, with the faults of a link."""
 
     def __init__(self, target: str) -> None:
-        """Creates a proxy that does not listen yet.
-
-        Args:
-            target: ``host:port`` of the server.
-        """
+        """Creates a proxy to ``host:port`` that does not listen yet."""
         self._target = target
         self._server: asyncio.Server | None = None
-        self._faults: list[_faults.LinkFault] = []
+        self._faults: list[_faults.LinkKind] = []
         self._changed = asyncio.Event()
         self._connections: set[_Connection] = set()
         self._tasks: set[asyncio.Task[None]] = set()
@@ -67,25 +65,21 @@
         """Stops listening and closes all connections."""
         if self._server is not None:
             self._server.close()
-        for task in list(self._tasks):
+        for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
 
-    def add_fault(self, fault: _faults.LinkFault) -> None:
-        """Begins a fault; faults of several kinds may overlap."""
-        if fault is _faults.LinkFault.RESET:
-            for connection in self._connections:
-                _reset(connection)
-            return
-        self._faults.append(fault)
-        if fault is _faults.LinkFault.DROP:
-            for connection in self._connections:
+    @contextlib.contextmanager
+    def disturb(self, kind: _faults.LinkKind) -> Iterator[None]:
+        """Applies a fault while the context lasts; kinds may overlap."""
+        for connection in self._connections:
+            if kind is _faults.LinkKind.RESET:
+                connection.reset()
+            elif kind is _faults.LinkKind.DROP:
                 connection.is_discarded = True
-
-    def remove_fault(self, fault: _faults.LinkFault) -> None:
-        """Ends a fault."""
-        if fault in self._faults:
-            self._faults.remove(fault)
+        self._faults.append(kind)
+        yield
+        self._faults.remove(kind)
         self._changed.set()
         self._changed = asyncio.Event()
 
@@ -95,12 +89,20 @@
         task = asyncio.current_task()
         assert task is not None
         self._tasks.add(task)
-        connection = _Connection(
-            [writer], _faults.LinkFault.DROP in self._faults
-        )
+        is_discarded = _faults.LinkKind.DROP in self._faults
+        connection = _Connection([writer], is_discarded)
         self._connections.add(connection)
+        host, _, port = self._target.partition(":")
         try:
-            await self._serve(reader, connection)
+            answers, requests = await asyncio.open_connection(host, int(port))
+            connection.writers.append(requests)
+            cut = _faults.LinkKind.CUT_REQUESTS
+            async with asyncio.TaskGroup() as group:
+                group.create_task(
+                    self._pump(reader, requests, cut, connection)
+                )
+                cut = _faults.LinkKind.CUT_ANSWERS
+                group.create_task(self._pump(answers, writer, cut, connection))
         except (OSError, asyncio.CancelledError):
             # The connection has ended, or the proxy is closed.
             return
@@ -110,53 +112,25 @@
             for item in connection.writers:
                 item.close()
 
-    async def _serve(
-        self, reader: asyncio.StreamReader, connection: _Connection
-    ) -> None:
-        host, _, port = self._target.partition(":")
-        server_reader, server_writer = await asyncio.open_connection(
-            host, int(port)
-        )
-        client_writer = connection.writers[0]
-        connection.writers.append(server_writer)
-        async with asyncio.TaskGroup() as group:
-            for source, target, direction in (
-                (reader, server_writer, _Direction.REQUESTS),
-                (server_reader, client_writer, _Direction.ANSWERS),
-            ):
-                group.create_task(
-                    self._pump(source, target, direction, connection)
-                )
-
     async def _pump(
         self,
         reader: asyncio.StreamReader,
         writer: asyncio.StreamWriter,
-        direction: _Direction,
+        cut: _faults.LinkKind,
         connection: _Connection,
     ) -> None:
         """Passes on what one side sends, and then its end."""
         try:
-            while data := await reader.read(_CHUNK_BYTES):
-                if _faults.LinkFault.DELAY in self._faults:
+            data = b"-"
+            while data:
+                data = await reader.read(_CHUNK_BYTES)
+                if _faults.LinkKind.DELAY in self._faults:
                     await asyncio.sleep(_DELAY_S)
-                while direction.value in self._faults:
+                while cut in self._faults:
                     await self._changed.wait()
                 if not connection.is_discarded:
                     writer.write(data)
                     await writer.drain()
-            while direction.value in self._faults:
-                await self._changed.wait()
         except OSError:
-            _reset(connection)
+            connection.reset()
         writer.close()
-
-
-def _reset(connection: _Connection) -> None:
-    for writer in connection.writers:
-        end = writer.get_extra_info("socket")
-        if end is not None and end.fileno() >= 0:
-            end.setsockopt(
-                socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE
-            )
-        writer.transport.abort()
--- a/soak/_run.py
+++ b/soak/_run.py
@@ -3,6 +3,7 @@
 import asyncio
 import datetime
 import pathlib
+import signal
 
 import attrs
 import orjson
@@ -15,46 +16,24 @@
 from tamarackhatch import clock
 
 _CHECK_INTERVAL_S = 2.0
-# Time without machine lateness in which all accepted jobs must end after the
-# last fault: a takeover beside runners that do not answer takes 10.3 s, and
-# failing and ejected runners are probed for longer.
+# Time in which all accepted jobs must end after the last fault: a takeover
+# beside runners that do not answer takes 10.3 s, and then the work that has
+# waited runs on ejected runners that are probed.
 _RECOVERY_S = 60.0
-# For so long a cancelled task may still run, and one more bound of it may end.
+# After the last job, the bounds of the last cancellations end.
 _LAST_CHECKS_S = 5.0
 
 
-@attrs.frozen
-class Result:
-    """What a run found.
-
-    Attributes:
-        violations: Violations, in the order in which they were found.
-        jobs: Number of jobs that may have been accepted.
-        runs: Number of runs of tasks.
-        faults: Number of faults injected.
-        late_s: Seconds by which the machine was late in total.
-    """
-
-    violations: list[history.Violation]
-    jobs: int
-    runs: int
-    faults: int
-    late_s: float
-
-
 class _Run:
     """A run in progress."""
 
     def __init__(
-        self,
-        target: _deployment.Deployment,
-        timeline: _timeline.Timeline,
-        folder: pathlib.Path,
+        self, target: _deployment.Deployment, folder: pathlib.Path
     ) -> None:
         self._target = target
-        self._timeline = timeline
         self._folder = folder
-        self._start = asyncio.get_running_loop().time()
+        self._time = asyncio.get_running_loop().time
+        self._start = self._time()
         self._found: dict[tuple[str, str], history.Violation] = {}
 
     @property
@@ -67,6 +46,7 @@
         for item in self._target.fleet.runners:
             # Reading the property records the exits of runs that are over.
             _ = item.running
+        self._target.check_processes()
         for violation in self._target.checks.find_violations():
             key = (violation.rule, violation.task)
             if key not in self._found:
@@ -80,12 +60,7 @@
     async def play(
         self, schedule: tuple[_faults.PlannedFault, ...], is_brief: bool
     ) -> None:
-        """Injects the faults, lifts them, and waits until all jobs end.
-
-        Args:
-            schedule: The faults.
-            is_brief: Whether the first violation ends the run.
-        """
+        """Injects the faults, lifts them, and waits until all jobs end."""
         tasks = [asyncio.create_task(self._inject(item)) for item in schedule]
         try:
             pending = set(tasks)
@@ -101,53 +76,50 @@
             for task in tasks:
                 task.cancel()
             await asyncio.gather(*tasks, return_exceptions=True)
-        await self._recover(is_brief)
+        await self._recover()
 
-    async def _recover(self, is_brief: bool) -> None:
-        callers, time = self._target.callers, asyncio.get_running_loop().time
+    async def _recover(self) -> None:
         self._write("all faults are lifted")
-        since = time()
-        callers.stop()
-        while callers.open_jobs and not (self.check() and is_brief):
-            if (
-                self._timeline.measure_quiet(
-                    {_timeline.MACHINE}, since, time()
-                )
-                > _RECOVERY_S
-            ):
-                break
+        since, quiet_s = self._time(), 0.0
+        self._target.callers.stop()
+        while self._target.callers.open_jobs and quiet_s < _RECOVERY_S:
+            self.check()
             await asyncio.sleep(_CHECK_INTERVAL_S / 4)
-        else:
-            await asyncio.sleep(0 if is_brief else _LAST_CHECKS_S)
-        for job in self._target.checks.list_unfinished():
-            self._target.checks.report(
-                "LOST", job, f"not ended {_RECOVERY_S} s after the last fault"
+            quiet_s = self._target.timeline.measure_quiet(
+                {_timeline.MACHINE}, since, self._time()
             )
+        await asyncio.sleep(_LAST_CHECKS_S)
+        self._target.checks.report_unfinished()
         self.check()
 
-    def write_runs(self) -> None:
-        """Writes all runs of tasks to the folder."""
-        lines = [
-            orjson.dumps(attrs.asdict(run))
-            for run in self._target.fleet.history.runs
-        ]
+    def summarise(self) -> None:
+        """Writes all runs of tasks to the folder, and prints totals."""
+        observed = self._target.fleet.history
+        lines = [orjson.dumps(attrs.asdict(run)) for run in observed.runs]
         (self._folder / "runs.jsonl").write_bytes(b"\n".join(lines))
+        elapsed_s = self._time() - self._start
+        late_s = elapsed_s - self._target.timeline.measure_quiet(
+            {_timeline.MACHINE}, self._start, self._time()
+        )
+        self._write(
+            f"{len(self._found)} violations, {len(observed.accepted)} jobs, "
+            f"{len(observed.completed)} completed, {len(observed.runs)} runs, "
+            f"the machine was late for {late_s:.1f} s"
+        )
 
     async def _inject(self, item: _faults.PlannedFault) -> None:
         await asyncio.sleep(item.start.total_seconds())
         leader = self._target.fleet.read_leader()
         self._write(f"{item.fault} begins, {leader} is active", False)
-        await _injection.inject(
-            item.fault, self._target, item.duration.total_seconds()
-        )
+        await _injection.inject(item, self._target)
         self._write(f"{item.fault} has ended", False)
 
     def _write(self, text: str, is_printed: bool = True) -> None:
-        now = asyncio.get_running_loop().time()
-        utc = datetime.datetime.now(datetime.timezone.utc)
+        now = self._time()
+        utc = datetime.datetime.now(datetime.timezone.utc).isoformat()
         line = f"{now - self._start:6.2f} s ({now:.2f}) {text}"
         with (self._folder / "events.log").open("a") as log:
-            log.write(f"{utc.isoformat()} {line}\n")
+            log.write(f"{utc} {line}\n")
         if is_printed:
             print(line, flush=True)
 
@@ -158,8 +130,8 @@
     folder: pathlib.Path,
     arguments: tuple[str, ...] = ("tamarackhatch",),
     is_brief: bool = False,
-) -> Result:
-    """Runs a schedule against real processes.
+) -> list[history.Violation]:
+    """Runs a schedule against real processes, and returns the violations.
 
     Args:
         seed: Seed of the callers.
@@ -169,19 +141,17 @@
             those of ``serve``.
         is_brief: Whether the first violation ends the run.
     """
+    task = asyncio.current_task()
+    assert task is not None
+    # The processes are ended when this one is asked to end.
+    asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
     timeline = _timeline.Timeline(clock.SystemClock())
     target = _deployment.Deployment(folder, seed, timeline, arguments)
     try:
         await target.open()
-        run = _Run(target, timeline, folder)
+        run = _Run(target, folder)
         await run.play(schedule, is_brief)
-        run.write_runs()
-        return Result(
-            run.violations,
-            len(target.fleet.history.accepted),
-            len(target.fleet.history.runs),
-            len(schedule),
-            timeline.measure_total(_timeline.MACHINE),
-        )
+        run.summarise()
+        return run.violations
     finally:
         await target.close()
--- a/soak/_schedule.py
+++ b/soak/_schedule.py
@@ -2,6 +2,7 @@
 
 import datetime
 import random
+import signal
 
 from soak import _faults
 
@@ -22,12 +23,8 @@
 ) -> tuple[_faults.PlannedFault, ...]:
     """Returns the faults of a run, ordered by their start.
 
-    Faults of one kind with the same target do not overlap. All faults have
-    ended after ``duration``.
-
-    Args:
-        seed: Equal seeds and durations give equal schedules.
-        duration: Time from the start of the run.
+    Faults of one kind with the same target do not overlap. All have ended
+    after ``duration``. Equal arguments give equal schedules.
     """
     source = random.Random(seed)
     end_s = duration.total_seconds()
@@ -35,10 +32,10 @@
     time_s = source.uniform(0.5, 1.5)
     while time_s < end_s - 1:
         fault = _draw_fault(source)
-        shortest, longest = _DURATIONS_S
+        lengths_s = _DURATIONS_S
         if isinstance(fault, _faults.Evacuation):
-            shortest, longest = _EVACUATION_DURATIONS_S
-        length_s = min(source.uniform(shortest, longest), end_s - time_s)
+            lengths_s = _EVACUATION_DURATIONS_S
+        length_s = min(source.uniform(*lengths_s), end_s - time_s)
         planned.append(_plan(time_s, length_s, end_s, fault))
         if source.random() < _SERIES_SHARE:
             later_s = time_s + source.uniform(0.2, 0.9) * length_s
@@ -63,15 +60,12 @@
 
 def _draw_scheduler_failure(source: random.Random) -> _faults.Fault:
     target = _faults.ACTIVE_SCHEDULER
+    signals = (signal.SIGKILL, signal.SIGKILL, signal.SIGTERM, signal.SIGSTOP)
+    link = source.choice(list(_faults.LinkKind))
     return source.choice(
         [
-            _faults.KillProcess(target),
-            _faults.KillProcess(target),
-            _faults.StopProcess(target),
-            _faults.PauseProcess(target),
-            _faults.StoreLinkFault(
-                target, source.choice(list(_faults.LinkFault))
-            ),
+            *(_faults.ProcessFault(target, number) for number in signals),
+            _faults.StoreLinkFault(target, link),
         ]
     )
 
@@ -81,25 +75,23 @@
         [_faults.ACTIVE_SCHEDULER, source.randrange(INSTANCES)]
     )
     runner = source.randrange(RUNNERS)
-    kind = source.choice(list(_faults.LinkFault))
+    link = source.choice(list(_faults.LinkKind))
+    signals = (signal.SIGTERM, signal.SIGKILL, signal.SIGSTOP)
     return source.choice(
         [
-            _faults.StopProcess(instance),
-            _faults.KillProcess(instance),
-            _faults.PauseProcess(instance),
-            _faults.StoreUnavailable(),
-            _faults.StoreSilent(),
-            _faults.StoreSlow(source.choice([20.0, 76.0])),
-            _faults.StoreHistoryLost(),
-            _faults.StoreRefusesInstance(instance, source.choice([429, 503])),
-            _faults.StoreAnswersLost(instance),
-            _faults.StoreLinkFault(instance, kind),
-            _faults.RunnerLinkFault(runner, kind),
-            _faults.RunnerLinkFault(runner, kind),
-            _faults.RunnerFailsTasks(runner),
-            _faults.RunnerSlow(runner, source.choice([0.0, 0.3])),
-            _faults.RunnerRestarts(runner),
-            _faults.RunnerDrains(runner),
+            *(_faults.ProcessFault(instance, number) for number in signals),
+            *(_faults.StoreFault(kind) for kind in _faults.StoreKind),
+            *(
+                _faults.InstanceStoreFault(instance, kind)
+                for kind in _faults.InstanceKind
+            ),
+            _faults.StoreLinkFault(instance, link),
+            _faults.RunnerLinkFault(runner, link),
+            _faults.RunnerLinkFault(runner, link),
+            *(
+                _faults.RunnerFault(runner, kind)
+                for kind in _faults.RunnerKind
+            ),
             _faults.Evacuation(source.choice(DATA_CENTRES)),
             _faults.ConfigurationChange(),
             _faults.Burst(source.randint(8, 20)),
@@ -122,6 +114,11 @@
 
 
 def get_target(fault: _faults.Fault) -> tuple[object, ...]:
+    """Returns what a fault disturbs; its end would lift an equal one."""
     names = ("instance", "runner", "data_centre")
     target = tuple(getattr(fault, name, None) for name in names)
+    if isinstance(fault, (_faults.ProcessFault, _faults.RunnerLinkFault)):
+        # A process may be paused and killed at the same time, and a link may
+        # have several faults.
+        return (fault, *target)
     return (type(fault), *target)
