--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -21,15 +21,11 @@
 @cappa.command(name="soak", help="Runs seeded schedules of random faults.")
 @attrs.frozen
 class Soak:
-    """Runs one seed after the other; the exit code is 1 if any breaks a rule.
+    """Runs seeds (or the regression seeds) of so many seconds of faults.
 
-    Attributes:
-        seed: The first seed.
-        seeds: Number of seeds.
-        seconds: Seconds in which faults are injected.
-        regressions: Whether to run the regression seeds instead.
-        deliberate: Name of a deliberate fault of `soak.tests.faulty`. The
-            first violation ends the command, with exit code 0.
+    The exit code is 1 if any breaks a rule. With ``deliberate``, the name of
+    a fault of `soak.tests.faulty`, the first violation ends the command, and
+    the exit code is 1 if there is none.
     """
 
     seed: typing.Annotated[int, cappa.Arg(long=True)] = 1
@@ -56,14 +52,8 @@
         duration = datetime.timedelta(seconds=self.seconds)
         schedule = soak.make_schedule(seed, duration)
         print(f"seed {seed}, logs in {folder}", *schedule, sep="\n")
-        arguments: tuple[str, ...] = ("tamarackhatch",)
-        if self.deliberate:
-            arguments = ("soak.tests.faulty", self.deliberate)
-        violations = asyncio.run(
-            soak.run_seed(
-                seed, schedule, folder, arguments, bool(self.deliberate)
-            )
-        )
+        run = soak.run_seed(seed, schedule, folder, self.deliberate)
+        violations = asyncio.run(run)
         if not violations:
             shutil.rmtree(folder)
         return bool(violations)
--- a/soak/_checks.py
+++ b/soak/_checks.py
@@ -71,14 +71,12 @@
         self, job: str, document: dict[str, typing.Any]
     ) -> None:
         """Records that a caller is about to submit a job."""
-        steps = [
-            model.Step(
-                item["count"],
-                model.Resources(item["cpu"], item["mem_mb"]),
-                is_best_effort=item.get("fills", False),
-            )
-            for item in document["steps"]
-        ]
+        steps = []
+        for item in document["steps"]:
+            resources = model.Resources(item["cpu"], item["mem_mb"])
+            fills = item.get("fills", False)
+            step = model.Step(item["count"], resources, is_best_effort=fills)
+            steps.append(step)
         self._history.accepted.add(job)
         self._history.record_steps(job, steps)
         self._jobs[job] = _KnownJob(steps[0].count)
@@ -110,7 +108,7 @@
         """Records that an instance knows no such job."""
         known = self._jobs[job]
         if began > min(known.accepted, known.final_time):
-            self.report("LOST", job, "accepted, and then not known any more")
+            self.report("LOST", job, "accepted, but not known any more")
 
     def record_cancellation(self, job: str) -> None:
         """Records that a cancellation was acknowledged."""
@@ -147,13 +145,9 @@
 
     def find_violations(self) -> list[history.Violation]:
         """Returns all violations so far."""
-        return [
-            *self._found,
-            *self._history.check(MAX_ATTEMPTS),
-            *self._check_orders(),
-            *self._check_cancellations(),
-            *self._check_step_order(),
-        ]
+        found = self._found + self._history.check(MAX_ATTEMPTS)
+        found += [*self._check_orders(), *self._check_cancellations()]
+        return found + [*self._check_step_order()]
 
     def _check_orders(self) -> Iterator[history.Violation]:
         for order in self._orders:
--- a/soak/_deployment.py
+++ b/soak/_deployment.py
@@ -1,6 +1,7 @@
 """Real processes, stand-ins and the proxies between them."""
 
 import asyncio
+import functools
 import pathlib
 import signal
 
@@ -14,12 +15,17 @@
 from standins import processes
 from standins import runner
 from standins import servers
+from tamarackhatch import clock
 from tamarackhatch import records
 
 _BOUNDS = {"evacuation_ms": 5000, "stop_timeout_ms": 400, "restore_ms": 250}
 # After SIGTERM, the platform ends a process after 6 s; a busy machine and a
 # pause by another fault may add to that.
 _GRACE_S = 15.0
+_STATUSES = {
+    _faults.InstanceKind.REFUSED: 503,
+    _faults.InstanceKind.BUSY: 429,
+}
 _POLL_S = 0.05
 # The loop is taken to be on time if a timer is late by less than this.
 _USUAL_LATENESS_S = 0.02
@@ -29,28 +35,6 @@
 _TAKEOVER_S = 2.5
 
 
-class _StoreFront:
-    """The store as one instance sees it.
-
-    Attributes:
-        status: Status with which all calls are refused; 0 for none.
-        loses_answers: Whether transactions get no answer.
-    """
-
-    def __init__(self, handle: network.Handler) -> None:
-        self.status = 0
-        self.loses_answers = False
-        self._handle = handle
-
-    async def handle(self, request: network.Request) -> network.Response:
-        if self.status:
-            return network.Response(self.status)
-        response = await self._handle(request)
-        if self.loses_answers and request.path == "/-/rows-tx":
-            raise network.NoResponseError
-        return response
-
-
 class Deployment:
     """A deployment whose parts `soak._injection` disturbs.
 
@@ -59,38 +43,34 @@
         timeline: Disturbances so far.
         checks: Observations so far.
         callers: The callers.
-        fronts: The store as each instance sees it, by the instance's name.
+        store_faults: What the store does to single instances, by name.
         store_links: Proxies from each instance to the store, by name.
         runner_links: Proxies to each runner, by index.
         failing_runners: Indices of the runners on which all tasks fail.
     """
 
     def __init__(
-        self,
-        folder: pathlib.Path,
-        seed: int,
-        timeline: _timeline.Timeline,
-        arguments: tuple[str, ...],
+        self, folder: pathlib.Path, seed: int, deliberate: str | None
     ) -> None:
         """Creates a deployment that is not started yet.
 
         Args:
             folder: Folder of settings and logs.
             seed: Seed of the callers.
-            timeline: Where disturbances are recorded.
-            arguments: Python module of the instances, and its arguments
-                behind those of ``serve``.
+            deliberate: Name of a deliberate fault of the schedulers.
         """
         self.fleet = processes.ProcessFleet(folder, _checks.MAX_ATTEMPTS)
-        self.timeline = timeline
-        self.checks = _checks.Checks(self.fleet.history, timeline)
+        self.timeline = _timeline.Timeline(clock.SystemClock())
+        self.checks = _checks.Checks(self.fleet.history, self.timeline)
         self.callers = _callers.Callers(self.fleet, self.checks, seed)
-        self.fronts: dict[str, _StoreFront] = {}
+        self.store_faults: dict[str, _faults.InstanceKind] = {}
         self.store_links: dict[str, _proxy.Proxy] = {}
         self.runner_links: list[_proxy.Proxy] = []
         self.failing_runners: set[int] = set()
         self._version = 0
-        self._arguments = arguments
+        self._arguments = ["tamarackhatch"]
+        if deliberate is not None:
+            self._arguments = ["soak.tests.faulty", deliberate]
         self._servers: list[servers.StandInServer] = []
         self._ended: set[int] = set()
         self._ready: set[int] = set()
@@ -103,10 +83,9 @@
             await self._add_runner(index)
         for index in range(_schedule.INSTANCES):
             name = f"entry-{index}"
-            front = _StoreFront(self.fleet.store.handle)
-            server = servers.StandInServer(front.handle)
+            handler = functools.partial(self._answer_instance, name)
+            server = servers.StandInServer(handler)
             self._servers.append(server)
-            self.fronts[name] = front
             self.store_links[name] = _proxy.Proxy(server.address)
             await self.store_links[name].open()
             await self._start_instance(name)
@@ -137,24 +116,33 @@
 
     def find_instance(self, index: int) -> str | None:
         """Returns the name of an instance whose process exists, or None."""
-        name = f"entry-{index}"
-        if index == _faults.ACTIVE_SCHEDULER:
-            name = self.fleet.read_leader()
+        is_indexed = index != _faults.ACTIVE_SCHEDULER
+        name = f"entry-{index}" if is_indexed else self.fleet.read_leader()
         return name if name in self.fleet.processes else None
 
     def restart_instance(self, name: str) -> None:
         """Starts an instance in the background, unless it runs."""
         self._tasks.append(asyncio.create_task(self._start_instance(name)))
 
+    async def _answer_instance(
+        self, name: str, request: network.Request
+    ) -> network.Response:
+        """Answers a call of one instance to the store."""
+        fault = self.store_faults.get(name)
+        if fault in _STATUSES:
+            return network.Response(_STATUSES[fault])
+        response = await self.fleet.store.handle(request)
+        if fault is not None and request.path == "/-/rows-tx":
+            raise network.NoResponseError
+        return response
+
     async def _start_instance(self, name: str) -> None:
         if name in self.fleet.processes:
             return
-        module, *arguments = self._arguments
         try:
             await self.fleet.start_instance(
                 name,
-                module,
-                *arguments,
+                *self._arguments,
                 store_address=self.store_links[name].address,
                 has_internal_address=True,
                 bounds=_BOUNDS,
@@ -201,8 +189,8 @@
         added = runner.RunnerStandIn(
             f"i-{index}", "", processes.SERVICE, plan, self.fleet.history
         )
-        centres = _schedule.DATA_CENTRES
-        added.data_centre = centres[index % len(centres)]
+        number = index % len(_schedule.DATA_CENTRES)
+        added.data_centre = _schedule.DATA_CENTRES[number]
         self.fleet.add_runner(added)
         link = _proxy.Proxy(added.address)
         await link.open()
--- a/soak/_injection.py
+++ b/soak/_injection.py
@@ -85,16 +85,10 @@
     if name is None:
         yield
         return
-    front, kind = target.fronts[name], _faults.InstanceKind
     with target.timeline.disturb(_timeline.CONTROL, _STORE_RECOVERY_S):
-        if fault.kind is kind.ANSWERS_LOST:
-            front.loses_answers = True
-            yield
-            front.loses_answers = False
-        else:
-            front.status = 503 if fault.kind is kind.REFUSED else 429
-            yield
-            front.status = 0
+        target.store_faults[name] = fault.kind
+        yield
+        target.store_faults.pop(name, None)
 
 
 @_apply.register
@@ -149,11 +143,8 @@
 @contextlib.asynccontextmanager
 async def _(fault: _faults.Evacuation, target: _Target) -> _Context:
     key = f"evacuate/{fault.data_centre}"
-    runners = [
-        item.identifier
-        for item in target.fleet.runners
-        if item.data_centre == fault.data_centre
-    ]
+    everywhere, name = target.fleet.runners, fault.data_centre
+    runners = [it.identifier for it in everywhere if it.data_centre == name]
     target.fleet.store.put("op", key, _EMPTY_ROW)
     with target.checks.expect_no_starts("EVACUATED", *runners):
         yield
