Report failures of the soak test itself, and signal a process once

Cause: an exception in a task of the callers ended their checks unnoticed; two faults could start an instance twice, or send SIGTERM to a process that was ending, which kills it. Change: failed tasks are reported under HARNESS; starts are guarded; a process gets SIGTERM once.

--- a/soak/_callers.py
+++ b/soak/_callers.py
@@ -75,7 +75,13 @@
         path = self._random.choice(self.prefixes) + identifier
         task = asyncio.create_task(self._follow_job(identifier, path))
         self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
+        task.add_done_callback(self._forget_task)
+
+    def _forget_task(self, task: asyncio.Task[None]) -> None:
+        self._tasks.discard(task)
+        if not task.cancelled() and task.exception() is not None:
+            error = repr(task.exception())
+            self._checks.report("HARNESS", "callers", error)
 
     def stop(self) -> None:
         """Ends submissions, and cancels long-running jobs from now on."""
--- a/soak/_deployment.py
+++ b/soak/_deployment.py
@@ -72,6 +72,7 @@
         if deliberate is not None:
             self._arguments = ["soak.tests.faulty", deliberate]
         self._servers: list[servers.StandInServer] = []
+        self._starting: set[str] = set()
         self._ended: set[int] = set()
         self._ready: set[int] = set()
         self._tasks: list[asyncio.Task[None]] = []
@@ -137,8 +138,9 @@
         return response
 
     async def _start_instance(self, name: str) -> None:
-        if name in self.fleet.processes:
+        if name in self.fleet.processes or name in self._starting:
             return
+        self._starting.add(name)
         try:
             await self.fleet.start_instance(
                 name,
@@ -151,10 +153,17 @@
             # It cannot be ready while the store does not answer.
             pass
         else:
-            self._ready.add(self.fleet.processes[name].pid)
+            if name in self.fleet.processes:
+                self._ready.add(self.fleet.processes[name].pid)
+        finally:
+            self._starting.discard(name)
 
     def check_processes(self) -> None:
-        """Reports processes that ended without having been told to."""
+        """Reports processes and tasks of the soak test that ended wrongly."""
+        for task in self._tasks:
+            if task.done() and task.exception() is not None:
+                detail = f"{task.get_name()}: {task.exception()!r}"
+                self.checks.report("HARNESS", "deployment", detail)
         for name, process in list(self.fleet.processes.items()):
             code = process.returncode
             if code is not None and process.pid not in self._ended:
@@ -164,8 +173,10 @@
     async def end_instance(self, name: str, number: signal.Signals) -> None:
         """Ends an instance; callers use it until its process has ended."""
         process = self.fleet.processes[name]
+        # A second SIGTERM while the process ends would kill it.
+        is_repeated = process.pid in self._ended and number != signal.SIGKILL
         self._ended.add(process.pid)
-        if process.returncode is None:
+        if process.returncode is None and not is_repeated:
             process.send_signal(number)
         try:
             async with asyncio.timeout(_GRACE_S):
