--- /dev/null
+++ b/soak/_run.py
@@ -0,0 +1,143 @@
+"""One run of the soak test."""
+
+import asyncio
+import datetime
+import pathlib
+import signal
+
+import attrs
+import orjson
+
+from soak import _deployment
+from soak import _faults
+from soak import _injection
+from soak import _timeline
+from standins import history
+
+_CHECK_INTERVAL_S = 2.0
+# Time in which all accepted jobs must end after the last fault: a takeover
+# beside runners that do not answer takes 10.3 s, and then the work that has
+# waited runs on ejected runners that are probed.
+_RECOVERY_S = 60.0
+# After the last job, the bounds of the last cancellations end.
+_LAST_CHECKS_S = 5.0
+
+
+class _Run:
+    """A run in progress, with one violation for each rule and subject."""
+
+    def __init__(
+        self, target: _deployment.Deployment, folder: pathlib.Path
+    ) -> None:
+        self.found: dict[tuple[str, str], history.Violation] = {}
+        self._target = target
+        self._folder = folder
+        self._time = asyncio.get_running_loop().time
+        self._start = self._time()
+
+    async def play(
+        self, schedule: tuple[_faults.PlannedFault, ...], is_brief: bool
+    ) -> None:
+        """Injects the faults, lifts them, and waits until all jobs end."""
+        pending = {asyncio.create_task(self._inject(it)) for it in schedule}
+        try:
+            while pending:
+                done, pending = await asyncio.wait(
+                    pending, timeout=_CHECK_INTERVAL_S
+                )
+                for task in done:
+                    task.result()
+                if self._check() and is_brief:
+                    return
+        finally:
+            for task in pending:
+                task.cancel()
+            await asyncio.gather(*pending, return_exceptions=True)
+        self._write("all faults are lifted")
+        since = self._time()
+        self._target.callers.stop()
+        while self._target.callers.open_jobs:
+            self._check()
+            await asyncio.sleep(_CHECK_INTERVAL_S / 4)
+            if self._measure_timely(since) > _RECOVERY_S:
+                break
+        await asyncio.sleep(_LAST_CHECKS_S)
+        self._target.checks.report_unfinished()
+        self._check()
+
+    def summarise(self) -> None:
+        """Writes all runs of tasks to the folder, and prints totals."""
+        observed = self._target.fleet.history
+        lines = [orjson.dumps(attrs.asdict(run)) for run in observed.runs]
+        (self._folder / "runs.jsonl").write_bytes(b"\n".join(lines))
+        elapsed_s = self._time() - self._start
+        late_s = elapsed_s - self._measure_timely(self._start)
+        self._write(
+            f"{len(self.found)} violations, {len(observed.accepted)} jobs, "
+            f"{len(observed.completed)} completed, {len(observed.runs)} runs, "
+            f"the machine was late for {late_s:.1f} s"
+        )
+
+    def _check(self) -> bool:
+        """Prints new violations, and returns whether there is any."""
+        for item in self._target.fleet.runners:
+            # Reading the property records the exits of runs that are over.
+            _ = item.running
+        self._target.check_processes()
+        for violation in self._target.checks.find_violations():
+            key = (violation.rule, violation.task)
+            if self.found.setdefault(key, violation) is violation:
+                text = f"{violation.task}: {violation.detail}"
+                self._write(f"VIOLATION {violation.rule} {text}")
+        return bool(self.found)
+
+    def _measure_timely(self, since: float) -> float:
+        """Returns for how long the machine was not late."""
+        scopes = {_timeline.MACHINE}
+        return self._target.timeline.measure_quiet(scopes, since, self._time())
+
+    async def _inject(self, item: _faults.PlannedFault) -> None:
+        await asyncio.sleep(item.start.total_seconds())
+        leader = self._target.fleet.read_leader()
+        self._write(f"{item.fault} begins, {leader} is active", False)
+        await _injection.inject(item, self._target)
+        self._write(f"{item.fault} has ended", False)
+
+    def _write(self, text: str, is_printed: bool = True) -> None:
+        now = self._time()
+        utc = datetime.datetime.now(datetime.timezone.utc).isoformat()
+        line = f"{now - self._start:6.2f} s ({now:.2f}) {text}"
+        with (self._folder / "events.log").open("a") as log:
+            log.write(f"{utc} {line}\n")
+        if is_printed:
+            print(line, flush=True)
+
+
+async def run_seed(
+    seed: int,
+    schedule: tuple[_faults.PlannedFault, ...],
+    folder: pathlib.Path,
+    deliberate: str | None = None,
+) -> list[history.Violation]:
+    """Runs a schedule against real processes, and returns the violations.
+
+    Args:
+        seed: Seed of the callers.
+        schedule: The faults.
+        folder: Folder of settings and logs.
+        deliberate: Name of a deliberate fault; the first violation then ends
+            the run.
+    """
+    task = asyncio.current_task()
+    assert task is not None
+    # The processes are ended when this one is asked to end.
+    asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
+    target = _deployment.Deployment(folder, seed, deliberate)
+    try:
+        await target.open()
+        run = _Run(target, folder)
+        await run.play(schedule, deliberate is not None)
+        run.summarise()
+        return list(run.found.values())
+    finally:
+        await target.close()
