--- a/tamarackhatch/scheduler/_dry_run.py
+++ b/tamarackhatch/scheduler/_dry_run.py
@@ -114,7 +114,9 @@
             self._earlier.summarise(),
             tuple(sorted(steps, key=lambda step: step.step)),
             tuple(index for index, step in enumerate(job.steps) if step.after),
-            _dry_run_remarks.find_refusal(context, self._entry),
+            _dry_run_remarks.find_refusal(
+                self._dispatcher.waits.get_summaries(), job
+            ),
             _dry_run_remarks.list_job_remarks(context, self._entry),
         )
 
@@ -249,7 +251,10 @@
             len(rated),
             _exclusions.group_exclusions(reasons),
             _dry_run_remarks.list_step_remarks(
-                self._context, tasks, len(choices)
+                self._context,
+                tasks,
+                len(choices),
+                self._dispatcher.near_places.applies_to(tasks[0].step),
             ),
         )
 
--- a/tamarackhatch/scheduler/_dry_run_remarks.py
+++ b/tamarackhatch/scheduler/_dry_run_remarks.py
@@ -4,23 +4,34 @@
 here: one more remark in one of the lists, or a refusal.
 """
 
+from tamarackhatch import admission
+from tamarackhatch import model
+from tamarackhatch import placement
 from tamarackhatch.scheduler import _context
 from tamarackhatch.scheduler import _state
 from tamarackhatch import where
 
 
 def find_refusal(
-    context: _context.SchedulerContext, job: _state.JobEntry
+    summaries: tuple[model.WaitSummary, ...], job: model.Job
 ) -> str | None:
     """Returns why an instance would refuse a job; None if it accepts it.
 
-    No job is refused at present.
+    Instances refuse only what two heartbeats in a row say, so that they may
+    still accept the job.
 
     Args:
-        context: Shared components of the scheduler.
+        summaries: Waiting work as the next heartbeat will report it.
         job: The job.
     """
-    return None
+    overload = admission.assess_job(job, [summaries])
+    if overload is None:
+        return None
+    return (
+        f"it would wait {overload.expected_wait.total_seconds():.1f} s, and "
+        f"miss three times its objective of "
+        f"{overload.objective.total_seconds():.1f} s"
+    )
 
 
 def list_job_remarks(
@@ -55,6 +66,7 @@
     context: _context.SchedulerContext,
     tasks: list[_state.TaskEntry],
     placed: int,
+    applies_near: bool,
 ) -> tuple[where.Remark, ...]:
     """Returns remarks about a step that could start now.
 
@@ -62,6 +74,7 @@
         context: Shared components of the scheduler.
         tasks: Its tasks.
         placed: Number of tasks that would start.
+        applies_near: Whether its tasks may wait for a near place.
     """
     first = tasks[0]
     step = first.step
@@ -102,6 +115,16 @@
                 f"{round(100 * context.policy.min_speed)} % is enough",
             )
         )
+    if applies_near:
+        longest = placement.MAX_NEAR_WAIT.total_seconds()
+        remarks.append(
+            where.Remark(
+                "near_place",
+                "its tasks take longer on other racks; one that finds no "
+                "place near waits for it while that pays, at most "
+                f"{longest:.1f} s, and starts elsewhere after that",
+            )
+        )
     if step.preferred_rack and not any(
         entry.record.service == first.job.job.queue.service
         and step.preferred_rack in entry.record.labels
--- a/tamarackhatch/scheduler/tests/dry_run_trial.py
+++ b/tamarackhatch/scheduler/tests/dry_run_trial.py
@@ -50,7 +50,9 @@
 
 
 async def start_fleet(
-    run_plan: runner.Plan = plan, log_path: str = "/dev/null"
+    run_plan: runner.Plan = plan,
+    log_path: str = "/dev/null",
+    remote_slowdown: float | None = None,
 ) -> standin_fleet.VirtualFleet:
     """Starts an instance and six runners of different sizes on three racks."""
     fleet = standin_fleet.VirtualFleet(0, run_plan, log_path=log_path)
@@ -60,6 +62,7 @@
         fleet.runners[index].capacity = model.Resources(
             (16 + 2 * index) * CORE, 64_000
         )
+    fleet.bounds = attrs.evolve(fleet.bounds, remote_slowdown=remote_slowdown)
     fleet.start_instance("a")
     await fleet.wait_until(lambda: fleet.get_leader() is not None)
     # Until the runners are tracked and have answered.
--- a/tamarackhatch/scheduler/tests/test_near_places.py
+++ b/tamarackhatch/scheduler/tests/test_near_places.py
@@ -427,7 +427,8 @@
     Load: 60 % of the urgent jobs name one rack of four, which they fill to
     0.8 and 1.2 times its capacity. Jobs of ten tasks are done with their
     slowest one, so that the decision saves work rather than latency.
-    Means of so few jobs differ by up to 2 % by chance.
+    The means of two seeds differ by more than 1 % by chance, so that four are
+    played.
     """
 
     def measure(delay_s: float | None) -> near_trial.LoadResult:
@@ -438,7 +439,7 @@
 
         _use_delay(monkeypatch, delay_s)
         results = [
-            virtual_time.run_virtually(simulate(seed)) for seed in (1, 2)
+            virtual_time.run_virtually(simulate(seed)) for seed in range(1, 5)
         ]
         return near_trial.LoadResult(
             statistics.mean(result.mean_latency for result in results),
@@ -449,6 +450,6 @@
     decided, none, short, long = map(measure, (None, 0.0, 0.25, 0.5))
     assert decided.longest_wait < 2.5 + _LATENCY_S
     assert decided.work < none.work
-    assert decided.mean_latency < 1.02 * none.mean_latency
+    assert decided.mean_latency < 1.01 * none.mean_latency
     assert decided.mean_latency < 0.98 * short.mean_latency
     assert decided.mean_latency < 0.98 * long.mean_latency
