--- a/tamarackhatch/health/_monitor.py
+++ b/tamarackhatch/health/_monitor.py
@@ -268,10 +268,9 @@
         return record
 
     def _list_ejected(self, service: str) -> list[str]:
+        records = self._records
         return [
-            runner
-            for runner in self._ejected
-            if self._records[runner].service == service
+            name for name in self._ejected if records[name].service == service
         ]
 
     def _record_success(
--- a/tamarackhatch/scheduler/_runner_reconciler.py
+++ b/tamarackhatch/scheduler/_runner_reconciler.py
@@ -12,6 +12,7 @@
 from tamarackhatch.scheduler import _fleet
 from tamarackhatch.scheduler import _health
 from tamarackhatch.scheduler import _run_times
+from tamarackhatch.scheduler import _runner_reports
 from tamarackhatch.scheduler import _state
 from tamarackhatch.scheduler import _throttling
 
@@ -28,9 +29,6 @@
 # The next renewal waits this long for exits to become durable, so that it can
 # acknowledge them.
 _MAX_DURABILITY_WAIT = datetime.timedelta(milliseconds=300)
-# A lease of an earlier scheduler may be longer by this share, because that
-# scheduler's estimate of the runner's clock may be ahead.
-_EARLIER_LEASE_EXCESS_SHARE = 0.05
 # Renewals in a row without an answer after which an idle runner is untracked.
 _UNTRACK_AFTER_MISSED_RENEWALS = 2
 # Renewals in a row that fail without a connection after which the runs are
@@ -212,12 +210,14 @@
         entry.supposed_crashes.clear()
         entry.lost_contact_at = None
         entry.evidence = _Evidence.SILENT
-        self._log_unreadable_entries(report)
+        _runner_reports.log_unreadable_entries(context, entry, report)
         entry.clock, entry.clock_read = report.clock_reading, now
         if not self._has_reported:
             # An earlier scheduler may have granted a lease just before this
             # answer.
-            entry.lease_end = self._get_earlier_lease_end(report)
+            entry.lease_end = _runner_reports.get_earlier_lease_end(
+                context.settings, entry, report
+            )
             self._has_reported = True
         for run_exit in report.exits:
             if run_exit.number <= entry.processed_exit:
@@ -250,35 +250,6 @@
         self._listed = report.running
         self._count_unassigned_runs()
 
-    def _get_earlier_lease_end(
-        self, report: model.RunnerReport
-    ) -> datetime.timedelta:
-        """Returns the latest end of leases that earlier schedulers granted."""
-        clock, settings = report.clock_reading, self._context.settings
-        lease_end = clock + settings.lease * (1 + _EARLIER_LEASE_EXCESS_SHARE)
-        if self._entry.is_restored:
-            # A scheduler that did not know yet that the runner had restarted
-            # computed lease ends from the earlier incarnation's clock, which
-            # grant the longest lease. It sent none later than one lease after
-            # the restart, when the clock began at 0.
-            longest = min(clock, settings.lease) + settings.bounds.max_lease
-            lease_end = max(lease_end, longest)
-        return lease_end
-
-    def _log_unreadable_entries(self, report: model.RunnerReport) -> None:
-        findings = report.unreadable_running + report.unreadable_exits
-        if findings:
-            context = self._context
-            context.metrics.unreadable_entries.labels("report").inc(
-                len(findings)
-            )
-            context.log.warning(
-                "report_entries_unreadable",
-                runner=self._entry.identifier,
-                count=len(findings),
-                first=findings[0],
-            )
-
     def apply_unread_runs(self, job: str) -> None:
         """Applies what the runner has listed before a job was read.
 
--- /dev/null
+++ b/tamarackhatch/scheduler/_runner_reports.py
@@ -0,0 +1,59 @@
+"""What the reports of runners say beyond their runs and exits."""
+
+import datetime
+
+from tamarackhatch import model
+from tamarackhatch.scheduler import _context
+from tamarackhatch.scheduler import _fleet
+from tamarackhatch import settings
+
+# A lease of an earlier scheduler may be longer by this share, because that
+# scheduler's estimate of the runner's clock may be ahead.
+_EARLIER_LEASE_EXCESS_SHARE = 0.05
+
+
+def get_earlier_lease_end(
+    configured: settings.Settings,
+    entry: _fleet.RunnerEntry,
+    report: model.RunnerReport,
+) -> datetime.timedelta:
+    """Returns the latest end of leases that earlier schedulers granted.
+
+    Args:
+        configured: Settings of the instance.
+        entry: The runner.
+        report: Its first report in this term.
+    """
+    clock = report.clock_reading
+    lease_end = clock + configured.lease * (1 + _EARLIER_LEASE_EXCESS_SHARE)
+    if entry.is_restored:
+        # A scheduler that did not know yet that the runner had restarted
+        # computed lease ends from the earlier incarnation's clock, which
+        # grant the longest lease. It sent none later than one lease after
+        # the restart, when the clock began at 0.
+        longest = min(clock, configured.lease) + configured.bounds.max_lease
+        lease_end = max(lease_end, longest)
+    return lease_end
+
+
+def log_unreadable_entries(
+    context: _context.SchedulerContext,
+    entry: _fleet.RunnerEntry,
+    report: model.RunnerReport,
+) -> None:
+    """Logs entries of a report that could not be decoded.
+
+    Args:
+        context: Shared components of the scheduler.
+        entry: The runner.
+        report: Its report.
+    """
+    findings = report.unreadable_running + report.unreadable_exits
+    if findings:
+        context.metrics.unreadable_entries.labels("report").inc(len(findings))
+        context.log.warning(
+            "report_entries_unreadable",
+            runner=entry.identifier,
+            count=len(findings),
+            first=findings[0],
+        )
