--- a/tamarackhatch/server/tests/test_where.py
+++ b/tamarackhatch/server/tests/test_where.py
@@ -9,6 +9,7 @@
 import orjson
 import pytest
 
+from tamarackhatch import clock as clocks
 from tamarackhatch import model
 from tamarackhatch import observability
 from tamarackhatch import records
@@ -99,8 +100,9 @@
     role: _Role, queues: _Queues, clock: _Clock | None = None
 ) -> _where.WhereHandler:
     time_source = typing.cast(typing.Any, clock or _Clock())
+    # The readings of the log must not advance the handler's clock.
     sink = observability.LineSink(
-        os.open(os.devnull, os.O_WRONLY), time_source, 100
+        os.open(os.devnull, os.O_WRONLY), clocks.SystemClock(), 100
     )
     log = observability.Log(
         sink, time_source, observability.LevelFilter(), "where"
