One computation of the objective and of free resources

Parts that were built side by side each computed the latency objective, the factor of short estimates and a runner's free resources for themselves. They now share Queue.compute_objective, placement.ESTIMATE_ERROR and RunnerLoad.compute_free. JobService no longer asks three times whether it has a forwarder: without one, a local one carries the request out. No change of behaviour; the tests of admission, placement, entry and interface pass.

--- a/tamarackhatch/admission/_decision.py
+++ b/tamarackhatch/admission/_decision.py
@@ -19,10 +19,7 @@
 # A submitter's estimate may be too long by this factor. Estimates that are all
 # too long do not change the figure for the wait, because work that waits and
 # work that was placed are counted by the same estimates.
-_ESTIMATE_ERROR = 2.0
-# The scheduler takes a job for late only beyond its objective by estimates
-# that are longer by this factor.
-_LATE_FACTOR = 2.0
+_ESTIMATE_EXCESS = 2.0
 
 
 @attrs.frozen
@@ -56,13 +53,14 @@
         return None
     queue = job.queue
     chain = model.compute_longest_chain(job.steps)
-    objective = queue.stretch * chain + queue.target_latency
+    objective = queue.compute_objective(chain)
     limit = placement.MAX_LATENESS * objective
-    run_time = chain / _ESTIMATE_ERROR
+    run_time = chain / _ESTIMATE_EXCESS
     # A job that free capacity would not help is no matter of overload.
     if elapsed + run_time > limit:
         return None
-    late_after = queue.stretch * _LATE_FACTOR * chain + queue.target_latency
+    # The scheduler takes a job for late only after this time.
+    late_after = queue.compute_objective(placement.ESTIMATE_ERROR * chain)
     overloads = []
     for waits in reports:
         wait = _estimate_wait(job, waits, False)
--- a/tamarackhatch/admission/_estimator.py
+++ b/tamarackhatch/admission/_estimator.py
@@ -89,17 +89,10 @@
         self.best_effort_processors += load.best_effort_cpu
         if not is_usable:
             return
-        left = load.capacity - load.unassigned
-        self.free_processors = max(
-            self.free_processors, left.processors - load.reserved_cpu
-        )
-        self.free_memory_mb = max(
-            self.free_memory_mb, left.memory_mb - load.reserved_memory_mb
-        )
-        self.free_accelerators = max(
-            self.free_accelerators,
-            left.accelerators - load.reserved_accelerators,
-        )
+        free = load.compute_free()
+        self.free_processors = max(self.free_processors, free.processors)
+        self.free_memory_mb = max(self.free_memory_mb, free.memory_mb)
+        self.free_accelerators = max(self.free_accelerators, free.accelerators)
 
 
 class WaitEstimator:
--- a/tamarackhatch/model/_configuration.py
+++ b/tamarackhatch/model/_configuration.py
@@ -50,6 +50,16 @@
     target_latency: datetime.timedelta = datetime.timedelta()
     advice: AdviceTiming | None = None
 
+    def compute_objective(
+        self, longest_chain: datetime.timedelta
+    ) -> datetime.timedelta:
+        """Returns the latency objective of a job, from its acceptance on.
+
+        Args:
+            longest_chain: Run time of its longest chain of dependent steps.
+        """
+        return self.stretch * longest_chain + self.target_latency
+
 
 @attrs.frozen
 class Service:
--- a/tamarackhatch/placement/__init__.py
+++ b/tamarackhatch/placement/__init__.py
@@ -26,6 +26,7 @@
 from tamarackhatch.placement._locality import StartRemote
 from tamarackhatch.placement._order import assess_prospect
 from tamarackhatch.placement._order import describe_precedence
+from tamarackhatch.placement._order import ESTIMATE_ERROR
 from tamarackhatch.placement._order import make_order_key
 from tamarackhatch.placement._order import MAX_LATENESS
 from tamarackhatch.placement._order import OrderKey
@@ -51,6 +52,7 @@
     "CandidateCache",
     "CandidateRunner",
     "Choice",
+    "ESTIMATE_ERROR",
     "InfeasibleDemands",
     "InterferenceFactor",
     "InterferenceModel",
--- a/tamarackhatch/placement/_order.py
+++ b/tamarackhatch/placement/_order.py
@@ -14,6 +14,9 @@
 # Up to this multiple of its objective a job is late; after that its caller no
 # longer has a use for it.
 MAX_LATENESS = 3.0
+# A submitter's estimate of a run time may be short by this factor. A job that
+# can still be served must not be put behind the others for a poor estimate.
+ESTIMATE_ERROR = 2.0
 
 
 class Prospect(enum.IntEnum):
--- a/tamarackhatch/scheduler/_prospects.py
+++ b/tamarackhatch/scheduler/_prospects.py
@@ -5,10 +5,6 @@
 from tamarackhatch import placement
 from tamarackhatch.scheduler import _state
 
-# A submitter's estimate of a run time may be short by this factor. A job that
-# can still be served must not be put behind the others for a poor estimate.
-_ESTIMATE_ERROR = 2.0
-
 
 def assess_job(
     task: _state.TaskEntry, now: datetime.datetime
@@ -27,7 +23,7 @@
     objective = compute_order_objective(task.job)
     return placement.assess_prospect(
         _compute_elapsed(task, now),
-        task.step.estimate / _ESTIMATE_ERROR,
+        task.step.estimate / placement.ESTIMATE_ERROR,
         objective,
     )
 
@@ -41,16 +37,14 @@
         entry: The job, of a queue with an objective.
         estimate_error: Factor by which the estimated run times may be short.
     """
-    queue = entry.job.queue
-    return (
-        queue.stretch * estimate_error * entry.longest_chain
-        + queue.target_latency
+    return entry.job.queue.compute_objective(
+        estimate_error * entry.longest_chain
     )
 
 
 def compute_order_objective(entry: _state.JobEntry) -> datetime.timedelta:
     """Returns the objective that counts for the order of a job."""
-    return compute_objective(entry, _ESTIMATE_ERROR)
+    return compute_objective(entry, placement.ESTIMATE_ERROR)
 
 
 def compute_slack(
--- a/tamarackhatch/service/_jobs.py
+++ b/tamarackhatch/service/_jobs.py
@@ -75,6 +75,35 @@
         ...
 
 
+class _LocalForwarder:
+    """Carries all requests out here, where no other instance is known."""
+
+    async def submit(
+        self,
+        job: model.Job,
+        store_version: int,
+        deadline: datetime.timedelta,
+        run_here: RunHere,
+    ) -> model.JobLookup:
+        return await run_here()
+
+    async def cancel(
+        self,
+        identifier: str,
+        deadline: datetime.timedelta,
+        run_here: RunHere,
+    ) -> model.Outcome:
+        return (await run_here()).outcome
+
+    async def get_state(
+        self,
+        identifier: str,
+        deadline: datetime.timedelta,
+        run_here: RunHere,
+    ) -> model.JobLookup:
+        return await run_here()
+
+
 class JobService:
     """Submits and cancels jobs, and returns their state.
 
@@ -112,7 +141,7 @@
             store, figures, time_source, log, metrics
         )
         self._get_store_version = get_store_version
-        self._forwarder = forwarder
+        self._forwarder = forwarder or _LocalForwarder()
         self._store = store
         self._pending = pending
         self._configuration = configuration
@@ -207,15 +236,12 @@
         # All attempts for this request, here and elsewhere, rely on the same
         # version, so that none stores the job after another has refused it.
         version = self._get_store_version()
-        if self._forwarder is None:
-            lookup = await self.submit_here(job, deadline, version)
-        else:
-            lookup = await self._forwarder.submit(
-                job,
-                version,
-                deadline,
-                lambda: self.submit_here(job, deadline, version),
-            )
+        lookup = await self._forwarder.submit(
+            job,
+            version,
+            deadline,
+            lambda: self.submit_here(job, deadline, version),
+        )
         self._record_request(
             "submit",
             job.identifier,
@@ -237,14 +263,11 @@
         """
         started_at = self._clock.get_monotonic()
         deadline = started_at + timeout - _ANSWER_MARGIN
-        if self._forwarder is None:
-            outcome = await self.cancel_here(identifier, deadline)
-        else:
-            outcome = await self._forwarder.cancel(
-                identifier,
-                deadline,
-                lambda: _wrap(self.cancel_here(identifier, deadline)),
-            )
+        outcome = await self._forwarder.cancel(
+            identifier,
+            deadline,
+            lambda: _wrap(self.cancel_here(identifier, deadline)),
+        )
         self._record_request(
             "cancel", identifier, queue.name, outcome, started_at
         )
@@ -262,14 +285,11 @@
         """
         started_at = self._clock.get_monotonic()
         deadline = started_at + timeout - _ANSWER_MARGIN
-        if self._forwarder is None:
-            lookup = await self.get_state_here(identifier, deadline)
-        else:
-            lookup = await self._forwarder.get_state(
-                identifier,
-                deadline,
-                lambda: self.get_state_here(identifier, deadline),
-            )
+        lookup = await self._forwarder.get_state(
+            identifier,
+            deadline,
+            lambda: self.get_state_here(identifier, deadline),
+        )
         self._record_request(
             "status",
             identifier,
