Tests: one fleet for evacuations, and paths of runners in the stand-in

They are now in evacuation_trial.py and standins/runner.py. No check changed; the tests of the touched modules pass.

--- a/standins/runner.py
+++ b/standins/runner.py
@@ -20,6 +20,11 @@
 MAX_LEASE = datetime.timedelta(seconds=10)
 # Exit reason in a plan: the run crashes its runner.
 CRASH = "crash"
+# Paths of the calls that a runner takes.
+RENEWAL_PATH = "/-/hold"
+START_PATH = "/-/run-start"
+STOP_PATH = "/-/run-stop"
+SPEED_LIMIT_PATH = "/-/pace"
 _RESTART_S = 3.0
 
 
@@ -195,13 +200,13 @@
         if token < self._token:
             return self._make_response(409, reason="fence")
         self._token = token
-        if request.path == "/-/hold":
+        if request.path == RENEWAL_PATH:
             return await self._renew(body)
-        if request.path == "/-/run-start":
+        if request.path == START_PATH:
             return self._start(body)
-        if request.path == "/-/run-stop":
+        if request.path == STOP_PATH:
             return self._stop(body)
-        if request.path == "/-/pace":
+        if request.path == SPEED_LIMIT_PATH:
             return self._set_speed_limit(body)
         return self._make_response(404)
 
--- a/standins/suspending.py
+++ b/standins/suspending.py
@@ -11,6 +11,7 @@
 import signal
 import sys
 
+from standins import runner
 from tamarackhatch import cli
 from tamarackhatch import transport
 
@@ -23,7 +24,7 @@
     async def suspend_and_send(
         client: transport.HttpClient, call: transport.Call
     ) -> transport.Answer:
-        if call.path == "/-/run-start" and trigger.exists():
+        if call.path == runner.START_PATH and trigger.exists():
             trigger.unlink()
             os.kill(os.getpid(), signal.SIGSTOP)
         return await send(client, call)
--- a/tamarackhatch/scheduler/tests/test_evacuations.py
+++ b/tamarackhatch/scheduler/tests/test_evacuations.py
@@ -1,76 +1,19 @@
 """Tests that nothing starts in data centres that are evacuated."""
 
 import asyncio
-import datetime
-import os
 import pathlib
 import typing
 
-import attrs
 import orjson
 import pytest
 
 from standins import fleet as standin_fleet
-from standins import history
 from standins import runner
 from standins import virtual_time
 from tamarackhatch import model
 from tamarackhatch.scheduler import _evacuations
 from tamarackhatch.scheduler import _job_tracker
-
-_SECOND = datetime.timedelta(seconds=1)
-_BOUND = history.EVACUATION_BOUND_S * _SECOND
-_GOAL_S = history.EVACUATION_BOUND_S / 2
-_TASK = model.Resources(2_000, 8_000)
-_LONG_S = 600.0
-_EAST, _WEST = "east", "west"
-
-
-def _plan_second(task: str, run: int) -> tuple[float, str]:
-    return 1.0, "done"
-
-
-def _plan_long(task: str, run: int) -> tuple[float, str]:
-    return _LONG_S, "done"
-
-
-async def _start_fleet(
-    plan: runner.Plan = _plan_second,
-    data_centres: tuple[str, ...] = (_EAST, _WEST),
-    bound: datetime.timedelta | None = _BOUND,
-    log_path: str = os.devnull,
-) -> standin_fleet.VirtualFleet:
-    """Starts three instances and one runner in each data centre."""
-    fleet = standin_fleet.VirtualFleet(
-        len(data_centres), plan, log_path=log_path, data_centres=data_centres
-    )
-    fleet.bounds = attrs.evolve(fleet.bounds, evacuation=bound)
-    for name in ("a", "b", "c"):
-        fleet.start_instance(name)
-    await fleet.wait_until(lambda: fleet.get_leader() is not None)
-    # Until the runners are tracked.
-    await asyncio.sleep(1)
-    return fleet
-
-
-def _kill_leader(fleet: standin_fleet.VirtualFleet) -> None:
-    leader = fleet.get_leader()
-    assert leader is not None
-    leader.kill()
-    del fleet.instances[leader.name]
-
-
-def _get_time() -> float:
-    return asyncio.get_running_loop().time()
-
-
-async def _submit_steadily(
-    fleet: standin_fleet.VirtualFleet, prefix: str, duration_s: float
-) -> None:
-    """Submits four tasks every tenth of a second."""
-    for number in range(round(duration_s * 10)):
-        await fleet.submit(f"{prefix}{number}", model.Step(4, _TASK))
-        await asyncio.sleep(0.1)
+from tamarackhatch.scheduler.tests import evacuation_trial
 
 
 def test_evacuated_data_centre_gets_no_starts_until_it_returns() -> None:
@@ -80,23 +23,29 @@
     """
 
     def plan(task: str, run: int) -> tuple[float, str]:
-        return (_LONG_S if task.startswith("stay") else 0.3), "done"
+        return (
+            evacuation_trial.LONG_S if task.startswith("stay") else 0.3
+        ), "done"
 
     async def simulate() -> None:
-        fleet = await _start_fleet(plan)
-        await fleet.submit("stay", model.Step(4, _TASK))
+        fleet = await evacuation_trial.start_fleet(plan)
+        await fleet.submit("stay", model.Step(4, evacuation_trial.TASK))
         await asyncio.sleep(1)
         kept = fleet.runners[0].running
         assert kept
-        fleet.evacuate(_EAST)
-        ordered = _get_time()
-        await _submit_steadily(fleet, "before", 20)
-        assert not fleet.history.list_runs_in(_EAST, ordered + _GOAL_S)
+        fleet.evacuate(evacuation_trial.EAST)
+        ordered = evacuation_trial.get_time()
+        await evacuation_trial.submit_steadily(fleet, "before", 20)
+        assert not fleet.history.list_runs_in(
+            evacuation_trial.EAST, ordered + evacuation_trial.GOAL_S
+        )
         assert fleet.runners[0].running == kept
-        returned = _get_time()
-        fleet.end_evacuation(_EAST)
-        await _submit_steadily(fleet, "after", _GOAL_S)
-        assert fleet.history.list_runs_in(_EAST, returned)
+        returned = evacuation_trial.get_time()
+        fleet.end_evacuation(evacuation_trial.EAST)
+        await evacuation_trial.submit_steadily(
+            fleet, "after", evacuation_trial.GOAL_S
+        )
+        assert fleet.history.list_runs_in(evacuation_trial.EAST, returned)
         assert fleet.check() == []
 
     virtual_time.run_virtually(simulate())
@@ -106,12 +55,12 @@
     """Guards against a decision that is on where nobody asked for it."""
 
     async def simulate() -> None:
-        fleet = await _start_fleet(bound=None)
-        fleet.evacuate(_EAST)
+        fleet = await evacuation_trial.start_fleet(bound=None)
+        fleet.evacuate(evacuation_trial.EAST)
         await asyncio.sleep(3)
-        await fleet.submit("00", model.Step(12, _TASK))
+        await fleet.submit("00", model.Step(12, evacuation_trial.TASK))
         await fleet.wait_for_state("00", model.JobState.COMPLETED, 5)
-        assert fleet.history.list_runs_in(_EAST)
+        assert fleet.history.list_runs_in(evacuation_trial.EAST)
 
     virtual_time.run_virtually(simulate())
 
@@ -120,27 +69,39 @@
     """Guards against an order that replaces another, or ends with it."""
 
     async def simulate() -> None:
-        fleet = await _start_fleet(data_centres=("north", _EAST, _WEST))
+        fleet = await evacuation_trial.start_fleet(
+            data_centres=(
+                "north",
+                evacuation_trial.EAST,
+                evacuation_trial.WEST,
+            )
+        )
 
         async def expect_starts(label: str, *expected: str) -> None:
-            await _submit_steadily(fleet, f"{label}-settling", _GOAL_S)
-            began = _get_time()
-            await _submit_steadily(fleet, label, 3)
+            await evacuation_trial.submit_steadily(
+                fleet, f"{label}-settling", evacuation_trial.GOAL_S
+            )
+            began = evacuation_trial.get_time()
+            await evacuation_trial.submit_steadily(fleet, label, 3)
             used = {
                 data_centre
-                for data_centre in ("north", _EAST, _WEST)
+                for data_centre in (
+                    "north",
+                    evacuation_trial.EAST,
+                    evacuation_trial.WEST,
+                )
                 if fleet.history.list_runs_in(data_centre, began)
             }
             assert used == set(expected)
 
-        fleet.evacuate(_EAST)
-        fleet.evacuate(_WEST)
+        fleet.evacuate(evacuation_trial.EAST)
+        fleet.evacuate(evacuation_trial.WEST)
         await expect_starts("both", "north")
-        fleet.end_evacuation(_EAST)
-        await expect_starts("west", "north", _EAST)
-        fleet.evacuate(_EAST)
-        fleet.end_evacuation(_WEST)
-        await expect_starts("east", "north", _WEST)
+        fleet.end_evacuation(evacuation_trial.EAST)
+        await expect_starts("west", "north", evacuation_trial.EAST)
+        fleet.evacuate(evacuation_trial.EAST)
+        fleet.end_evacuation(evacuation_trial.WEST)
+        await expect_starts("east", "north", evacuation_trial.WEST)
         assert fleet.check() == []
 
     virtual_time.run_virtually(simulate())
@@ -153,27 +114,33 @@
     """Guards against jobs that fail, or never run, when nothing is usable."""
 
     def plan(task: str, run: int) -> tuple[float, str]:
-        return (0.5 if task.startswith("00") else _LONG_S), "done"
+        return (
+            0.5 if task.startswith("00") else evacuation_trial.LONG_S
+        ), "done"
 
     async def simulate() -> None:
-        fleet = await _start_fleet(plan)
-        fleet.evacuate(_EAST)
-        fleet.evacuate(_WEST)
-        await asyncio.sleep(_GOAL_S)
-        await fleet.submit("00", model.Step(4, _TASK))
-        long_running = model.Step(2, _TASK, is_long_running=True, image="i")
+        fleet = await evacuation_trial.start_fleet(plan)
+        fleet.evacuate(evacuation_trial.EAST)
+        fleet.evacuate(evacuation_trial.WEST)
+        await asyncio.sleep(evacuation_trial.GOAL_S)
+        await fleet.submit("00", model.Step(4, evacuation_trial.TASK))
+        long_running = model.Step(
+            2, evacuation_trial.TASK, is_long_running=True, image="i"
+        )
         await fleet.submit("01", long_running)
         if has_takeover:
-            _kill_leader(fleet)
+            evacuation_trial.kill_leader(fleet)
         await asyncio.sleep(30)
         assert fleet.history.runs == []
         assert await fleet.read_state("00") is model.JobState.QUEUED
-        fleet.end_evacuation(_WEST)
-        returned = _get_time()
+        fleet.end_evacuation(evacuation_trial.WEST)
+        returned = evacuation_trial.get_time()
         await fleet.wait_for_state("00", model.JobState.COMPLETED, 5)
-        assert len(fleet.history.list_runs_in(_WEST)) == 6
-        assert fleet.history.runs[0].started < returned + _GOAL_S
-        assert not fleet.history.list_runs_in(_EAST)
+        assert len(fleet.history.list_runs_in(evacuation_trial.WEST)) == 6
+        assert (
+            fleet.history.runs[0].started < returned + evacuation_trial.GOAL_S
+        )
+        assert not fleet.history.list_runs_in(evacuation_trial.EAST)
         assert fleet.check() == []
 
     virtual_time.run_virtually(simulate())
@@ -191,8 +158,8 @@
 
     def begin_start_and_evacuate(*arguments: typing.Any) -> None:
         begin_start(*arguments)
-        if arguments[2].record.data_centre == _EAST:
-            chosen.add(_EAST)
+        if arguments[2].record.data_centre == evacuation_trial.EAST:
+            chosen.add(evacuation_trial.EAST)
 
     monkeypatch.setattr(
         _job_tracker.JobTracker, "begin_start", begin_start_and_evacuate
@@ -205,11 +172,11 @@
     log_path = tmp_path / "log"
 
     async def simulate() -> None:
-        fleet = await _start_fleet(log_path=str(log_path))
-        await fleet.submit("00", model.Step(8, _TASK))
+        fleet = await evacuation_trial.start_fleet(log_path=str(log_path))
+        await fleet.submit("00", model.Step(8, evacuation_trial.TASK))
         await fleet.wait_for_state("00", model.JobState.COMPLETED, 5)
         assert chosen
-        assert not fleet.history.list_runs_in(_EAST)
+        assert not fleet.history.list_runs_in(evacuation_trial.EAST)
         assert {run.run for run in fleet.history.runs} == {1, 2}
 
     virtual_time.run_virtually(simulate())
@@ -229,18 +196,20 @@
         return 1.0, "done"
 
     async def simulate() -> None:
-        data_centres = (_EAST,) * 3 + (_WEST,) * 3
-        fleet = await _start_fleet(plan, data_centres)
-        fleet.evacuate(_EAST)
-        await asyncio.sleep(_GOAL_S)
-        ordered = _get_time()
+        data_centres = (evacuation_trial.EAST,) * 3 + (
+            evacuation_trial.WEST,
+        ) * 3
+        fleet = await evacuation_trial.start_fleet(plan, data_centres)
+        fleet.evacuate(evacuation_trial.EAST)
+        await asyncio.sleep(evacuation_trial.GOAL_S)
+        ordered = evacuation_trial.get_time()
         # One at a time, so that no two suspects share a crash.
         for number in range(4):
             name = f"suspect{number}"
-            await fleet.submit(name, model.Step(1, _TASK))
-            await _submit_steadily(fleet, f"other{number}-", 3)
+            await fleet.submit(name, model.Step(1, evacuation_trial.TASK))
+            await evacuation_trial.submit_steadily(fleet, f"other{number}-", 3)
             await fleet.wait_for_state(name, model.JobState.COMPLETED, 20)
-        assert not fleet.history.list_runs_in(_EAST, ordered)
+        assert not fleet.history.list_runs_in(evacuation_trial.EAST, ordered)
         assert fleet.check() == []
 
     virtual_time.run_virtually(simulate())
@@ -259,19 +228,22 @@
         return 1.0, "done"
 
     async def simulate() -> None:
-        data_centres = (_EAST,) * 6 + (_WEST,) * 3
-        fleet = await _start_fleet(plan, data_centres)
-        fleet.evacuate(_EAST)
-        await asyncio.sleep(_GOAL_S)
+        data_centres = (evacuation_trial.EAST,) * 6 + (
+            evacuation_trial.WEST,
+        ) * 3
+        fleet = await evacuation_trial.start_fleet(plan, data_centres)
+        fleet.evacuate(evacuation_trial.EAST)
+        await asyncio.sleep(evacuation_trial.GOAL_S)
         # All three usable runners crash, and are back together.
-        await fleet.submit("suspects", model.Step(12, _TASK))
+        await fleet.submit("suspects", model.Step(12, evacuation_trial.TASK))
         most = 0
         for _ in range(600):
             await asyncio.sleep(0.05)
             recent = {
                 run.runner
                 for run in fleet.history.runs
-                if run.run > 1 and run.started > _get_time() - 0.4
+                if run.run > 1
+                and run.started > evacuation_trial.get_time() - 0.4
             }
             most = max(most, len(recent))
             if await fleet.read_state("suspects") is (
@@ -289,15 +261,17 @@
     """Guards against starts on a runner that may be in an evacuated one."""
 
     async def simulate() -> None:
-        fleet = await _start_fleet(data_centres=("", _WEST))
+        fleet = await evacuation_trial.start_fleet(
+            data_centres=("", evacuation_trial.WEST)
+        )
         unknown = fleet.runners[0].identifier
-        fleet.evacuate(_EAST)
-        await asyncio.sleep(_GOAL_S)
-        await _submit_steadily(fleet, "0", 3)
+        fleet.evacuate(evacuation_trial.EAST)
+        await asyncio.sleep(evacuation_trial.GOAL_S)
+        await evacuation_trial.submit_steadily(fleet, "0", 3)
         assert unknown not in {run.runner for run in fleet.history.runs}
-        fleet.end_evacuation(_EAST)
-        await asyncio.sleep(_GOAL_S)
-        await _submit_steadily(fleet, "1", 3)
+        fleet.end_evacuation(evacuation_trial.EAST)
+        await asyncio.sleep(evacuation_trial.GOAL_S)
+        await evacuation_trial.submit_steadily(fleet, "1", 3)
         assert unknown in {run.runner for run in fleet.history.runs}
 
     virtual_time.run_virtually(simulate())
@@ -308,20 +282,20 @@
     log_path = tmp_path / "log"
 
     async def simulate() -> None:
-        fleet = await _start_fleet(log_path=str(log_path))
+        fleet = await evacuation_trial.start_fleet(log_path=str(log_path))
         leader = fleet.get_leader()
         assert leader is not None
-        fleet.evacuate(_EAST)
+        fleet.evacuate(evacuation_trial.EAST)
         await asyncio.sleep(2)
         assert _get_gauge(leader) == 1
         fleet.store.is_down = True
         await asyncio.sleep(1.5)
         fleet.store.is_down = False
         await asyncio.sleep(2)
-        fleet.end_evacuation(_EAST)
+        fleet.end_evacuation(evacuation_trial.EAST)
         await asyncio.sleep(2)
         assert _get_gauge(leader) == 0
-        fleet.evacuate(_WEST)
+        fleet.evacuate(evacuation_trial.WEST)
         await asyncio.sleep(2)
         await leader.stop()
         assert _get_gauge(leader) == 0
@@ -334,11 +308,11 @@
         if line["event"].startswith("evacuation")
     ]
     assert events[:5] == [
-        ("evacuation_started", _EAST),
+        ("evacuation_started", evacuation_trial.EAST),
         ("evacuations_read_failed", None),
         ("evacuations_read_again", None),
-        ("evacuation_ended", _EAST),
-        ("evacuation_started", _WEST),
+        ("evacuation_ended", evacuation_trial.EAST),
+        ("evacuation_started", evacuation_trial.WEST),
     ]
 
 
--- a/tamarackhatch/scheduler/tests/test_malformed_input.py
+++ b/tamarackhatch/scheduler/tests/test_malformed_input.py
@@ -199,7 +199,14 @@
     virtual_time.run_virtually(simulate())
 
 
-@pytest.mark.parametrize("path", ["/-/run-start", "/-/hold", "/-/run-stop"])
+@pytest.mark.parametrize(
+    "path",
+    [
+        standin_runner.START_PATH,
+        standin_runner.RENEWAL_PATH,
+        standin_runner.STOP_PATH,
+    ],
+)
 @pytest.mark.parametrize("answers", [1, 5, 100])
 def test_garbled_rejection_does_not_end_the_command(
     path: str, answers: int
--- a/tamarackhatch/scheduler/tests/test_order.py
+++ b/tamarackhatch/scheduler/tests/test_order.py
@@ -190,7 +190,7 @@
         """Answers one call."""
         task = request.body.get("task", "")
         if (
-            request.path == "/-/run-start"
+            request.path == runner.START_PATH
             and task.startswith("long-running")
             and task not in self._refused
         ):
--- a/tamarackhatch/scheduler/tests/test_reported_faults.py
+++ b/tamarackhatch/scheduler/tests/test_reported_faults.py
@@ -12,6 +12,7 @@
 
 from standins import fleet as standin_fleet
 from standins import network
+from standins import runner
 from standins import virtual_time
 from tamarackhatch import model
 from tamarackhatch import records
@@ -20,6 +21,11 @@
 
 _TASK = model.Resources(processors=1000, memory_mb=100)
 _LONG_RUNNING = model.Step(2, _TASK, is_long_running=True)
+_COMMAND_PATHS = (
+    runner.START_PATH,
+    runner.STOP_PATH,
+    runner.SPEED_LIMIT_PATH,
+)
 
 
 @attrs.frozen
@@ -41,9 +47,7 @@
     async def record_and_send(
         name: str, call: transport.Call
     ) -> transport.Answer:
-        if call.path.startswith(("/-/run-", "/-/pace")) and (
-            call.is_permitted()
-        ):
+        if call.path.startswith(_COMMAND_PATHS) and (call.is_permitted()):
             now = asyncio.get_running_loop().time()
             sent.append(_SentCommand(now, name, call.path))
         return await send_call(name, call)
@@ -128,7 +132,7 @@
             request: network.Request,
         ) -> network.Response:
             response = await stand_in.handle(request)
-            if request.path == "/-/run-start":
+            if request.path == runner.START_PATH:
                 fleet.network.remove(stand_in.address)
                 raise network.NoResponseError
             return response
--- a/tamarackhatch/scheduler/tests/test_restarted_runner.py
+++ b/tamarackhatch/scheduler/tests/test_restarted_runner.py
@@ -9,6 +9,7 @@
 
 from standins import fleet as standin_fleet
 from standins import network
+from standins import runner
 from standins import virtual_time
 from tamarackhatch import model
 
@@ -33,7 +34,7 @@
         fleet.network.serve(self._runner.address, self._handle)
 
     async def _handle(self, request: network.Request) -> network.Response:
-        is_renewal = request.path == "/-/hold"
+        is_renewal = request.path == runner.RENEWAL_PATH
         if is_renewal and self.is_silent and not self._is_executed:
             raise network.NoResponseError
         response = await self._runner.handle(request)
