--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -6,7 +6,6 @@
 from collections.abc import Sequence
 import datetime
 import os
-import typing
 
 import orjson
 
@@ -14,20 +13,14 @@
 from standins import network
 from standins import runner
 from standins import store
+from standins import virtual_instance
 from standins import virtual_time
-from tamarackhatch import admission
 from tamarackhatch import model
-from tamarackhatch import observability
 from tamarackhatch import placement
-from tamarackhatch import platform
-from tamarackhatch import records
-from tamarackhatch import scheduler
-from tamarackhatch import server
-from tamarackhatch import service
 from tamarackhatch import settings
 
-STORE_ADDRESS = "10.0.0.1:7000"
-ADVICE_ADDRESS = "10.0.0.2:7001"
+STORE_ADDRESS = virtual_instance.STORE_ADDRESS
+ADVICE_ADDRESS = virtual_instance.ADVICE_ADDRESS
 SERVICE = "office"
 QUEUE = model.Queue(
     name="renewals",
@@ -45,132 +38,6 @@
     return 0.5, "done"
 
 
-class VirtualInstance:
-    """Job store and scheduler role of an instance, without sockets.
-
-    Attributes:
-        name: Name of the instance.
-        jobs: Its job store.
-        figures: Waits that the heartbeats have reported to it.
-        service: Its service for callers, which refuses jobs.
-        role: Its scheduler role.
-        metrics: Its metrics.
-        configuration: Its watcher of the configuration; None without one.
-    """
-
-    def __init__(
-        self,
-        fleet: "VirtualFleet",
-        name: str,
-        has_configuration: bool,
-        processor: float,
-    ) -> None:
-        self.name = name
-        client = fleet.network.make_client(name)
-        self._client = client
-        self.metrics = observability.Metrics()
-        sink = observability.LineSink(fleet.log_descriptor, fleet.clock, 10**9)
-        log = observability.Log(
-            sink, fleet.clock, observability.LevelFilter(), name
-        )
-        liveness = records.StoreLiveness(fleet.clock)
-        table_store = platform.PlatformStore(
-            typing.cast(typing.Any, client),
-            STORE_ADDRESS,
-            on_answer=liveness.record_answer,
-        )
-        self.jobs = records.JobStore(
-            table_store,
-            fleet.clock,
-            lambda: self.role.term,
-            liveness,
-            records.CallReporter(log, self.metrics).record,
-        )
-        self.figures = admission.WaitFigures(
-            settings.Scheduling().leader_heartbeat_interval
-        )
-        address = settings.Address("127.0.0.1", 1)
-        configured = settings.Settings(
-            instance=name,
-            data_centre="here",
-            caller_address=address,
-            readiness_address=address,
-            store_address=address,
-            processor_share=processor,
-            bounds=fleet.bounds,
-        )
-        self.configuration: service.ConfigurationWatcher | None = None
-        if has_configuration:
-            self.configuration = service.ConfigurationWatcher(
-                table_store,
-                fleet.clock,
-                log,
-                fleet.apply_time,
-                fleet.incarnations * 0.618 % 1,
-            )
-        fleet.incarnations += 1
-        dependencies = scheduler.SchedulerDependencies(
-            table_store,
-            platform.RunnerClient(typing.cast(typing.Any, client)),
-            platform.AdviceClient(
-                typing.cast(typing.Any, client), ADVICE_ADDRESS
-            ),
-            fleet.clock,
-            configured,
-            log,
-            self.metrics,
-            fleet.policy,
-            self.configuration,
-            lambda service: fleet.enforces_capacity,
-            lambda heartbeat: self.figures.record_heartbeat(
-                heartbeat.term,
-                heartbeat.waits,
-                fleet.clock.get_monotonic(),
-            ),
-        )
-        watcher = self.configuration
-        self.role = server.SchedulerRole(
-            dependencies,
-            f"{name}-{fleet.incarnations}",
-            (
-                (lambda row: None)
-                if watcher is None
-                else watcher.apply_change_row
-            ),
-        )
-        self.service = service.JobService(
-            self.jobs,
-            watcher
-            or service.ConfigurationWatcher(
-                table_store, fleet.clock, log, fleet.apply_time, 0.0
-            ),
-            self.role,
-            fleet.clock,
-            log,
-            self.metrics,
-            None,
-            self.figures,
-            lambda: table_store.latest_version,
-        )
-        self._tasks = [asyncio.create_task(self.role.run())]
-        if watcher is not None:
-            watcher.set_publications(self.role, self.role.request_publication)
-            self._tasks.append(asyncio.create_task(watcher.run()))
-
-    def kill(self) -> None:
-        """Ends the instance immediately, as SIGKILL does."""
-        self._client.close()
-        for task in self._tasks:
-            task.cancel()
-
-    async def stop(self) -> None:
-        """Stops the instance gracefully, as SIGTERM does."""
-        self.role.stop()
-        while self.role.is_active:
-            await asyncio.sleep(0.01)
-        self.kill()
-
-
 class VirtualFleet:
     """A whole deployment without sockets, in virtual time.
 
@@ -216,7 +83,7 @@
         self.store = store.StoreStandIn()
         self.history = history.History()
         self.runners: list[runner.RunnerStandIn] = []
-        self.instances: dict[str, VirtualInstance] = {}
+        self.instances: dict[str, virtual_instance.VirtualInstance] = {}
         self.incarnations = 0
         self.apply_time = datetime.timedelta(milliseconds=2500)
         self.enforces_capacity = True
@@ -266,7 +133,7 @@
         name: str,
         has_configuration: bool = False,
         processor: float = 1.0,
-    ) -> VirtualInstance:
+    ) -> virtual_instance.VirtualInstance:
         """Starts an instance and returns it.
 
         Args:
@@ -274,11 +141,13 @@
             has_configuration: Whether it follows the configuration.
             processor: Processor time that it may use, in cores.
         """
-        instance = VirtualInstance(self, name, has_configuration, processor)
+        instance = virtual_instance.VirtualInstance(
+            self, name, has_configuration, processor
+        )
         self.instances[name] = instance
         return instance
 
-    def get_leader(self) -> VirtualInstance | None:
+    def get_leader(self) -> virtual_instance.VirtualInstance | None:
         """Returns an instance whose scheduler role is active, or None."""
         for instance in self.instances.values():
             if instance.role.is_active:
--- a/tamarackhatch/admission/tests/test_overload.py
+++ b/tamarackhatch/admission/tests/test_overload.py
@@ -12,6 +12,7 @@
 import pytest
 
 from standins import fleet as standin_fleet
+from standins import virtual_instance
 from standins import virtual_time
 from tamarackhatch import model
 
@@ -30,7 +31,7 @@
     return 2.0, "done"
 
 
-def _count_refused(instance: standin_fleet.VirtualInstance) -> float:
+def _count_refused(instance: virtual_instance.VirtualInstance) -> float:
     (metric,) = instance.metrics.refused_jobs.collect()
     return next(
         sample.value
--- a/tamarackhatch/scheduler/tests/test_evacuations.py
+++ b/tamarackhatch/scheduler/tests/test_evacuations.py
@@ -7,8 +7,8 @@
 import orjson
 import pytest
 
-from standins import fleet as standin_fleet
 from standins import runner
+from standins import virtual_instance
 from standins import virtual_time
 from tamarackhatch import model
 from tamarackhatch.scheduler import _evacuations
@@ -316,7 +316,7 @@
     ]
 
 
-def _get_gauge(instance: standin_fleet.VirtualInstance) -> float:
+def _get_gauge(instance: virtual_instance.VirtualInstance) -> float:
     for line in instance.metrics.render().decode().splitlines():
         if line.startswith("tamarackhatch_evacuated_data_centres "):
             return float(line.split()[1])
