--- a/tamarackhatch/placement/__init__.py
+++ b/tamarackhatch/placement/__init__.py
@@ -7,6 +7,7 @@
 from tamarackhatch.placement._choice import choose_runners
 from tamarackhatch.placement._choice import is_allowed
 from tamarackhatch.placement._choice import rate_if_possible
+from tamarackhatch.placement._choice import release_choices
 from tamarackhatch.placement._choice import RunnerRating
 from tamarackhatch.placement._infeasible_demands import InfeasibleDemands
 from tamarackhatch.placement._interference import InterferenceFactor
@@ -92,4 +93,5 @@
     "is_sound",
     "make_order_key",
     "rate_if_possible",
+    "release_choices",
 ]
--- a/tamarackhatch/placement/_choice.py
+++ b/tamarackhatch/placement/_choice.py
@@ -116,6 +116,13 @@
     return choices
 
 
+def release_choices(choices: Iterable[Choice], step: model.Step) -> None:
+    """Takes chosen tasks of a step that do not start from the loads again."""
+    for choice in choices:
+        choice.candidate.load.remove_task(choice.key, step)
+        choice.candidate.update_headrooms()
+
+
 def _list_fast(
     step: model.Step,
     candidates: Iterable[_candidate.CandidateRunner],
--- a/tamarackhatch/scheduler/_near_places.py
+++ b/tamarackhatch/scheduler/_near_places.py
@@ -201,7 +201,7 @@
             choices = self._choose(members, near, True)
             if len(choices) == len(members):
                 return choices
-            self._undo(choices, step)
+            placement.release_choices(choices, step)
         if sum(places.values()) < len(members):
             _suspend(members)
             return self._choose(members, candidates, False)
@@ -403,11 +403,6 @@
                 if self._next_end is None or until < self._next_end:
                     self._next_end = until
 
-    def _undo(self, choices: list[placement.Choice], step: model.Step) -> None:
-        for choice in choices:
-            choice.candidate.load.remove_task(choice.key, step)
-            choice.candidate.update_headrooms()
-
 
 def adapt_policy(
     policy: placement.PlacementPolicy, bounds: settings.Bounds
--- a/tamarackhatch/scheduler/_runner_choice.py
+++ b/tamarackhatch/scheduler/_runner_choice.py
@@ -226,9 +226,7 @@
     """Returns the choices of a gang; none, given back, if some are missing."""
     if len(choices) == len(members):
         return choices
-    for choice in choices:
-        choice.candidate.load.remove_task(choice.key, members[0].step)
-        choice.candidate.update_headrooms()
+    placement.release_choices(choices, members[0].step)
     return []
 
 
