--- a/tamarackhatch/observability/_metrics.py
+++ b/tamarackhatch/observability/_metrics.py
@@ -197,6 +197,11 @@
             "Tasks that wait for a runner.",
             registry=self._registry,
         )
+        self.paused = prometheus_client.Gauge(
+            "tamarackhatch_paused_tasks",
+            "Waiting tasks that may still run under an earlier scheduler.",
+            registry=self._registry,
+        )
         self.loop_lateness = prometheus_client.Gauge(
             "tamarackhatch_loop_lateness_seconds",
             "Time by which the scheduler's last periodic timer was late.",
--- a/tamarackhatch/scheduler/_load_monitor.py
+++ b/tamarackhatch/scheduler/_load_monitor.py
@@ -55,6 +55,8 @@
     Attributes:
         counters: Work since the last log line; components add to it.
         waiting: Result of the last placement pass.
+        awaited_runners: Runners that have to answer before starts that a
+            takeover paused go on.
     """
 
     def __init__(
@@ -65,6 +67,7 @@
     ) -> None:
         self.counters = LoadCounters()
         self.waiting = WaitingTasks()
+        self.awaited_runners = 0
         self._clock = time_source
         self._log = log
         self._metrics = metrics
@@ -78,6 +81,7 @@
             self._metrics.loop_lateness.set(lateness.total_seconds())
             counters, self.counters = self.counters, LoadCounters()
             waiting = self.waiting
+            self._metrics.paused.set(waiting.paused)
             self._log.summary(
                 "scheduler_load",
                 late_ms=lateness // _MILLISECOND,
@@ -87,6 +91,7 @@
                 renewals=counters.renewals,
                 missed_renewals=counters.missed_renewals,
                 paused=waiting.paused,
+                awaited_runners=self.awaited_runners,
                 grouped=waiting.grouped,
                 suspects=waiting.suspects,
                 reserving=waiting.reserving,
--- a/tamarackhatch/scheduler/_runner_manager.py
+++ b/tamarackhatch/scheduler/_runner_manager.py
@@ -16,6 +16,10 @@
 from tamarackhatch.scheduler import _runner_reconciler
 
 _CHECK_INTERVAL = datetime.timedelta(milliseconds=25)
+# Runners that are up answer within milliseconds.
+_MAX_SILENT_WAIT = datetime.timedelta(seconds=1)
+_MAX_LOGGED_RUNNERS = 20
+_MILLISECOND = datetime.timedelta(milliseconds=1)
 # Stands for runners whose identifiers are not known; never reconciled.
 _UNKNOWN_RUNNERS = "(unknown)"
 
@@ -119,21 +123,54 @@
         Args:
             claim_time: Boot time at which this term's scheduler began to run.
         """
-        deadline = claim_time + self._context.settings.takeover_wait
+        context = self._context
+        deadline = claim_time + context.settings.takeover_wait
+        warning_time = claim_time + _MAX_SILENT_WAIT
         while self._unreconciled:
             for identifier in list(self._unreconciled):
                 reconciler = self._reconcilers.get(identifier)
                 if reconciler is not None and reconciler.knows_all_runs:
                     self._unreconciled.discard(identifier)
-            if self._context.clock.get_boot_time() > deadline:
-                self._context.log.warning(
-                    "runners_unreconciled", runners=sorted(self._unreconciled)
-                )
+            context.load_monitor.awaited_runners = len(self._unreconciled)
+            now = context.clock.get_boot_time()
+            if self._unreconciled and now > warning_time:
+                warning_time = deadline
+                self._log_unreconciled("takeover_waits_for_runners")
+            if now > deadline:
+                self._log_unreconciled("runners_unreconciled")
                 self._unreconciled.clear()
-            await self._context.clock.sleep(_CHECK_INTERVAL)
-        self._context.log.info("takeover_finished")
+            await context.clock.sleep(_CHECK_INTERVAL)
+        context.load_monitor.awaited_runners = 0
+        waited = context.clock.get_boot_time() - claim_time
+        context.log.summary(
+            "takeover_finished",
+            term=context.term,
+            waited_ms=waited // _MILLISECOND,
+        )
         self._dispatcher.resume_starts()
 
+    def _log_unreconciled(self, event: str) -> None:
+        """Logs runners that have not answered, with what is known of them."""
+        if not self._unreconciled:
+            return
+        runners = []
+        for identifier in sorted(self._unreconciled)[:_MAX_LOGGED_RUNNERS]:
+            entry = self._context.fleet.get(identifier)
+            runners.append(
+                {
+                    "runner": identifier,
+                    "registered": entry is not None and entry.is_registered,
+                    "draining": entry is not None and entry.record.is_draining,
+                    "missed_renewals": entry and entry.missed_renewals,
+                }
+            )
+        self._context.log.warning(
+            event,
+            count=len(self._unreconciled),
+            runners=runners,
+            paused_tasks=self._context.load_monitor.waiting.paused,
+        )
+
     def _add_runner(
         self, record: model.Runner, is_restored: bool = False
     ) -> None:
--- a/tamarackhatch/scheduler/_scheduler.py
+++ b/tamarackhatch/scheduler/_scheduler.py
@@ -242,8 +242,9 @@
             for task in tasks:
                 task.cancel()
             self._metrics.is_scheduler.set(0)
+            self._metrics.paused.set(0)
             self._metrics.ejected_runners.set(0)
-            self._log.info("term_ended", term=self._term.number)
+            self._log.summary("term_ended", term=self._term.number)
 
     def _record_finished(self, job: _state.JobEntry) -> None:
         self._tickets.discard_job(job.identifier)
@@ -270,7 +271,7 @@
         self._runner_manager.restore_tracked_runners(tracked_runners)
         await self._runner_watcher.load()
         self._is_ready = True
-        self._log.info(
+        self._log.summary(
             "scheduler_ready",
             term=self._term.number,
             token=self._term.token,
@@ -326,7 +327,7 @@
                     break
         except _writer.LeadershipLostError:
             return
-        self._log.info("term_released", written=is_written)
+        self._log.summary("term_released", written=is_written)
 
     async def _load_progress(
         self,
