--- a/standins/runner.py
+++ b/standins/runner.py
@@ -46,6 +46,8 @@
         data_centre: Data centre that it registers; empty for none.
         labels: Labels that it registers; the last one is its rack.
         state: State that it registers, such as "ready".
+        leaves_at: Loop time at which it registers that it leaves, while it is
+            draining; None if it leaves at once.
         is_registering: Whether it registers.
         ticket: Ticket that each start must have; None accepts all starts.
         starts_without_ticket: Number of starts refused for lack of the ticket.
@@ -76,6 +78,7 @@
         self.data_centre = "here"
         self.labels = ["a", "r1"]
         self.state = "ready"
+        self.leaves_at: float | None = None
         self.is_registering = True
         self.ticket: str | None = None
         self.starts_without_ticket = 0
@@ -183,6 +186,9 @@
             "born": self._incarnation,
             "seq": self._registration_number,
         }
+        if self.leaves_at is not None:
+            remaining = self.leaves_at - asyncio.get_running_loop().time()
+            entry["remaining_ms"] = max(0, int(remaining * 1000))
         value = base64.b64encode(orjson.dumps(entry)).decode()
         store_stand_in.put("servers", self.identifier, value)
         self._history.record_capacity(self.identifier, self.capacity)
