Hold back only tasks that may run on departed runners

Cause: a takeover pauses every earlier task until each tracked runner has answered, 10.3 s at most. A runner that leaves with a task stays tracked for a lease and never answers.

Now a runner that drains, has left the registry or is silent is cordoned: it gets nothing until a list without it is durable, and the list names the tasks that may run there. A successor pauses only these for a runner that does not answer. The list is bound to its term, so that a build which does not write it leaves none behind.

--- a/tamarackhatch/records/__init__.py
+++ b/tamarackhatch/records/__init__.py
@@ -8,6 +8,10 @@
 from tamarackhatch.records._configuration_changes import decode_change_part
 from tamarackhatch.records._configuration_changes import encode_change
 from tamarackhatch.records._configuration_changes import encode_copy
+from tamarackhatch.records._cordons import CordonedRunner
+from tamarackhatch.records._cordons import Cordons
+from tamarackhatch.records._cordons import decode_cordons
+from tamarackhatch.records._cordons import encode_cordons
 from tamarackhatch.records._instances import decode_instance
 from tamarackhatch.records._instances import encode_instance
 from tamarackhatch.records._instances import InstanceRecord
@@ -24,6 +28,7 @@
 from tamarackhatch.records._leadership import LeaderHeartbeat
 from tamarackhatch.records._leadership import TrackedRunner
 from tamarackhatch.records._names import CONFIGURATION_TABLE
+from tamarackhatch.records._names import CORDONS
 from tamarackhatch.records._names import FENCE
 from tamarackhatch.records._names import get_cancel_ref
 from tamarackhatch.records._names import get_cancelled_job
@@ -58,9 +63,12 @@
 __all__ = [
     "AdaptiveTimeout",
     "CONFIGURATION_TABLE",
+    "CORDONS",
     "CallReporter",
     "ChangeAssembler",
     "ChangePart",
+    "CordonedRunner",
+    "Cordons",
     "FENCE",
     "INSTANCES_TABLE",
     "INTERFERENCE",
@@ -85,6 +93,7 @@
     "TrackedRunner",
     "decode_change",
     "decode_change_part",
+    "decode_cordons",
     "decode_instance",
     "decode_interference",
     "decode_job",
@@ -93,6 +102,7 @@
     "decode_refusal",
     "decode_tracked_runners",
     "encode_change",
+    "encode_cordons",
     "encode_copy",
     "encode_instance",
     "encode_interference",
--- a/tamarackhatch/records/_names.py
+++ b/tamarackhatch/records/_names.py
@@ -35,6 +35,10 @@
 TRACKED_RUNNERS: typing.Final = model.RowRef(
     TRACKED_RUNNERS_TABLE, SCHEDULER_PARTITION, "roster"
 )
+# In the table of the tracked runners, so that one read returns both.
+CORDONS: typing.Final = model.RowRef(
+    TRACKED_RUNNERS_TABLE, SCHEDULER_PARTITION, "cordons"
+)
 # Changes of the configuration are in the table of the heartbeat, which all
 # instances follow anyway, so that a heartbeat arrives after the changes that
 # it names.
--- a/tamarackhatch/scheduler/_dispatcher.py
+++ b/tamarackhatch/scheduler/_dispatcher.py
@@ -3,6 +3,7 @@
 import asyncio
 import datetime
 
+from tamarackhatch import model
 from tamarackhatch import placement
 from tamarackhatch.scheduler import _candidates
 from tamarackhatch.scheduler import _commands
@@ -53,6 +54,7 @@
         )
         self._has_paused_starts = False
         self._paused_version: int | None = None
+        self._paused_tasks: frozenset[model.TaskKey] | None = None
         self._registry_read = datetime.timedelta.min
 
     @property
@@ -78,7 +80,11 @@
         """Records that all registry rows of a monotonic time were applied."""
         self._registry_read = time
 
-    def pause_starts(self, version: int | None) -> None:
+    def pause_starts(
+        self,
+        version: int | None,
+        tasks: frozenset[model.TaskKey] | None,
+    ) -> None:
         """Pauses the start of tasks that may already run.
 
         An earlier scheduler may have started them on runners that have not
@@ -86,9 +92,12 @@
 
         Args:
             version: Highest row version of the jobs to pause; None for all.
+            tasks: The only tasks to pause; None for all.
         """
         self._has_paused_starts = True
         self._paused_version = version
+        self._paused_tasks = tasks
+        self._context.wake.set()
 
     def resume_starts(self) -> None:
         """Allows tasks of all jobs to start."""
@@ -213,6 +222,11 @@
             or task.job.job.term >= self._context.term
         ):
             return False
+        if (
+            self._paused_tasks is not None
+            and task.key not in self._paused_tasks
+        ):
+            return False
         version = self._paused_version
         return version is None or task.job.version <= version
 
--- a/tamarackhatch/scheduler/_fleet.py
+++ b/tamarackhatch/scheduler/_fleet.py
@@ -17,6 +17,10 @@
 # wait up to 1.5 s for an exit.
 MAX_TIME_SINCE_ANSWER = datetime.timedelta(milliseconds=2600)
 
+# A single failure may be a reset connection, after which the next renewal is
+# answered.
+_CORDON_AFTER_MISSED_RENEWALS = 2
+
 
 @attrs.define(eq=False)
 class RunnerEntry:
@@ -29,6 +33,12 @@
         is_restored: Whether an earlier scheduler tracked it.
         is_capacity_known: Whether the registry has listed it in this term.
         is_tracked: Whether the durable list of tracked runners names it.
+        unlisted_tasks: Tasks that an earlier scheduler may have started here
+            and that no report has listed yet; None if any task may be one.
+        listed: Runs that its last report lists.
+        is_cordoned: Whether the durable list of cordoned runners may name it.
+            It gets no tasks then, so a later scheduler knows all that may run
+            here even if it never answers again.
         is_untracked: Whether it is to be removed from the list of tracked
             runners. It gets no tasks, so no later scheduler has to ask it.
         incarnation: Incarnation that last answered, in Unix ms; 0 before the
@@ -68,6 +78,9 @@
     is_restored: bool = False
     is_capacity_known: bool = True
     is_tracked: bool = False
+    unlisted_tasks: frozenset[model.TaskKey] | None = frozenset()
+    listed: tuple[model.RunningTask, ...] = ()
+    is_cordoned: bool = False
     is_untracked: bool = False
     incarnation: int = 0
     tasks: dict[model.TaskKey, _state.TaskEntry] = attrs.field(factory=dict)
@@ -240,6 +253,24 @@
             and now - self.clock_read < MAX_TIME_SINCE_ANSWER
         )
 
+    @property
+    def should_be_cordoned(self) -> bool:
+        """Whether it can get no tasks soon, and all its runs are known."""
+        if self.is_untracked or self.unlisted_tasks is None:
+            return False
+        return (
+            not self.is_registered
+            or self.record.is_draining
+            or self.missed_renewals >= _CORDON_AFTER_MISSED_RENEWALS
+            or (self.is_restored and self.clock_read is None)
+        )
+
+    def list_possible_tasks(self) -> tuple[model.TaskKey, ...]:
+        """Returns the tasks that may run here; only if all are known."""
+        tasks = {item.task for item in self.listed}
+        tasks.update(self.tasks, self.unlisted_tasks or ())
+        return tuple(sorted(tasks, key=str))
+
     def is_schedulable(self, now: datetime.timedelta) -> bool:
         """Returns whether new tasks may be placed on the runner."""
         return (
@@ -249,6 +280,7 @@
             and self._is_record_current
             and self.is_tracked
             and not self.is_untracked
+            and not self.is_cordoned
             and not self.record.is_draining
             and self.clock_read is not None
             and self.missed_renewals == 0
--- a/tamarackhatch/scheduler/_runner_manager.py
+++ b/tamarackhatch/scheduler/_runner_manager.py
@@ -38,10 +38,14 @@
         self._dispatcher = dispatcher
         self._reconcilers: dict[str, _runner_reconciler.RunnerReconciler] = {}
         self._reconciler_tasks: dict[str, asyncio.Task[None]] = {}
-        self._unreconciled: set[str] = set()
+        # Runners that have not answered in this term, with the only tasks
+        # that may run there; None for any task.
+        self._unreconciled: dict[str, frozenset[model.TaskKey] | None] = {}
 
     def restore_tracked_runners(
-        self, tracked_runners: tuple[records.TrackedRunner, ...] | None
+        self,
+        tracked_runners: tuple[records.TrackedRunner, ...] | None,
+        cordons: records.Cordons,
     ) -> None:
         """Starts reconciling the runners on which earlier tasks may run.
 
@@ -53,17 +57,20 @@
         Args:
             tracked_runners: The runners; None if they are not known, so that
                 starts are paused until no earlier task can run.
+            cordons: Those of them on which only certain tasks may run.
         """
         if tracked_runners is None:
-            self._unreconciled.add(_UNKNOWN_RUNNERS)
+            self._unreconciled[_UNKNOWN_RUNNERS] = None
+        cordoned = {
+            runner.identifier: frozenset(runner.tasks)
+            for runner in cordons.runners
+        }
         for entry in tracked_runners or ():
-            self._unreconciled.add(entry.identifier)
+            tasks = cordoned.get(entry.identifier)
+            self._unreconciled[entry.identifier] = tasks
             self._add_runner(_make_runner(entry), is_restored=True)
-        if self._unreconciled:
-            term = self._context.leader_lease.term
-            self._dispatcher.pause_starts(
-                term.token if term.is_predecessor_stopped else None
-            )
+            self._context.fleet[entry.identifier].unlisted_tasks = tasks
+        self._pause_starts()
 
     def close(self) -> None:
         """Cancels all reconcilers."""
@@ -130,7 +137,7 @@
             for identifier in list(self._unreconciled):
                 reconciler = self._reconcilers.get(identifier)
                 if reconciler is not None and reconciler.knows_all_runs:
-                    self._unreconciled.discard(identifier)
+                    self._discard_unreconciled(identifier)
             context.load_monitor.awaited_runners = len(self._unreconciled)
             now = context.clock.get_boot_time()
             if self._unreconciled and now > warning_time:
@@ -138,7 +145,7 @@
                 self._log_unreconciled("takeover_waits_for_runners")
             if now > deadline:
                 self._log_unreconciled("runners_unreconciled")
-                self._unreconciled.clear()
+                self._forget_earlier_runs()
             await context.clock.sleep(_CHECK_INTERVAL)
         context.load_monitor.awaited_runners = 0
         waited = context.clock.get_boot_time() - claim_time
@@ -149,6 +156,32 @@
         )
         self._dispatcher.resume_starts()
 
+    def _forget_earlier_runs(self) -> None:
+        """Ends the wait for runners, whose earlier leases have expired."""
+        for entry in self._context.fleet.values():
+            entry.unlisted_tasks = frozenset()
+        self._unreconciled.clear()
+
+    def _discard_unreconciled(self, identifier: str) -> None:
+        if identifier in self._unreconciled:
+            del self._unreconciled[identifier]
+            self._pause_starts()
+
+    def _pause_starts(self) -> None:
+        """Pauses the tasks that may run on unreconciled runners."""
+        if not self._unreconciled:
+            return
+        tasks: set[model.TaskKey] = set()
+        are_known = True
+        for possible in self._unreconciled.values():
+            are_known = are_known and possible is not None
+            tasks.update(possible or ())
+        term = self._context.leader_lease.term
+        self._dispatcher.pause_starts(
+            term.token if term.is_predecessor_stopped else None,
+            frozenset(tasks) if are_known else None,
+        )
+
     def _log_unreconciled(self, event: str) -> None:
         """Logs runners that have not answered, with what is known of them."""
         if not self._unreconciled:
@@ -178,6 +211,8 @@
         entry.is_restored = is_restored
         # The list of tracked runners does not hold capacities.
         entry.is_capacity_known = not is_restored
+        if _UNKNOWN_RUNNERS in self._unreconciled:
+            entry.unlisted_tasks = None
         self._context.fleet[record.identifier] = entry
         self._start_reconciler(entry)
 
@@ -210,7 +245,7 @@
         self._context.log.info("runner_removed", runner=identifier)
         del self._reconciler_tasks[identifier]
         if self._reconcilers.pop(identifier).knows_all_runs:
-            self._unreconciled.discard(identifier)
+            self._discard_unreconciled(identifier)
         del self._context.fleet[identifier]
         _health.forget_runner(self._context, identifier)
         self._write_tracked_runners()
--- a/tamarackhatch/scheduler/_runner_reconciler.py
+++ b/tamarackhatch/scheduler/_runner_reconciler.py
@@ -66,7 +66,6 @@
         self._commands = commands
         self._untrack = untrack
         self._has_reported = False
-        self._listed: tuple[model.RunningTask, ...] = ()
         self._started = context.get_now()
         self._crashes = _crash_recorder.CrashRecorder(context, entry)
         self._throttling = _throttling.ThrottlingController(
@@ -105,6 +104,8 @@
                 self._untrack_if_idle()
             else:
                 self._throttling.update_speed_limits(report)
+            if entry.is_cordoned and not entry.should_be_cordoned:
+                context.writer.request_cordon_update()
             context.wake.set()
             await self._wait_before_renewal(sent)
 
@@ -170,12 +171,15 @@
                 entry.evidence = _Evidence.REFUSED
         if is_replaced:
             entry.evidence = _Evidence.ENDED
+            entry.unlisted_tasks = frozenset()
+            entry.listed = ()
         if not entry.tasks:
             return
         tasks = list(entry.tasks.values())
         if entry.is_replaced:
             self._crashes.record_crash("replaced", tasks)
         elif entry.is_lease_expired(now):
+            entry.listed = ()
             self._crashes.record_crash("lease expired", tasks)
         elif (
             entry.missed_renewals == _SUPPOSE_CRASH_AFTER_MISSED_RENEWALS
@@ -219,6 +223,7 @@
                 context.settings, entry, report
             )
             self._has_reported = True
+            entry.unlisted_tasks = frozenset()
         for run_exit in report.exits:
             if run_exit.number <= entry.processed_exit:
                 continue
@@ -247,8 +252,8 @@
         exit_count = len(report.exits) + len(report.unreadable_exits)
         if exit_count < _MAX_LISTED_EXITS and not report.unreadable_running:
             self._record_missing_runs(listed, sent)
-        self._listed = report.running
-        self._count_unassigned_runs()
+        entry.listed = report.running
+        _runner_reports.count_unassigned_runs(context, entry)
 
     def apply_unread_runs(self, job: str) -> None:
         """Applies what the runner has listed before a job was read.
@@ -256,7 +261,7 @@
         Must be called as soon as the job is read: until then its tasks appear
         to wait, and would be started a second time.
         """
-        entry = self._entry
+        context, entry = self._context, self._entry
         if not (
             entry.unread_exits
             or entry.unread_running
@@ -272,25 +277,7 @@
             if key.job == job:
                 del entry.unread_running[key]
                 self._apply_running_task(item)
-        self._count_unassigned_runs()
-
-    def _count_unassigned_runs(self) -> None:
-        """Counts what listed runs reserve that belong to no task there.
-
-        They use the runner's capacity until they are stopped.
-        """
-        entry = self._entry
-        unassigned = model.Resources()
-        entry.has_unknown_runs = False
-        for item in self._listed:
-            if item.task in entry.tasks:
-                continue
-            step = self._context.job_tracker.find_step(item.task)
-            if step is None:
-                entry.has_unknown_runs = True
-            else:
-                unassigned += step.reserved
-        entry.load.unassigned = unassigned
+        _runner_reports.count_unassigned_runs(context, entry)
 
     def _drop_runs_of_absent_jobs(self) -> None:
         """Stops runs and acknowledges exits of jobs that do not exist."""
--- a/tamarackhatch/scheduler/_runner_reports.py
+++ b/tamarackhatch/scheduler/_runner_reports.py
@@ -57,3 +57,27 @@
             count=len(findings),
             first=findings[0],
         )
+
+
+def count_unassigned_runs(
+    context: _context.SchedulerContext, entry: _fleet.RunnerEntry
+) -> None:
+    """Counts what listed runs reserve that belong to no task there.
+
+    They use the runner's capacity until they are stopped.
+
+    Args:
+        context: Shared components of the scheduler.
+        entry: The runner.
+    """
+    unassigned = model.Resources()
+    entry.has_unknown_runs = False
+    for item in entry.listed:
+        if item.task in entry.tasks:
+            continue
+        step = context.job_tracker.find_step(item.task)
+        if step is None:
+            entry.has_unknown_runs = True
+        else:
+            unassigned += step.reserved
+    entry.load.unassigned = unassigned
--- a/tamarackhatch/scheduler/_scheduler.py
+++ b/tamarackhatch/scheduler/_scheduler.py
@@ -14,10 +14,13 @@
 from tamarackhatch.scheduler import _commands
 from tamarackhatch.scheduler import _configuration_publisher
 from tamarackhatch.scheduler import _context
+from tamarackhatch.scheduler import _cordons
 from tamarackhatch.scheduler import _dependencies
 from tamarackhatch.scheduler import _dispatcher
 from tamarackhatch.scheduler import _dry_run
+from tamarackhatch.scheduler import _earlier_terms
 from tamarackhatch.scheduler import _evacuations
+from tamarackhatch.scheduler import _fleet
 from tamarackhatch.scheduler import _garbage_collector
 from tamarackhatch.scheduler import _health
 from tamarackhatch.scheduler import _job_tracker
@@ -30,8 +33,6 @@
 from tamarackhatch.scheduler import _writer
 from tamarackhatch import where
 
-_READ_TIMEOUT = datetime.timedelta(milliseconds=1500)
-_RETRY_PAUSE = datetime.timedelta(milliseconds=150)
 # Every runner rewrites its registry row with each heartbeat. Without a pause,
 # the feed of changed rows would answer dozens of times a second.
 _REGISTRY_READ_INTERVAL = datetime.timedelta(milliseconds=400)
@@ -69,6 +70,8 @@
             time_source, term.number, log, metrics
         )
         interference = placement.InterferenceModel()
+        fleet: dict[str, _fleet.RunnerEntry] = {}
+        self._cordons = _cordons.CordonList(fleet, term.number)
         self._writer = _writer.ProgressWriter(
             store,
             time_source,
@@ -85,6 +88,7 @@
             _configuration_publisher.ConfigurationPublisher(
                 dependencies.configuration, time_source
             ),
+            self._cordons,
             log,
             metrics,
             self._summarise_waits,
@@ -111,7 +115,7 @@
             ),
             client=dependencies.client,
             job_tracker=job_tracker,
-            fleet={},
+            fleet=fleet,
             writer=self._writer,
             log=log,
             metrics=metrics,
@@ -264,11 +268,21 @@
         )
 
     async def _start_up(self, claim_time: datetime.timedelta) -> None:
-        tracked_runners = await self._load_progress()
+        await self._load_progress()
+        reader = _earlier_terms.EarlierTermsReader(
+            self._store, self._clock, self._log, self._term.number
+        )
+        interference = await reader.read_interference()
+        if interference is not None:
+            self._context.interference.import_interference(
+                interference, self._context.get_now()
+            )
+        tracked_runners, cordons = await reader.read_runners()
         # Runners report runs of jobs, so the jobs must be loaded first.
         await self._job_watcher.load()
         self._has_loaded_jobs = True
-        self._runner_manager.restore_tracked_runners(tracked_runners)
+        self._runner_manager.restore_tracked_runners(tracked_runners, cordons)
+        self._cordons.enable()
         await self._runner_watcher.load()
         self._is_ready = True
         self._log.summary(
@@ -329,15 +343,8 @@
             return
         self._log.summary("term_released", written=is_written)
 
-    async def _load_progress(
-        self,
-    ) -> tuple[records.TrackedRunner, ...] | None:
-        """Loads what earlier schedulers stored.
-
-        Returns:
-            The runners on which earlier tasks may run; None if they cannot be
-            read.
-        """
+    async def _load_progress(self) -> None:
+        """Loads the progress of jobs that earlier schedulers stored."""
         watcher = records.TableWatcher(
             self._store,
             self._clock,
@@ -347,41 +354,6 @@
             self._log,
         )
         await watcher.load()
-        await self._load_interference()
-        row = await self._read_row(records.TRACKED_RUNNERS)
-        if row is None:
-            return ()
-        try:
-            return records.decode_tracked_runners(row.value)
-        except records.MalformedRowError as error:
-            self._log.error("tracked_runners_unreadable", reason=error.message)
-            return None
-
-    async def _load_interference(self) -> None:
-        row = await self._read_row(records.INTERFERENCE)
-        if row is None:
-            return
-        try:
-            table = records.decode_interference(row.value)
-        except records.MalformedRowError as error:
-            self._log.warning("interference_unreadable", reason=error.message)
-            return
-        self._context.interference.import_interference(
-            table, self._context.get_now()
-        )
-
-    async def _read_row(self, ref: model.RowRef) -> model.Row | None:
-        while True:
-            try:
-                page = await self._store.read(
-                    ref.table, ref.partition, _READ_TIMEOUT
-                )
-                return records.find_row(page.rows, ref)
-            except model.StoreUnavailableError as error:
-                self._log.warning(
-                    "row_read_failed", table=ref.table, reason=error.message
-                )
-                await self._clock.sleep(_RETRY_PAUSE)
 
     def _apply_progress_row(self, row: model.Row) -> None:
         try:
--- a/tamarackhatch/scheduler/_writer.py
+++ b/tamarackhatch/scheduler/_writer.py
@@ -14,11 +14,12 @@
 from tamarackhatch import placement
 from tamarackhatch import records
 from tamarackhatch.scheduler import _configuration_publisher
+from tamarackhatch.scheduler import _cordons
 from tamarackhatch.scheduler import _state
 
 # A transaction holds at most 100 entries. The others are the sequence, the
-# heartbeat, the interference factors, the list of tracked runners and the
-# parts of a configuration change.
+# heartbeat, the interference factors, the lists of tracked and of cordoned
+# runners and the parts of a configuration change.
 _MAX_JOBS_PER_BATCH = 80
 # Time between two transactions. Calls to the store have a cost, and exits that
 # arrive within this time share one call.
@@ -66,6 +67,7 @@
         count_pending: Callable[[], dict[str, int]],
         export_interference: Callable[[], placement.InterferenceTable],
         configuration: _configuration_publisher.ConfigurationPublisher,
+        cordons: _cordons.CordonList,
         log: observability.Log,
         metrics: observability.Metrics,
         summarise_waits: Callable[
@@ -85,6 +87,7 @@
         self._count_pending = count_pending
         self._export_interference = export_interference
         self._configuration = configuration
+        self._cordons = cordons
         self._log = log
         self._metrics = metrics
         self._timeout = records.AdaptiveTimeout(
@@ -136,6 +139,11 @@
         )
         self._wake.set()
 
+    def request_cordon_update(self) -> None:
+        """Requests that the list of cordoned runners be written."""
+        self._cordons.request_write()
+        self._wake.set()
+
     def request_publication(self) -> None:
         """Requests that a new configuration be published."""
         self._wake.set()
@@ -215,12 +223,16 @@
                 == 0
             ):
                 puts.append(self._make_interference())
+        cordons = self._cordons.prepare_write(has_heartbeat)
+        if cordons is not None:
+            puts.append(cordons)
         if not await self._commit_transaction(puts, has_heartbeat):
             for job in jobs:
                 self._unwritten_jobs.setdefault(job.identifier, job)
             if self._tracked_runners is None:
                 self._tracked_runners = tracked_runners
             return False
+        self._cordons.record_commit()
         self._record_commit(generation, is_complete=not self._unwritten_jobs)
         if has_heartbeat:
             self._configuration.record_commit()
@@ -278,6 +290,7 @@
             or self._tracked_runners is not None
             or self._is_heartbeat_due()
             or self._configuration.is_due
+            or self._cordons.is_due
         ):
             return
         assert self._last_heartbeat is not None
--- a/tamarackhatch/scheduler/tests/test_takeover_pauses.py
+++ b/tamarackhatch/scheduler/tests/test_takeover_pauses.py
@@ -1,6 +1,7 @@
 """Tests which waiting tasks a takeover holds back, and for how long."""
 
 import asyncio
+import base64
 from collections.abc import Sequence
 
 import pytest
@@ -9,6 +10,7 @@
 from standins import runner as standin_runner
 from standins import virtual_time
 from tamarackhatch import model
+from tamarackhatch import records
 
 _TASK = model.Resources(processors=8000, memory_mb=100)
 _LONG_RUNNING = model.Step(1, _TASK, is_long_running=True)
@@ -165,3 +167,71 @@
         assert fleet.check() == []
 
     virtual_time.run_virtually(simulate())
+
+
+@pytest.mark.parametrize("are_writes_lost", [False, True])
+def test_runner_that_returns_gets_tasks_only_once_successors_know(
+    are_writes_lost: bool,
+) -> None:
+    """Guards against a second run of a task that a cordoned runner got.
+
+    A runner is silent, returns and gets a new task. Then the scheduler is
+    killed, and its successor does not reach the runner.
+    """
+
+    async def simulate() -> None:
+        fleet = await _start_fleet("ab")
+        await fleet.submit("00", model.Step(4, _TASK))
+        await fleet.wait_until(lambda: len(fleet.history.runs) == 4)
+        silent = fleet.runners[2]
+        faults = fleet.network.get_faults(silent.address)
+        faults.unreachable_from.add("*")
+        await asyncio.sleep(2.5)
+        leader = fleet.get_leader()
+        assert leader is not None
+        store = fleet.network.get_faults(standin_fleet.STORE_ADDRESS)
+        if are_writes_lost:
+            store.lost_writes.add(leader.name)
+        (other,) = set(fleet.instances) - {leader.name}
+        step = model.Step(4, _TASK, is_long_running=True)
+        await fleet.submit("long", step, instance=other)
+        faults.unreachable_from = {other}
+        await asyncio.sleep(1.5)
+        gained = [task for task in silent.running if task.startswith("long")]
+        assert bool(gained) is not are_writes_lost
+        leader.kill()
+        del fleet.instances[leader.name]
+        await asyncio.sleep(20)
+        assert fleet.check() == []
+        assert len(_list_starts(fleet, "long")) >= 4
+
+    virtual_time.run_virtually(simulate())
+
+
+def test_cordons_of_an_older_term_do_not_count() -> None:
+    """Guards against a start beside a run that the previous scheduler began.
+
+    That scheduler is of a build which does not write cordons.
+    """
+
+    async def simulate() -> None:
+        fleet = await _start_fleet("ab")
+        await fleet.submit("00", model.Step(4, _TASK))
+        await fleet.wait_until(lambda: len(fleet.history.runs) == 4)
+        assert fleet.runners[2].running
+        ref = records.CORDONS
+        cordons = records.Cordons(
+            0, (records.CordonedRunner(fleet.runners[2].identifier, ()),)
+        )
+        value = base64.b64encode(records.encode_cordons(cordons)).decode()
+        faults = fleet.network.get_faults(fleet.runners[2].address)
+        faults.unreachable_from.add("*")
+        leader = fleet.get_leader()
+        assert leader is not None
+        leader.kill()
+        del fleet.instances[leader.name]
+        fleet.store.put(ref.table, ref.key, value)
+        await asyncio.sleep(20)
+        assert fleet.check() == []
+
+    virtual_time.run_virtually(simulate())
