Stop tasks before a draining runner leaves

Cause: the remaining time was that of the registry row, which is up to 1.1 s old and was not counted down, and it was compared only when a report arrived, up to 1.5 s apart, with a margin of 1.5 s.

Now the scheduler keeps the time at which the runner leaves, with the greatest age that the row may have, checks it with each row as well, and asks for the next report in time. Long-running tasks move as soon as the row arrives.

--- a/tamarackhatch/scheduler/_fleet.py
+++ b/tamarackhatch/scheduler/_fleet.py
@@ -70,6 +70,8 @@
             by a crash because the runner does not answer. None of them counts
             if the same incarnation answers again.
         avoid_until: Monotonic time until which it gets no new tasks.
+        leaves_at: Earliest monotonic time at which it may leave; None unless
+            it drains.
     """
 
     record: model.Runner
@@ -106,12 +108,27 @@
         factory=list
     )
     avoid_until: datetime.timedelta = datetime.timedelta()
+    leaves_at: datetime.timedelta | None = None
 
     @property
     def identifier(self) -> str:
         """Identifier of the runner."""
         return self.record.identifier
 
+    def update_record(
+        self, record: model.Runner, written_at: datetime.timedelta
+    ) -> None:
+        """Applies a row of the registry.
+
+        Args:
+            record: The row.
+            written_at: Earliest monotonic time at which it was written.
+        """
+        self.record = record
+        self.leaves_at = None
+        if record.remaining is not None:
+            self.leaves_at = written_at + record.remaining
+
     def assign_task(self, task: _state.TaskEntry) -> None:
         """Reserves capacity for a task that may run on this runner."""
         if _crash_suspects.is_suspect(task):
--- a/tamarackhatch/scheduler/_runner_manager.py
+++ b/tamarackhatch/scheduler/_runner_manager.py
@@ -19,6 +19,11 @@
 # Runners that are up answer within milliseconds.
 _MAX_SILENT_WAIT = datetime.timedelta(seconds=1)
 _MAX_LOGGED_RUNNERS = 20
+# Age of a row when it is first read: runners rewrite their rows about once a
+# second.
+_MAX_ROW_AGE = datetime.timedelta(milliseconds=1300)
+# Age of a later change of a row: pause between two reads, and the call.
+_MAX_READ_DELAY = datetime.timedelta(milliseconds=450)
 _MILLISECOND = datetime.timedelta(milliseconds=1)
 # Stands for runners whose identifiers are not known; never reconciled.
 _UNKNOWN_RUNNERS = "(unknown)"
@@ -208,6 +213,7 @@
         self, record: model.Runner, is_restored: bool = False
     ) -> None:
         entry = _fleet.make_runner_entry(record)
+        entry.update_record(record, self._context.get_now() - _MAX_ROW_AGE)
         entry.is_restored = is_restored
         # The list of tracked runners does not hold capacities.
         entry.is_capacity_known = not is_restored
@@ -263,7 +269,8 @@
             self._context.log.info(
                 "runner_registered_again", runner=record.identifier
             )
-        entry.record = record
+        age = _MAX_READ_DELAY if entry.is_capacity_known else _MAX_ROW_AGE
+        entry.update_record(record, self._context.get_now() - age)
         entry.is_registered = True
         self._update_capacity(entry, record.capacity)
         entry.load.labels = record.labels
@@ -273,6 +280,9 @@
             entry.is_untracked = entry.is_tracked = False
         if not entry.is_tracked and not entry.is_untracked:
             self._write_tracked_runners()
+        if record.is_draining:
+            reconciler = self._reconcilers[entry.identifier]
+            reconciler.evict_from_draining_runner()
 
     def _update_capacity(
         self, entry: _fleet.RunnerEntry, capacity: model.Resources
--- a/tamarackhatch/scheduler/_runner_reconciler.py
+++ b/tamarackhatch/scheduler/_runner_reconciler.py
@@ -100,7 +100,7 @@
                 continue
             self._apply_report(report, sent)
             if entry.record.is_draining:
-                self._evict_from_draining_runner()
+                self.evict_from_draining_runner()
                 self._untrack_if_idle()
             else:
                 self._throttling.update_speed_limits(report)
@@ -143,10 +143,16 @@
         return report
 
     def _choose_renewal_wait(self) -> datetime.timedelta:
-        load = self._entry.load
+        entry, load = self._entry, self._entry.load
+        wait = _IDLE_RENEWAL_WAIT
         if load.serving and load.best_effort_cpu_by_image:
-            return _SAMPLING_RENEWAL_WAIT
-        return _IDLE_RENEWAL_WAIT
+            wait = _SAMPLING_RENEWAL_WAIT
+        if entry.tasks and entry.leaves_at is not None:
+            # Tasks are evicted with the next report.
+            due_in = entry.leaves_at - _LEAVE_MARGIN - self._context.get_now()
+            if due_in > datetime.timedelta():
+                wait = min(wait, due_in)
+        return wait
 
     def _record_missed_renewal(
         self,
@@ -255,6 +261,19 @@
         entry.listed = report.running
         _runner_reports.count_unassigned_runs(context, entry)
 
+    def evict_from_draining_runner(self) -> None:
+        """Evicts tasks that would not end before a draining runner leaves."""
+        entry = self._entry
+        is_leaving = (
+            entry.leaves_at is not None
+            and entry.leaves_at - self._context.get_now() <= _LEAVE_MARGIN
+        )
+        for task in list(entry.tasks.values()):
+            if task.step.is_long_running or is_leaving:
+                self._context.job_tracker.evict_task(
+                    task, "runner is draining"
+                )
+
     def apply_unread_runs(self, job: str) -> None:
         """Applies what the runner has listed before a job was read.
 
@@ -395,17 +414,6 @@
                     task, "not in the report"
                 )
 
-    def _evict_from_draining_runner(self) -> None:
-        """Evicts tasks that would not end before a draining runner leaves."""
-        entry = self._entry
-        remaining = entry.record.remaining
-        is_leaving = remaining is not None and remaining < _LEAVE_MARGIN
-        for task in list(entry.tasks.values()):
-            if task.step.is_long_running or is_leaving:
-                self._context.job_tracker.evict_task(
-                    task, "runner is draining"
-                )
-
     def _untrack_if_idle(self) -> None:
         """Untracks an idle runner, so later schedulers don't wait for it.
 
