--- a/tamarackhatch/scheduler/_runner_manager.py
+++ b/tamarackhatch/scheduler/_runner_manager.py
@@ -16,6 +16,15 @@
 from tamarackhatch.scheduler import _runner_reconciler
 
 _CHECK_INTERVAL = datetime.timedelta(milliseconds=25)
+# Runners that are up answer within milliseconds.
+_MAX_SILENT_WAIT = datetime.timedelta(seconds=1)
+_MAX_LOGGED_RUNNERS = 20
+# Age of a row when it is first read: runners rewrite their rows about once a
+# second.
+_MAX_ROW_AGE = datetime.timedelta(milliseconds=1300)
+# Age of a later change of a row: pause between two reads, and the call.
+_MAX_READ_DELAY = datetime.timedelta(milliseconds=450)
+_MILLISECOND = datetime.timedelta(milliseconds=1)
 # Stands for runners whose identifiers are not known; never reconciled.
 _UNKNOWN_RUNNERS = "(unknown)"
 
@@ -34,10 +43,14 @@
         self._dispatcher = dispatcher
         self._reconcilers: dict[str, _runner_reconciler.RunnerReconciler] = {}
         self._reconciler_tasks: dict[str, asyncio.Task[None]] = {}
-        self._unreconciled: set[str] = set()
+        # Runners that have not answered in this term, with the only tasks
+        # that may run there; None for any task.
+        self._unreconciled: dict[str, frozenset[model.TaskKey] | None] = {}
 
     def restore_tracked_runners(
-        self, tracked_runners: tuple[records.TrackedRunner, ...] | None
+        self,
+        tracked_runners: tuple[records.TrackedRunner, ...] | None,
+        cordons: records.Cordons,
     ) -> None:
         """Starts reconciling the runners on which earlier tasks may run.
 
@@ -49,17 +62,20 @@
         Args:
             tracked_runners: The runners; None if they are not known, so that
                 starts are paused until no earlier task can run.
+            cordons: Those of them on which only certain tasks may run.
         """
         if tracked_runners is None:
-            self._unreconciled.add(_UNKNOWN_RUNNERS)
+            self._unreconciled[_UNKNOWN_RUNNERS] = None
+        cordoned = {
+            runner.identifier: frozenset(runner.tasks)
+            for runner in cordons.runners
+        }
         for entry in tracked_runners or ():
-            self._unreconciled.add(entry.identifier)
+            tasks = cordoned.get(entry.identifier)
+            self._unreconciled[entry.identifier] = tasks
             self._add_runner(_make_runner(entry), is_restored=True)
-        if self._unreconciled:
-            term = self._context.leader_lease.term
-            self._dispatcher.pause_starts(
-                term.token if term.is_predecessor_stopped else None
-            )
+            self._context.fleet[entry.identifier].unlisted_tasks = tasks
+        self._pause_starts()
 
     def close(self) -> None:
         """Cancels all reconcilers."""
@@ -119,28 +135,90 @@
         Args:
             claim_time: Boot time at which this term's scheduler began to run.
         """
-        deadline = claim_time + self._context.settings.takeover_wait
+        context = self._context
+        deadline = claim_time + context.settings.takeover_wait
+        warning_time = claim_time + _MAX_SILENT_WAIT
         while self._unreconciled:
             for identifier in list(self._unreconciled):
                 reconciler = self._reconcilers.get(identifier)
                 if reconciler is not None and reconciler.knows_all_runs:
-                    self._unreconciled.discard(identifier)
-            if self._context.clock.get_boot_time() > deadline:
-                self._context.log.warning(
-                    "runners_unreconciled", runners=sorted(self._unreconciled)
-                )
-                self._unreconciled.clear()
-            await self._context.clock.sleep(_CHECK_INTERVAL)
-        self._context.log.info("takeover_finished")
+                    self._discard_unreconciled(identifier)
+            context.load_monitor.awaited_runners = len(self._unreconciled)
+            now = context.clock.get_boot_time()
+            if self._unreconciled and now > warning_time:
+                warning_time = deadline
+                self._log_unreconciled("takeover_waits_for_runners")
+            if now > deadline:
+                self._log_unreconciled("runners_unreconciled")
+                self._forget_earlier_runs()
+            await context.clock.sleep(_CHECK_INTERVAL)
+        context.load_monitor.awaited_runners = 0
+        waited = context.clock.get_boot_time() - claim_time
+        context.log.summary(
+            "takeover_finished",
+            term=context.term,
+            waited_ms=waited // _MILLISECOND,
+        )
         self._dispatcher.resume_starts()
 
+    def _forget_earlier_runs(self) -> None:
+        """Ends the wait for runners, whose earlier leases have expired."""
+        for entry in self._context.fleet.values():
+            entry.unlisted_tasks = frozenset()
+        self._unreconciled.clear()
+
+    def _discard_unreconciled(self, identifier: str) -> None:
+        if identifier in self._unreconciled:
+            del self._unreconciled[identifier]
+            self._pause_starts()
+
+    def _pause_starts(self) -> None:
+        """Pauses the tasks that may run on unreconciled runners."""
+        if not self._unreconciled:
+            return
+        tasks: set[model.TaskKey] = set()
+        are_known = True
+        for possible in self._unreconciled.values():
+            are_known = are_known and possible is not None
+            tasks.update(possible or ())
+        term = self._context.leader_lease.term
+        self._dispatcher.pause_starts(
+            term.token if term.is_predecessor_stopped else None,
+            frozenset(tasks) if are_known else None,
+        )
+
+    def _log_unreconciled(self, event: str) -> None:
+        """Logs runners that have not answered, with what is known of them."""
+        if not self._unreconciled:
+            return
+        runners = []
+        for identifier in sorted(self._unreconciled)[:_MAX_LOGGED_RUNNERS]:
+            entry = self._context.fleet.get(identifier)
+            runners.append(
+                {
+                    "runner": identifier,
+                    "registered": entry is not None and entry.is_registered,
+                    "draining": entry is not None and entry.record.is_draining,
+                    "missed_renewals": entry and entry.missed_renewals,
+                }
+            )
+        self._context.log.warning(
+            event,
+            count=len(self._unreconciled),
+            runners=runners,
+            paused_tasks=self._context.load_monitor.waiting.paused,
+        )
+
     def _add_runner(
         self, record: model.Runner, is_restored: bool = False
     ) -> None:
         entry = _fleet.make_runner_entry(record)
+        entry.update_record(record, self._context.get_now() - _MAX_ROW_AGE)
         entry.is_restored = is_restored
         # The list of tracked runners does not hold capacities.
         entry.is_capacity_known = not is_restored
+        if _UNKNOWN_RUNNERS in self._unreconciled:
+            entry.unlisted_tasks = None
         self._context.fleet[record.identifier] = entry
         self._start_reconciler(entry)
 
@@ -173,7 +251,7 @@
         self._context.log.info("runner_removed", runner=identifier)
         del self._reconciler_tasks[identifier]
         if self._reconcilers.pop(identifier).knows_all_runs:
-            self._unreconciled.discard(identifier)
+            self._discard_unreconciled(identifier)
         del self._context.fleet[identifier]
         _health.forget_runner(self._context, identifier)
         self._write_tracked_runners()
@@ -191,7 +269,8 @@
             self._context.log.info(
                 "runner_registered_again", runner=record.identifier
             )
-        entry.record = record
+        age = _MAX_READ_DELAY if entry.is_capacity_known else _MAX_ROW_AGE
+        entry.update_record(record, self._context.get_now() - age)
         entry.is_registered = True
         self._update_capacity(entry, record.capacity)
         entry.load.labels = record.labels
@@ -201,6 +280,9 @@
             entry.is_untracked = entry.is_tracked = False
         if not entry.is_tracked and not entry.is_untracked:
             self._write_tracked_runners()
+        if record.is_draining:
+            reconciler = self._reconcilers[entry.identifier]
+            reconciler.evict_from_draining_runner()
 
     def _update_capacity(
         self, entry: _fleet.RunnerEntry, capacity: model.Resources
--- a/tamarackhatch/scheduler/_runner_reconciler.py
+++ b/tamarackhatch/scheduler/_runner_reconciler.py
@@ -66,7 +66,6 @@
         self._commands = commands
         self._untrack = untrack
         self._has_reported = False
-        self._listed: tuple[model.RunningTask, ...] = ()
         self._started = context.get_now()
         self._crashes = _crash_recorder.CrashRecorder(context, entry)
         self._throttling = _throttling.ThrottlingController(
@@ -101,10 +100,12 @@
                 continue
             self._apply_report(report, sent)
             if entry.record.is_draining:
-                self._evict_from_draining_runner()
+                self.evict_from_draining_runner()
                 self._untrack_if_idle()
             else:
                 self._throttling.update_speed_limits(report)
+            if entry.is_cordoned and not entry.should_be_cordoned:
+                context.writer.request_cordon_update()
             context.wake.set()
             await self._wait_before_renewal(sent)
 
@@ -142,10 +143,16 @@
         return report
 
     def _choose_renewal_wait(self) -> datetime.timedelta:
-        load = self._entry.load
+        entry, load = self._entry, self._entry.load
+        wait = _IDLE_RENEWAL_WAIT
         if load.serving and load.best_effort_cpu_by_image:
-            return _SAMPLING_RENEWAL_WAIT
-        return _IDLE_RENEWAL_WAIT
+            wait = _SAMPLING_RENEWAL_WAIT
+        if entry.tasks and entry.leaves_at is not None:
+            # Tasks are evicted with the next report.
+            due_in = entry.leaves_at - _LEAVE_MARGIN - self._context.get_now()
+            if due_in > datetime.timedelta():
+                wait = min(wait, due_in)
+        return wait
 
     def _record_missed_renewal(
         self,
@@ -170,12 +177,15 @@
                 entry.evidence = _Evidence.REFUSED
         if is_replaced:
             entry.evidence = _Evidence.ENDED
+            entry.unlisted_tasks = frozenset()
+            entry.listed = ()
         if not entry.tasks:
             return
         tasks = list(entry.tasks.values())
         if entry.is_replaced:
             self._crashes.record_crash("replaced", tasks)
         elif entry.is_lease_expired(now):
+            entry.listed = ()
             self._crashes.record_crash("lease expired", tasks)
         elif (
             entry.missed_renewals == _SUPPOSE_CRASH_AFTER_MISSED_RENEWALS
@@ -219,6 +229,7 @@
                 context.settings, entry, report
             )
             self._has_reported = True
+            entry.unlisted_tasks = frozenset()
         for run_exit in report.exits:
             if run_exit.number <= entry.processed_exit:
                 continue
@@ -247,8 +258,21 @@
         exit_count = len(report.exits) + len(report.unreadable_exits)
         if exit_count < _MAX_LISTED_EXITS and not report.unreadable_running:
             self._record_missing_runs(listed, sent)
-        self._listed = report.running
-        self._count_unassigned_runs()
+        entry.listed = report.running
+        _runner_reports.count_unassigned_runs(context, entry)
+
+    def evict_from_draining_runner(self) -> None:
+        """Evicts tasks that would not end before a draining runner leaves."""
+        entry = self._entry
+        is_leaving = (
+            entry.leaves_at is not None
+            and entry.leaves_at - self._context.get_now() <= _LEAVE_MARGIN
+        )
+        for task in list(entry.tasks.values()):
+            if task.step.is_long_running or is_leaving:
+                self._context.job_tracker.evict_task(
+                    task, "runner is draining"
+                )
 
     def apply_unread_runs(self, job: str) -> None:
         """Applies what the runner has listed before a job was read.
@@ -256,7 +280,7 @@
         Must be called as soon as the job is read: until then its tasks appear
         to wait, and would be started a second time.
         """
-        entry = self._entry
+        context, entry = self._context, self._entry
         if not (
             entry.unread_exits
             or entry.unread_running
@@ -272,25 +296,7 @@
             if key.job == job:
                 del entry.unread_running[key]
                 self._apply_running_task(item)
-        self._count_unassigned_runs()
-
-    def _count_unassigned_runs(self) -> None:
-        """Counts what listed runs reserve that belong to no task there.
-
-        They use the runner's capacity until they are stopped.
-        """
-        entry = self._entry
-        unassigned = model.Resources()
-        entry.has_unknown_runs = False
-        for item in self._listed:
-            if item.task in entry.tasks:
-                continue
-            step = self._context.job_tracker.find_step(item.task)
-            if step is None:
-                entry.has_unknown_runs = True
-            else:
-                unassigned += step.reserved
-        entry.load.unassigned = unassigned
+        _runner_reports.count_unassigned_runs(context, entry)
 
     def _drop_runs_of_absent_jobs(self) -> None:
         """Stops runs and acknowledges exits of jobs that do not exist."""
@@ -408,17 +414,6 @@
                     task, "not in the report"
                 )
 
-    def _evict_from_draining_runner(self) -> None:
-        """Evicts tasks that would not end before a draining runner leaves."""
-        entry = self._entry
-        remaining = entry.record.remaining
-        is_leaving = remaining is not None and remaining < _LEAVE_MARGIN
-        for task in list(entry.tasks.values()):
-            if task.step.is_long_running or is_leaving:
-                self._context.job_tracker.evict_task(
-                    task, "runner is draining"
-                )
-
     def _untrack_if_idle(self) -> None:
         """Untracks an idle runner, so later schedulers don't wait for it.
 
