Rewrite the list of cordoned runners after a write without an answer

Callers could see a task run twice. The store carries out a transaction that cordons a runner, its answer is lost, and the runner returns. The scheduler compared with the last list that it knew to be stored, wrote nothing, and started tasks there; a successor that did not reach the runner did not wait for them. Now a list that was sent and not confirmed is always written again.

test_cordon_whose_write_had_no_answer_is_removed_from_the_store failed before.

--- a/tamarackhatch/scheduler/_cordons.py
+++ b/tamarackhatch/scheduler/_cordons.py
@@ -73,6 +73,8 @@
             return None
         if not includes_exits and self._covers(cordons):
             return None
+        # Without an answer, either list may be the stored one.
+        self._stored = None
         self._written = cordons
         return model.Put(records.CORDONS, records.encode_cordons(cordons))
 
