Keep tasks whose exits are not durable in the list of cordoned runners

Callers could see a task run again after its end. The list left out tasks whose exits had been read and not stored yet, such as those of more jobs than one transaction holds. If the scheduler ended then, its successor started them again before the draining runner, which still lists the exits, answered.

--- a/tamarackhatch/scheduler/_fleet.py
+++ b/tamarackhatch/scheduler/_fleet.py
@@ -22,6 +22,20 @@
 _CORDON_AFTER_MISSED_RENEWALS = 2
 
 
+@attrs.frozen
+class PendingAck:
+    """An exit that is not durable yet.
+
+    Attributes:
+        task: The task.
+        generation: The writer's generation that makes it durable; None for an
+            exit of a job that is not read yet.
+    """
+
+    task: model.TaskKey
+    generation: int | None
+
+
 @attrs.define(eq=False)
 class RunnerEntry:
     """A runner.
@@ -52,9 +66,8 @@
             the first answer.
         processed_exit: Number of the last exit that was processed.
         acknowledged_exit: Number of the last exit that is durable.
-        pending_acks: For the number of each exit that is not durable yet, in
-            their order, the writer's generation that makes it durable; None
-            for an unread exit.
+        pending_acks: Exits that are not durable yet, by number and in their
+            order.
         unread_exits: Exits of jobs that may be stored and not be read yet, by
             number, with the time at which the runner first listed them.
         unread_running: The same for runs in progress, by task.
@@ -92,7 +105,7 @@
     clock_read: datetime.timedelta | None = None
     processed_exit: int = 0
     acknowledged_exit: int = 0
-    pending_acks: dict[int, int | None] = attrs.field(factory=dict)
+    pending_acks: dict[int, PendingAck] = attrs.field(factory=dict)
     unread_exits: dict[int, tuple[model.RunExit, datetime.timedelta]] = (
         attrs.field(factory=dict)
     )
@@ -217,7 +230,8 @@
         Args:
             generation: The writer's generation up to which all is durable.
         """
-        for number, required in list(self.pending_acks.items()):
+        for number, pending in list(self.pending_acks.items()):
+            required = pending.generation
             if required is None or required > generation:
                 return
             self.acknowledged_exit = number
@@ -286,6 +300,9 @@
         """Returns the tasks that may run here; only if all are known."""
         tasks = {item.task for item in self.listed}
         tasks.update(self.tasks, self.unlisted_tasks or ())
+        # A successor that does not know of an exit must not start its task
+        # before it has read the exit.
+        tasks.update(pending.task for pending in self.pending_acks.values())
         return tuple(sorted(tasks, key=str))
 
     def is_schedulable(self, now: datetime.timedelta) -> bool:
--- a/tamarackhatch/scheduler/_runner_reconciler.py
+++ b/tamarackhatch/scheduler/_runner_reconciler.py
@@ -239,7 +239,9 @@
             else:
                 # Acknowledging the exit before its job is read would lose it.
                 entry.unread_exits[run_exit.number] = (run_exit, now)
-                entry.pending_acks[run_exit.number] = None
+                entry.pending_acks[run_exit.number] = _fleet.PendingAck(
+                    run_exit.task, None
+                )
         listed = {item.task: item for item in report.running}
         entry.unread_running = {
             key: unread
@@ -370,7 +372,9 @@
                 generation = context.job_tracker.record_earlier_exit(
                     task, run_exit, entry
                 )
-        entry.pending_acks[run_exit.number] = generation
+        entry.pending_acks[run_exit.number] = _fleet.PendingAck(
+            run_exit.task, generation
+        )
 
     def _apply_running_task(self, item: model.RunningTask) -> None:
         context, entry = self._context, self._entry
@@ -427,9 +431,9 @@
     async def _wait_before_renewal(self, sent: datetime.timedelta) -> None:
         context, entry = self._context, self._entry
         generations = [
-            generation
-            for generation in entry.pending_acks.values()
-            if generation is not None
+            pending.generation
+            for pending in entry.pending_acks.values()
+            if pending.generation is not None
         ]
         if generations:
             await context.writer.wait_until_durable(
