Reject numbers too large and describe nested values safely

A JSON number beyond 64 bits is decoded as a float, and became an integer of any size. Log lines, renewals and the list of tracked runners cannot be encoded with it, which ended the reconciler, the writer or the term; a clock near the limit of timedelta overflowed in the arithmetic of leases. Whole numbers and durations beyond 2**53 are now malformed.

A value nested more deeply than the interpreter's limit, and less than the decoder's, raised RecursionError while an error message described it. Messages now abbreviate values.

A reconciler that fails is started again at once, so that some cases used all processor time.

--- a/standins/network.py
+++ b/standins/network.py
@@ -34,10 +34,17 @@
 
 @attrs.frozen
 class Response:
-    """An answer: HTTP status and body, before encoding."""
+    """An answer: HTTP status and body.
+
+    Attributes:
+        status: HTTP status.
+        body: Body, before encoding.
+        encoded: Body as it is sent; None encodes ``body``.
+    """
 
     status: int
     body: Body = attrs.field(factory=dict)
+    encoded: bytes | None = None
 
 
 Handler = Callable[[Request], Awaitable[Response]]
@@ -203,7 +210,9 @@
                 await asyncio.sleep(faults.delay_s)
                 if faults.unreachable_from & {name, "*"}:
                     await asyncio.sleep(timeout)
-                body = orjson.dumps(response.body)
+                body = response.encoded
+                if body is None:
+                    body = orjson.dumps(response.body)
                 began = loop.time()
                 limit.reschedule(deadline + call.transfer_time.total_seconds())
                 if name in faults.answer_links:
--- a/tamarackhatch/platform/_decoding.py
+++ b/tamarackhatch/platform/_decoding.py
@@ -1,6 +1,7 @@
 """Reads typed fields of JSON bodies that other systems write."""
 
 import datetime
+import reprlib
 import typing
 
 import orjson
@@ -8,6 +9,10 @@
 from tamarackhatch import errors
 
 _MILLISECOND = datetime.timedelta(milliseconds=1)
+# Larger numbers are not exact as JSON numbers. Sums of numbers up to here fit
+# into 64 bits, which the encoder requires, and sums of as many milliseconds
+# into a timedelta.
+MAX_MAGNITUDE: typing.Final = 2**53
 
 
 class MalformedBodyError(errors.CodedError):
@@ -48,13 +53,27 @@
     """Returns a whole-number field; 0 if it is missing.
 
     Raises:
-        MalformedBodyError: The field is not a whole number.
+        MalformedBodyError: The field is not a whole number, or too large.
+    """
+    return check_integer(document.get(name, 0), name)
+
+
+def check_integer(value: object, name: str) -> int:
+    """Returns a value that must be a whole number.
+
+    Args:
+        value: The value.
+        name: Its name in error messages.
+
+    Raises:
+        MalformedBodyError: The value is not a whole number, or too large.
     """
-    value = document.get(name, 0)
     if isinstance(value, float) and value.is_integer():
-        return int(value)
+        value = int(value)
     if isinstance(value, bool) or not isinstance(value, int):
         raise MalformedBodyError(f"{name} is not a whole number")
+    if abs(value) > MAX_MAGNITUDE:
+        raise MalformedBodyError(f"{name} is too large")
     return value
 
 
@@ -81,10 +100,10 @@
     value = document.get(name, 0)
     if isinstance(value, bool) or not isinstance(value, (int, float)):
         raise MalformedBodyError(f"{name} is not a number")
-    try:
-        return value * _MILLISECOND
-    except OverflowError as error:
-        raise MalformedBodyError(f"{name} is too large") from error
+    # Written so that it also rejects NaN.
+    if not abs(value) <= MAX_MAGNITUDE:
+        raise MalformedBodyError(f"{name} is too large")
+    return value * _MILLISECOND
 
 
 def get_list(document: dict[str, typing.Any], name: str) -> list[typing.Any]:
@@ -114,6 +133,14 @@
     return value
 
 
+def describe(value: object) -> str:
+    """Returns a short description of a value for error messages.
+
+    Unlike `repr`, it does not fail on deeply nested values.
+    """
+    return reprlib.repr(value)
+
+
 def count_milliseconds(duration: datetime.timedelta) -> int:
     """Returns a duration in whole milliseconds, rounded down."""
     return duration // _MILLISECOND
--- a/tamarackhatch/platform/_runner_client.py
+++ b/tamarackhatch/platform/_runner_client.py
@@ -29,6 +29,8 @@
 _TASK_NAME_PATTERN = re.compile(
     r"([^.\s]{1,64})\.(\d{1,9})\.(\d{1,9})\.(\d{1,9})", re.ASCII
 )
+# Length of what is said about an unreadable entry, in characters.
+_MAX_FINDING = 200
 # Each running task is listed in about one report a second.
 _MAX_CACHED_TASK_KEYS = 65_536
 
@@ -392,7 +394,7 @@
             TypeError,
             ValueError,
         ) as error:
-            findings.append(f"entry {position}: {error!r}")
+            findings.append(f"entry {position}: {str(error)[:_MAX_FINDING]}")
     return tuple(decoded), tuple(findings)
 
 
@@ -403,10 +405,10 @@
     sample = row[4] if len(row) > 4 else 0
     return model.RunningTask(
         parse_task_key(row[0]),
-        _check_integer(row[1]),
+        _decoding.check_integer(row[1], "run"),
         _check_text(row[2] or ""),
-        _check_integer(row[3]),
-        _check_integer(sample or 0),
+        _decoding.check_integer(row[3], "percent"),
+        _decoding.check_integer(sample or 0, "sample"),
     )
 
 
@@ -415,23 +417,17 @@
     # "saved" the last checkpoint.
     reason = _EXIT_REASON_BY_NAME.get(row[3], model.ExitReason.UNKNOWN)
     return model.RunExit(
-        _check_integer(row[0]),
+        _decoding.check_integer(row[0], "number"),
         parse_task_key(row[1]),
-        _check_integer(row[2]),
+        _decoding.check_integer(row[2], "run"),
         reason,
         _check_text(row[4] or ""),
     )
 
 
-def _check_integer(value: object) -> int:
-    if type(value) is int:
-        return value
-    if isinstance(value, float) and value.is_integer():
-        return int(value)
-    raise _decoding.MalformedBodyError(f"{value!r} is not a whole number")
-
-
 def _check_text(value: object) -> str:
     if isinstance(value, str):
         return value
-    raise _decoding.MalformedBodyError(f"{value!r} is not text")
+    raise _decoding.MalformedBodyError(
+        f"{_decoding.describe(value)} is not text"
+    )
--- a/tamarackhatch/records/_types.py
+++ b/tamarackhatch/records/_types.py
@@ -1,6 +1,7 @@
 """Checks that decoded values have the types that their classes declare."""
 
 import functools
+import reprlib
 import types
 import typing
 
@@ -61,4 +62,5 @@
 ) -> None:
     is_boolean = isinstance(value, bool) and expected is not bool
     if not isinstance(value, expected) or is_boolean:
-        raise TypeError(f"{name} is {value!r}, of a wrong type")
+        # Unlike repr, this does not fail on deeply nested values.
+        raise TypeError(f"{name} is {reprlib.repr(value)}, of a wrong type")
--- a/tamarackhatch/scheduler/tests/test_malformed_input.py
+++ b/tamarackhatch/scheduler/tests/test_malformed_input.py
@@ -6,6 +6,8 @@
 import asyncio
 import base64
 import datetime
+import os
+import pathlib
 import typing
 
 import orjson
@@ -30,9 +32,34 @@
     b'[["i-9"]]',
     b'{"term":"x","instance":1,"incarnation":[]}',
     b'{"s":"nothing"}',
+    # Nested within the limit of the decoder, and beyond that of the
+    # interpreter.
+    b'{"instance":"a","incarnation":"b","count":1,"term":'
+    + b"[" * 1_000
+    + b"]" * 1_000
+    + b"}",
+    b'[["i-9",' + b"[" * 1_000 + b"]" * 1_000 + b',"office",1]]',
+    b"[" * 10_000 + b"]" * 10_000,
 ]
 
 
+# Stand for values that an encoder refuses to write.
+_NESTED = "nested"
+_HUGE = "huge"
+_RAW_VALUES = {
+    b'"nested"': b"[" * 1_000 + b"]" * 1_000,
+    b'"huge"': b"1" + b"0" * 30,
+}
+
+
+def _encode(body: object) -> bytes:
+    """Returns a body in which texts above are replaced by their values."""
+    text = orjson.dumps(body)
+    for former, latter in _RAW_VALUES.items():
+        text = text.replace(former, latter)
+    return text
+
+
 def _put(
     fleet: standin_fleet.VirtualFleet, ref: model.RowRef, value: bytes
 ) -> None:
@@ -45,7 +72,7 @@
     await fleet.wait_for_state(identifier, model.JobState.COMPLETED, 30)
 
 
-@pytest.mark.parametrize("value", _GARBAGE)
+@pytest.mark.parametrize("value", _GARBAGE, ids=lambda value: repr(value[:20]))
 def test_malformed_rows_stop_nothing(value: bytes) -> None:
     """Guards against a process or a feed that one malformed row ends.
 
@@ -97,6 +124,7 @@
     """Runner that adds malformed entries to its reports, or garbles answers.
 
     Attributes:
+        bad_fields: Fields of its reports that have other values.
         bad_running: Malformed entries among the runs in progress.
         bad_exits: Malformed entries among the exits.
         garbled: For each path, the number of further answers that are
@@ -105,6 +133,7 @@
 
     def __init__(self, *args: typing.Any, **options: typing.Any) -> None:
         super().__init__(*args, **options)
+        self.bad_fields: dict[str, typing.Any] = {}
         self.bad_running: list[typing.Any] = []
         self.bad_exits: list[typing.Any] = []
         self.garbled: dict[str, int] = {}
@@ -118,14 +147,16 @@
         if "running" in body:
             body["running"] = self.bad_running + body["running"]
             body["ended"] = self.bad_exits + body["ended"]
+            body.update(self.bad_fields)
+            return network.Response(response.status, encoded=_encode(body))
         return response
 
 
 def _make_fleet(
-    duration_s: float = 0.5,
+    duration_s: float = 0.5, log_path: str = os.devnull
 ) -> tuple[standin_fleet.VirtualFleet, _BabblingRunner]:
     """Returns a fleet of one instance and one babbling runner."""
-    fleet = standin_fleet.VirtualFleet(runners=0)
+    fleet = standin_fleet.VirtualFleet(runners=0, log_path=log_path)
     added = _BabblingRunner(
         "i-0",
         "10.1.0.1:8000",
@@ -157,6 +188,21 @@
     ["x", "00.0.0.0", 1, "done", ""],
     [1, "00.0.0.0", 1, "done", 9],
     [1e400, "00.0.0.0", 1, "done", ""],
+    ["00.0.0.0", 1e300, "", 0, 0],
+    ["00.0.0.0", _HUGE, "", 0, 0],
+    ["00.0.0.0", 1, "", 1e300, 0],
+    ["00.0.0.0", 1, "", 0, 1e300],
+    [1e300, "ee.0.0.0", 1, "done", ""],
+    [_HUGE, "00.0.0.0", 1, "done", ""],
+    [1, "00.0.0.0", 1e300, "done", ""],
+]
+
+
+_NESTED_ENTRIES: list[typing.Any] = [
+    _NESTED,
+    ["00.0.0.0", _NESTED, "", 0, 0],
+    ["00.0.0.0", 1, _NESTED, 0, 0],
+    [1, "00.0.0.0", _NESTED, "done", ""],
 ]
 
 
@@ -179,6 +225,61 @@
     virtual_time.run_virtually(simulate())
 
 
+@pytest.mark.parametrize("entry", _NESTED_ENTRIES, ids=repr)
+def test_nested_entries_of_a_report_are_skipped(
+    entry: typing.Any, tmp_path: pathlib.Path
+) -> None:
+    """Guards against a reconciler that ends while it describes an entry.
+
+    The limit of the decoder is 1,024 levels, that of the interpreter less.
+    """
+
+    async def simulate() -> None:
+        fleet, added = _make_fleet(log_path=str(tmp_path / "log"))
+        await fleet.wait_until(lambda: fleet.get_leader() is not None)
+        added.bad_running = added.bad_exits = [entry]
+        await _run_job(fleet, "00")
+        assert fleet.check() == []
+
+    virtual_time.run_virtually(simulate())
+    assert b"reconciler_failed" not in (tmp_path / "log").read_bytes()
+
+
+@pytest.mark.parametrize(
+    "fields",
+    [
+        {"born": _HUGE},
+        {"born": 1e300},
+        {"clock_ms": 8.63999999999999e16},
+        {"clock_ms": -8.63999999999999e16},
+        {"clock_ms": 1e300},
+        {"running": _NESTED},
+    ],
+    ids=lambda fields: str(fields)[:30],
+)
+def test_report_with_a_number_too_large_ends_nothing(
+    fields: dict[str, typing.Any], tmp_path: pathlib.Path
+) -> None:
+    """Guards against a term that ends with the report of one runner."""
+
+    async def simulate() -> None:
+        fleet, added = _make_fleet(log_path=str(tmp_path / "log"))
+        fleet.add_runner(lambda task, run: (0.5, "done"), 1)
+        await fleet.wait_until(lambda: fleet.get_leader() is not None)
+        await _run_job(fleet, "00")
+        added.bad_fields = fields
+        await asyncio.sleep(4)
+        await _run_job(fleet, "01")
+        added.bad_fields = {}
+        await _run_job(fleet, "02")
+        assert fleet.check() == []
+
+    virtual_time.run_virtually(simulate())
+    log = (tmp_path / "log").read_bytes()
+    assert b"reconciler_failed" not in log
+    assert log.count(b"scheduler_ready") == 1
+
+
 def test_unreadable_entry_may_be_a_run_that_is_not_listed() -> None:
     """Guards against a second start of a run whose entry is unreadable."""
 
