Refuse calls whose head cannot be written

The identifier of a runner goes into a header and its address into the URL. libcurl's binding raised UnicodeEncodeError or ValueError for characters beyond ASCII and for NUL, which no caller expects, so that the reconciler of the runner failed and was started again at once. A line end added a header to the request. Such calls now fail with CallNotSentError.

--- a/tamarackhatch/transport/_client.py
+++ b/tamarackhatch/transport/_client.py
@@ -26,6 +26,8 @@
 # Longest time without another byte of an answer that has begun to arrive.
 _MAX_TRANSFER_PAUSE = datetime.timedelta(seconds=1)
 _MAX_IDLE_HANDLES = 64
+# Length of a text of the caller in an error message, in characters.
+_MAX_QUOTED = 80
 # Four connections to each of 250 runners; an instance may have 4,100 file
 # descriptors.
 _MAX_CACHED_CONNECTIONS = 1000
@@ -144,11 +146,16 @@
         """
         if self._is_closed:
             raise CallNotSentError("HTTP client is closed")
+        _check_text(call)
         handle = self._idle_handles.pop() if self._idle_handles else None
         if handle is None:
             handle = _make_handle()
         transfer = _Transfer(call, self._loop.create_future())
-        self._configure_handle(handle, transfer)
+        try:
+            self._configure_handle(handle, transfer)
+        except pycurl.error as error:
+            handle.close()
+            raise CallNotSentError(f"libcurl refused: {error}") from error
         self._transfers[handle] = transfer
         self._multi.add_handle(handle)
         # This timer, unlike libcurl's own timeout, cannot end a call whose
@@ -364,6 +371,23 @@
         return CallNotSentError(text)
 
 
+def _check_text(call: Call) -> None:
+    """Checks that the head of a request can be written.
+
+    Addresses and identifiers come from other systems. A line end would add a
+    header, and libcurl takes ASCII only.
+
+    Raises:
+        CallNotSentError: It cannot.
+    """
+    for text in (call.address, call.path, *call.headers):
+        if not (text.isascii() and text.isprintable()):
+            raise CallNotSentError(
+                f"{call.method}: {text[:_MAX_QUOTED]!a} has characters that"
+                " no request can have"
+            )
+
+
 def _make_handle() -> pycurl.Curl:
     handle = pycurl.Curl()
     options: tuple[tuple[int, typing.Any], ...] = (
--- a/tamarackhatch/transport/tests/test_client.py
+++ b/tamarackhatch/transport/tests/test_client.py
@@ -299,3 +299,58 @@
 
     with _serve(handle) as address:
         assert asyncio.run(run(address)) < 0.5
+
+
+@pytest.mark.parametrize(
+    ("address", "header"),
+    [
+        ("127.0.0.1:\u0669", "i"),
+        ("\ud800:9", "i"),
+        ("127.0.0.1:9\0", "i"),
+        ("127.0.0.1:9\n", "i"),
+        ("127.0.0.1:99999", "i"),
+        ("127.0.0.1:0", "i"),
+        (":9", "i"),
+        ("", "i"),
+        ("[:9", "i"),
+        ("{host}", "i-\xe9"),
+        ("{host}", "i-\ud800"),
+        ("{host}", "i\0"),
+        ("{host}", "i\r\nX-Fencing-Token: 9"),
+        ("{host}", "i\nX-Fencing-Token: 9"),
+    ],
+)
+def test_call_that_cannot_be_written_is_not_sent(
+    address: str, header: str
+) -> None:
+    """Guards against an error of libcurl that ends the caller's task.
+
+    The client is used again, as its handle may be.
+    """
+    requests: list[bytes] = []
+
+    async def simulate(server: str) -> None:
+        client = transport.HttpClient(clock.SystemClock(), 2)
+        call = transport.Call(
+            "POST",
+            address.format(host=server),
+            "/",
+            800 * _MS,
+            b"{}",
+            (f"X-Expect-Instance: {header}",),
+        )
+        try:
+            with pytest.raises(transport.CallNotSentError):
+                await client.send(call)
+            sound = transport.Call("GET", server, "/", 800 * _MS)
+            assert (await client.send(sound)).status == 200
+        finally:
+            client.close()
+
+    def answer(connection: socket.socket) -> None:
+        requests.append(b"")
+        _answer_at_once(connection)
+
+    with _serve(answer) as server:
+        asyncio.run(simulate(server))
+    assert len(requests) == 1
