Write log lines whose values are no JSON

Integers beyond 64 bits, lone surrogates and nested values raised TypeError in the task that logged them. Such values are now described as text.

All 7 cases of test_line_with_a_value_that_is_no_json_is_written failed before.

--- a/tamarackhatch/observability/_log.py
+++ b/tamarackhatch/observability/_log.py
@@ -2,6 +2,7 @@
 
 import datetime
 import os
+import reprlib
 import typing
 
 import attrs
@@ -193,4 +194,22 @@
     _level: str,
     event: typing.MutableMapping[str, typing.Any],
 ) -> bytes:
-    return orjson.dumps(event, default=str) + b"\n"
+    try:
+        return orjson.dumps(event, default=str) + b"\n"
+    except TypeError:
+        fields = {name: _simplify(value) for name, value in event.items()}
+        return orjson.dumps(fields, default=str) + b"\n"
+
+
+def _simplify(value: object) -> object:
+    """Returns a value that a line can hold, if need be its description.
+
+    Integers beyond 64 bits, lone surrogates, deeply nested values and keys
+    that are not text cannot be encoded.
+    """
+    try:
+        orjson.dumps(value, default=str)
+        return value
+    except TypeError:
+        text = value if isinstance(value, str) else reprlib.repr(value)
+        return text.encode("utf-8", "backslashreplace").decode()
--- a/tamarackhatch/observability/tests/test_log.py
+++ b/tamarackhatch/observability/tests/test_log.py
@@ -4,6 +4,7 @@
 import os
 
 import orjson
+import pytest
 
 from tamarackhatch import clock
 from tamarackhatch import observability
@@ -90,3 +91,34 @@
     log, _, reader, _ = _make_log(10)
     log.debug("sample")
     assert _read_events(reader) == []
+
+
+def _nest(depth: int) -> object:
+    value: list[object] = []
+    for _ in range(depth):
+        value = [value]
+    return value
+
+
+@pytest.mark.parametrize(
+    ("value", "written"),
+    [
+        (10**30, "1" + "0" * 30),
+        (-(2**63) - 1, "-9223372036854775809"),
+        ("a\ud800", "a\\ud800"),
+        ({"a\ud800": 1}, "{'a\\ud800': 1}"),
+        (_nest(300), "[[[[[[[...]]]]]]]"),
+        (_nest(900), "[[[[[[[...]]]]]]]"),
+        ({1: 2}, "{1: 2}"),
+    ],
+    ids=lambda value: ascii(value)[:20],
+)
+def test_line_with_a_value_that_is_no_json_is_written(
+    value: object, written: str
+) -> None:
+    """Guards against a log line that ends the task that writes it."""
+    log, _, reader, _ = _make_log(10)
+    log.warning("odd", value=value, run=1)
+    (event,) = _read_events(reader)
+    assert event["value"] == written
+    assert event["run"] == 1 and event["event"] == "odd"
