Read the other rows of a page beside unreadable bytes

A row whose value is no base64 text made the whole page malformed, so that the feed asked for the same page for ever, and a scheduler never finished its start. The value of such a row is now empty, which every reader takes for a malformed one.

--- a/tamarackhatch/platform/_store.py
+++ b/tamarackhatch/platform/_store.py
@@ -247,22 +247,30 @@
 
 
 def _decode_row(document: dict[str, typing.Any]) -> model.Row:
-    text = document.get("value") or ""
-    if not isinstance(text, str):
-        raise _decoding.MalformedBodyError("value of a row is not text")
-    try:
-        value = base64.b64decode(text, validate=True)
-    except ValueError as error:
-        raise _decoding.MalformedBodyError(
-            "value of a row is not base64"
-        ) from error
+    for name in ("table", "key"):
+        if name not in document:
+            raise _decoding.MalformedBodyError(f"{name} of a row is missing")
     return model.Row(
         model.RowRef(
             _decoding.get_text(document, "table"),
             _decoding.get_text(document, "part"),
             _decoding.get_text(document, "key"),
         ),
-        value,
+        _decode_value(document.get("value")),
         _decoding.get_integer(document, "schema_version"),
         bool(document.get("deleted")),
     )
+
+
+def _decode_value(value: object) -> bytes:
+    """Returns the value of a row; empty if it cannot be read.
+
+    Other writers share some tables with the system. What one of them has
+    written must not hide the other rows of a page.
+    """
+    if not isinstance(value, str):
+        return b""
+    try:
+        return base64.b64decode(value, validate=True)
+    except ValueError:
+        return b""
--- a/tamarackhatch/platform/tests/test_store.py
+++ b/tamarackhatch/platform/tests/test_store.py
@@ -118,6 +118,42 @@
         asyncio.run(store.read("jobs", "a", _TIMEOUT))
 
 
+@pytest.mark.parametrize(
+    "value", ["%", "eA=", "\u0665", "eA==\n", 7, [], {"a": [[]]}, True, None]
+)
+@pytest.mark.parametrize("is_feed", [False, True])
+def test_row_of_unreadable_bytes_does_not_hide_the_others(
+    value: object, is_feed: bool
+) -> None:
+    """Guards against a feed that stays at a version for ever.
+
+    Such a row has no value, which its reader takes for a malformed one.
+    """
+    rows = [
+        {
+            "table": "servers",
+            "part": "",
+            "key": key,
+            "value": content,
+            "schema_version": 5,
+        }
+        for key, content in (("i-0", "eA=="), ("i-1", value), ("i-2", "eQ=="))
+    ]
+    body = orjson.dumps({"rows": rows, "schema_version": 7})
+    store, _ = _make_store(transport.Answer(200, body))
+    page: model.RowPage | model.FeedPage
+    if is_feed:
+        page = asyncio.run(store.follow("servers", 1, _TIMEOUT))
+    else:
+        page = asyncio.run(store.read("servers", "", _TIMEOUT))
+    assert [(row.ref.key, row.value) for row in page.rows] == [
+        ("i-0", b"x"),
+        ("i-1", b""),
+        ("i-2", b"y"),
+    ]
+    assert page.version == 7
+
+
 @pytest.mark.parametrize(
     ("result", "is_alive"),
     [
