Check all published fields of a registry entry

An entry of another writer could name a runner although a field was missing, of another type, too large or no address. The scheduler then tracked it and sent renewals to its address, a capacity beyond 64 bits ended each term at its first log line, and long texts could fill the row of tracked runners. A missing remaining_ms of a draining runner still counts as 0: the runner gets no new work either way, and its long-running tasks move.

The entry in test_decoding.py lacked fields that every published entry has.

--- a/tamarackhatch/platform/tests/test_decoding.py
+++ b/tamarackhatch/platform/tests/test_decoding.py
@@ -13,6 +13,10 @@
     "service": "office",
     "address": "10.0.0.9:8080",
     "zone": "z",
+    "version": "v1",
+    "slots": 8,
+    "seq": 4,
+    "cold_remaining_ms": 0,
     "state": "draining",
     "remaining_ms": 2000,
     "capacity": {"cpu": 16000, "mem_mb": 32768, "gpu": 1},
@@ -52,8 +56,42 @@
         {"capacity": 7},
         {"capacity": {"cpu": -1}},
         {"capacity": {"cpu": "many"}},
+        {"capacity": {"cpu": 1, "mem_mb": 1}},
+        {"capacity": {"cpu": 2**31, "mem_mb": 1, "gpu": 0}},
+        {"capacity": {"cpu": 1, "mem_mb": 1e300, "gpu": 0}},
+        {"capacity": {"cpu": 1, "mem_mb": 1, "gpu": True}},
         {"labels": [1]},
+        {"labels": None},
+        {"labels": {}},
+        {"labels": ["x" * 201]},
+        {"labels": ["x"] * 33},
+        {"service": ""},
+        {"service": "x" * 201},
+        {"version": 1},
+        {"slots": "8"},
+        {"slots": 8.5},
+        {"seq": None},
+        {"seq": 2**54},
+        {"cold_remaining_ms": "0"},
+        {"cold_remaining_ms": -1e300},
+        {"remaining_ms": 2**54},
+        {"remaining_ms": "soon"},
         {"born": "today"},
+        {"born": 17.5},
+        {"born": 2**54},
+        {"zone": None},
+        {"zone": "x" * 201},
+        {"address": "a" * 64 + ":80"},
+        {"address": ("a" * 63 + ".") * 4 + "a:80"},
+        {"address": "10.0.0.9:00080"},
+        {"address": "10.0.0.09:80"},
+        {"address": "10.0.9:80"},
+        {"address": "0x7f000001:80"},
+        {"address": "-a:80"},
+        {"address": "a..b:80"},
+        {"address": "a.:80"},
+        {"address": "255.255.255.255:80"},
+        {"address": "224.0.0.1:80"},
     ],
 )
 def test_malformed_runner_entry_is_rejected(
@@ -64,6 +102,86 @@
         platform.decode_runner(_make_runner_row({**_RUNNER_ENTRY, **change}))
 
 
+@pytest.mark.parametrize("name", sorted(_RUNNER_ENTRY))
+def test_runner_entry_without_a_field_names_no_runner(name: str) -> None:
+    """Guards against a guess at what an incomplete entry means."""
+    entry = {**_RUNNER_ENTRY}
+    del entry[name]
+    row = _make_runner_row(entry)
+    if name in ("news", "born", "remaining_ms"):
+        platform.decode_runner(row)
+        return
+    with pytest.raises(platform.MalformedBodyError, match=name):
+        platform.decode_runner(row)
+
+
+@pytest.mark.parametrize(
+    "change",
+    [
+        {"address": "a:1"},
+        {"address": "runner_1.example-2.net:65535"},
+        {"address": "10.0.0.9:1"},
+        {"capacity": {"cpu": 0, "mem_mb": 2**30, "gpu": 0}},
+        {"capacity": {"cpu": 16000.0, "mem_mb": 1, "gpu": 0}},
+        {"labels": []},
+        {"zone": ""},
+        {"remaining_ms": 0.5},
+        {"clock_ms": 1e300, "more": [[[]]]},
+    ],
+)
+def test_unusual_runner_entry_is_decoded(
+    change: dict[str, typing.Any],
+) -> None:
+    """Guards against rejecting a sound runner."""
+    platform.decode_runner(_make_runner_row({**_RUNNER_ENTRY, **change}))
+
+
+def test_published_example_of_a_runner_entry_is_decoded() -> None:
+    """Guards against rejecting what the users' runners write."""
+    value = (
+        b'{"service":"huvo11a","address":"10.128.0.9:8080","zone":"tay-a",'
+        b'"version":"v1","slots":8,"state":"ready","cold_remaining_ms":0,'
+        b'"capacity":{"cpu":16000,"mem_mb":32768,"gpu":0},'
+        b'"labels":["a","r1-3"],"clock_ms":482113,"seq":4}'
+    )
+    ref = model.RowRef(platform.RUNNERS_TABLE, "", "i-7f3a91c2")
+    runner = platform.decode_runner(model.Row(ref, value, 1))
+    assert runner.capacity == model.Resources(16000, 32768, 0)
+    assert runner.incarnation == 0
+
+
+@pytest.mark.parametrize(
+    "key", ["", " ", "i 1", "i\n", "i\0", "i-\xe9", "\ud800", "x" * 201]
+)
+def test_odd_key_names_no_runner(key: str) -> None:
+    """Guards against an identifier that no header can hold."""
+    row = model.Row(
+        model.RowRef(platform.RUNNERS_TABLE, "", key),
+        orjson.dumps(_RUNNER_ENTRY),
+        1,
+    )
+    with pytest.raises(platform.MalformedBodyError, match="key"):
+        platform.decode_runner(row)
+
+
+@pytest.mark.parametrize("size", [10, 1_000, 100_000])
+def test_reason_of_an_unusable_entry_is_short(size: int) -> None:
+    """Guards against log lines as long as what another writer stores."""
+    text = "x" * size
+    for change in (
+        {"state": text},
+        {"address": text},
+        {"service": [text]},
+        {"labels": [text] * 40},
+        {"capacity": {text: text}},
+    ):
+        with pytest.raises(platform.MalformedBodyError) as caught:
+            platform.decode_runner(
+                _make_runner_row({**_RUNNER_ENTRY, **change})
+            )
+        assert len(caught.value.message) < 100
+
+
 def _decode_job(document: object) -> model.Job:
     return platform.decode_job("00", _QUEUE, orjson.dumps(document), _NOW)
 
