Ignore registry rows of other partitions

The feed of a table has the changes of all partitions, and rows were told apart by their keys only, so that a row of the same key in another partition replaced or removed a runner. Watchers now ignore partitions that they do not read.

--- a/tamarackhatch/records/_watcher.py
+++ b/tamarackhatch/records/_watcher.py
@@ -37,7 +37,8 @@
             store: The table store.
             time_source: Source of time.
             table: The table.
-            partitions: The partitions of the table.
+            partitions: The partitions of the table; rows of others are
+                ignored.
             on_row: Called with each row that was read, and with each changed
                 or removed row.
             log: Logger for losses of the feed.
@@ -175,8 +176,10 @@
         self._last_answer = self._clock.get_monotonic()
         # A poll beside the feed may already have passed on later changes.
         self._version = max(self._version, page.version)
+        # The feed has the changes of all partitions of a table.
         for row in page.rows:
-            self._on_row(row)
+            if row.ref.partition in self._partitions:
+                self._on_row(row)
 
     async def _read_partition(
         self, partition: str
--- a/tamarackhatch/scheduler/tests/test_odd_registry_entries.py
+++ b/tamarackhatch/scheduler/tests/test_odd_registry_entries.py
@@ -237,3 +237,37 @@
         assert not events.keys() & _FAILURES
 
     virtual_time.run_virtually(simulate())
+
+
+@pytest.mark.parametrize(
+    "value", [_change(), _change(state="draining", remaining_ms=0), "%%%"]
+)
+@pytest.mark.parametrize("is_removed", [False, True])
+def test_rows_of_other_partitions_name_no_runner(
+    value: str, is_removed: bool
+) -> None:
+    """Guards against a runner that a row of the same key elsewhere changes.
+
+    The published names of entries mean rows of the empty partition.
+    """
+
+    async def simulate() -> None:
+        fleet = standin_fleet.VirtualFleet(runners=2)
+        odd = _OddServer()
+        fleet.network.serve(_ODD_ADDRESS, odd.handle)
+        fleet.start_instance("a")
+        await _await_leader(fleet)
+        await _fill_runners(fleet, "00")
+        for runner in fleet.runners:
+            runner.is_registering = False
+        await asyncio.sleep(1)
+        for key in ("i-0", "i-9"):
+            fleet.store.put(platform.RUNNERS_TABLE, key, value, "x")
+        if is_removed:
+            fleet.store.remove(platform.RUNNERS_TABLE, "i-0", "x")
+        await asyncio.sleep(1)
+        await _fill_runners(fleet, "01")
+        assert odd.paths == []
+        assert fleet.check() == []
+
+    virtual_time.run_virtually(simulate())
