Use no runner whose entry turns unusable, and report it

An entry that could not be decoded was logged at level debug only, and the runner that an earlier version of it had named went on to get new tasks, which a scheduler that starts later would not give it. Such a runner now counts as unregistered: its runs go on, and it is used again once the entry can be read. Each change of an unusable entry is counted in unreadable_entries (source registry) and logged with the key, the field and the reason, at most 10 lines in 10 s.

test_runner_whose_entry_turns_odd_gets_no_new_work failed before.

--- a/tamarackhatch/scheduler/_runner_manager.py
+++ b/tamarackhatch/scheduler/_runner_manager.py
@@ -14,6 +14,7 @@
 from tamarackhatch.scheduler import _fleet
 from tamarackhatch.scheduler import _health
 from tamarackhatch.scheduler import _runner_reconciler
+from tamarackhatch.scheduler import _unusable_entries
 
 _CHECK_INTERVAL = datetime.timedelta(milliseconds=25)
 # Stands for runners whose identifiers are not known; never reconciled.
@@ -35,6 +36,9 @@
         self._reconcilers: dict[str, _runner_reconciler.RunnerReconciler] = {}
         self._reconciler_tasks: dict[str, asyncio.Task[None]] = {}
         self._unreconciled: set[str] = set()
+        self._unusable_entries = _unusable_entries.UnusableEntries(
+            context.clock, context.log, context.metrics
+        )
 
     def restore_tracked_runners(
         self, tracked_runners: tuple[records.TrackedRunner, ...] | None
@@ -70,18 +74,19 @@
         """Applies a changed or removed row of the registry."""
         entry = self._context.fleet.get(row.ref.key)
         if row.is_deleted:
+            self._unusable_entries.forget(row.ref.key)
             if entry is not None:
                 self._mark_unregistered(entry)
             return
         try:
             record = platform.decode_runner(row)
         except platform.MalformedBodyError as error:
-            self._context.log.debug(
-                "runner_row_unreadable",
-                runner=row.ref.key,
-                reason=error.message,
-            )
+            self._unusable_entries.record(row, error.message)
+            # As after a takeover, the entry names no runner to use.
+            if entry is not None:
+                self._mark_unregistered(entry)
             return
+        self._unusable_entries.forget(row.ref.key)
         if entry is None:
             self._context.log.info(
                 "runner_added",
@@ -102,6 +107,7 @@
 
     def mark_unlisted_runners(self, listed: set[str]) -> None:
         """Marks runners that the registry no longer lists."""
+        self._unusable_entries.keep_only(listed)
         for entry in self._context.fleet.values():
             if entry.identifier not in listed:
                 self._mark_unregistered(entry)
--- a/tamarackhatch/scheduler/tests/test_odd_registry_entries.py
+++ b/tamarackhatch/scheduler/tests/test_odd_registry_entries.py
@@ -271,3 +271,37 @@
         assert fleet.check() == []
 
     virtual_time.run_virtually(simulate())
+
+
+def test_runner_whose_entry_turns_odd_gets_no_new_work() -> None:
+    """Guards against new tasks for a runner that no readable entry names.
+
+    Its runs go on, and it is used again once its entry can be read.
+    """
+
+    async def simulate() -> None:
+        fleet = standin_fleet.VirtualFleet(
+            runners=2, plan=lambda task, run: (4, "done")
+        )
+        fleet.start_instance("a")
+        await _await_leader(fleet)
+        await fleet.submit("00", model.Step(2, _TASK))
+        await fleet.wait_until(
+            lambda: all(runner.running for runner in fleet.runners), 10
+        )
+        changed, other = fleet.runners
+        changed.is_registering = False
+        await asyncio.sleep(1)
+        value = _change(address=changed.address, state="resting")
+        fleet.store.put(platform.RUNNERS_TABLE, changed.identifier, value)
+        await fleet.wait_for_state("00", model.JobState.COMPLETED, 30)
+        assert len(fleet.history.runs) == 2
+        await fleet.submit("01", model.Step(2, _TASK))
+        await asyncio.sleep(2)
+        assert other.running and not changed.running
+        changed.is_registering = True
+        await fleet.wait_until(lambda: bool(changed.running), 4)
+        await fleet.wait_for_state("01", model.JobState.COMPLETED, 30)
+        assert fleet.check() == []
+
+    virtual_time.run_virtually(simulate())
