Restart a failed reconciler after a pause

An error that lasts made the reconciler of one runner fail at once each time (1,260 times in 4 s of virtual time, and without an end where no call came first), which took the processor from leases and heartbeats and filled the log.

test_reconciler_that_fails_is_started_again_after_a_pause failed before.

--- a/tamarackhatch/scheduler/_runner_manager.py
+++ b/tamarackhatch/scheduler/_runner_manager.py
@@ -19,6 +19,8 @@
 _CHECK_INTERVAL = datetime.timedelta(milliseconds=25)
 # Stands for runners whose identifiers are not known; never reconciled.
 _UNKNOWN_RUNNERS = "(unknown)"
+# Long enough that a lasting error does not fill the log or the processor.
+_RESTART_DELAY = datetime.timedelta(seconds=1)
 
 
 class RunnerManager:
@@ -150,12 +152,22 @@
         self._context.fleet[record.identifier] = entry
         self._start_reconciler(entry)
 
-    def _start_reconciler(self, entry: _fleet.RunnerEntry) -> None:
+    def _start_reconciler(
+        self,
+        entry: _fleet.RunnerEntry,
+        delay: datetime.timedelta = datetime.timedelta(),
+    ) -> None:
         reconciler = _runner_reconciler.RunnerReconciler(
             self._context, entry, self._commands, self._untrack
         )
         self._reconcilers[entry.identifier] = reconciler
-        task = asyncio.create_task(reconciler.run())
+
+        async def run() -> None:
+            if delay:
+                await self._context.clock.sleep(delay)
+            await reconciler.run()
+
+        task = asyncio.create_task(run())
         self._reconciler_tasks[entry.identifier] = task
         task.add_done_callback(
             lambda finished_task: self._handle_finished_reconciler(
@@ -174,7 +186,9 @@
                 runner=identifier,
                 reason=repr(task.exception()),
             )
-            self._start_reconciler(self._context.fleet[identifier])
+            self._start_reconciler(
+                self._context.fleet[identifier], _RESTART_DELAY
+            )
             return
         self._context.log.info("runner_removed", runner=identifier)
         del self._reconciler_tasks[identifier]
--- a/tamarackhatch/scheduler/tests/test_malformed_input.py
+++ b/tamarackhatch/scheduler/tests/test_malformed_input.py
@@ -280,6 +280,31 @@
     assert log.count(b"scheduler_ready") == 1
 
 
+def test_reconciler_that_fails_is_started_again_after_a_pause(
+    tmp_path: pathlib.Path,
+) -> None:
+    """Guards against a loop that uses the processor and fills the log."""
+
+    async def simulate() -> None:
+        fleet, added = _make_fleet(log_path=str(tmp_path / "log"))
+        await fleet.wait_until(lambda: fleet.get_leader() is not None)
+        await _run_job(fleet, "00")
+        handle = added.handle
+
+        async def fail(request: network.Request) -> network.Response:
+            raise ArithmeticError
+
+        fleet.network.serve(added.address, fail)
+        await asyncio.sleep(4)
+        fleet.network.serve(added.address, handle)
+        await _run_job(fleet, "01")
+        assert fleet.check() == []
+
+    virtual_time.run_virtually(simulate())
+    failures = (tmp_path / "log").read_bytes().count(b"reconciler_failed")
+    assert 1 <= failures <= 5
+
+
 def test_unreadable_entry_may_be_a_run_that_is_not_listed() -> None:
     """Guards against a second start of a run whose entry is unreadable."""
 
