Reject nested values in place of an enumeration's member

An enumeration quotes the value that it rejects, which raised RecursionError for a value nested 1,000 levels: a progress row ended each term at its start, an answer of another instance the forwarding of a request. Messages about malformed rows and messages are now at most 500 characters long; they quoted texts and keys in full.

--- a/tamarackhatch/entry/_messages.py
+++ b/tamarackhatch/entry/_messages.py
@@ -18,6 +18,8 @@
 _IDENTIFIER_PATTERN = re.compile("[0-9A-Za-z]{1,64}")
 # A longer wait than that of any caller would only hold memory.
 _MAX_TIMEOUT_MS = 60_000
+# Length of an error message, in characters; it may quote a message.
+_MAX_MESSAGE = 500
 # Outcomes after which no other instance has to be asked.
 DEFINITE: typing.Final = frozenset(
     (model.Outcome.DONE, model.Outcome.NO_JOB, model.Outcome.REFUSED)
@@ -30,7 +32,9 @@
     """A message of another instance does not have the expected form."""
 
     def __init__(self, message: str) -> None:
-        super().__init__(errors.ErrorCode.BAD_PEER_MESSAGE, message)
+        super().__init__(
+            errors.ErrorCode.BAD_PEER_MESSAGE, message[:_MAX_MESSAGE]
+        )
 
 
 class Kind(enum.Enum):
@@ -189,6 +193,9 @@
         LookupError,
         TypeError,
         ValueError,
+        # An enumeration quotes the value that it rejects, which may be nested
+        # too deeply for that.
+        RecursionError,
     ) as error:
         raise MalformedMessageError(
             f"malformed answer to a forwarded request: {error!r}"
--- a/tamarackhatch/records/_progress.py
+++ b/tamarackhatch/records/_progress.py
@@ -9,12 +9,15 @@
 from tamarackhatch import model
 from tamarackhatch.records import _types
 
+# Length of a message, in characters; it may quote what the row holds.
+_MAX_MESSAGE = 500
+
 
 class MalformedRowError(errors.CodedError):
     """The value of a row of this project is malformed."""
 
     def __init__(self, message: str) -> None:
-        super().__init__(errors.ErrorCode.BAD_RECORD, message)
+        super().__init__(errors.ErrorCode.BAD_RECORD, message[:_MAX_MESSAGE])
 
 
 @attrs.frozen
@@ -104,7 +107,15 @@
         )
         _types.check_types(progress)
         return progress
-    except (ValueError, KeyError, TypeError, AttributeError) as error:
+    except (
+        ValueError,
+        KeyError,
+        TypeError,
+        AttributeError,
+        # An enumeration quotes the value that it rejects, which may be nested
+        # too deeply for that.
+        RecursionError,
+    ) as error:
         raise MalformedRowError(
             f"malformed job progress in a progress row: {error!r}"
         ) from error
