Track a runner once it has answered

An entry in the published form that names no runner, such as one with a service that is not known, was tracked at once and never untracked, because only runners that have answered are. A runner that has never answered has no lease and no task, so that it need not be tracked.

--- a/tamarackhatch/scheduler/_fleet.py
+++ b/tamarackhatch/scheduler/_fleet.py
@@ -150,6 +150,17 @@
             return 0
         return self.acknowledged_exit
 
+    @property
+    def is_to_be_tracked(self) -> bool:
+        """Whether the list of tracked runners is to name it.
+
+        A runner that has never answered has got neither a lease nor a task,
+        and may not exist.
+        """
+        return not self.is_untracked and (
+            self.is_restored or self.clock_read is not None
+        )
+
     @property
     def is_replaced(self) -> bool:
         """Whether another runner answers at its address.
--- a/tamarackhatch/scheduler/_runner_manager.py
+++ b/tamarackhatch/scheduler/_runner_manager.py
@@ -98,7 +98,6 @@
                 memory=record.capacity.memory_mb,
             )
             self._add_runner(record)
-            self._write_tracked_runners()
         else:
             self._update_runner(entry, record)
 
@@ -158,7 +157,11 @@
         delay: datetime.timedelta = datetime.timedelta(),
     ) -> None:
         reconciler = _runner_reconciler.RunnerReconciler(
-            self._context, entry, self._commands, self._untrack
+            self._context,
+            entry,
+            self._commands,
+            self._untrack,
+            self._track,
         )
         self._reconcilers[entry.identifier] = reconciler
 
@@ -219,7 +222,7 @@
         is_leaving = record.is_draining or entry.missed_renewals > 0
         if entry.is_untracked and (entry.tasks or not is_leaving):
             entry.is_untracked = entry.is_tracked = False
-        if not entry.is_tracked and not entry.is_untracked:
+        if not entry.is_tracked and entry.is_to_be_tracked:
             self._write_tracked_runners()
 
     def _update_capacity(
@@ -245,6 +248,10 @@
         entry.capacity_refusals = 0
         self._context.wake.set()
 
+    def _track(self, entry: _fleet.RunnerEntry) -> None:
+        if not entry.is_tracked:
+            self._write_tracked_runners()
+
     def _untrack(self, entry: _fleet.RunnerEntry) -> None:
         entry.is_untracked = True
         self._context.log.info("runner_untracked", runner=entry.identifier)
@@ -261,7 +268,7 @@
         entries = [
             entry
             for entry in self._context.fleet.values()
-            if not entry.is_untracked
+            if entry.is_to_be_tracked
         ]
         tracked_runners = tuple(
             records.TrackedRunner(
--- a/tamarackhatch/scheduler/_runner_reconciler.py
+++ b/tamarackhatch/scheduler/_runner_reconciler.py
@@ -52,6 +52,7 @@
         entry: _fleet.RunnerEntry,
         commands: _commands.CommandSender,
         untrack: Callable[[_fleet.RunnerEntry], None],
+        track: Callable[[_fleet.RunnerEntry], None],
     ) -> None:
         """Creates the reconciler of one runner.
 
@@ -60,11 +61,13 @@
             entry: The runner.
             commands: Sends commands.
             untrack: Stops tracking the runner.
+            track: Tracks the runner, which has answered for the first time.
         """
         self._context = context
         self._entry = entry
         self._commands = commands
         self._untrack = untrack
+        self._track = track
         self._has_reported = False
         self._listed: tuple[model.RunningTask, ...] = ()
         self._started = context.get_now()
@@ -219,6 +222,7 @@
                 context.settings, entry, report
             )
             self._has_reported = True
+            self._track(entry)
         for run_exit in report.exits:
             if run_exit.number <= entry.processed_exit:
                 continue
--- a/tamarackhatch/scheduler/tests/test_odd_registry_entries.py
+++ b/tamarackhatch/scheduler/tests/test_odd_registry_entries.py
@@ -305,3 +305,45 @@
         assert fleet.check() == []
 
     virtual_time.run_virtually(simulate())
+
+
+@pytest.mark.parametrize(
+    ("key", "value"),
+    [
+        ("i-0odd", _change()),
+        ("i-0odd", _change(service="unheard-of")),
+        ("i-0odd", _change(state="draining", remaining_ms=1)),
+        ("i-0odd", _change(address="10.1.0.1:8000")),
+        ("I-0", _change(address="10.1.0.1:8000")),
+        ("i-0odd", _change(address="10.1.0.1:8000", born=2**53)),
+    ],
+)
+def test_entry_without_a_runner_delays_no_takeover(
+    key: str, value: str
+) -> None:
+    """Guards against a successor that waits for a runner that never was.
+
+    Nobody answers at the address, or another runner does.
+    """
+
+    async def simulate() -> None:
+        fleet = standin_fleet.VirtualFleet(
+            runners=2, plan=lambda task, run: (2, "done")
+        )
+        fleet.store.put(platform.RUNNERS_TABLE, key, value)
+        for name in ("a", "b"):
+            fleet.start_instance(name)
+        first = await _await_leader(fleet)
+        await _fill_runners(fleet, "00")
+        await asyncio.sleep(2)
+        await fleet.submit("01", model.Step(2, _TASK))
+        fleet.instances.pop(first).kill()
+        began = asyncio.get_running_loop().time()
+        await _await_leader(fleet)
+        await _fill_runners(fleet, "02")
+        await fleet.wait_for_state("01", model.JobState.COMPLETED)
+        # Without the entry, 6 to 8 s; the wait for a runner is 10 s or more.
+        assert asyncio.get_running_loop().time() - began < 10
+        assert fleet.check() == []
+
+    virtual_time.run_virtually(simulate())
