Ask no runner of a service that is not configured

Such an entry is now reported like other unusable ones. The runner is used with its next entry after the service is configured, or if a job needs the service.

The case "unknown service" of test_odd_entry_stops_nothing failed before.

--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -54,6 +54,7 @@
         apply_time: Time within which instances apply a configuration.
         enforces_capacity: Whether runners reject tasks that do not fit, as the
             configuration says.
+        services: Names of the services that are configured.
         bounds: Time bounds of the instances that are started from now on.
     """
 
@@ -87,6 +88,7 @@
         self.incarnations = 0
         self.apply_time = datetime.timedelta(milliseconds=2500)
         self.enforces_capacity = True
+        self.services = {SERVICE}
         self.bounds = settings.Bounds(max_lease=runner.MAX_LEASE)
         self.log_descriptor = os.open(
             log_path, os.O_WRONLY | os.O_CREAT | os.O_APPEND
--- a/standins/virtual_instance.py
+++ b/standins/virtual_instance.py
@@ -96,6 +96,7 @@
             fleet.policy,
             self.configuration,
             lambda service: fleet.enforces_capacity,
+            lambda service: service in fleet.services,
             lambda heartbeat: self.figures.record_heartbeat(
                 heartbeat.term,
                 heartbeat.waits,
--- a/tamarackhatch/model/_configuration.py
+++ b/tamarackhatch/model/_configuration.py
@@ -136,3 +136,9 @@
     def get_service(self, name: str) -> Service | None:
         """Returns the service with the given name, or None."""
         return next((s for s in self.services if s.name == name), None)
+
+    def names_service(self, name: str) -> bool:
+        """Returns whether a service, or a queue of it, is configured."""
+        return self.get_service(name) is not None or any(
+            queue.service == name for queue in self.queues
+        )
--- a/tamarackhatch/scheduler/_context.py
+++ b/tamarackhatch/scheduler/_context.py
@@ -50,6 +50,8 @@
         evacuations: Knows the data centres in which nothing may start.
         enforces_capacity: Returns whether the runners of a service reject
             tasks that do not fit; False if that is not known.
+        is_service_known: Returns whether the configuration names a service;
+            True if that is not known.
         wake: Set when tasks wait or capacity becomes free.
     """
 
@@ -73,6 +75,7 @@
     run_times: forecast.RunTimeModel
     evacuations: _evacuations.EvacuationWatcher
     enforces_capacity: Callable[[str], bool]
+    is_service_known: Callable[[str], bool]
     wake: asyncio.Event
 
     @property
--- a/tamarackhatch/scheduler/_dependencies.py
+++ b/tamarackhatch/scheduler/_dependencies.py
@@ -31,6 +31,8 @@
             instances; None if it publishes none.
         enforces_capacity: Returns whether the runners of a service reject
             tasks that do not fit; False if that is not known.
+        is_service_known: Returns whether the configuration names a service;
+            True if that is not known.
         on_heartbeat: Called with each heartbeat of the scheduler that is
             stored.
     """
@@ -45,6 +47,7 @@
     policy: placement.PlacementPolicy = placement.PlacementPolicy()
     configuration: model.ConfigurationSource | None = None
     enforces_capacity: Callable[[str], bool] = lambda service: False
+    is_service_known: Callable[[str], bool] = lambda service: True
     on_heartbeat: Callable[[records.LeaderHeartbeat], None] = (
         lambda heartbeat: None
     )
--- a/tamarackhatch/scheduler/_job_tracker.py
+++ b/tamarackhatch/scheduler/_job_tracker.py
@@ -95,6 +95,12 @@
         """Returns whether a job is known."""
         return identifier in self._jobs
 
+    def needs_service(self, name: str) -> bool:
+        """Returns whether a job needs the runners of a service."""
+        return any(
+            entry.job.queue.service == name for entry in self._jobs.values()
+        )
+
     def mark_synced(self, time: datetime.timedelta) -> None:
         """Records that all jobs stored before a monotonic time were read."""
         self._synced_until = time
--- a/tamarackhatch/scheduler/_runner_manager.py
+++ b/tamarackhatch/scheduler/_runner_manager.py
@@ -88,6 +88,10 @@
             if entry is not None:
                 self._mark_unregistered(entry)
             return
+        if entry is None and not self._is_service_needed(record.service):
+            # The runner's next entry is read again, one heartbeat later.
+            self._unusable_entries.record(row, "service is not configured")
+            return
         self._unusable_entries.forget(row.ref.key)
         if entry is None:
             self._context.log.info(
@@ -141,6 +145,12 @@
         self._context.log.info("takeover_finished")
         self._dispatcher.resume_starts()
 
+    def _is_service_needed(self, name: str) -> bool:
+        context = self._context
+        return context.is_service_known(
+            name
+        ) or context.job_tracker.needs_service(name)
+
     def _add_runner(
         self, record: model.Runner, is_restored: bool = False
     ) -> None:
--- a/tamarackhatch/scheduler/_scheduler.py
+++ b/tamarackhatch/scheduler/_scheduler.py
@@ -127,6 +127,7 @@
             run_times=forecast.RunTimeModel(),
             evacuations=self._evacuations,
             enforces_capacity=dependencies.enforces_capacity,
+            is_service_known=dependencies.is_service_known,
             wake=wake,
         )
         self._commands = _commands.CommandSender(self._context)
--- a/tamarackhatch/scheduler/tests/test_odd_registry_entries.py
+++ b/tamarackhatch/scheduler/tests/test_odd_registry_entries.py
@@ -9,11 +9,13 @@
 import pathlib
 import typing
 
+import attrs
 import orjson
 import pytest
 
 from standins import fleet as standin_fleet
 from standins import network
+from standins import runner
 from standins import virtual_time
 from tamarackhatch import model
 from tamarackhatch import platform
@@ -125,6 +127,7 @@
     "text of labels": _change(labels="a"),
     "lone surrogate": _replace(b'"here"', b'"\\ud800"'),
     "surrogate bytes": _replace(b'"here"', b'"\xed\xa0\x80"'),
+    "unknown service": _change(service="unheard-of"),
     "long service": _change(service="x" * 40_000),
     "no service": _change(service=None),
     "zone 7": _change(zone=7),
@@ -176,7 +179,7 @@
     count = len(fleet.runners)
     await fleet.submit(identifier, model.Step(count, _TASK))
     await fleet.wait_until(
-        lambda: all(runner.running for runner in fleet.runners), 10
+        lambda: all(stand_in.running for stand_in in fleet.runners), 10
     )
     await fleet.wait_for_state(identifier, model.JobState.COMPLETED, 30)
 
@@ -258,8 +261,8 @@
         fleet.start_instance("a")
         await _await_leader(fleet)
         await _fill_runners(fleet, "00")
-        for runner in fleet.runners:
-            runner.is_registering = False
+        for stand_in in fleet.runners:
+            stand_in.is_registering = False
         await asyncio.sleep(1)
         for key in ("i-0", "i-9"):
             fleet.store.put(platform.RUNNERS_TABLE, key, value, "x")
@@ -287,7 +290,7 @@
         await _await_leader(fleet)
         await fleet.submit("00", model.Step(2, _TASK))
         await fleet.wait_until(
-            lambda: all(runner.running for runner in fleet.runners), 10
+            lambda: all(stand_in.running for stand_in in fleet.runners), 10
         )
         changed, other = fleet.runners
         changed.is_registering = False
@@ -347,3 +350,38 @@
         assert fleet.check() == []
 
     virtual_time.run_virtually(simulate())
+
+
+@pytest.mark.parametrize("is_needed", [False, True])
+def test_runner_of_a_service_is_used_once_it_is_configured(
+    is_needed: bool,
+) -> None:
+    """Guards against a runner that is ignored for good.
+
+    A job may also need a service that is no longer configured.
+    """
+
+    async def simulate() -> None:
+        fleet = standin_fleet.VirtualFleet(runners=1)
+        fleet.start_instance("a")
+        await _await_leader(fleet)
+        queue = attrs.evolve(standin_fleet.QUEUE, service="annex")
+        added = runner.RunnerStandIn(
+            "i-9",
+            "10.1.0.9:8000",
+            "annex",
+            standin_fleet.plan_success,
+            fleet.history,
+        )
+        fleet.adopt_runner(added)
+        await asyncio.sleep(3)
+        await fleet.submit("00", model.Step(1, _TASK))
+        await fleet.wait_for_state("00", model.JobState.COMPLETED, 10)
+        if not is_needed:
+            fleet.services.add("annex")
+            await asyncio.sleep(3)
+        await fleet.submit("01", model.Step(1, _TASK), queue=queue)
+        await fleet.wait_for_state("01", model.JobState.COMPLETED, 5)
+        assert fleet.check() == []
+
+    virtual_time.run_virtually(simulate())
--- a/tamarackhatch/server/_instance.py
+++ b/tamarackhatch/server/_instance.py
@@ -115,6 +115,7 @@
                 self._metrics,
                 configuration=self._configuration_watcher,
                 enforces_capacity=self._enforces_capacity,
+                is_service_known=self._is_service_known,
                 on_heartbeat=self._record_heartbeat,
             ),
             self._incarnation,
@@ -258,6 +259,10 @@
         found = configuration and configuration.get_service(name)
         return bool(found and found.enforces_capacity)
 
+    def _is_service_known(self, name: str) -> bool:
+        configuration = self._configuration_watcher.configuration
+        return configuration is None or configuration.names_service(name)
+
     def _start_servers(self) -> None:
         initial_settings = self._initial_settings
         bindings: list[tuple[settings.Address, typing.Any]] = [
