--- a/tamarackhatch/scheduler/_fleet.py
+++ b/tamarackhatch/scheduler/_fleet.py
@@ -193,6 +193,17 @@
             return 0
         return self.acknowledged_exit
 
+    @property
+    def is_to_be_tracked(self) -> bool:
+        """Whether the list of tracked runners is to name it.
+
+        A runner that has never answered has got neither a lease nor a task,
+        and may not exist.
+        """
+        return not self.is_untracked and (
+            self.is_restored or self.clock_read is not None
+        )
+
     @property
     def is_replaced(self) -> bool:
         """Whether another runner answers at its address.
@@ -287,7 +298,7 @@
     @property
     def should_be_cordoned(self) -> bool:
         """Whether it can get no tasks soon, and all its runs are known."""
-        if self.is_untracked or self.unlisted_tasks is None:
+        if not self.is_to_be_tracked or self.unlisted_tasks is None:
             return False
         return (
             not self.is_registered
--- a/tamarackhatch/scheduler/_runner_manager.py
+++ b/tamarackhatch/scheduler/_runner_manager.py
@@ -14,6 +14,7 @@
 from tamarackhatch.scheduler import _fleet
 from tamarackhatch.scheduler import _health
 from tamarackhatch.scheduler import _runner_reconciler
+from tamarackhatch.scheduler import _unusable_entries
 
 _CHECK_INTERVAL = datetime.timedelta(milliseconds=25)
 # Runners that are up answer within milliseconds.
@@ -27,6 +28,8 @@
 _MILLISECOND = datetime.timedelta(milliseconds=1)
 # Stands for runners whose identifiers are not known; never reconciled.
 _UNKNOWN_RUNNERS = "(unknown)"
+# Long enough that a lasting error does not fill the log or the processor.
+_RESTART_DELAY = datetime.timedelta(seconds=1)
 
 
 class RunnerManager:
@@ -46,6 +49,9 @@
         # Runners that have not answered in this term, with the only tasks
         # that may run there; None for any task.
         self._unreconciled: dict[str, frozenset[model.TaskKey] | None] = {}
+        self._unusable_entries = _unusable_entries.UnusableEntries(
+            context.clock, context.log, context.metrics
+        )
 
     def restore_tracked_runners(
         self,
@@ -86,18 +92,23 @@
         """Applies a changed or removed row of the registry."""
         entry = self._context.fleet.get(row.ref.key)
         if row.is_deleted:
+            self._unusable_entries.forget(row.ref.key)
             if entry is not None:
                 self._mark_unregistered(entry)
             return
         try:
             record = platform.decode_runner(row)
         except platform.MalformedBodyError as error:
-            self._context.log.debug(
-                "runner_row_unreadable",
-                runner=row.ref.key,
-                reason=error.message,
-            )
+            self._unusable_entries.record(row, error.message)
+            # As after a takeover, the entry names no runner to use.
+            if entry is not None:
+                self._mark_unregistered(entry)
             return
+        if entry is None and not self._is_service_needed(record.service):
+            # The runner's next entry is read again, one heartbeat later.
+            self._unusable_entries.record(row, "service is not configured")
+            return
+        self._unusable_entries.forget(row.ref.key)
         if entry is None:
             self._context.log.info(
                 "runner_added",
@@ -107,7 +118,6 @@
                 memory=record.capacity.memory_mb,
             )
             self._add_runner(record)
-            self._write_tracked_runners()
         else:
             self._update_runner(entry, record)
 
@@ -118,6 +128,7 @@
 
     def mark_unlisted_runners(self, listed: set[str]) -> None:
         """Marks runners that the registry no longer lists."""
+        self._unusable_entries.keep_only(listed)
         for entry in self._context.fleet.values():
             if entry.identifier not in listed:
                 self._mark_unregistered(entry)
@@ -209,6 +220,12 @@
             paused_tasks=self._context.load_monitor.waiting.paused,
         )
 
+    def _is_service_needed(self, name: str) -> bool:
+        context = self._context
+        return context.is_service_known(
+            name
+        ) or context.job_tracker.needs_service(name)
+
     def _add_runner(
         self, record: model.Runner, is_restored: bool = False
     ) -> None:
@@ -222,12 +239,26 @@
         self._context.fleet[record.identifier] = entry
         self._start_reconciler(entry)
 
-    def _start_reconciler(self, entry: _fleet.RunnerEntry) -> None:
+    def _start_reconciler(
+        self,
+        entry: _fleet.RunnerEntry,
+        delay: datetime.timedelta = datetime.timedelta(),
+    ) -> None:
         reconciler = _runner_reconciler.RunnerReconciler(
-            self._context, entry, self._commands, self._untrack
+            self._context,
+            entry,
+            self._commands,
+            self._untrack,
+            self._track,
         )
         self._reconcilers[entry.identifier] = reconciler
-        task = asyncio.create_task(reconciler.run())
+
+        async def run() -> None:
+            if delay:
+                await self._context.clock.sleep(delay)
+            await reconciler.run()
+
+        task = asyncio.create_task(run())
         self._reconciler_tasks[entry.identifier] = task
         task.add_done_callback(
             lambda finished_task: self._handle_finished_reconciler(
@@ -246,7 +277,9 @@
                 runner=identifier,
                 reason=repr(task.exception()),
             )
-            self._start_reconciler(self._context.fleet[identifier])
+            self._start_reconciler(
+                self._context.fleet[identifier], _RESTART_DELAY
+            )
             return
         self._context.log.info("runner_removed", runner=identifier)
         del self._reconciler_tasks[identifier]
@@ -278,7 +311,7 @@
         is_leaving = record.is_draining or entry.missed_renewals > 0
         if entry.is_untracked and (entry.tasks or not is_leaving):
             entry.is_untracked = entry.is_tracked = False
-        if not entry.is_tracked and not entry.is_untracked:
+        if not entry.is_tracked and entry.is_to_be_tracked:
             self._write_tracked_runners()
         if record.is_draining:
             reconciler = self._reconcilers[entry.identifier]
@@ -307,6 +340,10 @@
         entry.capacity_refusals = 0
         self._context.wake.set()
 
+    def _track(self, entry: _fleet.RunnerEntry) -> None:
+        if not entry.is_tracked:
+            self._write_tracked_runners()
+
     def _untrack(self, entry: _fleet.RunnerEntry) -> None:
         entry.is_untracked = True
         self._context.log.info("runner_untracked", runner=entry.identifier)
@@ -323,7 +360,7 @@
         entries = [
             entry
             for entry in self._context.fleet.values()
-            if not entry.is_untracked
+            if entry.is_to_be_tracked
         ]
         tracked_runners = tuple(
             records.TrackedRunner(
