List tracked runners when they are written

Each runner's first answer and first row built the whole list anew: at the takeover of 446 runners, 446 and more lists of 446 entries, of which one or two were written. The list is now built with the transaction. The tests of takeovers, tracked runners and cordons pass.

--- a/tamarackhatch/scheduler/_runner_manager.py
+++ b/tamarackhatch/scheduler/_runner_manager.py
@@ -15,6 +15,7 @@
 from tamarackhatch.scheduler import _health
 from tamarackhatch.scheduler import _runner_reconciler
 from tamarackhatch.scheduler import _unusable_entries
+from tamarackhatch.scheduler import _writer
 
 _CHECK_INTERVAL = datetime.timedelta(milliseconds=25)
 # Runners that are up answer within milliseconds.
@@ -357,6 +358,11 @@
             )
 
     def _write_tracked_runners(self) -> None:
+        self._context.writer.request_tracked_runners(
+            self._list_tracked_runners
+        )
+
+    def _list_tracked_runners(self) -> _writer.TrackedRunnersWrite:
         entries = [
             entry
             for entry in self._context.fleet.values()
@@ -377,7 +383,7 @@
                 entry.is_tracked = True
             self._context.wake.set()
 
-        self._context.writer.set_tracked_runners(tracked_runners, mark_tracked)
+        return _writer.TrackedRunnersWrite(tracked_runners, mark_tracked)
 
 
 def _make_runner(entry: records.TrackedRunner) -> model.Runner:
--- a/tamarackhatch/scheduler/_writer.py
+++ b/tamarackhatch/scheduler/_writer.py
@@ -42,8 +42,13 @@
 
 
 @attrs.frozen
-class _TrackedRunnersWrite:
-    """Tracked runners to write, and the callback once they are durable."""
+class TrackedRunnersWrite:
+    """A list of tracked runners to write.
+
+    Attributes:
+        entries: The runners.
+        on_tracked: Called once this list is durable.
+    """
 
     entries: tuple[records.TrackedRunner, ...]
     on_tracked: Callable[[], None]
@@ -96,7 +101,9 @@
         self._sequence = leader_lease.term.token
         self._batches = 0
         self._unwritten_jobs: dict[str, _state.JobEntry] = {}
-        self._tracked_runners: _TrackedRunnersWrite | None = None
+        self._list_tracked_runners: (
+            Callable[[], TrackedRunnersWrite] | None
+        ) = None
         self._generation = 1
         self._committed_generation = 0
         self._last_heartbeat: datetime.timedelta | None = None
@@ -123,20 +130,16 @@
         self._wake.set()
         return self._generation
 
-    def set_tracked_runners(
-        self,
-        tracked_runners: tuple[records.TrackedRunner, ...],
-        on_tracked: Callable[[], None],
+    def request_tracked_runners(
+        self, list_runners: Callable[[], TrackedRunnersWrite]
     ) -> None:
         """Requests that the list of tracked runners be written.
 
         Args:
-            tracked_runners: The runners.
-            on_tracked: Called once this list is durable.
+            list_runners: Returns the list when it is written. Many runners
+                ask for one within a batch interval.
         """
-        self._tracked_runners = _TrackedRunnersWrite(
-            tracked_runners, on_tracked
-        )
+        self._list_tracked_runners = list_runners
         self._wake.set()
 
     def request_cordon_update(self) -> None:
@@ -193,7 +196,8 @@
         jobs = list(self._unwritten_jobs.values())[:_MAX_JOBS_PER_BATCH]
         for job in jobs:
             del self._unwritten_jobs[job.identifier]
-        tracked_runners, self._tracked_runners = self._tracked_runners, None
+        list_tracked_runners = self._list_tracked_runners
+        self._list_tracked_runners = None
         generation = self._generation
         if not self._unwritten_jobs:
             self._generation += 1
@@ -205,6 +209,7 @@
             )
             for job in jobs
         ]
+        tracked_runners = list_tracked_runners and list_tracked_runners()
         if tracked_runners is not None:
             value = records.encode_tracked_runners(tracked_runners.entries)
             puts.append(model.Put(records.TRACKED_RUNNERS, value))
@@ -229,8 +234,8 @@
         if not await self._commit_transaction(puts, has_heartbeat):
             for job in jobs:
                 self._unwritten_jobs.setdefault(job.identifier, job)
-            if self._tracked_runners is None:
-                self._tracked_runners = tracked_runners
+            if self._list_tracked_runners is None:
+                self._list_tracked_runners = list_tracked_runners
             return False
         self._cordons.record_commit()
         self._record_commit(generation, is_complete=not self._unwritten_jobs)
@@ -287,7 +292,7 @@
         self._wake.clear()
         if (
             self._unwritten_jobs
-            or self._tracked_runners is not None
+            or self._list_tracked_runners is not None
             or self._is_heartbeat_due()
             or self._configuration.is_due
             or self._cordons.is_due
