Placement: forecast a job once a pass, and rate runners in fewer steps

Half of the candidates are created anew in a pass when passes are 130 ms apart. Each forecast the own load of each of its jobs, although a job has the same forecast on all its runners: 2,000 forecasts for 86 jobs. A pass now computes each once.

--- a/tamarackhatch/placement/_candidate.py
+++ b/tamarackhatch/placement/_candidate.py
@@ -8,6 +8,7 @@
 
 import attrs
 
+from tamarackhatch.placement import _forecasts
 from tamarackhatch.placement import _interference
 from tamarackhatch.placement import _load
 from tamarackhatch.placement import _policy
@@ -76,7 +77,18 @@
         interference: _interference.InterferenceModel,
         policy: _policy.PlacementPolicy,
         now: datetime.timedelta,
+        forecasts: _forecasts.ServingForecasts | None = None,
     ) -> None:
+        """Creates a candidate from the present state of a runner.
+
+        Args:
+            load: Reservations and CPU use of the runner's tasks.
+            interference: The interference model.
+            policy: Weights and limits of placement.
+            now: Monotonic time.
+            forecasts: Forecasts for that time that candidates share; None to
+                compute them.
+        """
         self.load = load
         self.headrooms: list[ImageHeadroom] = []
         self.serving_cpu_share = 0.0
@@ -86,11 +98,12 @@
         self.best_effort_changes = load.best_effort_changes
         self.batch_cpu = load.batch_cpu
         self._limits: dict[str, BestEffortLimit] = {}
-        self._rooms: dict[str, float] = {}
         self._interference = interference
         self._policy = policy
         self.clear_restrictions()
-        self._add_headrooms(now)
+        self._add_headrooms(
+            forecasts or _forecasts.ServingForecasts(interference, policy, now)
+        )
         self.update_headrooms()
 
     def clear_restrictions(self) -> None:
@@ -102,14 +115,14 @@
     @property
     def processors(self) -> int:
         """Processors of the runner, in thousandths of a core."""
-        return max(1, self.load.capacity.processors)
+        processors = self.load.capacity.processors
+        return processors if processors > 1 else 1
 
     def update_headrooms(self) -> None:
         """Recomputes the utilisation by best-effort tasks from the load."""
         self.best_effort_changes = self.load.best_effort_changes
         self.batch_cpu = self.load.batch_cpu
         self._limits.clear()
-        self._rooms.clear()
         if not self.headrooms:
             return
         processors = self.processors
@@ -148,16 +161,10 @@
         In thousandths of a core. A new task that uses more is slowed down.
         Infinite without serving tasks, beside which nothing is slowed down.
         """
-        room = self._rooms.get(image)
-        if room is None:
-            room = self._rooms[image] = self._compute_room(image)
-        return room
-
-    def _compute_room(self, image: str) -> float:
         if not self.headrooms:
             return math.inf
-        limit = self.get_best_effort_limit(image)
-        return min(limit.max_share * self.processors, self.unused_cpu)
+        room = self.get_best_effort_limit(image).max_share * self.processors
+        return room if room < self.unused_cpu else self.unused_cpu
 
     def _compute_limit(self, image: str) -> BestEffortLimit:
         max_share = math.inf
@@ -165,8 +172,11 @@
         for headroom in self.headrooms:
             factor = headroom.factors[image]
             if factor:
-                max_share = min(max_share, headroom.remaining / factor)
-            utilisation_per_share = max(utilisation_per_share, factor)
+                share = headroom.remaining / factor
+                if share < max_share:
+                    max_share = share
+            if factor > utilisation_per_share:
+                utilisation_per_share = factor
         return BestEffortLimit(max_share, utilisation_per_share)
 
     def estimate_factor(self, serving: str, best_effort: str) -> float:
@@ -175,19 +185,13 @@
             serving, best_effort, self._policy.uncertainty_weight
         )
 
-    def _add_headrooms(self, now: datetime.timedelta) -> None:
+    def _add_headrooms(self, forecasts: _forecasts.ServingForecasts) -> None:
         interference, policy = self._interference, self._policy
+        processors = self.processors
         by_image: dict[str, ImageHeadroom] = {}
         for job, group in self.load.serving.items():
-            limit = interference.compute_limit(
-                group.image, group.tail_latency_target_ms
-            )
-            own_load = interference.forecast_own_load(
-                job, group.image, limit, now, policy.horizon
-            )
-            self.serving_cpu_share += (
-                own_load * group.processors / self.processors
-            )
+            limit, own_load = forecasts.get_forecast(job, group)
+            self.serving_cpu_share += own_load * group.processors / processors
             headroom = by_image.get(group.image)
             if headroom is None:
                 by_image[group.image] = ImageHeadroom(
--- a/tamarackhatch/placement/_candidate_cache.py
+++ b/tamarackhatch/placement/_candidate_cache.py
@@ -9,6 +9,7 @@
 import datetime
 
 from tamarackhatch.placement import _candidate
+from tamarackhatch.placement import _forecasts
 from tamarackhatch.placement import _interference
 from tamarackhatch.placement import _load
 from tamarackhatch.placement import _policy
@@ -30,6 +31,7 @@
         self._interference = interference
         self._policy = policy
         self._candidates: dict[str, _candidate.CandidateRunner] = {}
+        self._forecasts: _forecasts.ServingForecasts | None = None
 
     def get_candidate(
         self, load: _load.RunnerLoad, now: datetime.timedelta
@@ -43,7 +45,11 @@
             or now - candidate.created_at >= _MAX_AGE
         ):
             candidate = _candidate.CandidateRunner(
-                load, self._interference, self._policy, now
+                load,
+                self._interference,
+                self._policy,
+                now,
+                self._get_forecasts(now),
             )
             self._candidates[load.identifier] = candidate
         elif (
@@ -53,6 +59,16 @@
             candidate.update_headrooms()
         return candidate
 
+    def _get_forecasts(
+        self, now: datetime.timedelta
+    ) -> _forecasts.ServingForecasts:
+        """Returns the forecasts that all candidates of a pass share."""
+        if self._forecasts is None or self._forecasts.now != now:
+            self._forecasts = _forecasts.ServingForecasts(
+                self._interference, self._policy, now
+            )
+        return self._forecasts
+
     def retain(self, identifiers: Collection[str]) -> None:
         """Removes the candidates of runners that have left.
 
--- a/tamarackhatch/placement/_choice.py
+++ b/tamarackhatch/placement/_choice.py
@@ -6,8 +6,6 @@
 import heapq
 import typing
 
-import attrs
-
 from tamarackhatch import model
 from tamarackhatch.placement import _candidate
 from tamarackhatch.placement import _load
@@ -21,8 +19,7 @@
 _ROUNDING_ERROR = 0.001
 
 
-@attrs.frozen
-class RunnerRating:
+class RunnerRating(typing.NamedTuple):
     """How good a runner is for a task.
 
     Attributes:
@@ -69,7 +66,7 @@
     candidates: Iterable[_candidate.CandidateRunner],
     policy: _policy.PlacementPolicy,
     min_speed: float = 1.0,
-    is_excluded: Callable[[str], bool] = lambda identifier: False,
+    is_excluded: Callable[[str], bool] | None = None,
 ) -> list[Choice]:
     """Returns the best runners with capacity for tasks of one step.
 
@@ -82,7 +79,8 @@
         policy: Weights and limits.
         min_speed: Least share of its full speed at which a best-effort task
             has to be able to run there.
-        is_excluded: Returns whether the runner of an identifier is left out.
+        is_excluded: Returns whether the runner of an identifier is left out;
+            None if none is.
 
     Returns:
         One choice for each task in their order; none for the last ones if
@@ -93,7 +91,7 @@
     included_candidates = [
         candidate
         for candidate in _list_fast(step, candidates, min_speed)
-        if not is_excluded(candidate.load.identifier)
+        if is_excluded is None or not is_excluded(candidate.load.identifier)
     ]
     heap: list[tuple[float, int, float]] = []
     for index, candidate in enumerate(included_candidates):
@@ -273,7 +271,8 @@
     policy: _policy.PlacementPolicy,
     score: float,
 ) -> RunnerRating:
-    requested_share = step.resources.processors / candidate.processors
+    capacity = candidate.processors
+    requested_share = step.resources.processors / capacity
     limit = candidate.get_best_effort_limit(step.image)
     speed_limit = 1.0
     if requested_share > limit.max_share:
--- a/tamarackhatch/placement/tests/test_candidate_cache.py
+++ b/tamarackhatch/placement/tests/test_candidate_cache.py
@@ -25,9 +25,9 @@
 _BATCH = model.Step(1, model.Resources(2_000, 1_000))
 
 
-def _make_load() -> placement.RunnerLoad:
+def _make_load(identifier: str = "i-1") -> placement.RunnerLoad:
     load = placement.RunnerLoad(
-        "i-1", "desk", model.Resources(16_000, 64_000), ("a", "r1")
+        identifier, "desk", model.Resources(16_000, 64_000), ("a", "r1")
     )
     load.add_task(model.TaskKey("w", 0, 0, 0), _SERVING)
     return load
@@ -62,6 +62,51 @@
     )
 
 
+class _CountingModel(placement.InterferenceModel):
+    """Counts the forecasts of own loads.
+
+    Attributes:
+        forecasts: Their number.
+    """
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.forecasts = 0
+
+    def forecast_own_load(
+        self,
+        job: str,
+        image: str,
+        limit: float,
+        now: datetime.timedelta,
+        horizon: datetime.timedelta,
+    ) -> float:
+        self.forecasts += 1
+        return super().forecast_own_load(job, image, limit, now, horizon)
+
+
+def test_candidates_of_one_pass_share_forecasts() -> None:
+    """Guards against forecasts for each runner, and against outdated ones."""
+    interference = _CountingModel()
+    cache = placement.CandidateCache(interference, _POLICY)
+    loads = [_make_load(f"i-{number}") for number in range(3)]
+    for number, time in enumerate((0 * _MS, 250 * _MS, 700 * _MS), 1):
+        interference.forecasts = 0
+        kept = [cache.get_candidate(load, time) for load in loads]
+        assert interference.forecasts == 1
+        for candidate, load in zip(kept, loads):
+            fresh = placement.CandidateRunner(
+                load, interference, _POLICY, time
+            )
+            assert candidate.headrooms == fresh.headrooms
+        interference.add_samples(
+            "i-0",
+            [placement.JobSample("w", "watch", 20.0 * number, 1, 50.0)],
+            {},
+            time,
+        )
+
+
 def test_runners_that_left_are_removed() -> None:
     """Guards against a cache that grows with each runner that ever joined."""
     cache = placement.CandidateCache(placement.InterferenceModel(), _POLICY)
--- a/tamarackhatch/scheduler/_runner_choice.py
+++ b/tamarackhatch/scheduler/_runner_choice.py
@@ -192,7 +192,7 @@
             candidates,
             self.get_policy(service),
             min_speed=min_speed,
-            is_excluded=excluded.__contains__,
+            is_excluded=excluded.__contains__ if excluded else None,
         )
         if (
             are_all
