Placement: check limits of starts and suspects only where there are some

In each pass all batch runs on each runner that has not proven itself were counted, also where the limit of its starts had ended, and each runner was asked for suspects under observation. A limit that has ended, and runners without batch runs or without suspects, are now recognised first.

--- a/tamarackhatch/health/_monitor.py
+++ b/tamarackhatch/health/_monitor.py
@@ -255,7 +255,7 @@
     def compute_penalty(self, runner: str) -> float:
         """Returns how much worse a runner is for a task, 0 to 2."""
         record = self._records.get(runner)
-        if record is None:
+        if record is None or not record.is_suspect:
             return 0.0
         # What is left from an ejection limits starts instead.
         score = self.compute_score(runner) - record.residual
--- a/tamarackhatch/health/_records.py
+++ b/tamarackhatch/health/_records.py
@@ -191,13 +191,13 @@
         since = self.limited_since
         if since is None and self.standing is Standing.TRUSTED:
             return UNLIMITED
+        if since is not None and now - since >= _MAX_LIMIT_TIME:
+            return UNLIMITED
         if self.failed_start is not None:
             started = [start for start in started if start > self.failed_start]
         in_flight = sum(1 for _ in started)
         if since is None:
             return max(0, START_LIMIT - in_flight)
-        if now - since >= _MAX_LIMIT_TIME:
-            return UNLIMITED
         limit: int = self.start_limit << ((now - since) // _SECOND)
         return max(0, limit - in_flight)
 
--- a/tamarackhatch/scheduler/_health.py
+++ b/tamarackhatch/scheduler/_health.py
@@ -42,19 +42,19 @@
     candidate.clear_restrictions()
     monitor = context.health
     runner = entry.identifier
-    if not monitor.is_unrestricted(runner):
-        candidate.penalty = monitor.compute_penalty(runner)
-        allowed = monitor.count_allowed(
-            runner,
-            (
-                task.placed_at
-                for task in entry.tasks.values()
-                if not task.step.is_long_running
-            ),
-            now,
+    if monitor.is_unrestricted(runner):
+        return
+    candidate.penalty = monitor.compute_penalty(runner)
+    started: Iterable[datetime.timedelta] = ()
+    if entry.load.transient_count:
+        started = (
+            task.placed_at
+            for task in entry.tasks.values()
+            if not task.step.is_long_running
         )
-        if allowed < health.UNLIMITED:
-            candidate.start_limit = entry.load.transient_count + allowed
+    allowed = monitor.count_allowed(runner, started, now)
+    if allowed < health.UNLIMITED:
+        candidate.start_limit = entry.load.transient_count + allowed
 
 
 def relax_limits(candidates: Candidates) -> None:
--- a/tamarackhatch/scheduler/_isolation.py
+++ b/tamarackhatch/scheduler/_isolation.py
@@ -57,7 +57,9 @@
         entries: All runners on which tasks could start otherwise.
         now: Monotonic time.
     """
-    closed = [entry for entry in entries if entry.is_isolated(now)]
+    closed = [
+        entry for entry in entries if entry.suspects and entry.is_isolated(now)
+    ]
     if not closed:
         return list(entries)
     unclosed = [entry for entry in entries if entry not in closed]
