Log: bind the logger once instead of for each line

Cause: structlog's lazy proxy made a new bound logger for each line; lines took 7 % of the profiled time outside placement at 208 starts a second.

A line of run_exited to /dev/null: 21.6 -> 15.3 us (mean of 50,000, three runs each, within 0.4 us). Lines are unchanged. is_debugging lets callers skip costly fields of debug lines.

--- a/tamarackhatch/observability/_log.py
+++ b/tamarackhatch/observability/_log.py
@@ -123,17 +123,22 @@
         self._sink = sink
         self._clock = time_source
         self._levels = levels
+        # Without bind(), each line would make a logger of its own.
         self._logger = structlog.wrap_logger(
             _SinkLogger(sink),
             processors=[self._add_time_and_level, _render],
             wrapper_class=structlog.BoundLogger,
-            part=component,
-        )
+        ).bind(part=component)
 
     def for_component(self, component: str) -> "Log":
         """Returns the logger of a component, with the same sink and level."""
         return Log(self._sink, self._clock, self._levels, component)
 
+    @property
+    def is_debugging(self) -> bool:
+        """Whether debug events are written; their fields may be costly."""
+        return self._levels.minimum <= _LEVELS["debug"]
+
     def debug(self, event: str, **fields: typing.Any) -> None:
         """Logs an event that is needed only for debugging."""
         if self._levels.minimum <= _LEVELS["debug"] and (
--- a/tamarackhatch/observability/tests/test_log.py
+++ b/tamarackhatch/observability/tests/test_log.py
@@ -122,3 +122,30 @@
     (event,) = _read_events(reader)
     assert event["value"] == written
     assert event["run"] == 1 and event["event"] == "odd"
+
+
+def test_costly_fields_are_asked_for_only_at_level_debug() -> None:
+    """Guards against making the fields of lines that are not written."""
+    sink = observability.LineSink(os.pipe()[1], clock.ManualClock(), 10)
+    levels = observability.LevelFilter()
+    log = observability.Log(sink, clock.ManualClock(), levels)
+    component = log.for_component("p")
+    assert not component.is_debugging
+    levels.set_level("debug")
+    assert component.is_debugging
+
+
+def test_lines_of_one_logger_share_no_fields() -> None:
+    """Guards against fields of one line that appear in later lines."""
+    log, _, reader, _ = _make_log(10)
+    log.info("placed", run=1)
+    log.for_component("q").info("placed")
+    log.info("exited", task="00.0.0.0")
+    assert [
+        sorted(set(event) - {"time", "level"})
+        for event in _read_events(reader)
+    ] == [
+        ["event", "part", "run"],
+        ["event", "part"],
+        ["event", "part", "task"],
+    ]
