Throttling: list tail latencies once a report, skip unused debug fields

Cause: each report was searched for ready serving tasks twice, and the fields of the debug line runner_sampled were made although the level is info.

Decisions are unchanged.

--- a/tamarackhatch/scheduler/_throttling.py
+++ b/tamarackhatch/scheduler/_throttling.py
@@ -1,6 +1,5 @@
 """Throttles the best-effort tasks on one runner, based on its samples."""
 
-from collections.abc import Iterator
 from collections.abc import Sequence
 import datetime
 import math
@@ -47,7 +46,8 @@
         context, entry = self._context, self._entry
         if not entry.is_capacity_known:
             return
-        self._record_violations(report)
+        tail_latencies = self._list_tail_latencies(report)
+        self._record_violations(tail_latencies)
         if all(
             task.speed_limit_percent is not None
             or not task.step.is_best_effort
@@ -55,7 +55,7 @@
         ):
             # While speed limits set by a predecessor are not known, samples
             # would lead to wrong interference factors.
-            self._record_samples(report)
+            self._record_samples(report, tail_latencies)
         adopted = self._infer_speed_limits(report)
         if adopted:
             # Own loads are not known yet. The predecessor's speed limits are
@@ -114,6 +114,8 @@
         best_effort_tasks: Sequence[placement.BestEffortState],
     ) -> None:
         context, entry = self._context, self._entry
+        if not context.log.is_debugging:
+            return
         context.log.debug(
             "runner_sampled",
             runner=entry.identifier,
@@ -161,12 +163,16 @@
             )
         return speed_limit_percents
 
-    def _record_samples(self, report: model.RunnerReport) -> None:
+    def _record_samples(
+        self,
+        report: model.RunnerReport,
+        ready: Sequence[tuple[_state.TaskEntry, int]],
+    ) -> None:
         """Updates the interference model with a report's samples."""
         context, entry = self._context, self._entry
         now = context.get_now()
         tail_latencies: dict[str, list[int]] = {}
-        for task, tail_latency in self._iterate_tail_latencies(report):
+        for task, tail_latency in ready:
             if task.ready_since is None:
                 task.ready_since = now
             if now - task.ready_since >= _WARM_UP_TIME:
@@ -201,25 +207,30 @@
             entry.identifier, samples, shares, now
         )
 
-    def _record_violations(self, report: model.RunnerReport) -> None:
+    def _record_violations(
+        self, ready: Sequence[tuple[_state.TaskEntry, int]]
+    ) -> None:
         """Records serving tasks over their targets, and since when."""
         now = self._context.get_now()
         violations: dict[model.TaskKey, datetime.timedelta] = {}
-        for task, tail_latency in self._iterate_tail_latencies(report):
+        for task, tail_latency in ready:
             if tail_latency * _MILLISECOND > task.step.tail_latency_target:
                 violations[task.key] = self._violations.get(task.key, now)
         self._violations = violations
 
-    def _iterate_tail_latencies(
+    def _list_tail_latencies(
         self, report: model.RunnerReport
-    ) -> Iterator[tuple[_state.TaskEntry, int]]:
-        """Yields the ready serving tasks with their tail latencies in ms."""
-        for item in report.running:
-            task = self._entry.tasks.get(item.task)
-            if task is None or not task.step.is_serving:
-                continue
-            if item.progress_percent >= _READY_PERCENT and item.sample:
-                yield task, item.sample
+    ) -> list[tuple[_state.TaskEntry, int]]:
+        """Returns the ready serving tasks with their tail latencies in ms."""
+        tasks = self._entry.tasks
+        return [
+            (task, item.sample)
+            for item in report.running
+            if item.progress_percent >= _READY_PERCENT
+            and item.sample
+            and (task := tasks.get(item.task)) is not None
+            and task.step.is_serving
+        ]
 
     def _is_violation_too_long(self) -> bool:
         """Returns whether a serving task is over its target for too long."""
