Ignore checkpoints that are too long for a row

A runner's checkpoint is stored with the progress of its job. With one of 100,000 characters the store refused the row, and with it each heartbeat: ten terms began in 20 s, one after the other. A checkpoint of more than 256 characters now counts as none; published ones have 16. The stand-in of the store refuses rows above the platform's limit.

test_long_checkpoint_does_not_end_the_term failed before.

--- a/standins/store.py
+++ b/standins/store.py
@@ -23,6 +23,8 @@
             None for ``latency_s``.
         max_writes_per_s: Transactions beyond this rate are refused with 429;
             None for no limit.
+        row_bytes: Longest value of a row, in bytes of its base64 text; a
+            transaction with a longer one is refused.
         writes: Number of transactions applied.
         received_writes: Number of transactions received, also if refused.
     """
@@ -33,6 +35,7 @@
         self.latency_s = 0.003
         self.write_latency_s: float | None = None
         self.max_writes_per_s: float | None = None
+        self.row_bytes = 65_536
         self.writes = 0
         self.received_writes = 0
         self._window_start_s = 0.0
@@ -116,6 +119,8 @@
                 ]
                 return network.Response(412, {"rows": current})
         puts = [(_get_key(item), item["value"]) for item in body["puts"]]
+        if any(len(value) > self.row_bytes for _, value in puts):
+            return network.Response(400, {"error": "a value is too long"})
         removals = [_get_key(item) for item in body.get("remove", [])]
         partitions = {key[1] for key, _ in puts} | {key[1] for key in removals}
         if len(partitions | {_get_key(item)[1] for item in expected}) > 1:
--- a/tamarackhatch/platform/_runner_client.py
+++ b/tamarackhatch/platform/_runner_client.py
@@ -29,6 +29,9 @@
 _TASK_NAME_PATTERN = re.compile(
     r"([^.\s]{1,64})\.(\d{1,9})\.(\d{1,9})\.(\d{1,9})", re.ASCII
 )
+# Length of a checkpoint, in characters. Published ones have 16. The progress
+# of a job, with the checkpoints of its tasks, is one row of the store.
+_MAX_CHECKPOINT = 256
 # Length of what is said about an unreadable entry, in characters.
 _MAX_FINDING = 200
 # Each running task is listed in about one report a second.
@@ -406,7 +409,7 @@
     return model.RunningTask(
         parse_task_key(row[0]),
         _decoding.check_integer(row[1], "run"),
-        _check_text(row[2] or ""),
+        _decode_checkpoint(row[2]),
         _decoding.check_integer(row[3], "percent"),
         _decoding.check_integer(sample or 0, "sample"),
     )
@@ -421,13 +424,19 @@
         parse_task_key(row[1]),
         _decoding.check_integer(row[2], "run"),
         reason,
-        _check_text(row[4] or ""),
+        _decode_checkpoint(row[4]),
     )
 
 
-def _check_text(value: object) -> str:
-    if isinstance(value, str):
-        return value
-    raise _decoding.MalformedBodyError(
-        f"{_decoding.describe(value)} is not text"
-    )
+def _decode_checkpoint(value: object) -> str:
+    """Returns a checkpoint; empty for none, and for one that is too long.
+
+    Without it the task starts from the beginning. The rest of the entry
+    counts, because a run or an exit must not be overlooked.
+    """
+    text = value or ""
+    if not isinstance(text, str):
+        raise _decoding.MalformedBodyError(
+            f"checkpoint {_decoding.describe(value)} is not text"
+        )
+    return text if len(text) <= _MAX_CHECKPOINT else ""
--- a/tamarackhatch/scheduler/tests/test_malformed_input.py
+++ b/tamarackhatch/scheduler/tests/test_malformed_input.py
@@ -305,6 +305,31 @@
     assert 1 <= failures <= 5
 
 
+def test_long_checkpoint_does_not_end_the_term(
+    tmp_path: pathlib.Path,
+) -> None:
+    """Guards against a row of progress that the store refuses.
+
+    Each transaction with it failed, and with them the heartbeats.
+    """
+
+    def plan(task: str, run: int) -> tuple[float, str]:
+        return (1.0, "failed") if run == 1 else (20.0, "done")
+
+    async def simulate() -> None:
+        fleet, added = _make_fleet(log_path=str(tmp_path / "log"))
+        fleet.start_instance("b")
+        added._plan = plan
+        added._get_checkpoint = lambda run, time: "x" * 100_000  # type: ignore
+        await fleet.wait_until(lambda: fleet.get_leader() is not None)
+        await fleet.submit("00", _STEP)
+        await fleet.wait_for_state("00", model.JobState.COMPLETED, 60)
+        assert fleet.check() == []
+
+    virtual_time.run_virtually(simulate())
+    assert (tmp_path / "log").read_bytes().count(b"scheduler_ready") == 1
+
+
 def test_unreadable_entry_may_be_a_run_that_is_not_listed() -> None:
     """Guards against a second start of a run whose entry is unreadable."""
 
