Let the list of cordoned runners count over terms without a start

A successor that was stopped before it had read what its predecessor stored wrote no list, and the next one ignored that of the term before, so that a waiting task started 10 s late. The list was bound to its term because a build that does not know it may have started tasks since.

Such a build writes the list of tracked runners before its first start. So each scheduler now writes both lists together, and the list of cordoned runners counts unless the other one is newer.

The test of a list that an earlier build leaves behind plays that build's write now, instead of an older term; it fails if the versions are not compared.

--- a/tamarackhatch/records/__init__.py
+++ b/tamarackhatch/records/__init__.py
@@ -9,7 +9,6 @@
 from tamarackhatch.records._configuration_changes import encode_change
 from tamarackhatch.records._configuration_changes import encode_copy
 from tamarackhatch.records._cordons import CordonedRunner
-from tamarackhatch.records._cordons import Cordons
 from tamarackhatch.records._cordons import decode_cordons
 from tamarackhatch.records._cordons import encode_cordons
 from tamarackhatch.records._instances import decode_instance
@@ -68,7 +67,6 @@
     "ChangeAssembler",
     "ChangePart",
     "CordonedRunner",
-    "Cordons",
     "FENCE",
     "INSTANCES_TABLE",
     "INTERFERENCE",
--- a/tamarackhatch/records/_cordons.py
+++ b/tamarackhatch/records/_cordons.py
@@ -13,7 +13,7 @@
 
 @attrs.frozen
 class CordonedRunner:
-    """A runner on which the scheduler of a term starts nothing more.
+    """A runner on which the active scheduler starts nothing more.
 
     Attributes:
         identifier: Identifier of the runner.
@@ -24,28 +24,15 @@
     tasks: tuple[model.TaskKey, ...]
 
 
-@attrs.frozen
-class Cordons:
-    """The cordoned runners of one term.
-
-    Attributes:
-        term: Number of the term.
-        runners: The runners.
-    """
-
-    term: int
-    runners: tuple[CordonedRunner, ...] = ()
-
-
-def encode_cordons(cordons: Cordons) -> bytes:
-    """Returns the row value of cordons.
+def encode_cordons(runners: tuple[CordonedRunner, ...]) -> bytes:
+    """Returns the row value of the cordoned runners.
 
     Runners that do not fit are left out, those with the most tasks first. A
     later scheduler then knows nothing of their tasks.
     """
     rows = []
     size = 0
-    for runner in sorted(cordons.runners, key=lambda item: len(item.tasks)):
+    for runner in sorted(runners, key=lambda item: len(item.tasks)):
         row = (
             runner.identifier,
             [attrs.astuple(key) for key in runner.tasks],
@@ -54,28 +41,25 @@
         if size > _MAX_RUNNERS_BYTES:
             break
         rows.append(row)
-    return orjson.dumps({"term": cordons.term, "runners": rows})
+    return orjson.dumps({"runners": rows})
 
 
-def decode_cordons(value: bytes) -> Cordons:
-    """Returns the cordons of a row value.
+def decode_cordons(value: bytes) -> tuple[CordonedRunner, ...]:
+    """Returns the cordoned runners of a row value.
 
     Raises:
         MalformedRowError: The value is malformed.
     """
     try:
-        document = orjson.loads(value)
-        cordons = Cordons(
-            document["term"],
-            tuple(
-                CordonedRunner(
-                    identifier, tuple(model.TaskKey(*key) for key in keys)
-                )
-                for identifier, keys in document["runners"]
-            ),
+        runners = tuple(
+            CordonedRunner(
+                identifier, tuple(model.TaskKey(*key) for key in keys)
+            )
+            for identifier, keys in orjson.loads(value)["runners"]
         )
-        _types.check_types(cordons)
-        return cordons
+        for runner in runners:
+            _types.check_types(runner)
+        return runners
     except (ValueError, KeyError, TypeError) as error:
         raise _progress.MalformedRowError(
             f"malformed cordoned runners in row cordons: {error!r}"
--- a/tamarackhatch/records/tests/test_cordons.py
+++ b/tamarackhatch/records/tests/test_cordons.py
@@ -10,10 +10,10 @@
 
 def test_row_keeps_its_form() -> None:
     """Guards against a row that schedulers of other builds cannot read."""
-    cordons = records.Cordons(3, (records.CordonedRunner("i-1", (_TASK,)),))
-    value = b'{"term":3,"runners":[["i-1",[["5c0e7a21d94b36f8",0,1,17]]]]}'
-    assert records.encode_cordons(cordons) == value
-    assert records.decode_cordons(value) == cordons
+    runners = (records.CordonedRunner("i-1", (_TASK,)),)
+    value = b'{"runners":[["i-1",[["5c0e7a21d94b36f8",0,1,17]]]]}'
+    assert records.encode_cordons(runners) == value
+    assert records.decode_cordons(value) == runners
 
 
 @pytest.mark.parametrize(
@@ -21,13 +21,12 @@
     [
         b"",
         b"[]",
-        b'{"term":"3","runners":[]}',
-        b'{"term":3}',
-        b'{"term":3,"runners":[["i-1"]]}',
-        b'{"term":3,"runners":[["i-1",[["job",0,1]]]]}',
-        b'{"term":3,"runners":[["i-1",[["job",0,1,"17"]]]]}',
-        b'{"term":3,"runners":[[1,[]]]}',
-        b'{"term":3,"runners":null}',
+        b"{}",
+        b'{"runners":[["i-1"]]}',
+        b'{"runners":[["i-1",[["job",0,1]]]]}',
+        b'{"runners":[["i-1",[["job",0,1,"17"]]]]}',
+        b'{"runners":[[1,[]]]}',
+        b'{"runners":null}',
     ],
 )
 def test_malformed_row_is_refused(value: bytes) -> None:
@@ -45,8 +44,8 @@
         )
         for number in range(120)
     )
-    value = records.encode_cordons(records.Cordons(1, runners))
+    value = records.encode_cordons(runners)
     assert len(value) < 65_536
-    kept = records.decode_cordons(value).runners
+    kept = records.decode_cordons(value)
     assert 50 < len(kept) < len(runners)
     assert kept == runners[: len(kept)]
--- a/tamarackhatch/scheduler/_earlier_terms.py
+++ b/tamarackhatch/scheduler/_earlier_terms.py
@@ -20,7 +20,6 @@
         store: model.TableStore,
         time_source: clock.Clock,
         log: observability.Log,
-        term: int,
     ) -> None:
         """Creates the reader of one scheduler.
 
@@ -28,32 +27,35 @@
             store: The table store.
             time_source: Source of time.
             log: Logger of the scheduler.
-            term: Number of the scheduler's term.
         """
         self._store = store
         self._clock = time_source
         self._log = log
-        self._term = term
 
     async def read_runners(
         self,
-    ) -> tuple[tuple[records.TrackedRunner, ...] | None, records.Cordons]:
+    ) -> tuple[
+        tuple[records.TrackedRunner, ...] | None,
+        tuple[records.CordonedRunner, ...],
+    ]:
         """Returns the runners on which earlier tasks may run.
 
         Returns:
             The runners, None if they cannot be read; and those of them that
-            the previous scheduler cordoned.
+            are cordoned.
         """
         rows = await self._read_rows(records.TRACKED_RUNNERS)
-        cordons = self._decode_cordons(records.find_row(rows, records.CORDONS))
         row = records.find_row(rows, records.TRACKED_RUNNERS)
         if row is None:
-            return (), cordons
+            return (), ()
         try:
-            return records.decode_tracked_runners(row.value), cordons
+            tracked_runners = records.decode_tracked_runners(row.value)
         except records.MalformedRowError as error:
             self._log.error("tracked_runners_unreadable", reason=error.message)
-            return None, cordons
+            return None, ()
+        return tracked_runners, self._decode_cordons(
+            records.find_row(rows, records.CORDONS), row.version
+        )
 
     async def read_interference(self) -> placement.InterferenceTable | None:
         """Returns the learned interference factors; None if unreadable."""
@@ -67,18 +69,18 @@
             self._log.warning("interference_unreadable", reason=error.message)
             return None
 
-    def _decode_cordons(self, row: model.Row | None) -> records.Cordons:
-        none = records.Cordons(self._term - 1)
-        if row is None:
-            return none
+    def _decode_cordons(
+        self, row: model.Row | None, tracked_version: int
+    ) -> tuple[records.CordonedRunner, ...]:
+        # A scheduler writes both lists together before it starts a task. If
+        # this one is older, a build that does not know it has started tasks.
+        if row is None or row.version < tracked_version:
+            return ()
         try:
-            cordons = records.decode_cordons(row.value)
+            return records.decode_cordons(row.value)
         except records.MalformedRowError as error:
             self._log.warning("cordons_unreadable", reason=error.message)
-            return none
-        # The scheduler of a later term may have started tasks on runners that
-        # an earlier one had cordoned.
-        return cordons if cordons.term == none.term else none
+            return ()
 
     async def _read_rows(self, ref: model.RowRef) -> tuple[model.Row, ...]:
         """Returns all rows of the table and partition of a row."""
--- a/tamarackhatch/scheduler/_runner_manager.py
+++ b/tamarackhatch/scheduler/_runner_manager.py
@@ -57,7 +57,7 @@
     def restore_tracked_runners(
         self,
         tracked_runners: tuple[records.TrackedRunner, ...] | None,
-        cordons: records.Cordons,
+        cordoned_runners: tuple[records.CordonedRunner, ...],
     ) -> None:
         """Starts reconciling the runners on which earlier tasks may run.
 
@@ -69,13 +69,14 @@
         Args:
             tracked_runners: The runners; None if they are not known, so that
                 starts are paused until no earlier task can run.
-            cordons: Those of them on which only certain tasks may run.
+            cordoned_runners: Those of them on which only certain tasks may
+                run.
         """
         if tracked_runners is None:
             self._unreconciled[_UNKNOWN_RUNNERS] = None
         cordoned = {
             runner.identifier: frozenset(runner.tasks)
-            for runner in cordons.runners
+            for runner in cordoned_runners
         }
         for entry in tracked_runners or ():
             tasks = cordoned.get(entry.identifier)
--- a/tamarackhatch/scheduler/_scheduler.py
+++ b/tamarackhatch/scheduler/_scheduler.py
@@ -71,7 +71,7 @@
         )
         interference = placement.InterferenceModel()
         fleet: dict[str, _fleet.RunnerEntry] = {}
-        self._cordons = _cordons.CordonList(fleet, term.number)
+        self._cordons = _cordons.CordonList(fleet)
         self._writer = _writer.ProgressWriter(
             store,
             time_source,
@@ -271,7 +271,7 @@
     async def _start_up(self, claim_time: datetime.timedelta) -> None:
         await self._load_progress()
         reader = _earlier_terms.EarlierTermsReader(
-            self._store, self._clock, self._log, self._term.number
+            self._store, self._clock, self._log
         )
         interference = await reader.read_interference()
         if interference is not None:
--- a/tamarackhatch/scheduler/_writer.py
+++ b/tamarackhatch/scheduler/_writer.py
@@ -228,7 +228,9 @@
                 == 0
             ):
                 puts.append(self._make_interference())
-        cordons = self._cordons.prepare_write(has_heartbeat)
+        cordons = self._cordons.prepare_write(
+            has_heartbeat, tracked_runners is not None
+        )
         if cordons is not None:
             puts.append(cordons)
         if not await self._commit_transaction(puts, has_heartbeat):
--- a/tamarackhatch/scheduler/tests/test_cordon_faults.py
+++ b/tamarackhatch/scheduler/tests/test_cordon_faults.py
@@ -20,8 +20,8 @@
     value = fleet.store.get(ref.table, ref.key, ref.partition)
     if value is None:
         return {}
-    cordons = records.decode_cordons(base64.b64decode(value))
-    return {item.identifier: len(item.tasks) for item in cordons.runners}
+    runners = records.decode_cordons(base64.b64decode(value))
+    return {item.identifier: len(item.tasks) for item in runners}
 
 
 def _kill_leader(fleet: standin_fleet.VirtualFleet) -> None:
--- a/tamarackhatch/scheduler/tests/test_takeover_history.py
+++ b/tamarackhatch/scheduler/tests/test_takeover_history.py
@@ -222,8 +222,8 @@
 def _start_on_cordoned_runners(monkeypatch: pytest.MonkeyPatch) -> None:
     """Lets cordoned runners get tasks before the list without them."""
 
-    def prepare(self: typing.Any, includes_exits: bool) -> model.Put | None:
-        put = original(self, includes_exits)
+    def prepare(self: typing.Any, *args: bool) -> model.Put | None:
+        put = original(self, *args)
         for entry in self._fleet.values():
             entry.is_cordoned = False
         return put
--- a/tamarackhatch/scheduler/tests/test_takeover_pauses.py
+++ b/tamarackhatch/scheduler/tests/test_takeover_pauses.py
@@ -209,7 +209,7 @@
     virtual_time.run_virtually(simulate())
 
 
-def test_cordons_of_an_older_term_do_not_count() -> None:
+def test_cordons_older_than_the_tracked_runners_do_not_count() -> None:
     """Guards against a start beside a run that the previous scheduler began.
 
     That scheduler is of a build which does not write cordons.
@@ -220,10 +220,7 @@
         await fleet.submit("00", model.Step(4, _TASK))
         await fleet.wait_until(lambda: len(fleet.history.runs) == 4)
         assert fleet.runners[2].running
-        ref = records.CORDONS
-        cordons = records.Cordons(
-            0, (records.CordonedRunner(fleet.runners[2].identifier, ()),)
-        )
+        cordons = (records.CordonedRunner(fleet.runners[2].identifier, ()),)
         value = base64.b64encode(records.encode_cordons(cordons)).decode()
         faults = fleet.network.get_faults(fleet.runners[2].address)
         faults.unreachable_from.add("*")
@@ -231,7 +228,12 @@
         assert leader is not None
         leader.kill()
         del fleet.instances[leader.name]
-        fleet.store.put(ref.table, ref.key, value)
+        # The list that an earlier build finds, and the one that it writes.
+        cordon_ref, ref = records.CORDONS, records.TRACKED_RUNNERS
+        fleet.store.put(cordon_ref.table, cordon_ref.key, value)
+        tracked = fleet.store.get(ref.table, ref.key, ref.partition)
+        assert tracked is not None
+        fleet.store.put(ref.table, ref.key, tracked)
         await asyncio.sleep(20)
         assert fleet.check() == []
 
