Keep a step paused if an earlier scheduler may have received its exit

Callers could see the tasks of a step run twice. A renewal of a superseded scheduler that waits at a runner is answered after the runner has answered the successor, so that both receive an exit. The old one, whose leader lease lasts up to 5 s, starts the next step on a runner that its successor does not reach, and the successor starts it as well, because exits of runs that it has seen end the pause.

Such exits now end the pause only if the runner's first answer is 1.5 s old, the longest wait of a renewal, or the predecessor has handed over.

--- a/tamarackhatch/scheduler/_fleet.py
+++ b/tamarackhatch/scheduler/_fleet.py
@@ -16,7 +16,6 @@
 # A runner that has not answered for this long gets no new tasks. A renewal may
 # wait up to 1.5 s for an exit.
 MAX_TIME_SINCE_ANSWER = datetime.timedelta(milliseconds=2600)
-
 # A single failure may be a reset connection, after which the next renewal is
 # answered.
 _CORDON_AFTER_MISSED_RENEWALS = 2
@@ -83,6 +82,8 @@
             by a crash because the runner does not answer. None of them counts
             if the same incarnation answers again.
         avoid_until: Monotonic time until which it gets no new tasks.
+        exclusive_from: Monotonic time from which no earlier scheduler receives
+            exits from it; None before its first answer in this term.
         leaves_at: Earliest monotonic time at which it may leave; None unless
             it drains.
     """
@@ -121,6 +122,7 @@
         factory=list
     )
     avoid_until: datetime.timedelta = datetime.timedelta()
+    exclusive_from: datetime.timedelta | None = None
     leaves_at: datetime.timedelta | None = None
 
     @property
@@ -287,6 +289,26 @@
         elapsed = (now - self.clock_read) * (1 - _MAX_CLOCK_DRIFT_SHARE)
         return self.clock + elapsed > reading + _EXPIRY_MARGIN
 
+    def record_first_answer(self, exclusive_from: datetime.timedelta) -> None:
+        """Records the first report in this term, which lists all runs.
+
+        Args:
+            exclusive_from: Monotonic time until which it may still answer a
+                renewal of an earlier scheduler that it had accepted before.
+        """
+        self.unlisted_tasks = frozenset()
+        self.exclusive_from = exclusive_from
+
+    def record_replacement(self) -> None:
+        """Records that another runner answers, so that no run exists here."""
+        self.evidence = _crash_suspects.Evidence.ENDED
+        self.unlisted_tasks = frozenset()
+        self.listed = ()
+
+    def reports_exclusively(self, now: datetime.timedelta) -> bool:
+        """Returns whether no earlier scheduler receives exits reported now."""
+        return self.exclusive_from is not None and now >= self.exclusive_from
+
     def is_answering(self, now: datetime.timedelta) -> bool:
         """Returns whether the runner's latest answer is recent."""
         return (
--- a/tamarackhatch/scheduler/_job_tracker.py
+++ b/tamarackhatch/scheduler/_job_tracker.py
@@ -301,7 +301,10 @@
         )
         # A run whose exit is listed has not ended by a crash.
         task.crashes.pop(run_exit.run, None)
-        task.is_unblocked_in_term = task.runner is runner
+        task.is_unblocked_in_term = (
+            task.runner is runner
+            and runner.reports_exclusively(self._clock.get_monotonic())
+        )
         if task.runner is not None:
             task.runner.release_task(task, self._clock.get_monotonic())
         else:
--- a/tamarackhatch/scheduler/_runner_reconciler.py
+++ b/tamarackhatch/scheduler/_runner_reconciler.py
@@ -179,9 +179,7 @@
             if not is_timeout:
                 entry.evidence = _Evidence.REFUSED
         if is_replaced:
-            entry.evidence = _Evidence.ENDED
-            entry.unlisted_tasks = frozenset()
-            entry.listed = ()
+            entry.record_replacement()
         if not entry.tasks:
             return
         tasks = list(entry.tasks.values())
@@ -232,7 +230,10 @@
                 context.settings, entry, report
             )
             self._has_reported = True
-            entry.unlisted_tasks = frozenset()
+            is_alone = context.leader_lease.term.is_predecessor_stopped
+            entry.record_first_answer(
+                now if is_alone else now + _IDLE_RENEWAL_WAIT
+            )
             self._track(entry)
         for run_exit in report.exits:
             if run_exit.number <= entry.processed_exit:
--- a/tamarackhatch/scheduler/_state.py
+++ b/tamarackhatch/scheduler/_state.py
@@ -135,9 +135,9 @@
         is_adopted: Whether an earlier scheduler started the latest run.
         ready_since: Monotonic time at which the latest run was first reported
             ready, for a serving task; None before.
-        is_unblocked_in_term: Whether the task waits because of the exit of a
-            run that still existed when this term began or started later, so
-            that no earlier scheduler can have started the task again.
+        is_unblocked_in_term: Whether the task waits because of an exit that
+            no earlier scheduler has received, so that none of them can have
+            started the task again.
     """
 
     key: model.TaskKey
