Collect the paused tasks once for all runners that answer together

Waiting work that admission control counts is left out only if the whole group is paused, now that tasks are paused one by one.

--- a/tamarackhatch/scheduler/_runner_manager.py
+++ b/tamarackhatch/scheduler/_runner_manager.py
@@ -152,10 +152,13 @@
         deadline = claim_time + context.settings.takeover_wait
         warning_time = claim_time + _MAX_SILENT_WAIT
         while self._unreconciled:
+            count = len(self._unreconciled)
             for identifier in list(self._unreconciled):
                 reconciler = self._reconcilers.get(identifier)
                 if reconciler is not None and reconciler.knows_all_runs:
-                    self._discard_unreconciled(identifier)
+                    del self._unreconciled[identifier]
+            if len(self._unreconciled) < count:
+                self._pause_starts()
             context.load_monitor.awaited_runners = len(self._unreconciled)
             now = context.clock.get_boot_time()
             if self._unreconciled and now > warning_time:
@@ -180,24 +183,21 @@
             entry.unlisted_tasks = frozenset()
         self._unreconciled.clear()
 
-    def _discard_unreconciled(self, identifier: str) -> None:
-        if identifier in self._unreconciled:
-            del self._unreconciled[identifier]
-            self._pause_starts()
-
     def _pause_starts(self) -> None:
         """Pauses the tasks that may run on unreconciled runners."""
         if not self._unreconciled:
             return
-        tasks: set[model.TaskKey] = set()
-        are_known = True
-        for possible in self._unreconciled.values():
-            are_known = are_known and possible is not None
-            tasks.update(possible or ())
+        tasks: frozenset[model.TaskKey] | None = None
+        known = [
+            possible
+            for possible in self._unreconciled.values()
+            if possible is not None
+        ]
+        if len(known) == len(self._unreconciled):
+            tasks = frozenset().union(*known)
         term = self._context.leader_lease.term
         self._dispatcher.pause_starts(
-            term.token if term.is_predecessor_stopped else None,
-            frozenset(tasks) if are_known else None,
+            term.token if term.is_predecessor_stopped else None, tasks
         )
 
     def _log_unreconciled(self, event: str) -> None:
@@ -286,7 +286,8 @@
         self._context.log.info("runner_removed", runner=identifier)
         del self._reconciler_tasks[identifier]
         if self._reconcilers.pop(identifier).knows_all_runs:
-            self._discard_unreconciled(identifier)
+            self._unreconciled.pop(identifier, None)
+            self._pause_starts()
         del self._context.fleet[identifier]
         _health.forget_runner(self._context, identifier)
         self._write_tracked_runners()
--- a/tamarackhatch/scheduler/_waits.py
+++ b/tamarackhatch/scheduler/_waits.py
@@ -91,7 +91,7 @@
             if (
                 first is None
                 or first.step.is_long_running
-                or self._is_paused(first)
+                or all(map(self._is_paused, group.values()))
             ):
                 continue
             yield admission.WaitingWork(
