Keep up to 2,500 connections per HTTP client open

Four connections to each of 446 runners are 1,784, and the cache held 1,000: connections were closed and opened again all the time.

2,500 leave 1,400 of 4,100 file descriptors for callers, the store and other instances, after the 200 that are reserved for files.

--- a/tamarackhatch/transport/_client.py
+++ b/tamarackhatch/transport/_client.py
@@ -26,9 +26,10 @@
 # Longest time without another byte of an answer that has begun to arrive.
 _MAX_TRANSFER_PAUSE = datetime.timedelta(seconds=1)
 _MAX_IDLE_HANDLES = 64
-# Four connections to each of 250 runners; an instance may have 4,100 file
-# descriptors.
-_MAX_CACHED_CONNECTIONS = 1000
+# Four connections to each of 446 runners are 1,784. An instance may have 4,100
+# file descriptors, of which 200 are reserved for files; 1,400 remain for its
+# callers, the store and other instances, whose clients have few hosts.
+_MAX_CACHED_CONNECTIONS = 2500
 _MILLISECOND = datetime.timedelta(milliseconds=1)
 
 
