Watch libcurl's sockets with an epoll object of the client

The event loop's selector was changed twice for each call; its bookkeeping in Python costs several times as much as the system call. Now the loop watches one epoll object, and the client asks it for all ready sockets at once, before the loop handles timers, as before.

--- a/tamarackhatch/transport/_client.py
+++ b/tamarackhatch/transport/_client.py
@@ -8,6 +8,7 @@
 from collections.abc import Callable
 import datetime
 import io
+import select
 import typing
 
 import attrs
@@ -30,6 +31,11 @@
 # file descriptors, of which 200 are reserved for files; 1,400 remain for its
 # callers, the store and other instances, whose clients have few hosts.
 _MAX_CACHED_CONNECTIONS = 2500
+_EPOLL_MASKS = {
+    pycurl.POLL_IN: select.EPOLLIN,
+    pycurl.POLL_OUT: select.EPOLLOUT,
+    pycurl.POLL_INOUT: select.EPOLLIN | select.EPOLLOUT,
+}
 _MILLISECOND = datetime.timedelta(milliseconds=1)
 
 
@@ -130,6 +136,10 @@
         self._multi.setopt(pycurl.M_MAXCONNECTS, _MAX_CACHED_CONNECTIONS)
         self._multi.setopt(pycurl.M_PIPELINING, 0)
         self._timer: asyncio.TimerHandle | None = None
+        # The loop watches this epoll object only: a change in the loop's own
+        # selector costs several times as much, and each call makes two.
+        self._poller = select.epoll()
+        self._loop.add_reader(self._poller.fileno(), self._process_sockets)
         self._watched_descriptors: set[int] = set()
         self._idle_handles: list[pycurl.Curl] = []
         self._transfers: dict[pycurl.Curl, _Transfer] = {}
@@ -186,13 +196,11 @@
         self._transfers.clear()
         if self._timer is not None:
             self._timer.cancel()
-        for descriptor in self._watched_descriptors:
-            self._loop.remove_reader(descriptor)
-            self._loop.remove_writer(descriptor)
-        self._watched_descriptors.clear()
         for handle in self._idle_handles:
             handle.close()
         self._multi.close()
+        self._loop.remove_reader(self._poller.fileno())
+        self._poller.close()
 
     def _configure_handle(
         self, handle: pycurl.Curl, transfer: _Transfer
@@ -265,27 +273,18 @@
     def _watch_socket(
         self, event: int, descriptor: int, _multi: object, _data: object
     ) -> None:
-        if descriptor in self._watched_descriptors:
-            self._loop.remove_reader(descriptor)
-            self._loop.remove_writer(descriptor)
-            self._watched_descriptors.discard(descriptor)
+        # libcurl reports POLL_REMOVE before it closes a descriptor.
         if event == pycurl.POLL_REMOVE:
+            if descriptor in self._watched_descriptors:
+                self._watched_descriptors.discard(descriptor)
+                self._poller.unregister(descriptor)
             return
-        self._watched_descriptors.add(descriptor)
-        if event & pycurl.POLL_IN:
-            self._loop.add_reader(
-                descriptor,
-                self._process_socket_events,
-                descriptor,
-                pycurl.CSELECT_IN,
-            )
-        if event & pycurl.POLL_OUT:
-            self._loop.add_writer(
-                descriptor,
-                self._process_socket_events,
-                descriptor,
-                pycurl.CSELECT_OUT,
-            )
+        mask = _EPOLL_MASKS[event]
+        if descriptor in self._watched_descriptors:
+            self._poller.modify(descriptor, mask)
+        else:
+            self._watched_descriptors.add(descriptor)
+            self._poller.register(descriptor, mask)
 
     def _set_timer(self, milliseconds: int) -> None:
         if self._timer is not None:
@@ -294,16 +293,22 @@
         if milliseconds >= 0:
             self._timer = self._loop.call_later(
                 milliseconds / 1000,
-                self._process_socket_events,
-                pycurl.SOCKET_TIMEOUT,
-                0,
+                self._process_timeouts,
             )
 
-    def _process_socket_events(self, descriptor: int, events: int) -> None:
-        while not self._is_closed:
-            status, _ = self._multi.socket_action(descriptor, events)
-            if status != pycurl.E_CALL_MULTI_PERFORM:
-                break
+    def _process_timeouts(self) -> None:
+        self._timer = None
+        self._multi.socket_action(pycurl.SOCKET_TIMEOUT, 0)
+        self._finish_transfers()
+
+    def _process_sockets(self) -> None:
+        if not self._watched_descriptors:
+            return
+        ready = self._poller.poll(0, len(self._watched_descriptors))
+        for descriptor, events in ready:
+            # An earlier event may have made libcurl close this descriptor.
+            if descriptor in self._watched_descriptors:
+                self._multi.socket_action(descriptor, _convert_events(events))
         self._finish_transfers()
 
     def _finish_transfers(self) -> None:
@@ -365,6 +370,19 @@
         return CallNotSentError(text)
 
 
+def _convert_events(events: int) -> int:
+    """Returns the events of epoll as libcurl names them."""
+    if events == select.EPOLLIN:
+        return int(pycurl.CSELECT_IN)
+    result = 0
+    # Errors and hang-ups show themselves to the next read or write.
+    if events & ~select.EPOLLOUT:
+        result |= pycurl.CSELECT_IN
+    if events & ~select.EPOLLIN:
+        result |= pycurl.CSELECT_OUT
+    return result
+
+
 def _make_handle() -> pycurl.Curl:
     handle = pycurl.Curl()
     options: tuple[tuple[int, typing.Any], ...] = (
