--- a/tamarackhatch/transport/_client.py
+++ b/tamarackhatch/transport/_client.py
@@ -189,6 +189,8 @@
 
     def close(self) -> None:
         """Aborts all calls in progress; their callers get CallLostError."""
+        if self._is_closed:
+            return
         self._is_closed = True
         for handle, transfer in list(self._transfers.items()):
             self._multi.remove_handle(handle)
