Interference: add observations in fewer steps

Each sample is compared with up to six earlier ones: 9,500 observations a second at 446 runners, each with five images. Looking up the images, checking the decay and the copies of partial rows took as long as the sums.

--- a/tamarackhatch/placement/_best_effort_usage.py
+++ b/tamarackhatch/placement/_best_effort_usage.py
@@ -192,7 +192,7 @@
     changes = {}
     for image, share in latest.items():
         change = share - earlier.get(image, 0.0)
-        if abs(change) > min_change:
+        if change > min_change or change < -min_change:
             changes[image] = change
     for image, share in earlier.items():
         if share > min_change and image not in latest:
--- a/tamarackhatch/placement/_factors.py
+++ b/tamarackhatch/placement/_factors.py
@@ -22,6 +22,7 @@
 # Time constant with which old observations lose weight, because factors may
 # change.
 _DECAY_TIME_S = 240.0
+_DECAY_INTERVAL = datetime.timedelta(seconds=1)
 # Residuals of more standard deviations get less weight.
 _OUTLIER_DEVIATIONS = 3.0
 # Solving costs more CPU time than adding an observation.
@@ -89,23 +90,31 @@
         Returns:
             Whether the factors were estimated anew.
         """
-        self._decay(now)
-        terms = sorted(
-            (self._get_index(best_effort), share_change)
-            for best_effort, share_change in share_changes.items()
-        )
-        residual = utilisation_change - sum(
-            self._means[index] * share_change for index, share_change in terms
-        )
+        if now - self._decayed_at >= _DECAY_INTERVAL:
+            self._decay(now)
+        indices, means = self._indices, self._means
+        terms: list[tuple[int, float]] = []
+        for best_effort, share_change in share_changes.items():
+            index = indices.get(best_effort)
+            if index is None:
+                index = self._get_index(best_effort)
+            terms.append((index, share_change))
+        terms.sort()
+        residual = utilisation_change
+        for index, share_change in terms:
+            residual -= means[index] * share_change
         bound = _OUTLIER_DEVIATIONS * math.sqrt(variance)
         weight = 1 / variance
         if abs(residual) > bound:
             weight *= bound / abs(residual)
-        for number, (index, share_change) in enumerate(terms, 1):
+        columns: list[tuple[int, float]] = []
+        for term in terms:
+            columns.append(term)
+            index, share_change = term
             weighted = weight * share_change
             row = self._matrix[index]
-            for other, other_share_change in terms[:number]:
-                row[other] += weighted * other_share_change
+            for column, other_share_change in columns:
+                row[column] += weighted * other_share_change
             self._vector[index] += weighted * utilisation_change
         if now - self._solved_at < _SOLVE_INTERVAL:
             return False
@@ -125,8 +134,6 @@
 
     def _decay(self, now: datetime.timedelta) -> None:
         seconds = (now - self._decayed_at).total_seconds()
-        if seconds < 1:
-            return
         self._decayed_at = now
         factor = math.exp(-seconds / _DECAY_TIME_S)
         self._vector = [value * factor for value in self._vector]
--- a/tamarackhatch/placement/_interference.py
+++ b/tamarackhatch/placement/_interference.py
@@ -361,20 +361,22 @@
     ) -> None:
         """Adds the differences to recent observations to the regression."""
         shares = latest.shares
+        is_latest_saturated = latest.is_saturated
         is_solved = False
         for earlier in history:
-            if earlier.is_saturated and latest.is_saturated:
-                continue
             interval = latest.observed_at - earlier.observed_at
             if interval > _MAX_COMPARISON_INTERVAL:
                 continue
+            is_earlier_saturated = earlier.is_saturated
+            if is_earlier_saturated and is_latest_saturated:
+                continue
             share_changes = _best_effort_usage.compare_shares(
                 earlier.shares, shares, _MIN_SHARE_CHANGE
             )
             if not share_changes:
                 continue
             utilisation_change = latest.utilisation - earlier.utilisation
-            if latest.is_saturated or earlier.is_saturated:
+            if is_latest_saturated or is_earlier_saturated:
                 # The real difference is at least as large as this one, which
                 # contradicts the estimate only if the expected one is smaller.
                 expected = sum(
