Placement: check rooms up to the first obstacle, and count demand by step

With 290 best-effort tasks waiting, a pass compares nine groups with 446 runners each; 238 have unused processors, and 49 have room beside their serving tasks. The bounds of all 238 were computed to the end and kept for 250 ms, which was seldom of use again. The filter now ends at the first serving image without headroom, and bounds are computed for rated runners only. The order of the groups counted the unfinished tasks of each job one by one in each pass; their number by step is known.

--- a/tamarackhatch/admission/_estimator.py
+++ b/tamarackhatch/admission/_estimator.py
@@ -107,9 +107,10 @@
         """Records the start of a task."""
         if step.is_long_running:
             return
-        buckets = self._started.setdefault(
-            (service, step.is_best_effort), collections.Counter()
-        )
+        kind = (service, step.is_best_effort)
+        buckets = self._started.get(kind)
+        if buckets is None:
+            buckets = self._started[kind] = collections.Counter()
         bucket = now // _BUCKET
         if bucket not in buckets:
             _expire(buckets, now)
--- a/tamarackhatch/placement/_candidate.py
+++ b/tamarackhatch/placement/_candidate.py
@@ -97,7 +97,6 @@
         self.serving_changes = load.serving_changes
         self.best_effort_changes = load.best_effort_changes
         self.batch_cpu = load.batch_cpu
-        self._limits: dict[str, BestEffortLimit] = {}
         self._interference = interference
         self._policy = policy
         self.clear_restrictions()
@@ -122,7 +121,6 @@
         """Recomputes the utilisation by best-effort tasks from the load."""
         self.best_effort_changes = self.load.best_effort_changes
         self.batch_cpu = self.load.batch_cpu
-        self._limits.clear()
         if not self.headrooms:
             return
         processors = self.processors
@@ -150,23 +148,6 @@
 
     def get_best_effort_limit(self, image: str) -> BestEffortLimit:
         """Returns the bounds of a new best-effort task of an image."""
-        limit = self._limits.get(image)
-        if limit is None:
-            limit = self._limits[image] = self._compute_limit(image)
-        return limit
-
-    def get_best_effort_room(self, image: str) -> float:
-        """Returns the processors left for a best-effort task of an image.
-
-        In thousandths of a core. A new task that uses more is slowed down.
-        Infinite without serving tasks, beside which nothing is slowed down.
-        """
-        if not self.headrooms:
-            return math.inf
-        room = self.get_best_effort_limit(image).max_share * self.processors
-        return room if room < self.unused_cpu else self.unused_cpu
-
-    def _compute_limit(self, image: str) -> BestEffortLimit:
         max_share = math.inf
         utilisation_per_share = 0.0
         for headroom in self.headrooms:
@@ -179,6 +160,25 @@
                 utilisation_per_share = factor
         return BestEffortLimit(max_share, utilisation_per_share)
 
+    def has_best_effort_room(self, image: str, needed: float) -> bool:
+        """Returns whether a best-effort task can use so much of the runner.
+
+        A new task that uses more is slowed down. There is always room without
+        serving tasks, beside which nothing is slowed down.
+
+        Args:
+            image: Image of the task.
+            needed: Processors, in thousandths of a core.
+        """
+        if self.unused_cpu < needed:
+            return False
+        processors = self.processors
+        for headroom in self.headrooms:
+            factor = headroom.factors[image]
+            if factor and headroom.remaining / factor * processors < needed:
+                return False
+        return True
+
     def estimate_factor(self, serving: str, best_effort: str) -> float:
         """Returns an upper estimate of the factor of a pair of images."""
         return self._interference.estimate_factor(
--- a/tamarackhatch/placement/_choice.py
+++ b/tamarackhatch/placement/_choice.py
@@ -138,9 +138,9 @@
     return [
         candidate
         for candidate in candidates
-        # Costs less than the room of an image, and leaves out most of them.
+        # Costs less than a call, and leaves out half of the runners.
         if candidate.unused_cpu >= needed
-        and candidate.get_best_effort_room(image) >= needed
+        and candidate.has_best_effort_room(image, needed)
     ]
 
 
--- a/tamarackhatch/scheduler/_group_order.py
+++ b/tamarackhatch/scheduler/_group_order.py
@@ -66,14 +66,21 @@
 ) -> placement.OrderKey:
     task = next(iter(group.values()))
     now = context.get_now()
-    is_moved = any(waiting.departure for waiting in group.values())
+    is_moved = False
+    oldest = now
+    for waiting in group.values():
+        since = waiting.waiting_since
+        if since is not None and since < oldest:
+            oldest = since
+        if waiting.departure is not None:
+            is_moved = True
     step = task.step
     priority, accepted = task.job.order
     return placement.make_order_key(
         placement.WaitingGroup(
             priority,
             accepted,
-            max(waiting.compute_wait(now) for waiting in group.values()),
+            now - oldest,
             step.is_long_running,
             not step.max_per_runner,
             step.image,
--- a/tamarackhatch/scheduler/_state.py
+++ b/tamarackhatch/scheduler/_state.py
@@ -286,9 +286,9 @@
     def compute_demand(self) -> int:
         """Returns the millicores that all unfinished tasks ask for."""
         return sum(
-            task.step.resources.processors
-            for task in self.iterate_tasks()
-            if task.phase is not TaskPhase.DONE
+            count * step.resources.processors
+            for occurrence in self.occurrences.values()
+            for count, step in zip(occurrence.remaining, self.job.steps)
         )
 
     def summarise_progress(self) -> records.JobProgress:
--- a/tamarackhatch/scheduler/tests/test_order.py
+++ b/tamarackhatch/scheduler/tests/test_order.py
@@ -13,6 +13,8 @@
 from standins import virtual_time
 from tamarackhatch import model
 from tamarackhatch import placement
+from tamarackhatch import records
+from tamarackhatch.scheduler import _state
 
 _SECOND = datetime.timedelta(seconds=1)
 # Fills a runner, so that its tasks run one at a time.
@@ -256,3 +258,27 @@
     placed = virtual_time.run_virtually(simulate())
     assert len(placed) == 3
     assert all(len(images) == 1 for images in placed.values())
+
+
+def test_demand_counts_unfinished_tasks() -> None:
+    """Guards against the order of a job by tasks that are done."""
+    steps = (
+        model.Step(3, model.Resources(processors=2_000)),
+        model.Step(2, model.Resources(processors=500), after=(0,)),
+    )
+    accepted = datetime.datetime(2026, 1, 1, tzinfo=datetime.timezone.utc)
+    entry = _state.JobEntry(
+        model.Job("00", standin_fleet.QUEUE, "work", steps, accepted), 1
+    )
+    # Of the first occurrence, tasks 0 and 2 of the first step are done.
+    done = records.OccurrenceProgress(done_tasks={0: 0b101})
+    for number, progress in enumerate((done, None)):
+        entry.occurrences[number] = _state.build_occurrence(
+            entry, number, progress
+        )
+    assert entry.compute_demand() == (2_000 + 1_000) + (6_000 + 1_000)
+    assert entry.compute_demand() == sum(
+        task.step.resources.processors
+        for task in entry.iterate_tasks()
+        if task.phase is not _state.TaskPhase.DONE
+    )
