Placement: pass a function for excluded runners again

Since the choice got None instead of a function where no runner is excluded, against which test_moved_task_is_placed_before_others guards by its replacement of the choice. The test failed; it is unchanged and passes again.

--- a/tamarackhatch/placement/_choice.py
+++ b/tamarackhatch/placement/_choice.py
@@ -66,7 +66,7 @@
     candidates: Iterable[_candidate.CandidateRunner],
     policy: _policy.PlacementPolicy,
     min_speed: float = 1.0,
-    is_excluded: Callable[[str], bool] | None = None,
+    is_excluded: Callable[[str], bool] = lambda identifier: False,
 ) -> list[Choice]:
     """Returns the best runners with capacity for tasks of one step.
 
@@ -79,8 +79,7 @@
         policy: Weights and limits.
         min_speed: Least share of its full speed at which a best-effort task
             has to be able to run there.
-        is_excluded: Returns whether the runner of an identifier is left out;
-            None if none is.
+        is_excluded: Returns whether the runner of an identifier is left out.
 
     Returns:
         One choice for each task in their order; none for the last ones if
@@ -91,7 +90,7 @@
     included_candidates = [
         candidate
         for candidate in _list_fast(step, candidates, min_speed)
-        if is_excluded is None or not is_excluded(candidate.load.identifier)
+        if not is_excluded(candidate.load.identifier)
     ]
     heap: list[tuple[float, int, float]] = []
     for index, candidate in enumerate(included_candidates):
--- a/tamarackhatch/scheduler/_runner_choice.py
+++ b/tamarackhatch/scheduler/_runner_choice.py
@@ -192,7 +192,7 @@
             candidates,
             self.get_policy(service),
             min_speed=min_speed,
-            is_excluded=excluded.__contains__ if excluded else None,
+            is_excluded=excluded.__contains__,
         )
         if (
             are_all
