Placement: count tasks of a runner without calls for missing keys

A start adjusts the counts of its runner three times; each missing key of a counter made a call. Labels and limits of steps without any are no longer compared on each runner.

--- a/tamarackhatch/placement/_choice.py
+++ b/tamarackhatch/placement/_choice.py
@@ -162,7 +162,10 @@
 ) -> RunnerRating | None:
     """Returns the rating of a runner; None if the task cannot run there."""
     load = candidate.load
-    if not load.has_capacity(step) or not is_allowed(load, key, step):
+    if not load.has_capacity(step):
+        return None
+    is_restricted = step.required_label or step.max_per_runner
+    if is_restricted and not is_allowed(load, key, step):
         return None
     rating = rate_runner(step, candidate, policy)
     if load.transient_count < candidate.start_limit or step.is_long_running:
@@ -270,8 +273,7 @@
     policy: _policy.PlacementPolicy,
     score: float,
 ) -> RunnerRating:
-    capacity = candidate.processors
-    requested_share = step.resources.processors / capacity
+    requested_share = step.resources.processors / candidate.processors
     limit = candidate.get_best_effort_limit(step.image)
     speed_limit = 1.0
     if requested_share > limit.max_share:
--- a/tamarackhatch/placement/_load.py
+++ b/tamarackhatch/placement/_load.py
@@ -2,6 +2,7 @@
 
 import collections
 import datetime
+import typing
 
 import attrs
 
@@ -10,6 +11,8 @@
 
 _MILLISECOND = datetime.timedelta(milliseconds=1)
 
+_Key = typing.TypeVar("_Key")
+
 
 @attrs.define
 class ServingGroup:
@@ -165,20 +168,18 @@
         if step.is_best_effort:
             self.best_effort_changes += 1
             self.best_effort_cpu += sign * step.resources.processors
-            self.best_effort_cpu_by_image[step.image] += (
-                sign * step.resources.processors
+            _add(
+                self.best_effort_cpu_by_image,
+                step.image,
+                sign * step.resources.processors,
             )
-            if not self.best_effort_cpu_by_image[step.image]:
-                del self.best_effort_cpu_by_image[step.image]
         elif step.is_serving:
             self.serving_changes += 1
             self._adjust_serving(key.job, step, sign)
         else:
             self.batch_cpu += sign * reservation.processors
         step_key = (key.job, key.occurrence, key.step)
-        self.step_counts[step_key] += sign
-        if not self.step_counts[step_key]:
-            del self.step_counts[step_key]
+        _add(self.step_counts, step_key, sign)
 
     def _adjust_serving(self, job: str, step: model.Step, sign: int) -> None:
         group = self.serving.get(job)
@@ -189,3 +190,15 @@
         group.processors += sign * step.resources.processors
         if not group.task_count:
             del self.serving[job]
+
+
+def _add(counter: collections.Counter[_Key], key: _Key, amount: int) -> None:
+    """Adds to a count, and removes it at zero.
+
+    Unlike ``counter[key] += amount``, this makes no call for a missing key.
+    """
+    count = counter.get(key, 0) + amount
+    if count:
+        counter[key] = count
+    else:
+        counter.pop(key, None)
--- a/tamarackhatch/placement/_scarcity.py
+++ b/tamarackhatch/placement/_scarcity.py
@@ -24,11 +24,10 @@
     """
     capacity = reserved = 0
     for load in loads:
-        capacity += load.capacity.processors
-        reserved += min(
-            load.capacity.processors,
-            load.reserved_cpu + load.unassigned.processors,
-        )
+        processors = load.capacity.processors
+        in_use = load.reserved_cpu + load.unassigned.processors
+        capacity += processors
+        reserved += in_use if in_use < processors else processors
     return 1 - reserved / capacity if capacity else 1.0
 
 
