Large tasks: look for a release only where one is possible

While more batch work waits than fits, each pass looked for the runner that has room for a task soonest: it listed the runs on all 446 runners and sorted them, although serving tasks, which do not end, hold most runners.

--- a/tamarackhatch/placement/_reservations.py
+++ b/tamarackhatch/placement/_reservations.py
@@ -68,20 +68,41 @@
     Args:
         load: Reservations on the runner.
         step: Step of the task.
-        runs: Runs on the runner that end by themselves.
+        runs: Runs on the runner that end by themselves; read only if the
+            task does not fit now and may fit later.
 
     Returns:
         The time; None if the task does not fit even after all of these.
     """
-    reserved = load.unassigned + model.Resources(
-        load.reserved_cpu, load.reserved_memory_mb, load.reserved_accelerators
+    demand, capacity, other = step.reserved, load.capacity, load.unassigned
+    processors = (
+        capacity.processors
+        - other.processors
+        - load.reserved_cpu
+        - demand.processors
     )
-    reserved += step.reserved
-    if reserved.fits_in(load.capacity):
+    if processors + load.batch_cpu < 0:
+        # Serving tasks hold the processors, and do not end.
+        return None
+    memory_mb = (
+        capacity.memory_mb
+        - other.memory_mb
+        - load.reserved_memory_mb
+        - demand.memory_mb
+    )
+    accelerators = (
+        capacity.accelerators
+        - other.accelerators
+        - load.reserved_accelerators
+        - demand.accelerators
+    )
+    if processors >= 0 and memory_mb >= 0 and accelerators >= 0:
         return datetime.timedelta()
     for run in sorted(runs, key=lambda run: run.remaining):
-        reserved -= run.reserved
-        if reserved.fits_in(load.capacity):
+        processors += run.reserved.processors
+        memory_mb += run.reserved.memory_mb
+        accelerators += run.reserved.accelerators
+        if processors >= 0 and memory_mb >= 0 and accelerators >= 0:
             return run.remaining
     return None
 
--- a/tamarackhatch/placement/tests/test_reservations.py
+++ b/tamarackhatch/placement/tests/test_reservations.py
@@ -1,5 +1,6 @@
 """Runners that are kept free until a large task fits there."""
 
+from collections.abc import Iterator
 import datetime
 
 import pytest
@@ -54,6 +55,36 @@
     assert release == expected
 
 
+def _fail_if_read() -> Iterator[placement.TransientRun]:
+    raise AssertionError("the runs were read")
+    yield _make_run(0, 0)
+
+
+@pytest.mark.parametrize(
+    ("serving_cpu", "expected"),
+    [
+        pytest.param(35_000, datetime.timedelta(), id="fits now"),
+        pytest.param(35_001, None, id="serving tasks do not end"),
+    ],
+)
+def test_runs_are_not_read_in_vain(
+    serving_cpu: int, expected: datetime.timedelta | None
+) -> None:
+    """Guards against a search of all runs on hundreds of full runners."""
+    load = placement.RunnerLoad("r", "s", model.Resources(64_000, 256_000))
+    load.add_task(
+        model.TaskKey("watch", 0, 0, 0),
+        model.Step(
+            1,
+            model.Resources(serving_cpu, 1_000),
+            is_long_running=True,
+            tail_latency_target=_SECOND,
+        ),
+    )
+    release = placement.compute_release_time(load, _LARGE, _fail_if_read())
+    assert release == expected
+
+
 @pytest.mark.parametrize(
     ("waited_s", "runners", "is_long_running_waiting", "held", "expected"),
     [
--- a/tamarackhatch/scheduler/_large_tasks.py
+++ b/tamarackhatch/scheduler/_large_tasks.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Collection
 from collections.abc import Iterable
+from collections.abc import Iterator
 import datetime
 
 from tamarackhatch import placement
@@ -205,7 +206,7 @@
             release = placement.compute_release_time(
                 load,
                 task.step,
-                self._list_transient_runs(
+                self._iterate_transient_runs(
                     self._context.fleet[load.identifier]
                 ),
             )
@@ -213,21 +214,19 @@
                 options.append((load.identifier, release))
         return options
 
-    def _list_transient_runs(
+    def _iterate_transient_runs(
         self, entry: _fleet.RunnerEntry
-    ) -> list[placement.TransientRun]:
+    ) -> Iterator[placement.TransientRun]:
         now = self._context.get_now()
-        return [
-            placement.TransientRun(
-                task.step.reserved,
-                max(
-                    _MIN_REMAINING,
-                    task.step.estimate - (now - task.placed_at),
-                ),
-            )
-            for task in entry.tasks.values()
-            if not task.step.is_long_running
-        ]
+        for task in entry.tasks.values():
+            if not task.step.is_long_running:
+                yield placement.TransientRun(
+                    task.step.reserved,
+                    max(
+                        _MIN_REMAINING,
+                        task.step.estimate - (now - task.placed_at),
+                    ),
+                )
 
     def _record(
         self, task: _state.TaskEntry, reservation: placement.Reservation
