--- a/tamarackhatch/placement/_choice.py
+++ b/tamarackhatch/placement/_choice.py
@@ -66,7 +66,7 @@
     candidates: Iterable[_candidate.CandidateRunner],
     policy: _policy.PlacementPolicy,
     min_speed: float = 1.0,
-    is_excluded: Callable[[str], bool] | None = None,
+    is_excluded: Callable[[str], bool] = lambda identifier: False,
 ) -> list[Choice]:
     """Returns the best runners with capacity for tasks of one step.
 
@@ -79,8 +79,7 @@
         policy: Weights and limits.
         min_speed: Least share of its full speed at which a best-effort task
             has to be able to run there.
-        is_excluded: Returns whether the runner of an identifier is left out;
-            None if none is.
+        is_excluded: Returns whether the runner of an identifier is left out.
 
     Returns:
         One choice for each task in their order; none for the last ones if
@@ -91,7 +90,7 @@
     included_candidates = [
         candidate
         for candidate in _list_fast(step, candidates, min_speed)
-        if is_excluded is None or not is_excluded(candidate.load.identifier)
+        if not is_excluded(candidate.load.identifier)
     ]
     heap: list[tuple[float, int, float]] = []
     for index, candidate in enumerate(included_candidates):
@@ -138,9 +137,9 @@
     return [
         candidate
         for candidate in candidates
-        # Costs less than the room of an image, and leaves out most of them.
+        # Costs less than a call, and leaves out half of the runners.
         if candidate.unused_cpu >= needed
-        and candidate.get_best_effort_room(image) >= needed
+        and candidate.has_best_effort_room(image, needed)
     ]
 
 
@@ -163,7 +162,10 @@
 ) -> RunnerRating | None:
     """Returns the rating of a runner; None if the task cannot run there."""
     load = candidate.load
-    if not load.has_capacity(step) or not is_allowed(load, key, step):
+    if not load.has_capacity(step):
+        return None
+    is_restricted = step.required_label or step.max_per_runner
+    if is_restricted and not is_allowed(load, key, step):
         return None
     rating = rate_runner(step, candidate, policy)
     if load.transient_count < candidate.start_limit or step.is_long_running:
@@ -271,8 +273,7 @@
     policy: _policy.PlacementPolicy,
     score: float,
 ) -> RunnerRating:
-    capacity = candidate.processors
-    requested_share = step.resources.processors / capacity
+    requested_share = step.resources.processors / candidate.processors
     limit = candidate.get_best_effort_limit(step.image)
     speed_limit = 1.0
     if requested_share > limit.max_share:
