--- a/tamarackhatch/placement/_candidate.py
+++ b/tamarackhatch/placement/_candidate.py
@@ -97,6 +97,7 @@
         self.serving_changes = load.serving_changes
         self.best_effort_changes = load.best_effort_changes
         self.batch_cpu = load.batch_cpu
+        self._limits: dict[str, BestEffortLimit] = {}
         self._interference = interference
         self._policy = policy
         self.clear_restrictions()
@@ -121,6 +122,7 @@
         """Recomputes the utilisation by best-effort tasks from the load."""
         self.best_effort_changes = self.load.best_effort_changes
         self.batch_cpu = self.load.batch_cpu
+        self._limits.clear()
         if not self.headrooms:
             return
         processors = self.processors
@@ -148,17 +150,10 @@
 
     def get_best_effort_limit(self, image: str) -> BestEffortLimit:
         """Returns the bounds of a new best-effort task of an image."""
-        max_share = math.inf
-        utilisation_per_share = 0.0
-        for headroom in self.headrooms:
-            factor = headroom.factors[image]
-            if factor:
-                share = headroom.remaining / factor
-                if share < max_share:
-                    max_share = share
-            if factor > utilisation_per_share:
-                utilisation_per_share = factor
-        return BestEffortLimit(max_share, utilisation_per_share)
+        limit = self._limits.get(image)
+        if limit is None:
+            limit = self._limits[image] = self._compute_limit(image)
+        return limit
 
     def has_best_effort_room(self, image: str, needed: float) -> bool:
         """Returns whether a best-effort task can use so much of the runner.
@@ -172,12 +167,21 @@
         """
         if self.unused_cpu < needed:
             return False
-        processors = self.processors
+        limit = self._limits.get(image) or self.get_best_effort_limit(image)
+        return limit.max_share * self.processors >= needed
+
+    def _compute_limit(self, image: str) -> BestEffortLimit:
+        max_share = math.inf
+        utilisation_per_share = 0.0
         for headroom in self.headrooms:
             factor = headroom.factors[image]
-            if factor and headroom.remaining / factor * processors < needed:
-                return False
-        return True
+            if factor:
+                share = headroom.remaining / factor
+                if share < max_share:
+                    max_share = share
+            if factor > utilisation_per_share:
+                utilisation_per_share = factor
+        return BestEffortLimit(max_share, utilisation_per_share)
 
     def estimate_factor(self, serving: str, best_effort: str) -> float:
         """Returns an upper estimate of the factor of a pair of images."""
