Watch a descriptor whose number was used before

The event loop's selector accepted a descriptor that was closed without POLL_REMOVE and whose number another socket has; the client's epoll object raised FileNotFoundError, so that the new connection would never be read. The new test fails before this change.

--- a/tamarackhatch/transport/_client.py
+++ b/tamarackhatch/transport/_client.py
@@ -6,6 +6,7 @@
 
 import asyncio
 from collections.abc import Callable
+import contextlib
 import datetime
 import functools
 import io
@@ -289,18 +290,23 @@
     def _watch_socket(
         self, event: int, descriptor: int, _multi: object, _data: object
     ) -> None:
-        # libcurl reports POLL_REMOVE before it closes a descriptor.
         if event == pycurl.POLL_REMOVE:
             if descriptor in self._watched_descriptors:
                 self._watched_descriptors.discard(descriptor)
-                self._poller.unregister(descriptor)
+                # A descriptor that is closed already has left the epoll set.
+                with contextlib.suppress(OSError):
+                    self._poller.unregister(descriptor)
             return
         mask = _EPOLL_MASKS[event]
         if descriptor in self._watched_descriptors:
-            self._poller.modify(descriptor, mask)
-        else:
-            self._watched_descriptors.add(descriptor)
-            self._poller.register(descriptor, mask)
+            try:
+                self._poller.modify(descriptor, mask)
+                return
+            except FileNotFoundError:
+                # Another socket has got the number of a closed one.
+                pass
+        self._watched_descriptors.add(descriptor)
+        self._poller.register(descriptor, mask)
 
     def _set_timer(self, milliseconds: int) -> None:
         if self._timer is not None:
--- a/tamarackhatch/transport/tests/test_client.py
+++ b/tamarackhatch/transport/tests/test_client.py
@@ -10,6 +10,7 @@
 import threading
 import time
 
+import pycurl
 import pytest
 
 from tamarackhatch import clock
@@ -379,3 +380,29 @@
 ) -> None:
     """Guards against the use of a name's old address for ever."""
     assert _client._is_numeric(address) == expected
+
+
+def test_reused_descriptor_number_is_watched() -> None:
+    """Guards against a connection whose events are never seen.
+
+    Its number is that of a descriptor closed without a report.
+    """
+
+    async def run() -> bool:
+        client = transport.HttpClient(clock.SystemClock(), 1)
+        first, _peer = socket.socketpair()
+        number = first.fileno()
+        client._watch_socket(pycurl.POLL_IN, number, None, None)
+        first.close()
+        second, other = socket.socketpair()
+        assert second.fileno() == number
+        client._watch_socket(pycurl.POLL_IN, number, None, None)
+        other.sendall(b"x")
+        is_seen = [n for n, _ in client._poller.poll(0)] == [number]
+        client._watch_socket(pycurl.POLL_REMOVE, number, None, None)
+        client.close()
+        for end in (second, other, _peer):
+            end.close()
+        return is_seen
+
+    assert asyncio.run(run())
