--- a/tamarackhatch/transport/__init__.py
+++ b/tamarackhatch/transport/__init__.py
@@ -1,9 +1,9 @@
 """HTTP client for calls to other systems."""
 
-from tamarackhatch.transport._client import Answer
-from tamarackhatch.transport._client import Call
-from tamarackhatch.transport._client import CallLostError
-from tamarackhatch.transport._client import CallNotSentError
+from tamarackhatch.transport._calls import Answer
+from tamarackhatch.transport._calls import Call
+from tamarackhatch.transport._calls import CallLostError
+from tamarackhatch.transport._calls import CallNotSentError
 from tamarackhatch.transport._client import HttpClient
 
 __all__ = [
--- /dev/null
+++ b/tamarackhatch/transport/_calls.py
@@ -0,0 +1,82 @@
+"""Calls, their answers and the errors that end them."""
+
+from collections.abc import Callable
+import datetime
+
+import attrs
+
+# Length of a text of the caller in an error message, in characters.
+_MAX_QUOTED = 80
+
+
+class CallNotSentError(Exception):
+    """The call failed before a byte of the request was sent."""
+
+
+class CallLostError(Exception):
+    """The request may have been sent, but no complete answer arrived."""
+
+
+@attrs.frozen
+class Call:
+    """One HTTP call.
+
+    Attributes:
+        method: HTTP method.
+        address: ``host:port`` of the server.
+        path: Path with query string, percent-encoded.
+        timeout: Longest time for the whole call, including the wait for a
+            connection.
+        transfer_time: Further time for an answer whose first byte arrived
+            within the timeout, while more bytes arrive at least once a second.
+        body: Body of a POST or PUT, else None.
+        headers: Further headers, each as ``Name: value``.
+        is_permitted: Asked just before the request is sent; if it returns
+            False, the call fails.
+        needs_new_connection: Whether no open connection may be used, because
+            the same call waits for its answer on one, which may be dead.
+    """
+
+    method: str
+    address: str
+    path: str
+    timeout: datetime.timedelta
+    body: bytes | None = None
+    headers: tuple[str, ...] = ()
+    transfer_time: datetime.timedelta = datetime.timedelta()
+    is_permitted: Callable[[], bool] = lambda: True
+    needs_new_connection: bool = False
+
+
+@attrs.frozen
+class Answer:
+    """A complete answer.
+
+    Attributes:
+        status: HTTP status.
+        body: Body.
+        receive_time: Time from its first byte to its last one.
+    """
+
+    status: int
+    body: bytes
+    receive_time: datetime.timedelta = attrs.field(
+        default=datetime.timedelta(), eq=False
+    )
+
+
+def check_head(call: Call) -> None:
+    """Checks that the head of a request can be written.
+
+    Addresses and identifiers come from other systems. A line end would add a
+    header, and libcurl takes ASCII only.
+
+    Raises:
+        CallNotSentError: It cannot.
+    """
+    for text in (call.address, call.path, *call.headers):
+        if not (text.isascii() and text.isprintable()):
+            raise CallNotSentError(
+                f"{call.method}: {text[:_MAX_QUOTED]!a} has characters that"
+                " no request can have"
+            )
--- a/tamarackhatch/transport/_client.py
+++ b/tamarackhatch/transport/_client.py
@@ -5,7 +5,6 @@
 """
 
 import asyncio
-from collections.abc import Callable
 import contextlib
 import datetime
 import functools
@@ -14,10 +13,10 @@
 import select
 import typing
 
-import attrs
 import pycurl
 
 from tamarackhatch import clock
+from tamarackhatch.transport import _calls
 
 # A full accept queue may drop a connection request. The timeout is well below
 # the usual call timeout, so that a second attempt fits into the call.
@@ -30,8 +29,6 @@
 # Longest time without another byte of an answer that has begun to arrive.
 _MAX_TRANSFER_PAUSE = datetime.timedelta(seconds=1)
 _MAX_IDLE_HANDLES = 64
-# Length of a text of the caller in an error message, in characters.
-_MAX_QUOTED = 80
 _DNS_CACHE_TIMEOUT_S = 60
 # libcurl checks the age of all cached addresses for each call, if they age.
 _NO_DNS_CACHE_TIMEOUT = -1
@@ -48,66 +45,12 @@
 _MILLISECOND = datetime.timedelta(milliseconds=1)
 
 
-class CallNotSentError(Exception):
-    """The call failed before a byte of the request was sent."""
-
-
-class CallLostError(Exception):
-    """The request may have been sent, but no complete answer arrived."""
-
-
-@attrs.frozen
-class Call:
-    """One HTTP call.
-
-    Attributes:
-        method: HTTP method.
-        address: ``host:port`` of the server.
-        path: Path with query string, percent-encoded.
-        timeout: Longest time for the whole call, including the wait for a
-            connection.
-        transfer_time: Further time for an answer whose first byte arrived
-            within the timeout, while more bytes arrive at least once a second.
-        body: Body of a POST or PUT, else None.
-        headers: Further headers, each as ``Name: value``.
-        is_permitted: Asked just before the request is sent; if it returns
-            False, the call fails.
-        needs_new_connection: Whether no open connection may be used, because
-            the same call waits for its answer on one, which may be dead.
-    """
-
-    method: str
-    address: str
-    path: str
-    timeout: datetime.timedelta
-    body: bytes | None = None
-    headers: tuple[str, ...] = ()
-    transfer_time: datetime.timedelta = datetime.timedelta()
-    is_permitted: Callable[[], bool] = lambda: True
-    needs_new_connection: bool = False
-
-
-@attrs.frozen
-class Answer:
-    """A complete answer.
-
-    Attributes:
-        status: HTTP status.
-        body: Body.
-        receive_time: Time from its first byte to its last one.
-    """
-
-    status: int
-    body: bytes
-    receive_time: datetime.timedelta = attrs.field(
-        default=datetime.timedelta(), eq=False
-    )
-
-
 class _Transfer:
     """A call in progress on one easy handle."""
 
-    def __init__(self, call: Call, answer: asyncio.Future[Answer]) -> None:
+    def __init__(
+        self, call: _calls.Call, answer: asyncio.Future[_calls.Answer]
+    ) -> None:
         self.call = call
         self.answer = answer
         self.body_buffer = io.BytesIO()
@@ -155,7 +98,7 @@
         self._last_timeout_by_address: dict[str, datetime.timedelta] = {}
         self._is_closed = False
 
-    async def send(self, call: Call) -> Answer:
+    async def send(self, call: _calls.Call) -> _calls.Answer:
         """Sends a call and returns its complete answer.
 
         Raises:
@@ -163,8 +106,8 @@
             CallLostError: The request may have been sent.
         """
         if self._is_closed:
-            raise CallNotSentError("HTTP client is closed")
-        _check_text(call)
+            raise _calls.CallNotSentError("HTTP client is closed")
+        _calls.check_head(call)
         handle = self._idle_handles.pop() if self._idle_handles else None
         if handle is None:
             handle = _make_handle()
@@ -173,7 +116,9 @@
             self._configure_handle(handle, transfer)
         except pycurl.error as error:
             handle.close()
-            raise CallNotSentError(f"libcurl refused: {error}") from error
+            raise _calls.CallNotSentError(
+                f"libcurl refused: {error}"
+            ) from error
         self._transfers[handle] = transfer
         self._multi.add_handle(handle)
         # This timer, unlike libcurl's own timeout, cannot end a call whose
@@ -207,7 +152,9 @@
                 transfer.timer.cancel()
             if not transfer.answer.done():
                 transfer.answer.set_exception(
-                    CallLostError("HTTP client was closed during the call")
+                    _calls.CallLostError(
+                        "HTTP client was closed during the call"
+                    )
                 )
         self._transfers.clear()
         if self._timer is not None:
@@ -279,7 +226,9 @@
             handle, (pycurl.E_OPERATION_TIMEDOUT, "no answer in time")
         )
 
-    def _limit_connection_age(self, handle: pycurl.Curl, call: Call) -> None:
+    def _limit_connection_age(
+        self, handle: pycurl.Curl, call: _calls.Call
+    ) -> None:
         # After a call has timed out, every older connection to the address may
         # be dead, and each use of one would cost one more timeout.
         last_timeout = self._last_timeout_by_address.get(call.address)
@@ -360,13 +309,13 @@
             return
         if transfer.timer is not None:
             transfer.timer.cancel()
-        result: Answer | Exception
+        result: _calls.Answer | Exception
         if failure is None:
             status = handle.getinfo(pycurl.RESPONSE_CODE)
             receive_s = handle.getinfo(pycurl.TOTAL_TIME) - handle.getinfo(
                 pycurl.STARTTRANSFER_TIME
             )
-            result = Answer(
+            result = _calls.Answer(
                 status,
                 transfer.body_buffer.getvalue(),
                 datetime.timedelta(seconds=max(0.0, receive_s)),
@@ -395,25 +344,8 @@
             )
         text = f"{call.method} {call.address}: {message}"
         if transfer.is_sent:
-            return CallLostError(text)
-        return CallNotSentError(text)
-
-
-def _check_text(call: Call) -> None:
-    """Checks that the head of a request can be written.
-
-    Addresses and identifiers come from other systems. A line end would add a
-    header, and libcurl takes ASCII only.
-
-    Raises:
-        CallNotSentError: It cannot.
-    """
-    for text in (call.address, call.path, *call.headers):
-        if not (text.isascii() and text.isprintable()):
-            raise CallNotSentError(
-                f"{call.method}: {text[:_MAX_QUOTED]!a} has characters that"
-                " no request can have"
-            )
+            return _calls.CallLostError(text)
+        return _calls.CallNotSentError(text)
 
 
 @functools.lru_cache(maxsize=_MAX_CACHED_ADDRESSES)
