--- a/tamarackhatch/transport/tests/test_client.py
+++ b/tamarackhatch/transport/tests/test_client.py
@@ -1,77 +1,29 @@
 """Tests the HTTP client against a raw TCP server in another thread."""
 
 import asyncio
-from collections.abc import Callable
-from collections.abc import Iterator
-import contextlib
 import datetime
-import os
 import socket
 import threading
 import time
 
-import pycurl
 import pytest
 
 from tamarackhatch import clock
 from tamarackhatch import transport
-from tamarackhatch.transport import _client
+from tamarackhatch.transport.tests import raw_server
 
 _MS = datetime.timedelta(milliseconds=1)
-_HEAD = b"HTTP/1.1 200 OK\r\nContent-Length: 40\r\n\r\n"
-_BODY = b"x" * 40
-
-# Answers one request that was read from a connection.
-Handler = Callable[[socket.socket], None]
-
-
-@contextlib.contextmanager
-def _serve(handle: Handler) -> Iterator[str]:
-    """Serves each connection in a thread, and yields the server's address."""
-    listener = socket.create_server(("127.0.0.1", 0))
-    is_stopped = threading.Event()
-    connections: list[socket.socket] = []
-
-    def serve_connection(connection: socket.socket) -> None:
-        with contextlib.suppress(OSError):
-            while connection.recv(65536):
-                handle(connection)
-
-    def accept() -> None:
-        while not is_stopped.is_set():
-            with contextlib.suppress(OSError):
-                connection, _ = listener.accept()
-                connections.append(connection)
-                threading.Thread(
-                    target=serve_connection, args=(connection,), daemon=True
-                ).start()
-
-    thread = threading.Thread(target=accept, daemon=True)
-    thread.start()
-    try:
-        yield f"127.0.0.1:{listener.getsockname()[1]}"
-    finally:
-        is_stopped.set()
-        listener.shutdown(socket.SHUT_RDWR)
-        listener.close()
-        for connection in connections:
-            connection.close()
-        thread.join(5)
-
-
-def _answer_at_once(connection: socket.socket) -> None:
-    connection.sendall(_HEAD + _BODY)
 
 
 def _answer_slowly(connection: socket.socket) -> None:
-    connection.sendall(_HEAD)
+    connection.sendall(raw_server.HEAD)
     for index in range(8):
         time.sleep(0.1)
-        connection.sendall(_BODY[index * 5 : index * 5 + 5])
+        connection.sendall(raw_server.BODY[index * 5 : index * 5 + 5])
 
 
 def _stall(connection: socket.socket) -> None:
-    connection.sendall(_HEAD + _BODY[:5])
+    connection.sendall(raw_server.HEAD + raw_server.BODY[:5])
 
 
 def _stay_silent(connection: socket.socket) -> None:
@@ -88,7 +40,7 @@
 
 
 def _cut_answer(connection: socket.socket) -> None:
-    connection.sendall(_HEAD + _BODY[:5])
+    connection.sendall(raw_server.HEAD + raw_server.BODY[:5])
     connection.shutdown(socket.SHUT_RDWR)
 
 
@@ -125,18 +77,18 @@
     def answer_late(connection: socket.socket) -> None:
         is_received.set()
         time.sleep(0.15)
-        _answer_at_once(connection)
+        raw_server.answer_at_once(connection)
 
-    with _serve(answer_late) as address:
+    with raw_server.serve(answer_late) as address:
         answer = asyncio.run(call_and_block(address))
-    assert answer == transport.Answer(200, _BODY)
+    assert answer == transport.Answer(200, raw_server.BODY)
 
 
 def test_slow_answer_is_read_while_bytes_arrive() -> None:
     """Guards against giving up large answers on slow links each time."""
-    with _serve(_answer_slowly) as address:
+    with raw_server.serve(_answer_slowly) as address:
         answer = asyncio.run(_send(address, 3000 * _MS))
-    assert answer == transport.Answer(200, _BODY)
+    assert answer == transport.Answer(200, raw_server.BODY)
 
 
 @pytest.mark.parametrize(
@@ -152,10 +104,12 @@
     ],
 )
 def test_call_without_a_complete_answer_is_lost_in_time(
-    handle: Handler, transfer_time: datetime.timedelta, max_seconds: float
+    handle: raw_server.Handler,
+    transfer_time: datetime.timedelta,
+    max_seconds: float,
 ) -> None:
     """Guards against waiting long for an answer, and against part of one."""
-    with _serve(handle) as address:
+    with raw_server.serve(handle) as address:
         began = time.monotonic()
         with pytest.raises(transport.CallLostError):
             asyncio.run(_send(address, transfer_time))
@@ -176,7 +130,7 @@
 
     def handle(connection: socket.socket) -> None:
         if not is_silent:
-            _answer_at_once(connection)
+            raw_server.answer_at_once(connection)
 
     async def send_both(address: str) -> list[transport.Answer]:
         nonlocal is_silent
@@ -189,18 +143,18 @@
         client.close()
         return answers
 
-    with _serve(handle) as address:
+    with raw_server.serve(handle) as address:
         answers = asyncio.run(send_both(address))
-    assert answers == [transport.Answer(200, _BODY)] * 3
+    assert answers == [transport.Answer(200, raw_server.BODY)] * 3
 
 
-def _serve_after(delays: list[float]) -> Handler:
+def _serve_after(delays: list[float]) -> raw_server.Handler:
     """Answers the requests in turn after delays, in seconds."""
     remaining = iter(delays)
 
     def handle(connection: socket.socket) -> None:
         time.sleep(next(remaining))
-        _answer_at_once(connection)
+        raw_server.answer_at_once(connection)
 
     return handle
 
@@ -226,9 +180,9 @@
         client.close()
         return answer, elapsed
 
-    with _serve(_serve_after([2.5, 0.0])) as address:
+    with raw_server.serve(_serve_after([2.5, 0.0])) as address:
         answer, elapsed = asyncio.run(abandon_first(address))
-    assert answer == transport.Answer(200, _BODY) and elapsed < 0.5
+    assert answer == transport.Answer(200, raw_server.BODY) and elapsed < 0.5
 
 
 def test_cancelled_call_gives_its_answer_to_no_other_call() -> None:
@@ -244,7 +198,7 @@
         time.sleep(0.02)
         bodies += 1
         body = b"%040d" % bodies
-        connection.sendall(_HEAD + body)
+        connection.sendall(raw_server.HEAD + body)
 
     async def run(address: str) -> list[bytes]:
         client = transport.HttpClient(clock.SystemClock(), 2)
@@ -261,7 +215,7 @@
         client.close()
         return received
 
-    with _serve(handle) as address:
+    with raw_server.serve(handle) as address:
         received = asyncio.run(run(address))
     assert len(set(received)) == 40 and received == sorted(received)
 
@@ -280,7 +234,7 @@
         if is_dead.is_set() and connection.fileno() in old:
             return
         time.sleep(0.05)
-        _answer_at_once(connection)
+        raw_server.answer_at_once(connection)
 
     async def run(address: str) -> float:
         client = transport.HttpClient(clock.SystemClock(), 8)
@@ -293,14 +247,16 @@
         hedge = transport.Call(
             "GET", address, "/", 1000 * _MS, needs_new_connection=True
         )
-        assert await client.send(hedge) == transport.Answer(200, _BODY)
+        assert await client.send(hedge) == transport.Answer(
+            200, raw_server.BODY
+        )
         elapsed = time.monotonic() - began
         assert not first.done()
         first.cancel()
         client.close()
         return elapsed
 
-    with _serve(handle) as address:
+    with raw_server.serve(handle) as address:
         assert asyncio.run(run(address)) < 0.5
 
 
@@ -352,112 +308,8 @@
 
     def answer(connection: socket.socket) -> None:
         requests.append(b"")
-        _answer_at_once(connection)
+        raw_server.answer_at_once(connection)
 
-    with _serve(answer) as server:
+    with raw_server.serve(answer) as server:
         asyncio.run(simulate(server))
     assert len(requests) == 1
-
-
-def test_closed_client_leaves_no_descriptor_open() -> None:
-    """Guards against a leak of descriptors, and a second close that fails.
-
-    The client has one idle connection, and one on which a call waits.
-    """
-    delays = iter([0.0, 1.0])
-
-    def handle(connection: socket.socket) -> None:
-        time.sleep(next(delays))
-        _answer_at_once(connection)
-
-    async def run(address: str) -> tuple[int, int]:
-        before = len(os.listdir("/proc/self/fd"))
-        client = transport.HttpClient(clock.SystemClock(), 2)
-        call = transport.Call("GET", address, "/", 3000 * _MS)
-        await client.send(call)
-        opened = len(os.listdir("/proc/self/fd"))
-        waiting = asyncio.create_task(client.send(call))
-        await asyncio.sleep(0.05)
-        client.close()
-        client.close()
-        with pytest.raises(transport.CallLostError):
-            await waiting
-        # The server's end of the connection stays open.
-        return opened - before, len(os.listdir("/proc/self/fd")) - before
-
-    with _serve(handle) as address:
-        opened, left = asyncio.run(run(address))
-    assert opened > left and left <= 1
-
-
-def test_idle_connection_that_the_server_closes_is_not_used_again() -> None:
-    """Guards against events of closed descriptors, and against a lost call.
-
-    The server closes each connection after its answer.
-    """
-
-    def handle(connection: socket.socket) -> None:
-        _answer_at_once(connection)
-        connection.shutdown(socket.SHUT_RDWR)
-
-    async def run(address: str) -> tuple[list[transport.Answer], float]:
-        client = transport.HttpClient(clock.SystemClock(), 2)
-        call = transport.Call("GET", address, "/", 3000 * _MS)
-        answers = []
-        for _ in range(10):
-            answers.append(await client.send(call))
-            await asyncio.sleep(0.05)
-        began = time.thread_time()
-        await asyncio.sleep(0.3)
-        used = time.thread_time() - began
-        client.close()
-        return answers, used
-
-    with _serve(handle) as address:
-        answers, used = asyncio.run(run(address))
-    # A descriptor that stays ready would keep the event loop busy.
-    assert answers == [transport.Answer(200, _BODY)] * 10 and used < 0.1
-
-
-@pytest.mark.parametrize(
-    ("address", "expected"),
-    [
-        ("127.0.0.1:80", True),
-        ("10.20.30.40:9000", True),
-        ("localhost:80", False),
-        ("10.example:80", False),
-        ("1.2.3:80", False),
-        ("", False),
-    ],
-)
-def test_only_numeric_addresses_are_kept_for_ever(
-    address: str, expected: bool
-) -> None:
-    """Guards against the use of a name's old address for ever."""
-    assert _client._is_numeric(address) == expected
-
-
-def test_reused_descriptor_number_is_watched() -> None:
-    """Guards against a connection whose events are never seen.
-
-    Its number is that of a descriptor closed without a report.
-    """
-
-    async def run() -> bool:
-        client = transport.HttpClient(clock.SystemClock(), 1)
-        first, _peer = socket.socketpair()
-        number = first.fileno()
-        client._watch_socket(pycurl.POLL_IN, number, None, None)
-        first.close()
-        second, other = socket.socketpair()
-        assert second.fileno() == number
-        client._watch_socket(pycurl.POLL_IN, number, None, None)
-        other.sendall(b"x")
-        is_seen = [n for n, _ in client._poller.poll(0)] == [number]
-        client._watch_socket(pycurl.POLL_REMOVE, number, None, None)
-        client.close()
-        for end in (second, other, _peer):
-            end.close()
-        return is_seen
-
-    assert asyncio.run(run())
