--- a/tamarackhatch/observability/_log.py
+++ b/tamarackhatch/observability/_log.py
@@ -2,6 +2,7 @@
 
 import datetime
 import os
+import reprlib
 import typing
 
 import attrs
@@ -122,17 +123,22 @@
         self._sink = sink
         self._clock = time_source
         self._levels = levels
+        # Without bind(), each line would make a logger of its own.
         self._logger = structlog.wrap_logger(
             _SinkLogger(sink),
             processors=[self._add_time_and_level, _render],
             wrapper_class=structlog.BoundLogger,
-            part=component,
-        )
+        ).bind(part=component)
 
     def for_component(self, component: str) -> "Log":
         """Returns the logger of a component, with the same sink and level."""
         return Log(self._sink, self._clock, self._levels, component)
 
+    @property
+    def is_debugging(self) -> bool:
+        """Whether debug events are written; their fields may be costly."""
+        return self._levels.minimum <= _LEVELS["debug"]
+
     def debug(self, event: str, **fields: typing.Any) -> None:
         """Logs an event that is needed only for debugging."""
         if self._levels.minimum <= _LEVELS["debug"] and (
@@ -193,4 +199,22 @@
     _level: str,
     event: typing.MutableMapping[str, typing.Any],
 ) -> bytes:
-    return orjson.dumps(event, default=str) + b"\n"
+    try:
+        return orjson.dumps(event, default=str) + b"\n"
+    except TypeError:
+        fields = {name: _simplify(value) for name, value in event.items()}
+        return orjson.dumps(fields, default=str) + b"\n"
+
+
+def _simplify(value: object) -> object:
+    """Returns a value that a line can hold, if need be its description.
+
+    Integers beyond 64 bits, lone surrogates, deeply nested values and keys
+    that are not text cannot be encoded.
+    """
+    try:
+        orjson.dumps(value, default=str)
+        return value
+    except TypeError:
+        text = value if isinstance(value, str) else reprlib.repr(value)
+        return text.encode("utf-8", "backslashreplace").decode()
--- a/tamarackhatch/placement/_choice.py
+++ b/tamarackhatch/placement/_choice.py
@@ -6,8 +6,6 @@
 import heapq
 import typing
 
-import attrs
-
 from tamarackhatch import model
 from tamarackhatch.placement import _candidate
 from tamarackhatch.placement import _load
@@ -21,8 +19,7 @@
 _ROUNDING_ERROR = 0.001
 
 
-@attrs.frozen
-class RunnerRating:
+class RunnerRating(typing.NamedTuple):
     """How good a runner is for a task.
 
     Attributes:
@@ -140,7 +137,9 @@
     return [
         candidate
         for candidate in candidates
-        if candidate.get_best_effort_room(image) >= needed
+        # Costs less than a call, and leaves out half of the runners.
+        if candidate.unused_cpu >= needed
+        and candidate.has_best_effort_room(image, needed)
     ]
 
 
@@ -163,7 +162,10 @@
 ) -> RunnerRating | None:
     """Returns the rating of a runner; None if the task cannot run there."""
     load = candidate.load
-    if not load.has_capacity(step) or not is_allowed(load, key, step):
+    if not load.has_capacity(step):
+        return None
+    is_restricted = step.required_label or step.max_per_runner
+    if is_restricted and not is_allowed(load, key, step):
         return None
     rating = rate_runner(step, candidate, policy)
     if load.transient_count < candidate.start_limit or step.is_long_running:
--- a/tamarackhatch/scheduler/_fleet.py
+++ b/tamarackhatch/scheduler/_fleet.py
@@ -16,12 +16,25 @@
 # A runner that has not answered for this long gets no new tasks. A renewal may
 # wait up to 1.5 s for an exit.
 MAX_TIME_SINCE_ANSWER = datetime.timedelta(milliseconds=2600)
-
 # A single failure may be a reset connection, after which the next renewal is
 # answered.
 _CORDON_AFTER_MISSED_RENEWALS = 2
 
 
+@attrs.frozen
+class PendingAck:
+    """An exit that is not durable yet.
+
+    Attributes:
+        task: The task.
+        generation: The writer's generation that makes it durable; None for an
+            exit of a job that is not read yet.
+    """
+
+    task: model.TaskKey
+    generation: int | None
+
+
 @attrs.define(eq=False)
 class RunnerEntry:
     """A runner.
@@ -52,9 +65,8 @@
             the first answer.
         processed_exit: Number of the last exit that was processed.
         acknowledged_exit: Number of the last exit that is durable.
-        pending_acks: For the number of each exit that is not durable yet, in
-            their order, the writer's generation that makes it durable; None
-            for an unread exit.
+        pending_acks: Exits that are not durable yet, by number and in their
+            order.
         unread_exits: Exits of jobs that may be stored and not be read yet, by
             number, with the time at which the runner first listed them.
         unread_running: The same for runs in progress, by task.
@@ -70,6 +82,8 @@
             by a crash because the runner does not answer. None of them counts
             if the same incarnation answers again.
         avoid_until: Monotonic time until which it gets no new tasks.
+        exclusive_from: Monotonic time from which no earlier scheduler receives
+            exits from it; None before its first answer in this term.
         leaves_at: Earliest monotonic time at which it may leave; None unless
             it drains.
     """
@@ -92,7 +106,7 @@
     clock_read: datetime.timedelta | None = None
     processed_exit: int = 0
     acknowledged_exit: int = 0
-    pending_acks: dict[int, int | None] = attrs.field(factory=dict)
+    pending_acks: dict[int, PendingAck] = attrs.field(factory=dict)
     unread_exits: dict[int, tuple[model.RunExit, datetime.timedelta]] = (
         attrs.field(factory=dict)
     )
@@ -108,6 +122,7 @@
         factory=list
     )
     avoid_until: datetime.timedelta = datetime.timedelta()
+    exclusive_from: datetime.timedelta | None = None
     leaves_at: datetime.timedelta | None = None
 
     @property
@@ -180,6 +195,17 @@
             return 0
         return self.acknowledged_exit
 
+    @property
+    def is_to_be_tracked(self) -> bool:
+        """Whether the list of tracked runners is to name it.
+
+        A runner that has never answered has got neither a lease nor a task,
+        and may not exist.
+        """
+        return not self.is_untracked and (
+            self.is_restored or self.clock_read is not None
+        )
+
     @property
     def is_replaced(self) -> bool:
         """Whether another runner answers at its address.
@@ -217,7 +243,8 @@
         Args:
             generation: The writer's generation up to which all is durable.
         """
-        for number, required in list(self.pending_acks.items()):
+        for number, pending in list(self.pending_acks.items()):
+            required = pending.generation
             if required is None or required > generation:
                 return
             self.acknowledged_exit = number
@@ -262,6 +289,26 @@
         elapsed = (now - self.clock_read) * (1 - _MAX_CLOCK_DRIFT_SHARE)
         return self.clock + elapsed > reading + _EXPIRY_MARGIN
 
+    def record_first_answer(self, exclusive_from: datetime.timedelta) -> None:
+        """Records the first report in this term, which lists all runs.
+
+        Args:
+            exclusive_from: Monotonic time until which it may still answer a
+                renewal of an earlier scheduler that it had accepted before.
+        """
+        self.unlisted_tasks = frozenset()
+        self.exclusive_from = exclusive_from
+
+    def record_replacement(self) -> None:
+        """Records that another runner answers, so that no run exists here."""
+        self.evidence = _crash_suspects.Evidence.ENDED
+        self.unlisted_tasks = frozenset()
+        self.listed = ()
+
+    def reports_exclusively(self, now: datetime.timedelta) -> bool:
+        """Returns whether no earlier scheduler receives exits reported now."""
+        return self.exclusive_from is not None and now >= self.exclusive_from
+
     def is_answering(self, now: datetime.timedelta) -> bool:
         """Returns whether the runner's latest answer is recent."""
         return (
@@ -273,7 +320,7 @@
     @property
     def should_be_cordoned(self) -> bool:
         """Whether it can get no tasks soon, and all its runs are known."""
-        if self.is_untracked or self.unlisted_tasks is None:
+        if not self.is_to_be_tracked or self.unlisted_tasks is None:
             return False
         return (
             not self.is_registered
@@ -286,6 +333,9 @@
         """Returns the tasks that may run here; only if all are known."""
         tasks = {item.task for item in self.listed}
         tasks.update(self.tasks, self.unlisted_tasks or ())
+        # A successor that does not know of an exit must not start its task
+        # before it has read the exit.
+        tasks.update(pending.task for pending in self.pending_acks.values())
         return tuple(sorted(tasks, key=str))
 
     def is_schedulable(self, now: datetime.timedelta) -> bool:
--- a/tamarackhatch/scheduler/_job_tracker.py
+++ b/tamarackhatch/scheduler/_job_tracker.py
@@ -95,6 +95,12 @@
         """Returns whether a job is known."""
         return identifier in self._jobs
 
+    def needs_service(self, name: str) -> bool:
+        """Returns whether a job needs the runners of a service."""
+        return any(
+            entry.job.queue.service == name for entry in self._jobs.values()
+        )
+
     def mark_synced(self, time: datetime.timedelta) -> None:
         """Records that all jobs stored before a monotonic time were read."""
         self._synced_until = time
@@ -295,7 +301,10 @@
         )
         # A run whose exit is listed has not ended by a crash.
         task.crashes.pop(run_exit.run, None)
-        task.is_unblocked_in_term = task.runner is runner
+        task.is_unblocked_in_term = (
+            task.runner is runner
+            and runner.reports_exclusively(self._clock.get_monotonic())
+        )
         if task.runner is not None:
             task.runner.release_task(task, self._clock.get_monotonic())
         else:
--- a/tamarackhatch/scheduler/_runner_manager.py
+++ b/tamarackhatch/scheduler/_runner_manager.py
@@ -14,6 +14,8 @@
 from tamarackhatch.scheduler import _fleet
 from tamarackhatch.scheduler import _health
 from tamarackhatch.scheduler import _runner_reconciler
+from tamarackhatch.scheduler import _unusable_entries
+from tamarackhatch.scheduler import _writer
 
 _CHECK_INTERVAL = datetime.timedelta(milliseconds=25)
 # Runners that are up answer within milliseconds.
@@ -27,6 +29,8 @@
 _MILLISECOND = datetime.timedelta(milliseconds=1)
 # Stands for runners whose identifiers are not known; never reconciled.
 _UNKNOWN_RUNNERS = "(unknown)"
+# Long enough that a lasting error does not fill the log or the processor.
+_RESTART_DELAY = datetime.timedelta(seconds=1)
 
 
 class RunnerManager:
@@ -46,11 +50,14 @@
         # Runners that have not answered in this term, with the only tasks
         # that may run there; None for any task.
         self._unreconciled: dict[str, frozenset[model.TaskKey] | None] = {}
+        self._unusable_entries = _unusable_entries.UnusableEntries(
+            context.clock, context.log, context.metrics
+        )
 
     def restore_tracked_runners(
         self,
         tracked_runners: tuple[records.TrackedRunner, ...] | None,
-        cordons: records.Cordons,
+        cordoned_runners: tuple[records.CordonedRunner, ...],
     ) -> None:
         """Starts reconciling the runners on which earlier tasks may run.
 
@@ -62,13 +69,14 @@
         Args:
             tracked_runners: The runners; None if they are not known, so that
                 starts are paused until no earlier task can run.
-            cordons: Those of them on which only certain tasks may run.
+            cordoned_runners: Those of them on which only certain tasks may
+                run.
         """
         if tracked_runners is None:
             self._unreconciled[_UNKNOWN_RUNNERS] = None
         cordoned = {
             runner.identifier: frozenset(runner.tasks)
-            for runner in cordons.runners
+            for runner in cordoned_runners
         }
         for entry in tracked_runners or ():
             tasks = cordoned.get(entry.identifier)
@@ -86,18 +94,23 @@
         """Applies a changed or removed row of the registry."""
         entry = self._context.fleet.get(row.ref.key)
         if row.is_deleted:
+            self._unusable_entries.forget(row.ref.key)
             if entry is not None:
                 self._mark_unregistered(entry)
             return
         try:
             record = platform.decode_runner(row)
         except platform.MalformedBodyError as error:
-            self._context.log.debug(
-                "runner_row_unreadable",
-                runner=row.ref.key,
-                reason=error.message,
-            )
+            self._unusable_entries.record(row, error.message)
+            # As after a takeover, the entry names no runner to use.
+            if entry is not None:
+                self._mark_unregistered(entry)
+            return
+        if entry is None and not self._is_service_needed(record.service):
+            # The runner's next entry is read again, one heartbeat later.
+            self._unusable_entries.record(row, "service is not configured")
             return
+        self._unusable_entries.forget(row.ref.key)
         if entry is None:
             self._context.log.info(
                 "runner_added",
@@ -107,7 +120,6 @@
                 memory=record.capacity.memory_mb,
             )
             self._add_runner(record)
-            self._write_tracked_runners()
         else:
             self._update_runner(entry, record)
 
@@ -118,6 +130,7 @@
 
     def mark_unlisted_runners(self, listed: set[str]) -> None:
         """Marks runners that the registry no longer lists."""
+        self._unusable_entries.keep_only(listed)
         for entry in self._context.fleet.values():
             if entry.identifier not in listed:
                 self._mark_unregistered(entry)
@@ -139,10 +152,13 @@
         deadline = claim_time + context.settings.takeover_wait
         warning_time = claim_time + _MAX_SILENT_WAIT
         while self._unreconciled:
+            count = len(self._unreconciled)
             for identifier in list(self._unreconciled):
                 reconciler = self._reconcilers.get(identifier)
                 if reconciler is not None and reconciler.knows_all_runs:
-                    self._discard_unreconciled(identifier)
+                    del self._unreconciled[identifier]
+            if len(self._unreconciled) < count:
+                self._pause_starts()
             context.load_monitor.awaited_runners = len(self._unreconciled)
             now = context.clock.get_boot_time()
             if self._unreconciled and now > warning_time:
@@ -167,24 +183,21 @@
             entry.unlisted_tasks = frozenset()
         self._unreconciled.clear()
 
-    def _discard_unreconciled(self, identifier: str) -> None:
-        if identifier in self._unreconciled:
-            del self._unreconciled[identifier]
-            self._pause_starts()
-
     def _pause_starts(self) -> None:
         """Pauses the tasks that may run on unreconciled runners."""
         if not self._unreconciled:
             return
-        tasks: set[model.TaskKey] = set()
-        are_known = True
-        for possible in self._unreconciled.values():
-            are_known = are_known and possible is not None
-            tasks.update(possible or ())
+        tasks: frozenset[model.TaskKey] | None = None
+        known = [
+            possible
+            for possible in self._unreconciled.values()
+            if possible is not None
+        ]
+        if len(known) == len(self._unreconciled):
+            tasks = frozenset().union(*known)
         term = self._context.leader_lease.term
         self._dispatcher.pause_starts(
-            term.token if term.is_predecessor_stopped else None,
-            frozenset(tasks) if are_known else None,
+            term.token if term.is_predecessor_stopped else None, tasks
         )
 
     def _log_unreconciled(self, event: str) -> None:
@@ -209,6 +222,12 @@
             paused_tasks=self._context.load_monitor.waiting.paused,
         )
 
+    def _is_service_needed(self, name: str) -> bool:
+        context = self._context
+        return context.is_service_known(
+            name
+        ) or context.job_tracker.needs_service(name)
+
     def _add_runner(
         self, record: model.Runner, is_restored: bool = False
     ) -> None:
@@ -222,12 +241,26 @@
         self._context.fleet[record.identifier] = entry
         self._start_reconciler(entry)
 
-    def _start_reconciler(self, entry: _fleet.RunnerEntry) -> None:
+    def _start_reconciler(
+        self,
+        entry: _fleet.RunnerEntry,
+        delay: datetime.timedelta = datetime.timedelta(),
+    ) -> None:
         reconciler = _runner_reconciler.RunnerReconciler(
-            self._context, entry, self._commands, self._untrack
+            self._context,
+            entry,
+            self._commands,
+            self._untrack,
+            self._track,
         )
         self._reconcilers[entry.identifier] = reconciler
-        task = asyncio.create_task(reconciler.run())
+
+        async def run() -> None:
+            if delay:
+                await self._context.clock.sleep(delay)
+            await reconciler.run()
+
+        task = asyncio.create_task(run())
         self._reconciler_tasks[entry.identifier] = task
         task.add_done_callback(
             lambda finished_task: self._handle_finished_reconciler(
@@ -246,12 +279,15 @@
                 runner=identifier,
                 reason=repr(task.exception()),
             )
-            self._start_reconciler(self._context.fleet[identifier])
+            self._start_reconciler(
+                self._context.fleet[identifier], _RESTART_DELAY
+            )
             return
         self._context.log.info("runner_removed", runner=identifier)
         del self._reconciler_tasks[identifier]
         if self._reconcilers.pop(identifier).knows_all_runs:
-            self._discard_unreconciled(identifier)
+            self._unreconciled.pop(identifier, None)
+            self._pause_starts()
         del self._context.fleet[identifier]
         _health.forget_runner(self._context, identifier)
         self._write_tracked_runners()
@@ -278,7 +314,7 @@
         is_leaving = record.is_draining or entry.missed_renewals > 0
         if entry.is_untracked and (entry.tasks or not is_leaving):
             entry.is_untracked = entry.is_tracked = False
-        if not entry.is_tracked and not entry.is_untracked:
+        if not entry.is_tracked and entry.is_to_be_tracked:
             self._write_tracked_runners()
         if record.is_draining:
             reconciler = self._reconcilers[entry.identifier]
@@ -307,6 +343,10 @@
         entry.capacity_refusals = 0
         self._context.wake.set()
 
+    def _track(self, entry: _fleet.RunnerEntry) -> None:
+        if not entry.is_tracked:
+            self._write_tracked_runners()
+
     def _untrack(self, entry: _fleet.RunnerEntry) -> None:
         entry.is_untracked = True
         self._context.log.info("runner_untracked", runner=entry.identifier)
@@ -320,10 +360,15 @@
             )
 
     def _write_tracked_runners(self) -> None:
+        self._context.writer.request_tracked_runners(
+            self._list_tracked_runners
+        )
+
+    def _list_tracked_runners(self) -> _writer.TrackedRunnersWrite:
         entries = [
             entry
             for entry in self._context.fleet.values()
-            if not entry.is_untracked
+            if entry.is_to_be_tracked
         ]
         tracked_runners = tuple(
             records.TrackedRunner(
@@ -340,7 +385,7 @@
                 entry.is_tracked = True
             self._context.wake.set()
 
-        self._context.writer.set_tracked_runners(tracked_runners, mark_tracked)
+        return _writer.TrackedRunnersWrite(tracked_runners, mark_tracked)
 
 
 def _make_runner(entry: records.TrackedRunner) -> model.Runner:
--- a/tamarackhatch/scheduler/_runner_reconciler.py
+++ b/tamarackhatch/scheduler/_runner_reconciler.py
@@ -52,6 +52,7 @@
         entry: _fleet.RunnerEntry,
         commands: _commands.CommandSender,
         untrack: Callable[[_fleet.RunnerEntry], None],
+        track: Callable[[_fleet.RunnerEntry], None],
     ) -> None:
         """Creates the reconciler of one runner.
 
@@ -60,11 +61,13 @@
             entry: The runner.
             commands: Sends commands.
             untrack: Stops tracking the runner.
+            track: Tracks the runner, which has answered for the first time.
         """
         self._context = context
         self._entry = entry
         self._commands = commands
         self._untrack = untrack
+        self._track = track
         self._has_reported = False
         self._started = context.get_now()
         self._crashes = _crash_recorder.CrashRecorder(context, entry)
@@ -176,9 +179,7 @@
             if not is_timeout:
                 entry.evidence = _Evidence.REFUSED
         if is_replaced:
-            entry.evidence = _Evidence.ENDED
-            entry.unlisted_tasks = frozenset()
-            entry.listed = ()
+            entry.record_replacement()
         if not entry.tasks:
             return
         tasks = list(entry.tasks.values())
@@ -229,7 +230,11 @@
                 context.settings, entry, report
             )
             self._has_reported = True
-            entry.unlisted_tasks = frozenset()
+            is_alone = context.leader_lease.term.is_predecessor_stopped
+            entry.record_first_answer(
+                now if is_alone else now + _IDLE_RENEWAL_WAIT
+            )
+            self._track(entry)
         for run_exit in report.exits:
             if run_exit.number <= entry.processed_exit:
                 continue
@@ -239,7 +244,9 @@
             else:
                 # Acknowledging the exit before its job is read would lose it.
                 entry.unread_exits[run_exit.number] = (run_exit, now)
-                entry.pending_acks[run_exit.number] = None
+                entry.pending_acks[run_exit.number] = _fleet.PendingAck(
+                    run_exit.task, None
+                )
         listed = {item.task: item for item in report.running}
         entry.unread_running = {
             key: unread
@@ -370,7 +377,9 @@
                 generation = context.job_tracker.record_earlier_exit(
                     task, run_exit, entry
                 )
-        entry.pending_acks[run_exit.number] = generation
+        entry.pending_acks[run_exit.number] = _fleet.PendingAck(
+            run_exit.task, generation
+        )
 
     def _apply_running_task(self, item: model.RunningTask) -> None:
         context, entry = self._context, self._entry
@@ -427,9 +436,9 @@
     async def _wait_before_renewal(self, sent: datetime.timedelta) -> None:
         context, entry = self._context, self._entry
         generations = [
-            generation
-            for generation in entry.pending_acks.values()
-            if generation is not None
+            pending.generation
+            for pending in entry.pending_acks.values()
+            if pending.generation is not None
         ]
         if generations:
             await context.writer.wait_until_durable(
--- a/tamarackhatch/transport/_client.py
+++ b/tamarackhatch/transport/_client.py
@@ -5,15 +5,18 @@
 """
 
 import asyncio
-from collections.abc import Callable
+import contextlib
 import datetime
+import functools
 import io
+import ipaddress
+import select
 import typing
 
-import attrs
 import pycurl
 
 from tamarackhatch import clock
+from tamarackhatch.transport import _calls
 
 # A full accept queue may drop a connection request. The timeout is well below
 # the usual call timeout, so that a second attempt fits into the call.
@@ -26,72 +29,28 @@
 # Longest time without another byte of an answer that has begun to arrive.
 _MAX_TRANSFER_PAUSE = datetime.timedelta(seconds=1)
 _MAX_IDLE_HANDLES = 64
-# Four connections to each of 250 runners; an instance may have 4,100 file
-# descriptors.
-_MAX_CACHED_CONNECTIONS = 1000
+_DNS_CACHE_TIMEOUT_S = 60
+# libcurl checks the age of all cached addresses for each call, if they age.
+_NO_DNS_CACHE_TIMEOUT = -1
+_MAX_CACHED_ADDRESSES = 4096
+# Four connections to each of 446 runners are 1,784. An instance may have 4,100
+# file descriptors, of which 200 are reserved for files; 1,400 remain for its
+# callers, the store and other instances, whose clients have few hosts.
+_MAX_CACHED_CONNECTIONS = 2500
+_EPOLL_MASKS = {
+    pycurl.POLL_IN: select.EPOLLIN,
+    pycurl.POLL_OUT: select.EPOLLOUT,
+    pycurl.POLL_INOUT: select.EPOLLIN | select.EPOLLOUT,
+}
 _MILLISECOND = datetime.timedelta(milliseconds=1)
 
 
-class CallNotSentError(Exception):
-    """The call failed before a byte of the request was sent."""
-
-
-class CallLostError(Exception):
-    """The request may have been sent, but no complete answer arrived."""
-
-
-@attrs.frozen
-class Call:
-    """One HTTP call.
-
-    Attributes:
-        method: HTTP method.
-        address: ``host:port`` of the server.
-        path: Path with query string, percent-encoded.
-        timeout: Longest time for the whole call, including the wait for a
-            connection.
-        transfer_time: Further time for an answer whose first byte arrived
-            within the timeout, while more bytes arrive at least once a second.
-        body: Body of a POST or PUT, else None.
-        headers: Further headers, each as ``Name: value``.
-        is_permitted: Asked just before the request is sent; if it returns
-            False, the call fails.
-        needs_new_connection: Whether no open connection may be used, because
-            the same call waits for its answer on one, which may be dead.
-    """
-
-    method: str
-    address: str
-    path: str
-    timeout: datetime.timedelta
-    body: bytes | None = None
-    headers: tuple[str, ...] = ()
-    transfer_time: datetime.timedelta = datetime.timedelta()
-    is_permitted: Callable[[], bool] = lambda: True
-    needs_new_connection: bool = False
-
-
-@attrs.frozen
-class Answer:
-    """A complete answer.
-
-    Attributes:
-        status: HTTP status.
-        body: Body.
-        receive_time: Time from its first byte to its last one.
-    """
-
-    status: int
-    body: bytes
-    receive_time: datetime.timedelta = attrs.field(
-        default=datetime.timedelta(), eq=False
-    )
-
-
 class _Transfer:
     """A call in progress on one easy handle."""
 
-    def __init__(self, call: Call, answer: asyncio.Future[Answer]) -> None:
+    def __init__(
+        self, call: _calls.Call, answer: asyncio.Future[_calls.Answer]
+    ) -> None:
         self.call = call
         self.answer = answer
         self.body_buffer = io.BytesIO()
@@ -129,13 +88,17 @@
         self._multi.setopt(pycurl.M_MAXCONNECTS, _MAX_CACHED_CONNECTIONS)
         self._multi.setopt(pycurl.M_PIPELINING, 0)
         self._timer: asyncio.TimerHandle | None = None
+        # The loop watches this epoll object only: a change in the loop's own
+        # selector costs several times as much, and each call makes two.
+        self._poller = select.epoll()
+        self._loop.add_reader(self._poller.fileno(), self._process_sockets)
         self._watched_descriptors: set[int] = set()
         self._idle_handles: list[pycurl.Curl] = []
         self._transfers: dict[pycurl.Curl, _Transfer] = {}
         self._last_timeout_by_address: dict[str, datetime.timedelta] = {}
         self._is_closed = False
 
-    async def send(self, call: Call) -> Answer:
+    async def send(self, call: _calls.Call) -> _calls.Answer:
         """Sends a call and returns its complete answer.
 
         Raises:
@@ -143,12 +106,19 @@
             CallLostError: The request may have been sent.
         """
         if self._is_closed:
-            raise CallNotSentError("HTTP client is closed")
+            raise _calls.CallNotSentError("HTTP client is closed")
+        _calls.check_head(call)
         handle = self._idle_handles.pop() if self._idle_handles else None
         if handle is None:
             handle = _make_handle()
         transfer = _Transfer(call, self._loop.create_future())
-        self._configure_handle(handle, transfer)
+        try:
+            self._configure_handle(handle, transfer)
+        except pycurl.error as error:
+            handle.close()
+            raise _calls.CallNotSentError(
+                f"libcurl refused: {error}"
+            ) from error
         self._transfers[handle] = transfer
         self._multi.add_handle(handle)
         # This timer, unlike libcurl's own timeout, cannot end a call whose
@@ -172,6 +142,8 @@
 
     def close(self) -> None:
         """Aborts all calls in progress; their callers get CallLostError."""
+        if self._is_closed:
+            return
         self._is_closed = True
         for handle, transfer in list(self._transfers.items()):
             self._multi.remove_handle(handle)
@@ -180,18 +152,18 @@
                 transfer.timer.cancel()
             if not transfer.answer.done():
                 transfer.answer.set_exception(
-                    CallLostError("HTTP client was closed during the call")
+                    _calls.CallLostError(
+                        "HTTP client was closed during the call"
+                    )
                 )
         self._transfers.clear()
         if self._timer is not None:
             self._timer.cancel()
-        for descriptor in self._watched_descriptors:
-            self._loop.remove_reader(descriptor)
-            self._loop.remove_writer(descriptor)
-        self._watched_descriptors.clear()
         for handle in self._idle_handles:
             handle.close()
         self._multi.close()
+        self._loop.remove_reader(self._poller.fileno())
+        self._poller.close()
 
     def _configure_handle(
         self, handle: pycurl.Curl, transfer: _Transfer
@@ -207,6 +179,14 @@
             pycurl.CONNECTTIMEOUT_MS,
             max(1, min(call.timeout, _CONNECT_TIMEOUT) // _MILLISECOND),
         )
+        handle.setopt(
+            pycurl.DNS_CACHE_TIMEOUT,
+            (
+                _NO_DNS_CACHE_TIMEOUT
+                if _is_numeric(call.address)
+                else _DNS_CACHE_TIMEOUT_S
+            ),
+        )
         if call.body is None:
             handle.setopt(pycurl.HTTPGET, 1)
         else:
@@ -246,7 +226,9 @@
             handle, (pycurl.E_OPERATION_TIMEDOUT, "no answer in time")
         )
 
-    def _limit_connection_age(self, handle: pycurl.Curl, call: Call) -> None:
+    def _limit_connection_age(
+        self, handle: pycurl.Curl, call: _calls.Call
+    ) -> None:
         # After a call has timed out, every older connection to the address may
         # be dead, and each use of one would cost one more timeout.
         last_timeout = self._last_timeout_by_address.get(call.address)
@@ -264,27 +246,23 @@
     def _watch_socket(
         self, event: int, descriptor: int, _multi: object, _data: object
     ) -> None:
-        if descriptor in self._watched_descriptors:
-            self._loop.remove_reader(descriptor)
-            self._loop.remove_writer(descriptor)
-            self._watched_descriptors.discard(descriptor)
         if event == pycurl.POLL_REMOVE:
+            if descriptor in self._watched_descriptors:
+                self._watched_descriptors.discard(descriptor)
+                # A descriptor that is closed already has left the epoll set.
+                with contextlib.suppress(OSError):
+                    self._poller.unregister(descriptor)
             return
+        mask = _EPOLL_MASKS[event]
+        if descriptor in self._watched_descriptors:
+            try:
+                self._poller.modify(descriptor, mask)
+                return
+            except FileNotFoundError:
+                # Another socket has got the number of a closed one.
+                pass
         self._watched_descriptors.add(descriptor)
-        if event & pycurl.POLL_IN:
-            self._loop.add_reader(
-                descriptor,
-                self._process_socket_events,
-                descriptor,
-                pycurl.CSELECT_IN,
-            )
-        if event & pycurl.POLL_OUT:
-            self._loop.add_writer(
-                descriptor,
-                self._process_socket_events,
-                descriptor,
-                pycurl.CSELECT_OUT,
-            )
+        self._poller.register(descriptor, mask)
 
     def _set_timer(self, milliseconds: int) -> None:
         if self._timer is not None:
@@ -293,16 +271,22 @@
         if milliseconds >= 0:
             self._timer = self._loop.call_later(
                 milliseconds / 1000,
-                self._process_socket_events,
-                pycurl.SOCKET_TIMEOUT,
-                0,
+                self._process_timeouts,
             )
 
-    def _process_socket_events(self, descriptor: int, events: int) -> None:
-        while not self._is_closed:
-            status, _ = self._multi.socket_action(descriptor, events)
-            if status != pycurl.E_CALL_MULTI_PERFORM:
-                break
+    def _process_timeouts(self) -> None:
+        self._timer = None
+        self._multi.socket_action(pycurl.SOCKET_TIMEOUT, 0)
+        self._finish_transfers()
+
+    def _process_sockets(self) -> None:
+        if not self._watched_descriptors:
+            return
+        ready = self._poller.poll(0, len(self._watched_descriptors))
+        for descriptor, events in ready:
+            # An earlier event may have made libcurl close this descriptor.
+            if descriptor in self._watched_descriptors:
+                self._multi.socket_action(descriptor, _convert_events(events))
         self._finish_transfers()
 
     def _finish_transfers(self) -> None:
@@ -325,13 +309,13 @@
             return
         if transfer.timer is not None:
             transfer.timer.cancel()
-        result: Answer | Exception
+        result: _calls.Answer | Exception
         if failure is None:
             status = handle.getinfo(pycurl.RESPONSE_CODE)
             receive_s = handle.getinfo(pycurl.TOTAL_TIME) - handle.getinfo(
                 pycurl.STARTTRANSFER_TIME
             )
-            result = Answer(
+            result = _calls.Answer(
                 status,
                 transfer.body_buffer.getvalue(),
                 datetime.timedelta(seconds=max(0.0, receive_s)),
@@ -360,8 +344,31 @@
             )
         text = f"{call.method} {call.address}: {message}"
         if transfer.is_sent:
-            return CallLostError(text)
-        return CallNotSentError(text)
+            return _calls.CallLostError(text)
+        return _calls.CallNotSentError(text)
+
+
+@functools.lru_cache(maxsize=_MAX_CACHED_ADDRESSES)
+def _is_numeric(address: str) -> bool:
+    """Returns whether the host of an address is an IP address, not a name."""
+    try:
+        ipaddress.IPv4Address(address.rpartition(":")[0])
+    except ValueError:
+        return False
+    return True
+
+
+def _convert_events(events: int) -> int:
+    """Returns the events of epoll as libcurl names them."""
+    if events == select.EPOLLIN:
+        return int(pycurl.CSELECT_IN)
+    result = 0
+    # Errors and hang-ups show themselves to the next read or write.
+    if events & ~select.EPOLLOUT:
+        result |= pycurl.CSELECT_IN
+    if events & ~select.EPOLLIN:
+        result |= pycurl.CSELECT_OUT
+    return result
 
 
 def _make_handle() -> pycurl.Curl:
