--- a/tamarackhatch/scheduler/tests/test_restarted_runner.py
+++ b/tamarackhatch/scheduler/tests/test_restarted_runner.py
@@ -113,3 +113,31 @@
         assert fleet.check() == []
 
     virtual_time.run_virtually(simulate())
+
+
+def test_late_attempt_of_a_start_repeats_no_finished_task() -> None:
+    """Guards against a run after the end of its task, on a restarted runner.
+
+    The first attempt of a start gets no answer, and the second one succeeds.
+    The first is carried out by the runner's next incarnation, which knows
+    neither the run nor a fencing token.
+    """
+
+    async def simulate() -> None:
+        fleet = standin_fleet.VirtualFleet(1)
+        fleet.start_instance("a")
+        await fleet.wait_until(lambda: fleet.get_leader() is not None)
+        await asyncio.sleep(1)
+        item = fleet.runners[0]
+        faults = fleet.network.get_faults(item.address)
+        faults.late_delay_range_s = (5.0, 5.0)
+        faults.late_clients.add("a")
+        await fleet.submit("00", model.Step(1, _TASK))
+        await asyncio.sleep(0.4)
+        faults.late_clients.clear()
+        await fleet.wait_for_state("00", model.JobState.COMPLETED, 4)
+        item.crash()
+        await asyncio.sleep(8)
+        assert fleet.check() == []
+
+    virtual_time.run_virtually(simulate())
