--- a/tamarackhatch/placement/_order.py
+++ b/tamarackhatch/placement/_order.py
@@ -110,6 +110,7 @@
         image: Their image.
         demand: Millicores that all unfinished tasks of the job ask for.
         prospect: How well the job can still be served.
+        is_interrupted: Whether a long-running task among them has run before.
     """
 
     priority: float
@@ -120,6 +121,7 @@
     image: str = ""
     demand: int = 0
     prospect: Prospect = Prospect.IN_TIME
+    is_interrupted: bool = False
 
 
 _BATCH_RANKS = {
@@ -172,7 +174,9 @@
             group.image,
             group.accepted,
         )
-    is_starved = group.waited >= policy.max_long_running_wait
+    is_starved = (
+        group.is_interrupted or group.waited >= policy.max_long_running_wait
+    )
     rank = Rank.STARVED if is_starved else Rank.LONG_RUNNING_FIRST
     return OrderKey(group.priority, rank, 0, False, "", group.accepted)
 
--- a/tamarackhatch/placement/_policy.py
+++ b/tamarackhatch/placement/_policy.py
@@ -67,8 +67,10 @@
         long_running_wait: Time for which all batch tasks of the same priority
             precede a long-running task. A batch task releases its capacity
             within seconds; a long-running task keeps it. After that, only
-            those of jobs that can still meet their objective do.
-        max_long_running_wait: Time after which a long-running task precedes
+            those of jobs that can still meet their objective do, and none if
+            the long-running task has run before: users expect it back 6 s
+            after its last run.
+        max_long_running_wait: Time after which any long-running task precedes
             all batch tasks of the same priority. Without this bound a stream
             of urgent jobs would starve it.
         batch_wait: Time for which smaller jobs of the same priority precede a
--- a/tamarackhatch/scheduler/_group_order.py
+++ b/tamarackhatch/scheduler/_group_order.py
@@ -66,7 +66,7 @@
 ) -> placement.OrderKey:
     task = next(iter(group.values()))
     now = context.get_now()
-    is_moved = False
+    is_moved = is_interrupted = False
     oldest = now
     for waiting in group.values():
         since = waiting.waiting_since
@@ -74,6 +74,8 @@
             oldest = since
         if waiting.departure is not None:
             is_moved = True
+        if waiting.last_exited_run:
+            is_interrupted = True
     step = task.step
     priority, accepted = task.job.order
     return placement.make_order_key(
@@ -91,6 +93,7 @@
                 else task.job.compute_demand()
             ),
             _prospects.assess_job(task, context.clock.get_utc()),
+            is_interrupted,
         ),
         context.policy,
     )
