Test a runner that is lost shortly before stops in series, failing

Known red: a runner that is lost without notice 0.2 s before the first of four stops, 3 s apart, is not cordoned, and each term pauses all earlier tasks anew. A long-running task starts 22.0 s into the test instead of 7.2 s.

--- a/tamarackhatch/scheduler/tests/test_takeover_pauses.py
+++ b/tamarackhatch/scheduler/tests/test_takeover_pauses.py
@@ -238,3 +238,30 @@
         assert fleet.check() == []
 
     virtual_time.run_virtually(simulate())
+
+
+def test_loss_shortly_before_stops_in_series_delays_no_other_task() -> None:
+    """Guards against a wait for a lost runner that each term begins anew.
+
+    The runner is lost too late for the scheduler to cordon it.
+    """
+
+    async def simulate() -> None:
+        fleet = await _start_fleet("abcdef")
+        await fleet.submit("00", model.Step(6, _TASK))
+        await fleet.wait_until(lambda: len(fleet.history.runs) == 6)
+        await fleet.submit("long", _LONG_RUNNING)
+        await asyncio.sleep(1)
+        lost = fleet.network.get_faults(fleet.runners[2].address)
+        lost.unreachable_from.add("*")
+        await asyncio.sleep(0.2)
+        for _ in range(4):
+            await _end_leader(fleet, "stop")
+            await asyncio.sleep(3)
+        await fleet.wait_until(lambda: bool(_list_starts(fleet, "long")), 30)
+        free = min(run.exited or 99.0 for run in fleet.history.runs)
+        assert _list_starts(fleet, "long")[0] < free + 9
+        await fleet.wait_for_state("00", model.JobState.COMPLETED)
+        assert fleet.check() == []
+
+    virtual_time.run_virtually(simulate())
