Log what waiting tasks lack, and in which pieces capacity is free

On a full fleet callers of an urgent queue waited 20 to 34 s, and the logs gave only the number of waiting tasks. They did not tell whether these lacked processors, memory or a place within a limit of their step, of which queue they were, nor whether the free processors lay in pieces too small for them.

Once a second waiting_work tells this for each queue, and free_room gives the free processors by the size of the pieces. At most 32 steps are compared with the runners in a second, so that a pass stays cheap.

Both tests fail without the change, which adds what they read.

--- a/tamarackhatch/placement/__init__.py
+++ b/tamarackhatch/placement/__init__.py
@@ -42,6 +42,10 @@
 from tamarackhatch.placement._reservations import TransientRun
 from tamarackhatch.placement._scarcity import adapt_policy
 from tamarackhatch.placement._scarcity import compute_free_share
+from tamarackhatch.placement._shortage import describe_free_room
+from tamarackhatch.placement._shortage import find_shortage
+from tamarackhatch.placement._shortage import FreeRoom
+from tamarackhatch.placement._shortage import Shortage
 from tamarackhatch.placement._throttling import BestEffortState
 from tamarackhatch.placement._throttling import choose_speed_limits
 from tamarackhatch.placement._throttling import infer_speed_limit
@@ -54,6 +58,7 @@
     "CandidateRunner",
     "Choice",
     "ESTIMATE_ERROR",
+    "FreeRoom",
     "InfeasibleDemands",
     "InterferenceFactor",
     "InterferenceModel",
@@ -73,6 +78,7 @@
     "RunnerLoad",
     "RunnerRating",
     "ServingState",
+    "Shortage",
     "StartNear",
     "StartRemote",
     "TransientRun",
@@ -87,7 +93,9 @@
     "compute_release_time",
     "count_places",
     "decide_place",
+    "describe_free_room",
     "describe_precedence",
+    "find_shortage",
     "infer_speed_limit",
     "is_allowed",
     "is_sound",
--- a/tamarackhatch/scheduler/_dispatcher.py
+++ b/tamarackhatch/scheduler/_dispatcher.py
@@ -16,6 +16,7 @@
 from tamarackhatch.scheduler import _near_places
 from tamarackhatch.scheduler import _runner_choice
 from tamarackhatch.scheduler import _state
+from tamarackhatch.scheduler import _waiting_work
 from tamarackhatch.scheduler import _waits
 
 # Events within this time share one placement pass.
@@ -42,6 +43,7 @@
         self._commands = commands
         self._large_tasks = _large_tasks.LargeTaskReserver(context)
         self.waits = _waits.WaitReporter(context, self.is_paused)
+        self._waiting_work = _waiting_work.WaitingWorkLog(context)
         self._probes = _health.ProbePlacer(
             context, self.is_paused, self._place_task
         )
@@ -148,6 +150,9 @@
         counters.passes += 1
         counters.pass_time += context.get_now() - began
         self.waits.record_pass(ordered, candidates)
+        self._waiting_work.record_pass(
+            ordered, candidates, self._large_tasks.list_kept()
+        )
 
     def _run_group(
         self,
--- a/tamarackhatch/scheduler/_large_tasks.py
+++ b/tamarackhatch/scheduler/_large_tasks.py
@@ -126,6 +126,10 @@
         ]
         return [*candidates, *usable] if usable else candidates
 
+    def list_kept(self) -> list[placement.CandidateRunner]:
+        """Returns the runners that the present pass has taken out."""
+        return [candidate for _, candidate in self._kept]
+
     def keep_runner(
         self,
         tasks: list[_state.TaskEntry],
