Fill runners with combinations of new serving tasks

Callers of an urgent queue waited up to 36 s on a fleet of 446 runners, of which long-running serving tasks of 8 to 20 cores reserved nine tenths: 1,500 to 2,000 cores were free, in pieces of less than 16, and the urgent tasks need 21 in the mean. Serving tasks were placed one by one, each on the runner that is best for it alone; 2,100 of them come in one pass, and what they leave on each runner fits nothing.

New serving tasks of an image that needs ten runners or more are now combined so that they fill runners almost completely. If all of them leave less than 15 % of the processors, tasks of several images are combined as well. Smaller fleets are placed as before: there each image would leave a runner half full.

--- a/fleetmodel/tests/test_fleetmodel.py
+++ b/fleetmodel/tests/test_fleetmodel.py
@@ -131,6 +131,8 @@
     ("scarce_batch_packing", "scarce_batch_packing"),
     ("ample", "ample_free_share"),
     ("scarce", "scarce_free_share"),
+    ("ample_remaining", "ample_remaining_share"),
+    ("min_combined", "min_combined_runners"),
     ("company", "image_mixing_weight"),
     ("pressure_weight", "utilisation_weight"),
     ("most_use", "max_cpu_usage"),
--- a/tamarackhatch/observability/_metrics.py
+++ b/tamarackhatch/observability/_metrics.py
@@ -168,6 +168,11 @@
             "Work at full speed that moved runs repeat, as estimated.",
             registry=self._registry,
         )
+        self.filled_runners = prometheus_client.Counter(
+            "tamarackhatch_filled_runners",
+            "Runners that were filled with a combination of serving tasks.",
+            registry=self._registry,
+        )
         self.reservations = prometheus_client.Counter(
             "tamarackhatch_reservations",
             "Runners kept free for a large task, by what became of them.",
--- a/tamarackhatch/placement/__init__.py
+++ b/tamarackhatch/placement/__init__.py
@@ -9,6 +9,8 @@
 from tamarackhatch.placement._choice import rate_if_possible
 from tamarackhatch.placement._choice import release_choices
 from tamarackhatch.placement._choice import RunnerRating
+from tamarackhatch.placement._filling import fill_runners
+from tamarackhatch.placement._filling import FillingStep
 from tamarackhatch.placement._infeasible_demands import InfeasibleDemands
 from tamarackhatch.placement._interference import InterferenceFactor
 from tamarackhatch.placement._interference import InterferenceModel
@@ -58,6 +60,7 @@
     "CandidateRunner",
     "Choice",
     "ESTIMATE_ERROR",
+    "FillingStep",
     "FreeRoom",
     "InfeasibleDemands",
     "InterferenceFactor",
@@ -95,6 +98,7 @@
     "decide_place",
     "describe_free_room",
     "describe_precedence",
+    "fill_runners",
     "find_shortage",
     "infer_speed_limit",
     "is_allowed",
--- a/tamarackhatch/placement/_policy.py
+++ b/tamarackhatch/placement/_policy.py
@@ -42,6 +42,13 @@
         ample_free_share: Share of a service's processors that is not reserved
             from which on there is room.
         scarce_free_share: The same share below which room is scarce.
+        ample_remaining_share: Share of a service's processors that new serving
+            tasks will leave from which on only tasks of one image fill a
+            runner together.
+        min_combined_runners: Number of runners that the new serving tasks of
+            an image have to need before they are combined to fill runners. A
+            combination saves about a twentieth of a runner, and half of one
+            is left over for each image.
         image_mixing_weight: Weight of serving tasks of other images on a
             runner.
         utilisation_weight: Weight of the utilisation that a best-effort task
@@ -94,6 +101,8 @@
     scarce_batch_packing: float = 0.5
     ample_free_share: float = 0.1
     scarce_free_share: float = 0.06
+    ample_remaining_share: float = 0.15
+    min_combined_runners: float = 10.0
     image_mixing_weight: float = 1.0
     utilisation_weight: float = 1.0
     max_cpu_usage: float = 1.0
--- a/tamarackhatch/placement/_scarcity.py
+++ b/tamarackhatch/placement/_scarcity.py
@@ -13,16 +13,22 @@
 from tamarackhatch.placement import _policy
 
 
-def compute_free_share(loads: Iterable[_load.RunnerLoad]) -> float:
+def compute_free_share(
+    loads: Iterable[_load.RunnerLoad], awaited_cpu: int = 0
+) -> float:
     """Returns the share of the processors that no task reserves.
 
     Args:
         loads: Loads of the runners that may get tasks of one service.
+        awaited_cpu: CPU that waiting tasks will reserve, in thousandths of a
+            core.
 
     Returns:
-        The share, 0 to 1; 1 without processors.
+        The share; 1 without processors, negative if more is awaited than is
+        free.
     """
-    capacity = reserved = 0
+    capacity = 0
+    reserved = awaited_cpu
     for load in loads:
         processors = load.capacity.processors
         in_use = load.reserved_cpu + load.unassigned.processors
--- a/tamarackhatch/scheduler/_dispatcher.py
+++ b/tamarackhatch/scheduler/_dispatcher.py
@@ -8,6 +8,7 @@
 from tamarackhatch.scheduler import _candidates
 from tamarackhatch.scheduler import _commands
 from tamarackhatch.scheduler import _context
+from tamarackhatch.scheduler import _filling
 from tamarackhatch.scheduler import _fleet
 from tamarackhatch.scheduler import _group_order
 from tamarackhatch.scheduler import _health
@@ -141,11 +142,13 @@
         )
         self._place_suspects(groups, candidates)
         self._large_tasks.begin_pass(waiting, candidates)
-        self._chooser.begin_pass(candidates)
+        self._chooser.begin_pass(candidates, ordered, self.is_paused)
         self._near_places.begin_pass(candidates)
         self._probes.place_probes(groups)
         for order, group in ordered:
             self._run_group(group, order, is_grouping, candidates)
+        for report in self._chooser.end_pass():
+            self._record_filling(report)
         counters = context.load_monitor.counters
         counters.passes += 1
         counters.pass_time += context.get_now() - began
@@ -154,6 +157,17 @@
             ordered, candidates, self._large_tasks.list_kept()
         )
 
+    def _record_filling(self, report: _filling.FillReport) -> None:
+        self._context.metrics.filled_runners.inc(report.runners)
+        self._context.log.info(
+            "runners_filled",
+            service=report.service,
+            tasks=report.tasks,
+            runners=report.runners,
+            left=report.left,
+            remaining_percent=round(report.remaining_share * 100),
+        )
+
     def _run_group(
         self,
         group: Group,
--- a/tamarackhatch/scheduler/_dry_run.py
+++ b/tamarackhatch/scheduler/_dry_run.py
@@ -149,7 +149,9 @@
         large_tasks = self._dispatcher.large_tasks.make_view(
             waiting, self._candidates
         )
-        self._chooser.begin_pass(self._candidates)
+        self._chooser.begin_pass(
+            self._candidates, ordered, self._dispatcher.is_paused
+        )
         own_orders = [
             order
             for order, group in ordered
--- a/tamarackhatch/scheduler/_runner_choice.py
+++ b/tamarackhatch/scheduler/_runner_choice.py
@@ -7,6 +7,7 @@
 
 from collections.abc import Iterable
 from collections.abc import Iterator
+from collections.abc import Sequence
 
 import attrs
 
@@ -15,6 +16,7 @@
 from tamarackhatch.scheduler import _candidates
 from tamarackhatch.scheduler import _context
 from tamarackhatch.scheduler import _crash_suspects
+from tamarackhatch.scheduler import _filling
 from tamarackhatch.scheduler import _group_order
 from tamarackhatch.scheduler import _isolation
 from tamarackhatch.scheduler import _state
@@ -47,14 +49,23 @@
         self._policies: dict[str, placement.PlacementPolicy] = {}
         self._candidates: _candidates.Candidates = {}
         self._infeasible = placement.InfeasibleDemands()
+        self._filling = _filling.FillPlanner(context)
 
-    def begin_pass(self, candidates: _candidates.Candidates) -> None:
+    def begin_pass(
+        self,
+        candidates: _candidates.Candidates,
+        ordered: Sequence[_group_order.OrderedGroup],
+        is_paused: _group_order.IsPaused,
+    ) -> None:
         """Begins a placement pass.
 
         Args:
             candidates: Runners that may get tasks, by service.
+            ordered: The groups of waiting tasks with their sort keys.
+            is_paused: Returns whether a task must not start yet.
         """
         self._candidates = candidates
+        self._filling.begin_pass(ordered, candidates, is_paused)
         self._infeasible.clear()
         self._policies = {
             service: placement.adapt_policy(
@@ -66,6 +77,14 @@
             for service, group in candidates.items()
         }
 
+    def end_pass(self) -> list[_filling.FillReport]:
+        """Ends a placement pass whose choices were started.
+
+        Returns:
+            How new serving tasks were combined in it.
+        """
+        return self._filling.end_pass()
+
     def choose_for_group(
         self, tasks: list[_state.TaskEntry], candidates: Runners
     ) -> list[placement.Choice]:
@@ -85,12 +104,18 @@
     def choose_for_batch(
         self, batch: _attempts.Batch
     ) -> list[placement.Choice]:
-        """Chooses runners for a batch, with the first exclusions that can."""
+        """Chooses runners for a batch, with the first exclusions that can.
+
+        Tasks that fill a runner with others get their place there.
+        """
+        filling = self._filling.take_places(batch.tasks)
+        keys = {choice.key for choice in filling}
+        tasks = [task for task in batch.tasks if task.key not in keys]
         for excluded in batch.exclusions:
-            choices = self.choose(batch.tasks, batch.candidates, excluded)
+            choices = self.choose(tasks, batch.candidates, excluded)
             if choices:
-                return choices
-        return []
+                return filling + choices
+        return filling
 
     def list_batches(
         self, tasks: list[_state.TaskEntry], candidates: Runners
--- a/tamarackhatch/scheduler/tests/test_large_tasks_on_full_fleet.py
+++ b/tamarackhatch/scheduler/tests/test_large_tasks_on_full_fleet.py
@@ -5,13 +5,13 @@
 import random
 
 import attrs
+import pytest
 
 from standins import fleet as standin_fleet
 from standins import runner
 from standins import virtual_time
 from tamarackhatch import model
 
-_RUNNERS = 40
 _CAPACITY = model.Resources(64_000, 256_000)
 _RUN_TIME = datetime.timedelta(seconds=1)
 _URGENT = attrs.evolve(
@@ -21,8 +21,6 @@
     target_latency=datetime.timedelta(milliseconds=400),
 )
 _OBJECTIVE_S = 1.9
-_JOBS = 40
-_JOB_INTERVAL_S = 0.25
 
 
 def _plan(task: str, _number: int) -> tuple[float, str]:
@@ -31,11 +29,15 @@
     return _RUN_TIME.total_seconds(), "done"
 
 
-def _make_long_running_steps() -> list[model.Step]:
-    """Returns steps of 8 to 18 cores a task that reserve 88 % of the fleet."""
+def _make_long_running_steps(cpu: int) -> list[model.Step]:
+    """Returns steps of 8 to 18 cores a task.
+
+    Args:
+        cpu: CPU that they reserve together at most, in thousandths of a core.
+    """
     source = random.Random(1)
     steps: list[model.Step] = []
-    free = int(_RUNNERS * _CAPACITY.processors * 0.88)
+    free = cpu
     while True:
         count = source.randint(4, 12)
         processors = source.randrange(8_000, 18_000, 50)
@@ -54,17 +56,26 @@
         )
 
 
-def test_large_urgent_tasks_start_at_once_beside_long_running_ones() -> None:
+@pytest.mark.parametrize(
+    ("runners", "reserved_share"),
+    [
+        pytest.param(40, 0.88, id="40-runners"),
+        pytest.param(160, 0.92, id="160-runners"),
+    ],
+)
+def test_large_urgent_tasks_start_at_once_beside_long_running_ones(
+    runners: int, reserved_share: float
+) -> None:
     """Guards against free processors that lie in pieces of a few cores.
 
-    Load: the long-running tasks of a service come together and reserve seven
-    eighths of it. Four urgent jobs a second with a task of 24 to 36 cores need
-    half of what is left.
+    Load: the long-running tasks of a service come together and reserve about
+    nine tenths of it. Urgent jobs with a task of 24 to 36 cores, one a second
+    for each ten runners, need about half of what is left.
     """
 
     async def simulate() -> float:
         fleet = standin_fleet.VirtualFleet(0)
-        for index in range(_RUNNERS):
+        for index in range(runners):
             fleet.adopt_runner(
                 runner.RunnerStandIn(
                     f"i-{index}",
@@ -78,7 +89,9 @@
         fleet.start_instance("a")
         await fleet.wait_until(lambda: fleet.get_leader() is not None)
         await asyncio.sleep(1)
-        steps = _make_long_running_steps()
+        steps = _make_long_running_steps(
+            int(runners * _CAPACITY.processors * reserved_share)
+        )
         await asyncio.gather(
             *(
                 fleet.submit(f"long-running-{number}", step)
@@ -90,7 +103,7 @@
         source = random.Random(2)
         loop = asyncio.get_running_loop()
         submitted: dict[str, float] = {}
-        for number in range(_JOBS):
+        for number in range(runners):
             job = f"check-{number}"
             step = model.Step(
                 1,
@@ -99,7 +112,7 @@
             )
             submitted[job] = loop.time()
             await fleet.submit(job, step, queue=_URGENT)
-            await asyncio.sleep(_JOB_INTERVAL_S)
+            await asyncio.sleep(10 / runners)
         await asyncio.sleep(_OBJECTIVE_S)
         started = {
             run.task.split(".")[0]: run.started
@@ -111,6 +124,6 @@
             for job, begin in submitted.items()
         )
         assert not fleet.check()
-        return in_time / _JOBS
+        return in_time / runners
 
     assert virtual_time.run_virtually(simulate()) >= 0.9
