--- a/tamarackhatch/placement/__init__.py
+++ b/tamarackhatch/placement/__init__.py
@@ -9,6 +9,8 @@
 from tamarackhatch.placement._choice import rate_if_possible
 from tamarackhatch.placement._choice import release_choices
 from tamarackhatch.placement._choice import RunnerRating
+from tamarackhatch.placement._filling import fill_runners
+from tamarackhatch.placement._filling import FillingStep
 from tamarackhatch.placement._infeasible_demands import InfeasibleDemands
 from tamarackhatch.placement._interference import InterferenceFactor
 from tamarackhatch.placement._interference import InterferenceModel
@@ -42,6 +44,10 @@
 from tamarackhatch.placement._reservations import TransientRun
 from tamarackhatch.placement._scarcity import adapt_policy
 from tamarackhatch.placement._scarcity import compute_free_share
+from tamarackhatch.placement._shortage import describe_free_room
+from tamarackhatch.placement._shortage import find_shortage
+from tamarackhatch.placement._shortage import FreeRoom
+from tamarackhatch.placement._shortage import Shortage
 from tamarackhatch.placement._throttling import BestEffortState
 from tamarackhatch.placement._throttling import choose_speed_limits
 from tamarackhatch.placement._throttling import infer_speed_limit
@@ -54,6 +60,8 @@
     "CandidateRunner",
     "Choice",
     "ESTIMATE_ERROR",
+    "FillingStep",
+    "FreeRoom",
     "InfeasibleDemands",
     "InterferenceFactor",
     "InterferenceModel",
@@ -73,6 +81,7 @@
     "RunnerLoad",
     "RunnerRating",
     "ServingState",
+    "Shortage",
     "StartNear",
     "StartRemote",
     "TransientRun",
@@ -87,7 +96,10 @@
     "compute_release_time",
     "count_places",
     "decide_place",
+    "describe_free_room",
     "describe_precedence",
+    "fill_runners",
+    "find_shortage",
     "infer_speed_limit",
     "is_allowed",
     "is_sound",
