Hand over which tasks wait without a run

A runner that is lost shortly before a stop answers no successor, and each of these held back all earlier tasks, also those that had waited for room all the time, for 10.3 s from its own beginning.

A scheduler that hands over lists the tasks that wait and that it could have started, in the transaction that releases its term; its successor does not hold them back. The list counts only for the next term. One that stops before it starts tasks hands on the list that it has read.

Without the comparison of the terms a task runs twice (test_waiting_tasks_count_only_for_the_next_term). No test reaches the moment between the read of the jobs and the pause, in which a list of this scheduler's own would be wrong; seven stops around it break nothing.

--- a/tamarackhatch/records/__init__.py
+++ b/tamarackhatch/records/__init__.py
@@ -46,6 +46,7 @@
 from tamarackhatch.records._names import SCHEDULER_PARTITION
 from tamarackhatch.records._names import SEQUENCE
 from tamarackhatch.records._names import TRACKED_RUNNERS
+from tamarackhatch.records._names import WAITING_TASKS
 from tamarackhatch.records._progress import decode_progress
 from tamarackhatch.records._progress import encode_progress
 from tamarackhatch.records._progress import JobProgress
@@ -57,6 +58,9 @@
 from tamarackhatch.records._refusals import Refusal
 from tamarackhatch.records._refusals import RefusalState
 from tamarackhatch.records._store_liveness import StoreLiveness
+from tamarackhatch.records._waiting_tasks import decode_waiting_tasks
+from tamarackhatch.records._waiting_tasks import encode_waiting_tasks
+from tamarackhatch.records._waiting_tasks import WaitingTasks
 from tamarackhatch.records._watcher import TableWatcher
 
 __all__ = [
@@ -89,6 +93,8 @@
     "TableWatcher",
     "TaskHistory",
     "TrackedRunner",
+    "WAITING_TASKS",
+    "WaitingTasks",
     "decode_change",
     "decode_change_part",
     "decode_cordons",
@@ -99,6 +105,7 @@
     "decode_progress",
     "decode_refusal",
     "decode_tracked_runners",
+    "decode_waiting_tasks",
     "encode_change",
     "encode_cordons",
     "encode_copy",
@@ -109,6 +116,7 @@
     "encode_progress",
     "encode_refusal",
     "encode_tracked_runners",
+    "encode_waiting_tasks",
     "find_row",
     "get_cancel_ref",
     "get_cancelled_job",
--- a/tamarackhatch/records/_names.py
+++ b/tamarackhatch/records/_names.py
@@ -35,10 +35,13 @@
 TRACKED_RUNNERS: typing.Final = model.RowRef(
     TRACKED_RUNNERS_TABLE, SCHEDULER_PARTITION, "roster"
 )
-# In the table of the tracked runners, so that one read returns both.
+# In the table of the tracked runners, so that one read returns all.
 CORDONS: typing.Final = model.RowRef(
     TRACKED_RUNNERS_TABLE, SCHEDULER_PARTITION, "cordons"
 )
+WAITING_TASKS: typing.Final = model.RowRef(
+    TRACKED_RUNNERS_TABLE, SCHEDULER_PARTITION, "waiting"
+)
 # Changes of the configuration are in the table of the heartbeat, which all
 # instances follow anyway, so that a heartbeat arrives after the changes that
 # it names.
--- a/tamarackhatch/scheduler/_dispatcher.py
+++ b/tamarackhatch/scheduler/_dispatcher.py
@@ -58,6 +58,8 @@
         self._has_paused_starts = False
         self._paused_version: int | None = None
         self._paused_tasks: frozenset[model.TaskKey] | None = None
+        # Tasks that the previous scheduler had not started.
+        self._unstarted: frozenset[model.TaskKey] = frozenset()
         self._registry_read = datetime.timedelta.min
 
     @property
@@ -102,6 +104,37 @@
         self._paused_tasks = tasks
         self._context.wake.set()
 
+    def exempt_from_pause(self, tasks: frozenset[model.TaskKey]) -> None:
+        """Exempts tasks from pauses, because they run nowhere.
+
+        Args:
+            tasks: Tasks that the previous scheduler could have started when
+                it handed over.
+        """
+        self._unstarted = tasks
+
+    def list_unstarted_tasks(self, is_ready: bool) -> list[model.TaskKey]:
+        """Returns the waiting tasks that are not paused, to hand over.
+
+        None of them can run anywhere, since they could start. Long-running
+        ones are first, for which a successor's wait is a fault.
+
+        Args:
+            is_ready: Whether this term has begun to start tasks. Before that
+                no task is paused, and those that the previous scheduler had
+                not started still run nowhere.
+        """
+        if not is_ready:
+            return sorted(self._unstarted, key=str)
+        tasks = [
+            task
+            for group in self._context.job_tracker.waiting.values()
+            for task in group.values()
+            if task.runner is None and not self.is_paused(task)
+        ]
+        tasks.sort(key=lambda task: not task.step.is_long_running)
+        return [task.key for task in tasks]
+
     def resume_starts(self) -> None:
         """Allows tasks of all jobs to start."""
         self._has_paused_starts = False
@@ -238,6 +271,7 @@
             return False
         if (
             task.is_unblocked_in_term
+            or task.key in self._unstarted
             or task.job.job.term >= self._context.term
         ):
             return False
--- a/tamarackhatch/scheduler/_earlier_terms.py
+++ b/tamarackhatch/scheduler/_earlier_terms.py
@@ -2,6 +2,8 @@
 
 import datetime
 
+import attrs
+
 from tamarackhatch import clock
 from tamarackhatch import model
 from tamarackhatch import observability
@@ -12,6 +14,23 @@
 _RETRY_PAUSE = datetime.timedelta(milliseconds=150)
 
 
+@attrs.frozen
+class EarlierRuns:
+    """What earlier schedulers stored of the runs of their terms.
+
+    Attributes:
+        tracked_runners: Runners on which earlier tasks may run; None if they
+            cannot be read.
+        cordoned_runners: Those of them that are cordoned.
+        waiting_tasks: Tasks that the previous scheduler could have started
+            when it handed over, so that they run nowhere.
+    """
+
+    tracked_runners: tuple[records.TrackedRunner, ...] | None
+    cordoned_runners: tuple[records.CordonedRunner, ...]
+    waiting_tasks: frozenset[model.TaskKey]
+
+
 class EarlierTermsReader:
     """Reads rows of earlier terms, and retries until the store answers."""
 
@@ -32,29 +51,29 @@
         self._clock = time_source
         self._log = log
 
-    async def read_runners(
-        self,
-    ) -> tuple[
-        tuple[records.TrackedRunner, ...] | None,
-        tuple[records.CordonedRunner, ...],
-    ]:
-        """Returns the runners on which earlier tasks may run.
-
-        Returns:
-            The runners, None if they cannot be read; and those of them that
-            are cordoned.
+    async def read_runners(self, term: int) -> EarlierRuns:
+        """Returns where earlier tasks may run, and which run nowhere.
+
+        Args:
+            term: Number of the reader's own term.
         """
         rows = await self._read_rows(records.TRACKED_RUNNERS)
         row = records.find_row(rows, records.TRACKED_RUNNERS)
         if row is None:
-            return (), ()
+            return EarlierRuns((), (), frozenset())
         try:
             tracked_runners = records.decode_tracked_runners(row.value)
         except records.MalformedRowError as error:
             self._log.error("tracked_runners_unreadable", reason=error.message)
-            return None, ()
-        return tracked_runners, self._decode_cordons(
-            records.find_row(rows, records.CORDONS), row.version
+            return EarlierRuns(None, (), frozenset())
+        return EarlierRuns(
+            tracked_runners,
+            self._decode_cordons(
+                records.find_row(rows, records.CORDONS), row.version
+            ),
+            self._decode_waiting_tasks(
+                records.find_row(rows, records.WAITING_TASKS), term
+            ),
         )
 
     async def read_interference(self) -> placement.InterferenceTable | None:
@@ -82,6 +101,21 @@
             self._log.warning("cordons_unreadable", reason=error.message)
             return ()
 
+    def _decode_waiting_tasks(
+        self, row: model.Row | None, term: int
+    ) -> frozenset[model.TaskKey]:
+        if row is None:
+            return frozenset()
+        try:
+            waiting = records.decode_waiting_tasks(row.value)
+        except records.MalformedRowError as error:
+            self._log.warning("waiting_tasks_unreadable", reason=error.message)
+            return frozenset()
+        # A scheduler in between may have started them.
+        if waiting.term != term - 1:
+            return frozenset()
+        return frozenset(waiting.tasks)
+
     async def _read_rows(self, ref: model.RowRef) -> tuple[model.Row, ...]:
         """Returns all rows of the table and partition of a row."""
         while True:
--- a/tamarackhatch/scheduler/_scheduler.py
+++ b/tamarackhatch/scheduler/_scheduler.py
@@ -278,11 +278,15 @@
             self._context.interference.import_interference(
                 interference, self._context.get_now()
             )
-        tracked_runners, cordons = await reader.read_runners()
+        earlier = await reader.read_runners(self._term.number)
+        tracked_runners = earlier.tracked_runners
+        self._dispatcher.exempt_from_pause(earlier.waiting_tasks)
         # Runners report runs of jobs, so the jobs must be loaded first.
         await self._job_watcher.load()
         self._has_loaded_jobs = True
-        self._runner_manager.restore_tracked_runners(tracked_runners, cordons)
+        self._runner_manager.restore_tracked_runners(
+            tracked_runners, earlier.cordoned_runners
+        )
         self._cordons.enable()
         await self._runner_watcher.load()
         self._is_ready = True
@@ -337,7 +341,12 @@
         is_written = False
         try:
             for _ in range(_MAX_RELEASE_ATTEMPTS):
-                is_written = await self._writer.write_batch(is_release=True)
+                is_written = await self._writer.write_batch(
+                    is_release=True,
+                    waiting_tasks=self._dispatcher.list_unstarted_tasks(
+                        self._is_ready
+                    ),
+                )
                 if is_written:
                     break
         except _writer.LeadershipLostError:
--- a/tamarackhatch/scheduler/_writer.py
+++ b/tamarackhatch/scheduler/_writer.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Callable
+from collections.abc import Sequence
 import datetime
 
 import attrs
@@ -19,7 +20,7 @@
 
 # A transaction holds at most 100 entries. The others are the sequence, the
 # heartbeat, the interference factors, the lists of tracked and of cordoned
-# runners and the parts of a configuration change.
+# runners, the waiting tasks and the parts of a configuration change.
 _MAX_JOBS_PER_BATCH = 80
 # Time between two transactions. Calls to the store have a cost, and exits that
 # arrive within this time share one call.
@@ -181,11 +182,17 @@
             else:
                 await self._clock.sleep(_RETRY_PAUSE)
 
-    async def write_batch(self, is_release: bool = False) -> bool:
+    async def write_batch(
+        self,
+        is_release: bool = False,
+        waiting_tasks: Sequence[model.TaskKey] = (),
+    ) -> bool:
         """Writes one batch of pending changes.
 
         Args:
             is_release: Whether the batch releases the term.
+            waiting_tasks: Tasks that run nowhere when the term is released,
+                the most important first.
 
         Returns:
             Whether the batch is durable.
@@ -233,6 +240,11 @@
         )
         if cordons is not None:
             puts.append(cordons)
+        if is_release:
+            value = records.encode_waiting_tasks(
+                self._leader_lease.term.number, waiting_tasks
+            )
+            puts.append(model.Put(records.WAITING_TASKS, value))
         if not await self._commit_transaction(puts, has_heartbeat):
             for job in jobs:
                 self._unwritten_jobs.setdefault(job.identifier, job)
--- a/tamarackhatch/scheduler/tests/test_takeover_pauses.py
+++ b/tamarackhatch/scheduler/tests/test_takeover_pauses.py
@@ -265,3 +265,64 @@
         assert fleet.check() == []
 
     virtual_time.run_virtually(simulate())
+
+
+@pytest.mark.parametrize("how", ["stop", "kill"])
+def test_waiting_tasks_count_only_for_the_next_term(how: str) -> None:
+    """Guards against a second run of a task that a later scheduler started.
+
+    The first scheduler hands over a waiting task, the second one starts it and
+    ends, and the third one does not reach the task's runner.
+    """
+
+    async def simulate() -> None:
+        fleet = await _start_fleet("abc")
+        await fleet.submit("00", model.Step(6, _TASK))
+        await fleet.wait_until(lambda: len(fleet.history.runs) == 6)
+        await fleet.submit("long", _LONG_RUNNING)
+        await asyncio.sleep(1)
+        await _end_leader(fleet, "stop")
+        await fleet.wait_until(lambda: bool(_list_starts(fleet, "long")), 30)
+        runner = next(
+            item
+            for item in fleet.runners
+            if any(task.startswith("long") for task in item.running)
+        )
+        fleet.network.get_faults(runner.address).unreachable_from.add("*")
+        await _end_leader(fleet, how)
+        await asyncio.sleep(20)
+        assert fleet.check() == []
+        assert len(_list_starts(fleet, "long")) == 2
+
+    virtual_time.run_virtually(simulate())
+
+
+@pytest.mark.parametrize("delay_s", [0.1, 0.2, 0.3, 0.4, 0.5, 0.6, 0.7])
+def test_scheduler_that_stops_before_it_is_ready_hands_on_what_it_read(
+    delay_s: float,
+) -> None:
+    """Guards against running tasks that a successor takes for waiting ones.
+
+    The second scheduler may have read the jobs, and not yet where they run.
+    """
+
+    async def simulate() -> None:
+        fleet = await _start_fleet("abc")
+        await fleet.submit("00", model.Step(3, _TASK))
+        await fleet.wait_until(lambda: len(fleet.history.runs) == 3)
+        silent = fleet.network.get_faults(fleet.runners[2].address)
+        assert fleet.runners[2].running
+        silent.unreachable_from = set(fleet.instances)
+        store = fleet.network.get_faults(standin_fleet.STORE_ADDRESS)
+        store.delay_s = 0.1
+        await _end_leader(fleet, "stop")
+        await fleet.wait_until(lambda: fleet.get_leader() is not None)
+        await asyncio.sleep(delay_s)
+        await _end_leader(fleet, "stop")
+        store.delay_s = 0.0
+        await asyncio.sleep(3)
+        silent.unreachable_from = set()
+        await fleet.wait_for_state("00", model.JobState.COMPLETED)
+        assert fleet.check() == []
+
+    virtual_time.run_virtually(simulate())
