Let a term last half a second before a stop hands it over

A stopped scheduler now hands over when it has been ready for 0.5 s, at the latest 1 s after the stop if it does not become ready. A term that has lasted longer is handed over at once, as before.

test_tasks_start_while_each_scheduler_is_stopped_at_once failed before: 14 schedulers ended without a start of the waiting task.

--- a/tamarackhatch/scheduler/_scheduler.py
+++ b/tamarackhatch/scheduler/_scheduler.py
@@ -41,6 +41,12 @@
 # awaited.
 _MAX_RELEASE_ATTEMPTS = 3
 _MAX_HANDOVER_WAIT = datetime.timedelta(milliseconds=400)
+# A term that is handed over before runners have answered starts nothing, and
+# in a series of stops none would. Runners answer and tasks start within this
+# time, of which a stop leaves seconds.
+_MIN_READY_TIME = datetime.timedelta(milliseconds=500)
+# A stopped scheduler waits no longer for its first reads.
+_MAX_START_UP_WAIT = datetime.timedelta(seconds=1)
 
 
 class Scheduler:
@@ -165,9 +171,9 @@
         )
         self._progress: dict[str, records.JobProgress] = {}
         self._jobs_without_progress: set[str] = set()
-        self._stopping = asyncio.Event()
+        self._stop_requested_at: datetime.timedelta | None = None
         self._has_loaded_jobs = False
-        self._is_ready = False
+        self._ready_at: datetime.timedelta | None = None
         self._job_watcher = records.TableWatcher(
             store,
             time_source,
@@ -202,7 +208,17 @@
     @property
     def is_ready(self) -> bool:
         """Whether the jobs and the runners have been read."""
-        return self._is_ready
+        return self._ready_at is not None
+
+    @property
+    def _is_hand_over_due(self) -> bool:
+        """Whether a stop was requested, and the term has lasted enough."""
+        if self._stop_requested_at is None:
+            return False
+        now = self._clock.get_monotonic()
+        if self._ready_at is None:
+            return now - self._stop_requested_at >= _MAX_START_UP_WAIT
+        return now - self._ready_at >= _MIN_READY_TIME
 
     def try_placement(
         self, job: model.Job, configuration: int
@@ -223,7 +239,8 @@
 
     def stop(self) -> None:
         """Requests a graceful stop, which hands the term over."""
-        self._stopping.set()
+        if self._stop_requested_at is None:
+            self._stop_requested_at = self._clock.get_monotonic()
 
     async def run(self) -> None:
         """Schedules until the term ends or a stop is requested."""
@@ -238,7 +255,7 @@
                 # is made while jobs are loaded.
                 tasks.append(asyncio.create_task(self._evacuations.run()))
             await self._wait_for_end(tasks)
-            if self._stopping.is_set() and not self._leader_lease.is_revoked:
+            if self._is_hand_over_due and not self._leader_lease.is_revoked:
                 await self._hand_over_term(tasks)
         finally:
             self._leader_lease.revoke()
@@ -289,7 +306,7 @@
         )
         self._cordons.enable()
         await self._runner_watcher.load()
-        self._is_ready = True
+        self._ready_at = self._clock.get_monotonic()
         self._log.summary(
             "scheduler_ready",
             term=self._term.number,
@@ -312,9 +329,7 @@
             group.create_task(self._context.load_monitor.run())
 
     async def _wait_for_end(self, tasks: list[asyncio.Task[None]]) -> None:
-        while (
-            not self._stopping.is_set() and not self._leader_lease.is_revoked
-        ):
+        while not self._is_hand_over_due and not self._leader_lease.is_revoked:
             for task in tasks:
                 if task.done():
                     error = task.exception()
@@ -344,7 +359,7 @@
                 is_written = await self._writer.write_batch(
                     is_release=True,
                     waiting_tasks=self._dispatcher.list_unstarted_tasks(
-                        self._is_ready
+                        self.is_ready
                     ),
                 )
                 if is_written:
--- a/tamarackhatch/scheduler/tests/test_takeover_pauses.py
+++ b/tamarackhatch/scheduler/tests/test_takeover_pauses.py
@@ -326,3 +326,26 @@
         assert fleet.check() == []
 
     virtual_time.run_virtually(simulate())
+
+
+def test_tasks_start_while_each_scheduler_is_stopped_at_once() -> None:
+    """Guards against terms that end before they can start anything."""
+
+    async def simulate() -> None:
+        fleet = await _start_fleet("abcdefghijklmnop")
+        await fleet.submit("00", model.Step(6, _TASK))
+        await fleet.wait_until(lambda: len(fleet.history.runs) == 6)
+        await fleet.submit("long", _LONG_RUNNING)
+        await asyncio.sleep(5)
+        stops = 0
+        while not _list_starts(fleet, "long"):
+            await fleet.wait_until(lambda: fleet.get_leader() is not None)
+            await _end_leader(fleet, "stop")
+            stops += 1
+            assert stops < 14
+        free = min(run.exited or 99.0 for run in fleet.history.runs)
+        assert _list_starts(fleet, "long")[0] < free + 2
+        await fleet.wait_for_state("00", model.JobState.COMPLETED)
+        assert fleet.check() == []
+
+    virtual_time.run_virtually(simulate())
