--- a/tamarackhatch/placement/_filling.py
+++ b/tamarackhatch/placement/_filling.py
@@ -25,6 +25,9 @@
 # are not split up.
 _ONE_IMAGE_SLACKS = (0.01, 0.06)
 _ALL_IMAGES_SLACKS = (0.005, 0.02)
+# Steps that are combined at a time, because the time for a runner grows with
+# their number.
+_MAX_STEPS = 50
 # Combinations that do not fit after all, by their memory or by a rounding
 # error, after which a runner is left out.
 _MAX_ATTEMPTS = 8
@@ -138,26 +141,34 @@
 ) -> Iterator[_choice.Choice]:
     """Yields places on the runners that the tasks of some steps fill."""
     waiting = [item for item in steps if item.keys]
+    if not waiting:
+        return
     awaited = _sum_awaited(waiting)
+    smallest = min(item.step.reserved.processors for item in waiting)
     for candidate in candidates:
-        if not waiting:
-            return
         load = candidate.load
         free = load.compute_free()
         most = awaited + slack * candidate.processors
-        smallest = min(item.step.reserved.processors for item in waiting)
         if not smallest <= free.processors <= most:
             continue
-        counts = _combine(waiting, load, free, candidate.processors, slack)
+        counts = _combine(
+            waiting[:_MAX_STEPS], load, free, candidate.processors, slack
+        )
         if counts is None:
             continue
+        is_used_up = False
         for item, count in zip(waiting, counts):
             for _ in range(count):
                 key = item.keys.pop(0)
                 load.add_task(key, item.step)
                 awaited -= item.step.reserved.processors
                 yield _choice.Choice(key, candidate, 1.0)
-        waiting = [item for item in waiting if item.keys]
+            is_used_up = is_used_up or not item.keys
+        if is_used_up:
+            waiting = [item for item in waiting if item.keys]
+            if not waiting:
+                return
+            smallest = min(item.step.reserved.processors for item in waiting)
 
 
 def _combine(
