--- a/review/2/case.py
+++ b/review/2/case.py
@@ -137,7 +137,7 @@
         while self._time() < began + _DISTURBED_S:
             number += 1
             self._others.append(
-                asyncio.create_task(self._send("POST", f"{number:015x}0"))
+                asyncio.create_task(self._send("POST", f"{number:015x}1"))
             )
             await asyncio.sleep(1 / _OTHER_JOBS_PER_S)
         self._store.is_disturbed = False
