Bar jobs that are cancelled before they are stored

Cause: a cancel that found no job row answered 410 and wrote nothing. The submission's write was still pending at the store, and its conditions (no job row, version of the refusal row) held when it was carried out.

Change: the cancel row is written whether the job is stored or not, and writes that store or refuse a job depend on its absence. A submission of such a job is answered 429 (409 on our own interface). The scheduler also cancels such a job when it reads it, because instances of earlier builds write without the condition.

--- a/tamarackhatch/admission/__init__.py
+++ b/tamarackhatch/admission/__init__.py
@@ -1,4 +1,4 @@
-"""Refuses work that cannot be served in time under overload; pure code."""
+"""Refuses what would overload runners or the store; pure code."""
 
 from tamarackhatch.admission._decision import assess_job
 from tamarackhatch.admission._decision import Overload
@@ -8,12 +8,14 @@
 from tamarackhatch.admission._figures import MAX_SUMMARY_AGE
 from tamarackhatch.admission._figures import WaitFigures
 from tamarackhatch.admission._returns import ReturnPlan
+from tamarackhatch.admission._token_bucket import TokenBucket
 
 __all__ = [
     "MAX_SUMMARY_AGE",
     "Overload",
     "Pool",
     "ReturnPlan",
+    "TokenBucket",
     "WaitEstimator",
     "WaitFigures",
     "WaitingWork",
--- a/tamarackhatch/api/_interface.py
+++ b/tamarackhatch/api/_interface.py
@@ -32,6 +32,7 @@
     model.Outcome.NOT_DONE: 503,
     model.Outcome.UNKNOWN: 504,
     model.Outcome.REFUSED: 429,
+    model.Outcome.CANCELLED: 409,
 }
 
 
--- a/tamarackhatch/entry/_forwarder.py
+++ b/tamarackhatch/entry/_forwarder.py
@@ -6,8 +6,8 @@
 import datetime
 import typing
 
+from tamarackhatch import admission
 from tamarackhatch import clock
-from tamarackhatch.entry import _budget
 from tamarackhatch.entry import _messages
 from tamarackhatch.entry import _peers
 from tamarackhatch.entry import _trigger
@@ -79,8 +79,8 @@
         self._log = log
         self._metrics = metrics
         self._trigger = _trigger.ForwardingTrigger()
-        self._calls = _budget.TokenBucket(_CALL_BURST, _CALLS_PER_S)
-        self._distant_bytes = _budget.TokenBucket(
+        self._calls = admission.TokenBucket(_CALL_BURST, _CALLS_PER_S)
+        self._distant_bytes = admission.TokenBucket(
             _DISTANT_BYTE_BURST, _DISTANT_BYTES_PER_S
         )
         self._in_flight = 0
--- a/tamarackhatch/entry/_messages.py
+++ b/tamarackhatch/entry/_messages.py
@@ -22,7 +22,12 @@
 _MAX_MESSAGE = 500
 # Outcomes after which no other instance has to be asked.
 DEFINITE: typing.Final = frozenset(
-    (model.Outcome.DONE, model.Outcome.NO_JOB, model.Outcome.REFUSED)
+    (
+        model.Outcome.DONE,
+        model.Outcome.NO_JOB,
+        model.Outcome.REFUSED,
+        model.Outcome.CANCELLED,
+    )
 )
 # Answer of an instance that has not tried to carry out a request.
 _NOT_HERE: typing.Final = "not here"
--- a/tamarackhatch/errors/_codes.py
+++ b/tamarackhatch/errors/_codes.py
@@ -52,6 +52,7 @@
     QUOTA_EXCEEDED = "TH403"
     UNKNOWN_JOB = "TH404"
     ATTEMPTS_EXHAUSTED = "TH405"
+    JOB_CANCELLED = "TH406"
 
     # 500: membership and peers
     SESSION_LOST = "TH501"
--- a/tamarackhatch/model/_service.py
+++ b/tamarackhatch/model/_service.py
@@ -24,6 +24,8 @@
         UNKNOWN: The request may be carried out, now or later.
         REFUSED: The job is not stored, and no earlier attempt will store it;
             the caller may return later.
+        CANCELLED: The job was cancelled before it was stored, and no attempt
+            will store it.
     """
 
     DONE = "done"
@@ -32,6 +34,7 @@
     NOT_DONE = "not done"
     UNKNOWN = "unknown"
     REFUSED = "refused"
+    CANCELLED = "cancelled"
 
 
 @attrs.frozen
--- a/tamarackhatch/observability/_metrics.py
+++ b/tamarackhatch/observability/_metrics.py
@@ -124,6 +124,13 @@
             " been served in time.",
             registry=self._registry,
         )
+        self.early_cancellations = prometheus_client.Counter(
+            "tamarackhatch_early_cancellations",
+            "Cancellations of jobs that are not stored, by whether a row was"
+            " written, existed, or was not written because of their rate.",
+            ["result"],
+            registry=self._registry,
+        )
         self.unreadable_entries = prometheus_client.Counter(
             "tamarackhatch_unreadable_entries",
             "Malformed entries of other systems that were skipped, by source.",
--- a/tamarackhatch/platform/_ingress.py
+++ b/tamarackhatch/platform/_ingress.py
@@ -187,6 +187,8 @@
     if outcome is model.Outcome.REFUSED:
         reply = _make_reply(429, {"error": "cannot be served in time"})
         return reply._replace(retry_after_s=model.count_retry_seconds(lookup))
+    if outcome is model.Outcome.CANCELLED:
+        return _make_reply(429, {"error": "the job is cancelled"})
     if outcome is model.Outcome.NOT_DONE:
         return _make_reply(503, {"error": "not accepted"})
     return _make_reply(504, {"error": "not known whether accepted"})
--- a/tamarackhatch/records/__init__.py
+++ b/tamarackhatch/records/__init__.py
@@ -16,6 +16,8 @@
 from tamarackhatch.records._instances import InstanceRecord
 from tamarackhatch.records._interference import decode_interference
 from tamarackhatch.records._interference import encode_interference
+from tamarackhatch.records._job_store import JobCancelledError
+from tamarackhatch.records._job_store import JobPresence
 from tamarackhatch.records._job_store import JobStore
 from tamarackhatch.records._jobs import decode_job
 from tamarackhatch.records._jobs import encode_job
@@ -78,6 +80,8 @@
     "JOBS_TABLE",
     "JOB_PARTITIONS",
     "JobProgress",
+    "JobCancelledError",
+    "JobPresence",
     "JobStore",
     "LEADER_HEARTBEAT",
     "LeaderHeartbeat",
--- a/tamarackhatch/records/_job_store.py
+++ b/tamarackhatch/records/_job_store.py
@@ -8,6 +8,7 @@
 import attrs
 
 from tamarackhatch import clock
+from tamarackhatch import errors
 from tamarackhatch import model
 from tamarackhatch.records import _hedged_call
 from tamarackhatch.records import _jobs
@@ -25,6 +26,29 @@
 _KEY_RANGE_END = "~"
 
 
+class JobCancelledError(errors.CodedError):
+    """A job was cancelled before it was stored, and never will be stored."""
+
+    def __init__(self, identifier: str) -> None:
+        super().__init__(
+            errors.ErrorCode.JOB_CANCELLED, f"job {identifier} is cancelled"
+        )
+
+
+@attrs.frozen
+class JobPresence:
+    """Which rows of a job the store holds.
+
+    Attributes:
+        is_stored: Whether the job is stored.
+        is_cancelled: Whether its cancel row is stored; False if that is not
+            known.
+    """
+
+    is_stored: bool
+    is_cancelled: bool = False
+
+
 class JobStore:
     """Reads and writes the rows of jobs on behalf of callers.
 
@@ -86,6 +110,7 @@
             which has another version.
 
         Raises:
+            JobCancelledError: The job was cancelled before it was stored.
             StoreOutcomeUnknownError: The job may be stored, now or later, by
                 this or an earlier submission.
         """
@@ -121,6 +146,7 @@
             store the job.
 
         Raises:
+            JobCancelledError: The job was cancelled before it was stored.
             StoreOutcomeUnknownError: The record may be written, now or later.
         """
         ref = _names.get_refusal_ref(identifier)
@@ -135,7 +161,10 @@
     async def cancel(
         self, identifier: str, deadline: datetime.timedelta
     ) -> None:
-        """Marks a stored job as cancelled; a repeated call changes nothing.
+        """Marks a job as cancelled; a repeated call changes nothing.
+
+        The mark of a job that is not stored keeps all submissions of it from
+        being carried out, as their writes are conditional on its absence.
 
         Args:
             identifier: Identifier of the job.
@@ -152,10 +181,10 @@
             "cancel", identifier, [(put.ref, 0)], put, deadline
         )
 
-    async def is_stored(
+    async def read_presence(
         self, identifier: str, deadline: datetime.timedelta | None = None
-    ) -> bool:
-        """Returns whether a job is stored.
+    ) -> JobPresence:
+        """Returns whether a job, and its cancel row, are stored.
 
         Args:
             identifier: Identifier of the job.
@@ -166,10 +195,13 @@
             StoreUnavailableError: The store could not be read.
         """
         if identifier in self._final_states:
-            return True
+            return JobPresence(is_stored=True)
         ref = _names.get_job_ref(identifier)
         rows = await self._read_rows(identifier, ref, deadline)
-        return any(row.ref.key == identifier for row in rows)
+        refs = {row.ref for row in rows}
+        return JobPresence(
+            ref in refs, _names.get_cancel_ref(identifier) in refs
+        )
 
     async def read_state(
         self, identifier: str, deadline: datetime.timedelta | None = None
@@ -199,7 +231,7 @@
                 if state.is_final:
                     self._cache_final_state(identifier, state)
                 return state
-        if await self.is_stored(identifier, deadline):
+        if (await self.read_presence(identifier, deadline)).is_stored:
             return model.JobState.QUEUED
         return None
 
@@ -246,13 +278,14 @@
         put: model.Put,
         deadline: datetime.timedelta,
     ) -> model.Committed | model.Conflict:
-        """Writes a row of a job unless the job is stored.
+        """Writes a row of a job unless the job is stored or cancelled.
 
         The refusal row must have a given version.
         """
         conditions = [
             (_names.get_job_ref(identifier), 0),
             (_names.get_refusal_ref(identifier), refusal_version),
+            (_names.get_cancel_ref(identifier), 0),
         ]
         return await self._write_if(
             kind, identifier, conditions, put, deadline
@@ -293,10 +326,15 @@
     """Returns the state of a job's refusal row; None if the job is stored.
 
     An earlier attempt, perhaps of another instance, has stored the job then.
+
+    Raises:
+        JobCancelledError: The job is not stored, and its cancel row is.
     """
     rows = tuple(row for row in conflict.rows if not row.is_deleted)
     if _leadership.find_row(rows, _names.get_job_ref(identifier)):
         return None
+    if _leadership.find_row(rows, _names.get_cancel_ref(identifier)):
+        raise JobCancelledError(identifier)
     row = _leadership.find_row(rows, _names.get_refusal_ref(identifier))
     if row is None:
         return _refusals.RefusalState()
--- a/tamarackhatch/records/tests/test_slow_store.py
+++ b/tamarackhatch/records/tests/test_slow_store.py
@@ -266,7 +266,8 @@
         for _ in range(5):
             deadline = fleet.clock.get_monotonic() + _TIMEOUT
             try:
-                assert await jobs.is_stored("10", deadline)
+                presence = await jobs.read_presence("10", deadline)
+                assert presence.is_stored
                 await jobs.cancel("10", deadline)
                 break
             except (
--- a/tamarackhatch/scheduler/_garbage_collector.py
+++ b/tamarackhatch/scheduler/_garbage_collector.py
@@ -1,4 +1,4 @@
-"""Removes rows of finished and of refused jobs after their retention time."""
+"""Removes rows of finished jobs after their retention time."""
 
 import collections
 from collections.abc import Callable
@@ -8,6 +8,7 @@
 from tamarackhatch import model
 from tamarackhatch import observability
 from tamarackhatch import records
+from tamarackhatch.scheduler import _job_markers
 
 # A submission may be repeated seconds after its answer. If the job's row were
 # already removed, the job would run again, so rows are kept far longer than
@@ -20,7 +21,7 @@
 
 
 class JobGarbageCollector:
-    """Removes finished and refused jobs after their retention time."""
+    """Removes finished jobs, and markers of jobs that are not stored."""
 
     def __init__(
         self,
@@ -37,26 +38,27 @@
         self._log = log
         self._finished: collections.deque[tuple[datetime.timedelta, str]]
         self._finished = collections.deque()
-        self._refused: collections.deque[tuple[datetime.timedelta, model.Row]]
-        self._refused = collections.deque()
+        self._markers = _job_markers.MarkerCollector(
+            store, time_source, self._retention, log
+        )
 
     def record_finished(self, identifier: str) -> None:
         """Starts the retention time of a job that is finished."""
         self._finished.append((self._clock.get_monotonic(), identifier))
 
-    def record_refused(self, row: model.Row) -> None:
-        """Starts the retention time of a refusal row.
+    def record_marker(self, row: model.Row) -> None:
+        """Starts the retention time of a cancel or refusal row.
 
-        Writes that began before the refusal are conditional on its absence.
-        They must have ended before it is removed.
+        Args:
+            row: The row; its job is not stored, or was refused before.
         """
-        self._refused.append((self._clock.get_monotonic(), row))
+        self._markers.record(row)
 
     async def run(self) -> None:
         """Removes rows until cancelled."""
         while True:
             await self._clock.sleep(_ROUND_INTERVAL)
-            await self._remove_refusals()
+            await self._markers.remove_due_rows()
             for _ in range(_MAX_JOBS_PER_ROUND):
                 if not self._is_due():
                     break
@@ -66,31 +68,6 @@
                 self._finished.popleft()
                 self._remove_job(identifier)
 
-    async def _remove_refusals(self) -> None:
-        for _ in range(_MAX_JOBS_PER_ROUND):
-            if not self._refused:
-                return
-            recorded, row = self._refused[0]
-            if self._clock.get_monotonic() - recorded < self._retention:
-                return
-            try:
-                # A conflict says that the row was written again since, or was
-                # removed with the job.
-                await self._store.write(
-                    [(row.ref, row.version)], [], [row.ref], _WRITE_TIMEOUT
-                )
-            except (
-                model.StoreUnavailableError,
-                model.StoreOutcomeUnknownError,
-            ) as error:
-                self._log.info(
-                    "job_removal_failed",
-                    job=row.ref.key,
-                    reason=error.message,
-                )
-                return
-            self._refused.popleft()
-
     def _is_due(self) -> bool:
         if not self._finished:
             return False
--- a/tamarackhatch/scheduler/_job_tracker.py
+++ b/tamarackhatch/scheduler/_job_tracker.py
@@ -40,6 +40,7 @@
         self._occurrences = _occurrences.OccurrenceTracker(
             time_source, self._phases, log, metrics
         )
+        self._early_cancellations: set[str] = set()
         self._synced_until: datetime.timedelta | None = None
         self._request_write: _occurrences.WriteRequest = lambda job: 0
         self._stop_task: _occurrences.StopCommand = lambda task: None
@@ -176,20 +177,33 @@
         else:
             known = None if progress is None else progress.occurrences.get(0)
             self._occurrences.open_occurrence(entry, 0, known)
+        if job.identifier in self._early_cancellations:
+            self.cancel_job(job.identifier)
 
     def open_due_occurrences(self) -> None:
         """Opens the occurrences of scheduled jobs whose time has come."""
         self._occurrences.open_due_occurrences()
 
     def cancel_job(self, identifier: str) -> None:
-        """Stops all tasks of a job, because a caller cancelled it."""
+        """Stops all tasks of a job, because a caller cancelled it.
+
+        A job that is not known is cancelled as soon as it is added: instances
+        of earlier builds may store it in spite of its cancellation.
+        """
         entry = self._jobs.get(identifier)
-        if entry is None or entry.state.is_final:
+        if entry is None:
+            self._early_cancellations.add(identifier)
+            return
+        if entry.state.is_final:
             return
         entry.is_cancelled = True
         self._log.info("job_cancelled", job=identifier)
         self._occurrences.finish_job(entry, model.JobState.CANCELLED)
 
+    def forget_cancellation(self, identifier: str) -> None:
+        """Forgets the cancellation of a job that is not known."""
+        self._early_cancellations.discard(identifier)
+
     def allocate_run(self, task: _state.TaskEntry) -> int:
         """Returns the number of the next run of a task."""
         task.run = max(task.run + 1, self._first_run)
--- a/tamarackhatch/scheduler/_scheduler.py
+++ b/tamarackhatch/scheduler/_scheduler.py
@@ -392,16 +392,19 @@
         self._progress[row.ref.key] = progress
 
     def _apply_job_row(self, row: model.Row) -> None:
-        if row.is_deleted:
-            return
         job_tracker = self._context.job_tracker
         cancelled = records.get_cancelled_job(row.ref.key)
+        if row.is_deleted:
+            if cancelled is not None:
+                job_tracker.forget_cancellation(cancelled)
+            return
         if cancelled is not None:
+            if not job_tracker.has_job(cancelled):
+                self._garbage_collector.record_marker(row)
             job_tracker.cancel_job(cancelled)
             return
-        refused = records.get_refused_job(row.ref.key)
-        if refused is not None:
-            self._garbage_collector.record_refused(row)
+        if records.get_refused_job(row.ref.key) is not None:
+            self._garbage_collector.record_marker(row)
             return
         if job_tracker.has_job(row.ref.key):
             return
--- a/tamarackhatch/service/_jobs.py
+++ b/tamarackhatch/service/_jobs.py
@@ -11,6 +11,7 @@
 from tamarackhatch import model
 from tamarackhatch import observability
 from tamarackhatch import records
+from tamarackhatch.service import _cancellation
 from tamarackhatch.service import _configuration
 from tamarackhatch.service import _submission
 
@@ -140,6 +141,9 @@
         self._submitter = _submission.Submitter(
             store, figures, time_source, log, metrics
         )
+        self._canceller = _cancellation.Canceller(
+            store, time_source, log, metrics
+        )
         self._get_store_version = get_store_version
         self._forwarder = forwarder or _LocalForwarder()
         self._store = store
@@ -317,6 +321,8 @@
         """
         try:
             return await self._submitter.submit(job, deadline, store_version)
+        except records.JobCancelledError:
+            return model.JobLookup(model.Outcome.CANCELLED)
         except model.StoreOutcomeUnknownError as error:
             self._log_failed_write(job.identifier, error)
             return model.JobLookup(model.Outcome.UNKNOWN)
@@ -331,16 +337,13 @@
             deadline: Monotonic time until which the answer must be ready.
         """
         try:
-            if not await self._store.is_stored(identifier, deadline):
-                return model.Outcome.NO_JOB
-            await self._store.cancel(identifier, deadline)
+            return await self._canceller.cancel(identifier, deadline)
         except model.StoreOutcomeUnknownError as error:
             self._log_failed_write(identifier, error)
             return model.Outcome.UNKNOWN
         except model.StoreUnavailableError as error:
             self._log_failed_read(identifier, error.message)
             return model.Outcome.NOT_DONE
-        return model.Outcome.DONE
 
     async def get_state_here(
         self, identifier: str, deadline: datetime.timedelta
--- a/tamarackhatch/service/_submission.py
+++ b/tamarackhatch/service/_submission.py
@@ -78,6 +78,7 @@
             The outcome DONE, REFUSED or UNKNOWN.
 
         Raises:
+            JobCancelledError: The job was cancelled before it was stored.
             StoreOutcomeUnknownError: The job may be stored, now or later.
         """
         known_version = store_version or 0
