Hold occurrences that runners report before their turn

Cause: a term opens 100 occurrences of a job. Those beyond them, which a killed scheduler had started because of exits that were not durable, were unknown to its successor. It acknowledged their exits without a record and stopped their runs as orphans, and started the tasks once it opened them.

Change: an occurrence of which a runner lists a task is added at once, so that its exits are recorded and its runs adopted. Its tasks start when it is due and among the 100 oldest unfinished ones. Restored occurrences follow the same order, whatever the gaps between them and the time of day. A success that is read late also completes a blocked task.

--- a/tamarackhatch/scheduler/_job_tracker.py
+++ b/tamarackhatch/scheduler/_job_tracker.py
@@ -166,17 +166,15 @@
             version=version,
             tasks=sum(step.count for step in job.steps),
         )
+        known = {} if progress is None else progress.occurrences
+        for number in sorted(known):
+            if entry.finished_occurrences <= number < job.occurrences:
+                self._occurrences.hold_occurrence(entry, number, known[number])
         if job.schedule is not None:
             self._occurrences.add_scheduled_job(entry)
-            if progress is not None:
-                for number in sorted(progress.occurrences):
-                    self._occurrences.open_occurrence(
-                        entry, number, progress.occurrences[number]
-                    )
             self.open_due_occurrences()
         else:
-            known = None if progress is None else progress.occurrences.get(0)
-            self._occurrences.open_occurrence(entry, 0, known)
+            self._occurrences.open_next_occurrence(entry)
         if job.identifier in self._early_cancellations:
             self.cancel_job(job.identifier)
 
@@ -184,6 +182,25 @@
         """Opens the occurrences of scheduled jobs whose time has come."""
         self._occurrences.open_due_occurrences()
 
+    def hold_reported_occurrence(self, key: model.TaskKey) -> None:
+        """Adds the occurrence of a task that a runner lists, if it is unknown.
+
+        An earlier scheduler has opened it, though it may lie beyond those
+        that are open in this term, or not be due by its time of day.
+        """
+        entry, number = self._jobs.get(key.job), key.occurrence
+        if (
+            entry is None
+            or entry.state.is_final
+            or number in entry.occurrences
+            or not entry.finished_occurrences <= number < entry.job.occurrences
+            or key.step >= len(entry.job.steps)
+            or key.index >= entry.job.steps[key.step].count
+        ):
+            return
+        self._log.info("occurrence_held", job=key.job, occurrence=number)
+        self._occurrences.hold_occurrence(entry, number, None)
+
     def cancel_job(self, identifier: str) -> None:
         """Stops all tasks of a job, because a caller cancelled it.
 
@@ -402,8 +419,16 @@
         run_exit: model.RunExit,
         runner: _fleet.RunnerEntry,
     ) -> int:
-        """Completes a waiting task whose run was lost after it succeeded."""
-        if task.phase is not _state.TaskPhase.WAITING:
+        """Completes a task whose run was lost after it succeeded.
+
+        A blocked one may have run before, because this term does not know all
+        exits of the steps that it depends on, or because its occurrence is
+        held.
+        """
+        if task.phase not in (
+            _state.TaskPhase.WAITING,
+            _state.TaskPhase.BLOCKED,
+        ):
             return 0
         self._log.info(
             "lost_run_was_done",
--- a/tamarackhatch/scheduler/_occurrences.py
+++ b/tamarackhatch/scheduler/_occurrences.py
@@ -10,7 +10,8 @@
 from tamarackhatch.scheduler import _task_phases
 
 # Further occurrences of a job wait until some are finished. A job whose
-# occurrences are due faster than they run must not fill the memory.
+# occurrences are due faster than they run must not fill the memory. Held ones
+# do not count: at most as many exist as runners report.
 _MAX_OPEN_OCCURRENCES = 100
 
 StopCommand = Callable[[_state.TaskEntry], None]
@@ -61,20 +62,35 @@
             while (
                 not entry.state.is_final
                 and entry.next_occurrence < schedule.count
-                and len(entry.occurrences) < _MAX_OPEN_OCCURRENCES
+                and _count_in_turn(entry) < _MAX_OPEN_OCCURRENCES
                 and schedule.get_due(entry.next_occurrence) <= now
             ):
-                self.open_occurrence(entry, entry.next_occurrence, None)
+                self.open_next_occurrence(entry)
             if entry.state.is_final or entry.next_occurrence == schedule.count:
                 self._scheduled.pop(identifier, None)
 
-    def open_occurrence(
+    def open_next_occurrence(self, entry: _state.JobEntry) -> None:
+        """Lets the tasks of a job's next occurrence start."""
+        number = entry.next_occurrence
+        entry.next_occurrence += 1
+        if number not in entry.occurrences:
+            self.hold_occurrence(entry, number, None)
+        occurrence = entry.occurrences[number]
+        occurrence.is_held = False
+        self._requeue_unblocked_tasks(occurrence)
+        self._close_finished_occurrences(entry)
+
+    def hold_occurrence(
         self,
         entry: _state.JobEntry,
         number: int,
         progress: records.OccurrenceProgress | None,
     ) -> None:
-        """Opens an occurrence of a job.
+        """Adds an occurrence that an earlier scheduler may have opened.
+
+        Its tasks start in its turn: when the time of day, which may be behind
+        that of the earlier scheduler, has reached it, and when it is among
+        the oldest unfinished ones.
 
         Args:
             entry: The job.
@@ -82,10 +98,8 @@
             progress: Its durable progress; None if it has none.
         """
         occurrence = _state.build_occurrence(entry, number, progress)
+        occurrence.is_held = True
         entry.occurrences[number] = occurrence
-        entry.next_occurrence = max(entry.next_occurrence, number + 1)
-        self._requeue_unblocked_tasks(occurrence)
-        self._close_finished_occurrences(entry)
 
     def complete_task(self, task: _state.TaskEntry) -> None:
         """Completes a task, and what is finished with it."""
@@ -116,6 +130,10 @@
         ):
             del entry.occurrences[entry.finished_occurrences]
             entry.finished_occurrences += 1
+        # A held occurrence may have been finished before its turn.
+        entry.next_occurrence = max(
+            entry.next_occurrence, entry.finished_occurrences
+        )
         if entry.finished_occurrences == entry.job.occurrences:
             self._log.info("job_completed", job=entry.identifier)
             self.finish_job(entry, model.JobState.COMPLETED)
@@ -161,6 +179,8 @@
     def _requeue_unblocked_tasks(
         self, occurrence: _state.OccurrenceEntry
     ) -> None:
+        if occurrence.is_held:
+            return
         for step_index, tasks in enumerate(occurrence.steps):
             step = tasks[0].step
             if any(occurrence.remaining[before] for before in step.after):
@@ -169,3 +189,9 @@
                 if task.phase is _state.TaskPhase.BLOCKED:
                     task.is_unblocked_in_term = occurrence.is_unblocked_in_term
                     self._phases.requeue_task(task)
+
+
+def _count_in_turn(entry: _state.JobEntry) -> int:
+    return sum(
+        not occurrence.is_held for occurrence in entry.occurrences.values()
+    )
--- a/tamarackhatch/scheduler/_runner_reconciler.py
+++ b/tamarackhatch/scheduler/_runner_reconciler.py
@@ -358,6 +358,7 @@
 
     def _apply_exit(self, run_exit: model.RunExit) -> None:
         context, entry = self._context, self._entry
+        context.job_tracker.hold_reported_occurrence(run_exit.task)
         task = context.job_tracker.find_task(run_exit.task)
         generation = 0
         if task is not None:
@@ -383,6 +384,7 @@
 
     def _apply_running_task(self, item: model.RunningTask) -> None:
         context, entry = self._context, self._entry
+        context.job_tracker.hold_reported_occurrence(item.task)
         task = context.job_tracker.find_task(item.task)
         if task is None or task.phase is _state.TaskPhase.DONE:
             if task is None or task.runner is not entry:
--- a/tamarackhatch/scheduler/_state.py
+++ b/tamarackhatch/scheduler/_state.py
@@ -210,12 +210,15 @@
         remaining: Number of unfinished tasks by step.
         is_unblocked_in_term: Whether this term's scheduler was the first to
             see the exit that unblocked the latest steps; see `TaskEntry`.
+        is_held: Whether it is known before its turn, because an earlier
+            scheduler opened it. Its exits and runs count, and no task starts.
     """
 
     number: int
     steps: list[list[TaskEntry]]
     remaining: list[int]
     is_unblocked_in_term: bool = False
+    is_held: bool = False
 
     @property
     def is_finished(self) -> bool:
@@ -233,10 +236,12 @@
         state: State that callers see once it is written.
         is_cancelled: Whether a caller has cancelled it.
         has_started: Whether any task has started.
-        occurrences: Occurrences that are due and not finished.
+        occurrences: Occurrences that are known and not finished. All but the
+            held ones are due.
         finished_occurrences: Number of occurrences, from the first on, that
             are finished.
-        next_occurrence: Number of the next occurrence to open.
+        next_occurrence: Number of the next occurrence whose turn comes; only
+            held ones have higher numbers.
         order: Priority of the queue, and time of acceptance in seconds since
             the epoch; lower values go first.
     """
@@ -299,12 +304,18 @@
             self.state,
             self.finished_occurrences,
             {
-                number: _summarise_occurrence(occurrence)
+                number: progress
                 for number, occurrence in self.occurrences.items()
+                if (progress := _summarise_occurrence(occurrence))
+                != _NO_PROGRESS
+                or not occurrence.is_held
             },
         )
 
 
+_NO_PROGRESS = records.OccurrenceProgress()
+
+
 def compute_order(job: model.Job) -> tuple[float, ...]:
     """Returns the order of a job; see `JobEntry`."""
     accepted = (job.accepted_at - _EPOCH).total_seconds()
--- a/tamarackhatch/scheduler/_task_phases.py
+++ b/tamarackhatch/scheduler/_task_phases.py
@@ -28,7 +28,8 @@
     def requeue_task(self, task: _state.TaskEntry) -> None:
         """Lets a task without a run wait for a runner or for other steps.
 
-        A task of a finished job is done.
+        A task of a finished job is done, and one of a held occurrence waits
+        for the occurrence's turn.
         """
         entry = task.job
         if entry.state.is_final or task.phase is _state.TaskPhase.DONE:
@@ -37,7 +38,9 @@
         task.confirmed = None
         key = task.key
         occurrence = entry.occurrences[key.occurrence]
-        if any(occurrence.remaining[before] for before in task.step.after):
+        if occurrence.is_held or any(
+            occurrence.remaining[before] for before in task.step.after
+        ):
             self.enter_phase(task, _state.TaskPhase.BLOCKED)
             return
         self.enter_phase(task, _state.TaskPhase.WAITING)
