Wait until the runs of an expired lease are killed

Cause: the runs of a runner that does not answer counted as ended 50 ms after the end of its lease, as if a kill took no time.

Evidence: the runner stand-in now needs time to kill the runs of an expired lease, and can stall like a stopped process.

Change: a lease counts as expired once stop_timeout_ms has passed as well. The choice of a renewal's wait moves to a module of its own.

--- a/soak/tests/faulty.py
+++ b/soak/tests/faulty.py
@@ -28,7 +28,9 @@
 class _ImpatientEntry(_fleet.RunnerEntry):
     """Takes the tasks of a runner that does not answer for lost at once."""
 
-    def is_lease_expired(self, now: datetime.timedelta) -> bool:
+    def is_lease_expired(
+        self, now: datetime.timedelta, kill_time: datetime.timedelta
+    ) -> bool:
         return True
 
 
--- a/standins/runner.py
+++ b/standins/runner.py
@@ -61,6 +61,7 @@
         checkpoint_interval_s: Seconds of work between two checkpoints of a
             run; None for runs without progress and checkpoints.
         restore_s: Seconds that a run needs to resume from a checkpoint.
+        kill_s: Seconds that it takes to kill runs whose lease has expired.
     """
 
     def __init__(
@@ -89,6 +90,9 @@
         self.gets_new_identifier = True
         self.checkpoint_interval_s: float | None = None
         self.restore_s = 0.0
+        self.kill_s = 0.0
+        self._stalled_from = math.inf
+        self._resumed_at = -math.inf
         self._speed = 1.0
         self._earlier_identifiers: list[str] = []
         self._plan = plan
@@ -115,6 +119,20 @@
         self._update()
         return sorted(self._runs)
 
+    async def stall(self, duration_s: float) -> None:
+        """Stops the process, as SIGSTOP does, and continues it.
+
+        Meanwhile it answers no call and kills no run, and its clock goes on.
+        The calls that have arrived are handled before its timers.
+        """
+        self._update()
+        loop = asyncio.get_running_loop()
+        self._stalled_from = loop.time()
+        await asyncio.sleep(duration_s)
+        self._stalled_from = math.inf
+        self._resumed_at = loop.time()
+        self._wake_renewals()
+
     @property
     def speed(self) -> float:
         """Share of their full speed that it gives runs without a limit."""
@@ -198,6 +216,8 @@
         """Answers one call; refuses fencing tokens below the highest seen."""
         if self.is_down:
             raise network.BrokenConnectionError
+        while self._stalled_from < math.inf:
+            await self._runs_changed.wait()
         if request.expected_instance not in ("", self.identifier):
             return network.Response(421)
         self._update()
@@ -378,11 +398,16 @@
         """Ends all runs that are over, or whose lease has expired."""
         now = asyncio.get_running_loop().time()
         lease_end = self._incarnation_start + self._lease_end_ms / 1000
+        if lease_end <= now and self._stalled_from == math.inf:
+            for run in self._runs.values():
+                if run.exit_time > lease_end and not run.is_stopping:
+                    run.exit_reason = "lapsed"
+                    run.stop_time = (
+                        max(lease_end, self._resumed_at) + self.kill_s
+                    )
         for run in sorted(self._runs.values(), key=lambda run: run.exit_time):
-            if run.exit_time <= min(now, lease_end):
+            if run.exit_time <= min(now, self._stalled_from):
                 self._record_exit(run, run.exit_reason, run.exit_time)
-            elif lease_end <= now:
-                self._record_exit(run, "lapsed", lease_end)
 
     def _record_exit(self, run: Run, exit_reason: str, time: float) -> None:
         del self._runs[run.task]
--- a/tamarackhatch/scheduler/_fleet.py
+++ b/tamarackhatch/scheduler/_fleet.py
@@ -11,7 +11,7 @@
 
 # A runner's monotonic clock may be slower than the scheduler's by this share.
 _MAX_CLOCK_DRIFT_SHARE = 0.02
-# Covers rounding of the runner's clock to milliseconds.
+# Covers rounding of the runner's clock to milliseconds, and late timers.
 _EXPIRY_MARGIN = datetime.timedelta(milliseconds=50)
 # A runner that has not answered for this long gets no new tasks. A renewal may
 # wait up to 1.5 s for an exit.
@@ -272,13 +272,20 @@
         self.lease_end = max(self.lease_end, lease_end)
         return lease_end
 
-    def is_lease_expired(self, now: datetime.timedelta) -> bool:
-        """Returns whether every lease granted to the runner has expired.
+    def is_lease_expired(
+        self, now: datetime.timedelta, kill_time: datetime.timedelta
+    ) -> bool:
+        """Returns whether every lease has expired and its runs are killed.
 
         Allows for clock drift, so that an unexpired lease never counts as
         expired.
+
+        Args:
+            now: Monotonic time.
+            kill_time: Longest time that the runner takes to kill its runs
+                after the end of their lease.
         """
-        return self.has_clock_passed(self.lease_end, now)
+        return self.has_clock_passed(self.lease_end + kill_time, now)
 
     def has_clock_passed(
         self, reading: datetime.timedelta, now: datetime.timedelta
--- a/tamarackhatch/scheduler/_runner_reconciler.py
+++ b/tamarackhatch/scheduler/_runner_reconciler.py
@@ -11,6 +11,7 @@
 from tamarackhatch.scheduler import _crash_suspects
 from tamarackhatch.scheduler import _fleet
 from tamarackhatch.scheduler import _health
+from tamarackhatch.scheduler import _renewal_wait
 from tamarackhatch.scheduler import _run_times
 from tamarackhatch.scheduler import _runner_reports
 from tamarackhatch.scheduler import _state
@@ -18,11 +19,6 @@
 
 _Evidence = _crash_suspects.Evidence
 
-# How long a runner may wait for an exit before it answers a renewal.
-_IDLE_RENEWAL_WAIT = datetime.timedelta(milliseconds=1500)
-# Shorter, because throttling needs frequent samples where best-effort tasks
-# run beside serving tasks.
-_SAMPLING_RENEWAL_WAIT = datetime.timedelta(milliseconds=400)
 _RETRY_PAUSE = datetime.timedelta(milliseconds=200)
 # Between two renewals of a runner; each renewal has a cost.
 _MIN_RENEWAL_INTERVAL = datetime.timedelta(milliseconds=100)
@@ -39,8 +35,6 @@
 _MAX_BREAK_DELAY = datetime.timedelta(milliseconds=500)
 # A report lists at most this many exits; a full report may omit others.
 _MAX_LISTED_EXITS = 500
-# Tasks are evicted from a draining runner this long before it leaves.
-_LEAVE_MARGIN = datetime.timedelta(milliseconds=1500)
 
 
 class RunnerReconciler:
@@ -121,7 +115,7 @@
         if context.leader_lease.is_valid:
             lease_end = entry.compute_lease_end(sent, context.settings.lease)
         if lease_end is not None and not entry.pending_acks:
-            wait = self._choose_renewal_wait()
+            wait = _renewal_wait.choose_renewal_wait(entry, context.get_now())
         try:
             report = await context.client.renew(
                 entry.record,
@@ -145,18 +139,6 @@
         context.load_monitor.counters.renewals += 1
         return report
 
-    def _choose_renewal_wait(self) -> datetime.timedelta:
-        entry, load = self._entry, self._entry.load
-        wait = _IDLE_RENEWAL_WAIT
-        if load.serving and load.best_effort_cpu_by_image:
-            wait = _SAMPLING_RENEWAL_WAIT
-        if entry.tasks and entry.leaves_at is not None:
-            # Tasks are evicted with the next report.
-            due_in = entry.leaves_at - _LEAVE_MARGIN - self._context.get_now()
-            if due_in > datetime.timedelta():
-                wait = min(wait, due_in)
-        return wait
-
     def _record_missed_renewal(
         self,
         reason: str,
@@ -185,7 +167,7 @@
         tasks = list(entry.tasks.values())
         if entry.is_replaced:
             self._crashes.record_crash("replaced", tasks)
-        elif entry.is_lease_expired(now):
+        elif self._is_lease_expired(now):
             entry.listed = ()
             self._crashes.record_crash("lease expired", tasks)
         elif (
@@ -194,6 +176,10 @@
         ):
             self._crashes.suppose_crash(tasks)
 
+    def _is_lease_expired(self, now: datetime.timedelta) -> bool:
+        kill_time = self._context.settings.bounds.stop_timeout
+        return self._entry.is_lease_expired(now, kill_time)
+
     def _is_removable(self) -> bool:
         entry, now = self._entry, self._context.get_now()
         if entry.is_registered or entry.tasks:
@@ -201,7 +187,7 @@
         if entry.is_replaced:
             return True
         if entry.clock_read is not None:
-            return entry.is_lease_expired(now)
+            return self._is_lease_expired(now)
         # The runner never answered, so leases of an earlier scheduler may
         # still be valid.
         return now - self._started > self._context.settings.takeover_wait
@@ -232,7 +218,7 @@
             self._has_reported = True
             is_alone = context.leader_lease.term.is_predecessor_stopped
             entry.record_first_answer(
-                now if is_alone else now + _IDLE_RENEWAL_WAIT
+                now if is_alone else now + _renewal_wait.IDLE_RENEWAL_WAIT
             )
             self._track(entry)
         for run_exit in report.exits:
@@ -273,7 +259,8 @@
         entry = self._entry
         is_leaving = (
             entry.leaves_at is not None
-            and entry.leaves_at - self._context.get_now() <= _LEAVE_MARGIN
+            and entry.leaves_at - self._context.get_now()
+            <= _renewal_wait.LEAVE_MARGIN
         )
         for task in list(entry.tasks.values()):
             if task.step.is_long_running or is_leaving:
--- a/tamarackhatch/scheduler/tests/test_history.py
+++ b/tamarackhatch/scheduler/tests/test_history.py
@@ -245,7 +245,9 @@
 def _ignore_leases(monkeypatch: pytest.MonkeyPatch) -> None:
     """Makes tasks of a runner that does not answer count as lost at once."""
     monkeypatch.setattr(
-        _fleet.RunnerEntry, "is_lease_expired", lambda self, now: True
+        _fleet.RunnerEntry,
+        "is_lease_expired",
+        lambda self, now, kill_time: True,
     )
 
 
