Test calls that leave late and lists that are outdated

Two hypotheses for the two runs that the users saw: a start or renewal leaves later than the reading that its lease was computed from, and a list is answered before a run that was accepted. Half of the calls of one kind to two of four runners, or their answers, are 0.2 to 4 s late.

--- a/tamarackhatch/scheduler/tests/test_late_kills.py
+++ b/tamarackhatch/scheduler/tests/test_late_kills.py
@@ -2,10 +2,12 @@
 
 import asyncio
 import datetime
+import random
 
 import pytest
 
 from standins import fleet as standin_fleet
+from standins import network
 from standins import runner
 from standins import virtual_time
 from tamarackhatch import model
@@ -101,3 +103,73 @@
         assert fleet.check() == []
 
     virtual_time.run_virtually(simulate())
+
+
+class _LateCalls:
+    """Holds back calls to a runner, or its answers, for random times."""
+
+    def __init__(
+        self,
+        stand_in: runner.RunnerStandIn,
+        seed: int,
+        path: str,
+        is_answer_late: bool,
+    ) -> None:
+        self._stand_in = stand_in
+        self._random = random.Random(seed)
+        self._path = path
+        self._is_answer_late = is_answer_late
+
+    async def handle(self, request: network.Request) -> network.Response:
+        """Answers one call."""
+        delay_s = 0.0
+        if request.path == self._path and self._random.random() < 0.5:
+            delay_s = self._random.uniform(0.2, 4.0)
+        if not self._is_answer_late:
+            await asyncio.sleep(delay_s)
+        response = await self._stand_in.handle(request)
+        if self._is_answer_late:
+            await asyncio.sleep(delay_s)
+        return response
+
+
+@pytest.mark.parametrize("seed", range(3))
+@pytest.mark.parametrize("is_answer_late", [False, True])
+@pytest.mark.parametrize("path", [runner.RENEWAL_PATH, runner.START_PATH])
+def test_late_calls_and_answers_cause_no_second_run(
+    path: str, is_answer_late: bool, seed: int
+) -> None:
+    """Guards against leases computed too early, and lists that are outdated.
+
+    A start or renewal leaves later than the clock reading that its lease was
+    computed from, or a list arrives after a run that it lacks was accepted.
+    """
+
+    async def simulate() -> None:
+        draw = random.Random(seed)
+        durations = [draw.uniform(0.2, 6.0) for _ in range(200)]
+        fleet = standin_fleet.VirtualFleet(
+            runners=4,
+            plan=lambda task, run: (durations[int(task[:2])], "done"),
+        )
+        fleet.bounds = settings.Bounds(
+            max_lease=runner.MAX_LEASE, stop_timeout=400 * _MS
+        )
+        fleet.start_instance("a")
+        for index, stand_in in enumerate(fleet.runners[:2]):
+            late = _LateCalls(stand_in, seed + index, path, is_answer_late)
+            fleet.network.serve(stand_in.address, late.handle)
+            faults = fleet.network.get_faults(stand_in.address)
+            faults.executes_abandoned_calls = True
+        await fleet.wait_until(lambda: fleet.get_leader() is not None)
+        step = model.Step(3, model.Resources(processors=1000, memory_mb=64))
+        for number in range(60):
+            await fleet.submit(f"{number:02}", step)
+            await asyncio.sleep(0.4)
+        for number in range(60):
+            await fleet.wait_for_state(
+                f"{number:02}", model.JobState.COMPLETED, 120
+            )
+        assert fleet.check() == []
+
+    virtual_time.run_virtually(simulate())
