Keep tracking runners that list runs

Back ends could see: run 1 of a task on one runner and run 2001 on another at once, after two takeovers (TWICE).

Cause: a runner without tasks of this term was untracked when it drained or did not answer, also if its last report listed a run of a job that this term had not read, or one that was being stopped as an orphan. The next term took the runner for new and did not wait for it.

Change: a runner is idle only if its last report lists no run, or its lease has expired since.

--- a/tamarackhatch/scheduler/_fleet.py
+++ b/tamarackhatch/scheduler/_fleet.py
@@ -234,8 +234,12 @@
 
     @property
     def is_idle(self) -> bool:
-        """Whether no task can run here and all exits are durable."""
-        return not self.tasks and not self.pending_acks
+        """Whether nothing can run here and all exits are durable.
+
+        A run of a job that is not read yet, or one that is being stopped as
+        an orphan, belongs to no task here.
+        """
+        return not (self.tasks or self.pending_acks or self.listed)
 
     def acknowledge_durable_exits(self, generation: int) -> None:
         """Advances acknowledged_exit over all exits that are durable.
@@ -312,6 +316,11 @@
         self.unlisted_tasks = frozenset()
         self.listed = ()
 
+    def record_lease_end(self) -> None:
+        """Records that all runs here have ended with the lease."""
+        self.listed = ()
+        self.unread_running.clear()
+
     def reports_exclusively(self, now: datetime.timedelta) -> bool:
         """Returns whether no earlier scheduler receives exits reported now."""
         return self.exclusive_from is not None and now >= self.exclusive_from
--- a/tamarackhatch/scheduler/_runner_reconciler.py
+++ b/tamarackhatch/scheduler/_runner_reconciler.py
@@ -162,13 +162,14 @@
                 entry.evidence = _Evidence.REFUSED
         if is_replaced:
             entry.record_replacement()
+        if self._is_lease_expired(now):
+            entry.record_lease_end()
         if not entry.tasks:
             return
         tasks = list(entry.tasks.values())
         if entry.is_replaced:
             self._crashes.record_crash("replaced", tasks)
         elif self._is_lease_expired(now):
-            entry.listed = ()
             self._crashes.record_crash("lease expired", tasks)
         elif (
             entry.missed_renewals == _SUPPOSE_CRASH_AFTER_MISSED_RENEWALS
