Carry over whether an earlier scheduler may be active

Back ends could see: the tasks of a new job on two runners at once (TWICE).

Cause: a term whose predecessor had stopped did not hold back new jobs. A scheduler before the predecessor may not know that it is superseded, and then starts them for as long as its leader lease lasts.

Change: the heartbeat says whether its scheduler is the sole one. Rows of earlier builds lack the field and do not say so.

--- a/tamarackhatch/election/_election.py
+++ b/tamarackhatch/election/_election.py
@@ -415,12 +415,22 @@
         # has read the jobs.
         previous = self._heartbeat
         pending = {} if previous is None else previous.pending
+        # A scheduler before the previous one may still be active, though the
+        # previous one has stopped.
+        is_sole = previous is None or (
+            previous.is_sole
+            and (
+                previous.is_released
+                or previous.instance == self._candidate.instance
+            )
+        )
         heartbeat = records.LeaderHeartbeat(
             self._candidate.instance,
             self._candidate.incarnation,
             number,
             pending=pending,
             is_pending_known=previous is None or previous.is_pending_known,
+            is_sole=is_sole,
         )
         value = records.encode_leader_heartbeat(heartbeat)
         result = await self._store.write(
@@ -437,11 +447,6 @@
             self._log.info("campaign_lost", term=number)
             return None
         self._log.info("campaign_won", term=number, token=result.version)
-        is_predecessor_stopped = (
-            previous is None
-            or previous.is_released
-            or previous.instance == self._candidate.instance
-        )
         return _leader_lease.Term(
-            number, result.version, started_at, pending, is_predecessor_stopped
+            number, result.version, started_at, pending, is_sole
         )
--- a/tamarackhatch/election/_leader_lease.py
+++ b/tamarackhatch/election/_leader_lease.py
@@ -6,6 +6,9 @@
 
 from tamarackhatch import clock
 
+# Leases are waited for on clocks that may be slower by 3%.
+_SLOW_CLOCK_FACTOR = 1.03
+
 
 @attrs.frozen
 class Term:
@@ -17,15 +20,16 @@
         sent_at: Boot time before the write that won the term was sent.
         pending: For each queue, the number of jobs of which no task has
             started yet, as the previous scheduler reported it.
-        is_predecessor_stopped: Whether the previous scheduler is known to send
-            no more commands, because it handed over or its process ended.
+        is_sole: Whether the schedulers of all earlier terms were known to
+            send no more commands when the term began. They handed over, their
+            processes ended, or their leases expired.
     """
 
     number: int
     token: int
     sent_at: datetime.timedelta
     pending: dict[str, int] = attrs.field(factory=dict)
-    is_predecessor_stopped: bool = False
+    is_sole: bool = False
 
 
 class LeaderLease:
@@ -56,6 +60,7 @@
         self._duration = duration
         self._confirmed_at = term.sent_at
         self._is_revoked = False
+        self._began = time_source.get_boot_time()
 
     @property
     def term(self) -> Term:
@@ -76,6 +81,17 @@
             self._clock.get_boot_time() - self._confirmed_at < self._duration
         )
 
+    @property
+    def is_sole(self) -> bool:
+        """Whether no scheduler of an earlier term sends commands any more.
+
+        The store has confirmed none of them since this term began.
+        """
+        if self._term.is_sole:
+            return True
+        elapsed = self._clock.get_boot_time() - self._began
+        return elapsed > self._duration * _SLOW_CLOCK_FACTOR
+
     def extend(self, sent_at: datetime.timedelta) -> None:
         """Extends the lease after the store confirmed the term.
 
--- a/tamarackhatch/records/_leadership.py
+++ b/tamarackhatch/records/_leadership.py
@@ -40,6 +40,8 @@
         is_pending_known: Whether ``pending`` is complete; if not, it is empty.
         metrics_address: ``host:port`` at which the scheduler answers
             operators; empty if it has none, and in rows of earlier builds.
+        is_sole: Whether no scheduler of an earlier term sends commands any
+            more; False in rows of earlier builds.
         waits: Waiting batch work; empty if no new work has to wait, or if
             nothing is known of it.
     """
@@ -54,6 +56,7 @@
     position: int = 0
     is_pending_known: bool = True
     metrics_address: str = ""
+    is_sole: bool = False
     waits: tuple[model.WaitSummary, ...] = ()
 
     @property
@@ -103,6 +106,8 @@
         del document["configuration"], document["position"]
     if heartbeat.is_pending_known:
         del document["is_pending_known"]
+    if not heartbeat.is_sole:
+        del document["is_sole"]
     if not heartbeat.metrics_address:
         del document[_METRICS_ADDRESS]
     value = orjson.dumps(document)
--- a/tamarackhatch/records/tests/test_leader_heartbeat.py
+++ b/tamarackhatch/records/tests/test_leader_heartbeat.py
@@ -188,3 +188,24 @@
     }
     with pytest.raises(records.MalformedRowError):
         records.decode_leader_heartbeat(orjson.dumps(document))
+
+
+@pytest.mark.parametrize(
+    ("row", "is_sole"),
+    [
+        (b'{"instance":"a","incarnation":"a-1","term":3}', False),
+        (
+            b'{"instance":"a","incarnation":"a-1","term":3,"is_sole":true}',
+            True,
+        ),
+    ],
+)
+def test_sole_scheduler_is_read_from_rows_of_all_builds(
+    row: bytes, is_sole: bool
+) -> None:
+    """Guards against trust in a term of a build that does not know it."""
+    heartbeat = records.LeaderHeartbeat("a", "a-1", 3, is_sole=is_sole)
+    assert records.decode_leader_heartbeat(row) == heartbeat
+    encoded = records.encode_leader_heartbeat(heartbeat)
+    assert (b"is_sole" in encoded) is is_sole
+    assert records.decode_leader_heartbeat(encoded) == heartbeat
--- a/tamarackhatch/scheduler/_runner_manager.py
+++ b/tamarackhatch/scheduler/_runner_manager.py
@@ -62,8 +62,8 @@
         """Starts reconciling the runners on which earlier tasks may run.
 
         Pauses starts until all of these runners are reconciled. Jobs of
-        earlier terms are always paused. Later jobs are paused as well if the
-        previous scheduler may not know that it is superseded, because it can
+        earlier terms are always paused. Later jobs are paused as well if an
+        earlier scheduler may not know that it is superseded, because it can
         still read and start them.
 
         Args:
@@ -195,9 +195,9 @@
         ]
         if len(known) == len(self._unreconciled):
             tasks = frozenset().union(*known)
-        term = self._context.leader_lease.term
+        leader_lease = self._context.leader_lease
         self._dispatcher.pause_starts(
-            term.token if term.is_predecessor_stopped else None, tasks
+            leader_lease.term.token if leader_lease.is_sole else None, tasks
         )
 
     def _log_unreconciled(self, event: str) -> None:
--- a/tamarackhatch/scheduler/_runner_reconciler.py
+++ b/tamarackhatch/scheduler/_runner_reconciler.py
@@ -217,9 +217,9 @@
                 context.settings, entry, report
             )
             self._has_reported = True
-            is_alone = context.leader_lease.term.is_predecessor_stopped
+            is_sole = context.leader_lease.is_sole
             entry.record_first_answer(
-                now if is_alone else now + _renewal_wait.IDLE_RENEWAL_WAIT
+                now if is_sole else now + _renewal_wait.IDLE_RENEWAL_WAIT
             )
             self._track(entry)
         for run_exit in report.exits:
--- a/tamarackhatch/scheduler/tests/test_terms_in_series.py
+++ b/tamarackhatch/scheduler/tests/test_terms_in_series.py
@@ -77,3 +77,56 @@
         assert fleet.check() == []
 
     virtual_time.run_virtually(simulate())
+
+
+@pytest.mark.parametrize("is_killed", [False, True])
+@pytest.mark.parametrize("gap_s", [0.2, 1.0, 2.0])
+def test_first_scheduler_of_three_is_not_known_to_have_stopped(
+    gap_s: float, is_killed: bool
+) -> None:
+    """Guards against a third term that starts what the first still starts.
+
+    The second scheduler stops, or is killed and starts again under its name,
+    while the first one does not know that it is superseded.
+    """
+
+    async def simulate() -> None:
+        fleet = await _start_fleet()
+        first = fleet.get_leader()
+        assert first is not None
+        second, third = (n for n in fleet.instances if n != first.name)
+        runner_faults = fleet.network.get_faults(fleet.runners[0].address)
+        other_faults = fleet.network.get_faults(fleet.runners[1].address)
+        store_faults = fleet.network.get_faults(standin_fleet.STORE_ADDRESS)
+        store_faults.lost_writes.add(first.name)
+        # The instance that accepts the job does not learn of the takeovers.
+        store_faults.lost_feeds.add((third, records.LEADER_HEARTBEAT.table))
+        store_faults.lost_reads.add((third, records.LEADER_HEARTBEAT.table))
+        runner_faults.unreachable_from |= {second, third}
+        other_faults.unreachable_from.add(first.name)
+        await fleet.wait_until(
+            lambda: fleet.instances[second].role.is_active, 10
+        )
+        await asyncio.sleep(gap_s)
+        stopped = fleet.instances[second]
+        if is_killed:
+            stopped.kill()
+        else:
+            await stopped.stop()
+        fleet.start_instance(second)
+        await fleet.wait_until(
+            lambda: fleet.instances[second].role.is_active, 10
+        )
+        await fleet.submit("late", _make_step(4), instance=third)
+        await asyncio.sleep(25)
+        runner_faults.unreachable_from.clear()
+        other_faults.unreachable_from.clear()
+        store_faults.lost_feeds.clear()
+        store_faults.lost_reads.clear()
+        del fleet.instances[first.name]
+        await fleet.wait_for_state_of(
+            second, "late", model.JobState.COMPLETED, 60
+        )
+        assert fleet.check() == []
+
+    virtual_time.run_virtually(simulate())
