Wait for a stalled runner before its tasks start again

Cause: a runner whose process is stopped or starved beyond its lease kills its runs when it goes on. It was not told from one that has ended.

Change: a call without an answer says whether it was sent over a new connection. A runner that accepts one is up; its runs count as ended three seconds later. `runner_lost` logs that, and how long the runner was silent. The errors of runner calls move to a module of their own.

Longer stalls remain.

--- a/standins/network.py
+++ b/standins/network.py
@@ -164,6 +164,7 @@
         timeout = call.timeout.total_seconds()
         loop = asyncio.get_running_loop()
         deadline = loop.time() + timeout
+        is_connected = False
         try:
             async with asyncio.timeout(timeout) as limit:
                 await asyncio.sleep(faults.delay_s)
@@ -203,7 +204,9 @@
                 if is_late or fault_draw < faults.late_call_share:
                     self._schedule_late_call(handler, request, faults)
                     await asyncio.sleep(timeout)
+                is_connected = True
                 response = await self._execute(handler, request, faults)
+                is_connected = False
                 is_lost = name in faults.lost_answers_to
                 if is_lost or fault_draw > 1 - faults.lost_answer_share:
                     await asyncio.sleep(timeout)
@@ -225,7 +228,7 @@
         except BrokenConnectionError as error:
             raise transport.CallLostError("connection reset") from error
         except TimeoutError as error:
-            raise transport.CallLostError("timed out") from error
+            raise transport.CallLostError("timed out", is_connected) from error
 
     async def _execute(
         self, handler: Handler, request: Request, faults: Faults
--- a/tamarackhatch/platform/__init__.py
+++ b/tamarackhatch/platform/__init__.py
@@ -17,12 +17,13 @@
 from tamarackhatch.platform._registry import RUNNERS_TABLE
 from tamarackhatch.platform._runner_client import Authority
 from tamarackhatch.platform._runner_client import CommandOutcome
-from tamarackhatch.platform._runner_client import FencedError
 from tamarackhatch.platform._runner_client import RunCommand
 from tamarackhatch.platform._runner_client import RunnerClient
-from tamarackhatch.platform._runner_client import RunnerOutcomeUnknownError
-from tamarackhatch.platform._runner_client import RunnerReplacedError
-from tamarackhatch.platform._runner_client import RunnerUnavailableError
+from tamarackhatch.platform._runner_errors import FencedError
+from tamarackhatch.platform._runner_errors import RunnerOutcomeUnknownError
+from tamarackhatch.platform._runner_errors import RunnerReplacedError
+from tamarackhatch.platform._runner_errors import RunnerStalledError
+from tamarackhatch.platform._runner_errors import RunnerUnavailableError
 from tamarackhatch.platform._store import PlatformStore
 
 __all__ = [
@@ -45,6 +46,7 @@
     "RunnerClient",
     "RunnerOutcomeUnknownError",
     "RunnerReplacedError",
+    "RunnerStalledError",
     "RunnerUnavailableError",
     "decode_configuration",
     "decode_job",
--- a/tamarackhatch/platform/_runner_client.py
+++ b/tamarackhatch/platform/_runner_client.py
@@ -10,9 +10,9 @@
 import attrs
 import orjson
 
-from tamarackhatch import errors
 from tamarackhatch import model
 from tamarackhatch.platform import _decoding
+from tamarackhatch.platform import _runner_errors
 from tamarackhatch import transport
 
 _OK = 200
@@ -38,24 +38,6 @@
 _MAX_CACHED_TASK_KEYS = 65_536
 
 
-class RunnerUnavailableError(errors.CodedError):
-    """The runner did not carry out the call, and will not do so later."""
-
-    def __init__(self, message: str) -> None:
-        super().__init__(errors.ErrorCode.RUNNER_UNAVAILABLE, message)
-
-
-class RunnerReplacedError(RunnerUnavailableError):
-    """Another runner answers at the address; this one has ended."""
-
-
-class RunnerOutcomeUnknownError(errors.CodedError):
-    """The runner may carry out the command, now or later, or not at all."""
-
-    def __init__(self, message: str) -> None:
-        super().__init__(errors.ErrorCode.RUNNER_OUTCOME_UNKNOWN, message)
-
-
 class CommandOutcome(enum.Enum):
     """Answer of a runner to a command.
 
@@ -149,6 +131,7 @@
 
         Raises:
             RunnerUnavailableError: No report came.
+            RunnerStalledError: No report came over a new connection.
             RunnerReplacedError: Another runner answers at the address.
             FencedError: The runner has seen a higher token.
             MalformedBodyError: The answer does not have the published form.
@@ -172,20 +155,26 @@
                 wait + _RENEWAL_ANSWER_ALLOWANCE,
                 is_permitted,
             )
-        except RunnerOutcomeUnknownError as error:
-            raise RunnerUnavailableError(error.message) from error
+        except _runner_errors.RunnerOutcomeUnknownError as error:
+            if error.is_stalled:
+                raise _runner_errors.RunnerStalledError(
+                    error.message
+                ) from error
+            raise _runner_errors.RunnerUnavailableError(
+                error.message
+            ) from error
         if answer.status == _CONFLICT:
             outcome = _decode_rejection(answer.body)
             if outcome is CommandOutcome.FENCED:
-                raise FencedError(
+                raise _runner_errors.FencedError(
                     f"runner {runner.identifier} has seen a higher token"
                 )
         if answer.status == _MISDIRECTED_REQUEST:
-            raise RunnerReplacedError(
+            raise _runner_errors.RunnerReplacedError(
                 f"another runner answers at {runner.address}"
             )
         if answer.status != _OK:
-            raise RunnerUnavailableError(
+            raise _runner_errors.RunnerUnavailableError(
                 f"runner answered status {answer.status} to a lease renewal"
             )
         return _decode_report(answer.body)
@@ -287,14 +276,16 @@
             except _decoding.MalformedBodyError as error:
                 # Without its reason, the rejection may mean that an earlier
                 # attempt was carried out.
-                raise RunnerOutcomeUnknownError(error.message) from error
+                raise _runner_errors.RunnerOutcomeUnknownError(
+                    error.message
+                ) from error
         if answer.status == _MISDIRECTED_REQUEST:
             return CommandOutcome.RESTARTED
         if answer.status in _REJECTED_STATUSES:
             return CommandOutcome.UNHEALTHY
         if answer.status == 400:
             return CommandOutcome.INVALID
-        raise RunnerOutcomeUnknownError(
+        raise _runner_errors.RunnerOutcomeUnknownError(
             f"runner answered status {answer.status} to a command"
         )
 
@@ -318,16 +309,11 @@
         try:
             return await self._client.send(call)
         except transport.CallNotSentError as error:
-            raise RunnerUnavailableError(str(error)) from error
+            raise _runner_errors.RunnerUnavailableError(str(error)) from error
         except transport.CallLostError as error:
-            raise RunnerOutcomeUnknownError(str(error)) from error
-
-
-class FencedError(errors.CodedError):
-    """Another scheduler has a higher fencing token."""
-
-    def __init__(self, message: str) -> None:
-        super().__init__(errors.ErrorCode.SCHEDULER_FENCED, message)
+            raise _runner_errors.RunnerOutcomeUnknownError(
+                str(error), error.is_connected
+            ) from error
 
 
 @functools.lru_cache(maxsize=_MAX_CACHED_TASK_KEYS)
--- a/tamarackhatch/scheduler/_crash_recorder.py
+++ b/tamarackhatch/scheduler/_crash_recorder.py
@@ -84,6 +84,11 @@
             runner=entry.identifier,
             reason=reason,
             evidence=entry.evidence.name.lower(),
+            accepts_connections=entry.is_stalled,
+            silent_ms=(
+                entry.clock_read
+                and (context.get_now() - entry.clock_read) // _MILLISECOND
+            ),
             runs=len(tasks),
             latest=[
                 [
--- a/tamarackhatch/scheduler/_fleet.py
+++ b/tamarackhatch/scheduler/_fleet.py
@@ -77,6 +77,8 @@
             task does not fit; those of one pause count once.
         lost_contact_at: Earliest monotonic time at which the runner may have
             stopped answering; None while it answers.
+        is_stalled: Whether it accepted a connection for the last renewal, and
+            did not answer.
         evidence: Evidence that it has crashed, while it does not answer.
         supposed_crashes: Runs, with their tasks, that are recorded as ended
             by a crash because the runner does not answer. None of them counts
@@ -117,6 +119,7 @@
     missed_renewals: int = 0
     capacity_refusals: int = 0
     lost_contact_at: datetime.timedelta | None = None
+    is_stalled: bool = False
     evidence: _crash_suspects.Evidence = _crash_suspects.Evidence.SILENT
     supposed_crashes: list[tuple[_state.TaskEntry, int]] = attrs.field(
         factory=list
--- a/tamarackhatch/scheduler/_runner_reconciler.py
+++ b/tamarackhatch/scheduler/_runner_reconciler.py
@@ -35,6 +35,10 @@
 _MAX_BREAK_DELAY = datetime.timedelta(milliseconds=500)
 # A report lists at most this many exits; a full report may omit others.
 _MAX_LISTED_EXITS = 500
+# A process that accepts connections and does not answer may be stopped or
+# starved, and then kills its runs when it goes on. Long-running tasks have to
+# run again nine seconds after a lease has expired.
+_MAX_STALL = datetime.timedelta(seconds=3)
 
 
 class RunnerReconciler:
@@ -132,9 +136,11 @@
             platform.RunnerUnavailableError,
             platform.MalformedBodyError,
         ) as error:
+            entry.is_stalled = isinstance(error, platform.RunnerStalledError)
             is_replaced = isinstance(error, platform.RunnerReplacedError)
             self._record_missed_renewal(error.message, sent, wait, is_replaced)
             return None
+        entry.is_stalled = False
         context.metrics.commands.labels("renew", "accepted").inc()
         context.load_monitor.counters.renewals += 1
         return report
@@ -179,6 +185,8 @@
 
     def _is_lease_expired(self, now: datetime.timedelta) -> bool:
         kill_time = self._context.settings.bounds.stop_timeout
+        if self._entry.is_stalled:
+            kill_time += _MAX_STALL
         return self._entry.is_lease_expired(now, kill_time)
 
     def _is_removable(self) -> bool:
--- a/tamarackhatch/scheduler/tests/test_late_kills.py
+++ b/tamarackhatch/scheduler/tests/test_late_kills.py
@@ -105,6 +105,33 @@
     virtual_time.run_virtually(simulate())
 
 
+@pytest.mark.parametrize("stall_s", [4.0, 5.5, 6.0, 7.0, 8.0])
+@pytest.mark.parametrize("offset_ms", range(0, 1800, 300))
+@pytest.mark.parametrize("runners", [1, 2])
+def test_tasks_of_a_stalled_runner_wait_for_it(
+    runners: int, offset_ms: int, stall_s: float
+) -> None:
+    """Guards against a start elsewhere while a stopped process goes on.
+
+    It accepts connections all the time, and kills its runs when it goes on.
+    """
+
+    async def simulate() -> None:
+        fleet = await _start(400)
+        await asyncio.sleep(offset_ms / 1000)
+        await asyncio.gather(
+            *(
+                stand_in.stall(stall_s - index)
+                for index, stand_in in enumerate(fleet.runners[:runners])
+            )
+        )
+        await asyncio.sleep(8)
+        assert _count_running(fleet) == len(_JOBS)
+        assert fleet.check() == []
+
+    virtual_time.run_virtually(simulate())
+
+
 class _LateCalls:
     """Holds back calls to a runner, or its answers, for random times."""
 
--- a/tamarackhatch/transport/_calls.py
+++ b/tamarackhatch/transport/_calls.py
@@ -14,7 +14,16 @@
 
 
 class CallLostError(Exception):
-    """The request may have been sent, but no complete answer arrived."""
+    """The request may have been sent, but no complete answer arrived.
+
+    Attributes:
+        is_connected: Whether the server accepted a new connection for it. Its
+            machine is up then, and no link to it is cut.
+    """
+
+    def __init__(self, message: str, is_connected: bool = False) -> None:
+        super().__init__(message)
+        self.is_connected = is_connected
 
 
 @attrs.frozen
--- a/tamarackhatch/transport/_client.py
+++ b/tamarackhatch/transport/_client.py
@@ -321,7 +321,7 @@
                 datetime.timedelta(seconds=max(0.0, receive_s)),
             )
         else:
-            result = self._process_failure(transfer, *failure)
+            result = self._process_failure(handle, transfer, *failure)
         if len(self._idle_handles) < _MAX_IDLE_HANDLES:
             self._idle_handles.append(handle)
         else:
@@ -334,7 +334,11 @@
             transfer.answer.set_result(result)
 
     def _process_failure(
-        self, transfer: _Transfer, code: int, message: str
+        self,
+        handle: pycurl.Curl,
+        transfer: _Transfer,
+        code: int,
+        message: str,
     ) -> Exception:
         """Records a timeout, and returns the exception for the caller."""
         call = transfer.call
@@ -344,7 +348,9 @@
             )
         text = f"{call.method} {call.address}: {message}"
         if transfer.is_sent:
-            return _calls.CallLostError(text)
+            is_timeout = code == pycurl.E_OPERATION_TIMEDOUT
+            is_new = handle.getinfo(pycurl.NUM_CONNECTS) > 0
+            return _calls.CallLostError(text, is_timeout and is_new)
         return _calls.CallNotSentError(text)
 
 
--- a/tamarackhatch/transport/tests/test_client.py
+++ b/tamarackhatch/transport/tests/test_client.py
@@ -116,6 +116,60 @@
         assert time.monotonic() - began < max_seconds
 
 
+@pytest.mark.parametrize(
+    ("handle", "is_connected"),
+    [
+        (_stay_silent, True),
+        (_stall, True),
+        (_close, False),
+        (_send_garbage, False),
+        (_cut_answer, False),
+    ],
+)
+def test_lost_call_tells_whether_the_server_takes_connections(
+    handle: raw_server.Handler, is_connected: bool
+) -> None:
+    """Guards against taking a stopped process for one that has ended."""
+    with raw_server.serve(handle) as address:
+        with pytest.raises(transport.CallLostError) as raised:
+            asyncio.run(_send(address))
+    assert raised.value.is_connected is is_connected
+
+
+def test_process_that_accepts_nothing_takes_connections() -> None:
+    """Guards against a stopped process whose kernel takes connections."""
+    with socket.create_server(("127.0.0.1", 0)) as listener:
+        address = f"127.0.0.1:{listener.getsockname()[1]}"
+        with pytest.raises(transport.CallLostError) as raised:
+            asyncio.run(_send(address))
+    assert raised.value.is_connected
+
+
+def test_silence_on_an_open_connection_tells_nothing() -> None:
+    """Guards against taking a machine that was cut off for a stopped process.
+
+    Its open connections take requests as long as nothing ends them.
+    """
+    answers = 0
+
+    def handle(connection: socket.socket) -> None:
+        nonlocal answers
+        answers += 1
+        if answers == 1:
+            raw_server.answer_at_once(connection)
+
+    async def send_both(address: str) -> bool:
+        client = transport.HttpClient(clock.SystemClock(), 1)
+        await client.send(transport.Call("GET", address, "/", 3000 * _MS))
+        with pytest.raises(transport.CallLostError) as raised:
+            await client.send(transport.Call("GET", address, "/", 300 * _MS))
+        client.close()
+        return raised.value.is_connected
+
+    with raw_server.serve(handle) as address:
+        assert not asyncio.run(send_both(address))
+
+
 def test_refused_connection_means_that_nothing_was_sent() -> None:
     """Guards against taking a call for carried out that was never sent."""
     with socket.create_server(("127.0.0.1", 0)) as listener:
