Soak: runners that kill late, are stopped or starved

The users' record of two runs at once comes from real processes whose runners answered late. The soak's runners killed the runs of an expired lease at once, inside the process that checks them.

Three of the nine runners are processes of their own now, which are stopped by SIGSTOP or run for a fifth of the time. All runners take stop_timeout_ms to kill. A 410 to a cancel counts as its acknowledgement, so that a job which is stored later and runs is a violation. A deliberate fault takes the runs of an expired lease for killed at once.

--- a/soak/_callers.py
+++ b/soak/_callers.py
@@ -104,7 +104,9 @@
         while is_stored is not False and not self._checks.is_finished(job):
             is_last_chance = needs_cancellation and self._is_stopping
             if self._time() >= cancel_time or is_last_chance:
-                if await self._send("DELETE", path):
+                # A 410 acknowledges a cancellation as well: if the job was
+                # not stored, it must not be later.
+                if await self._send("DELETE", path, is_absence_final=True):
                     self._checks.record_cancellation(job)
                     cancel_time, needs_cancellation = float("inf"), False
             began = self._time()
@@ -119,7 +121,11 @@
             await asyncio.sleep(_POLL_INTERVAL_S)
 
     async def _send(
-        self, method: str, path: str, body: bytes | None = None
+        self,
+        method: str,
+        path: str,
+        body: bytes | None = None,
+        is_absence_final: bool = False,
     ) -> bool | None:
         """Sends a request to up to five instances in turn.
 
@@ -128,7 +134,7 @@
         outcome: bool | None = False
         for _ in range(_MAX_ATTEMPTS):
             status, _body = await self._call(method, path, body)
-            if status == 200:
+            if status == 200 or (is_absence_final and status == 410):
                 return True
             if status not in _REFUSALS:
                 outcome = None
--- a/soak/_deployment.py
+++ b/soak/_deployment.py
@@ -9,6 +9,7 @@
 from soak import _checks
 from soak import _faults
 from soak import _proxy
+from soak import _runner_link
 from soak import _schedule
 from soak import _timeline
 from standins import network
@@ -19,6 +20,8 @@
 from tamarackhatch import records
 
 _BOUNDS = {"evacuation_ms": 5000, "stop_timeout_ms": 400, "restore_ms": 250}
+# The longest time that a runner may take to kill a run.
+_KILL_S = _BOUNDS["stop_timeout_ms"] / 1000
 # After SIGTERM, the platform ends a process after 6 s; a busy machine and a
 # pause by another fault may add to that.
 _GRACE_S = 15.0
@@ -46,6 +49,7 @@
         store_faults: What the store does to single instances, by name.
         store_links: Proxies from each instance to the store, by name.
         runner_links: Proxies to each runner, by index.
+        runner_processes: Runners that are processes, by index.
         failing_runners: Indices of the runners on which all tasks fail.
     """
 
@@ -66,6 +70,7 @@
         self.store_faults: dict[str, _faults.InstanceKind] = {}
         self.store_links: dict[str, _proxy.Proxy] = {}
         self.runner_links: list[_proxy.Proxy] = []
+        self.runner_processes: dict[int, _runner_link.RunnerProcess] = {}
         self.failing_runners: set[int] = set()
         self._version = 0
         self._arguments = ["tamarackhatch"]
@@ -102,6 +107,8 @@
         await self.callers.close()
         for name in list(self.fleet.processes):
             await self.end_instance(name, signal.SIGKILL)
+        for runner_process in self.runner_processes.values():
+            await runner_process.close()
         await self.fleet.close()
         for link in [*self.store_links.values(), *self.runner_links]:
             await link.close()
@@ -210,7 +217,15 @@
         )
         number = index % len(_schedule.DATA_CENTRES)
         added.data_centre = _schedule.DATA_CENTRES[number]
-        self.fleet.add_runner(added)
+        added.kill_s = _KILL_S
+        if index in _schedule.PROCESS_RUNNERS:
+            # The stand-in here only registers.
+            process = _runner_link.RunnerProcess(self.fleet.history)
+            self.runner_processes[index] = process
+            added.address = await process.open(added.identifier, _KILL_S)
+            self.fleet.runners.append(added)
+        else:
+            self.fleet.add_runner(added)
         link = _proxy.Proxy(added.address)
         await link.open()
         added.address = link.address
--- a/soak/_faults.py
+++ b/soak/_faults.py
@@ -12,6 +12,7 @@
 StoreKind = enum.Enum("StoreKind", "DOWN SILENT SLOW VERY_SLOW HISTORY_LOST")
 InstanceKind = enum.Enum("InstanceKind", "REFUSED BUSY ANSWERS_LOST")
 LinkKind = enum.Enum("LinkKind", "DELAY RESET CUT_REQUESTS CUT_ANSWERS DROP")
+PauseKind = enum.Enum("PauseKind", "STOPPED STARVED")
 RunnerKind = enum.Enum("RunnerKind", "FAILS SLOW HANGS RESTARTS DRAINS")
 
 
@@ -67,6 +68,14 @@
     kind: RunnerKind
 
 
+@attrs.frozen
+class RunnerPause(Fault):
+    """The process of a runner is stopped, or runs a fifth of the time."""
+
+    runner: int
+    kind: PauseKind
+
+
 @attrs.frozen
 class Evacuation(Fault):
     """The operator evacuates a data centre, and returns it to service."""
--- a/soak/_injection.py
+++ b/soak/_injection.py
@@ -10,11 +10,15 @@
 
 from soak import _deployment
 from soak import _faults
+from soak import _runner_link
 from soak import _timeline
 
 # Time after which connections and feeds work again behind a disturbance.
 _STORE_RECOVERY_S = 1.0
 _RUNNER_RECOVERY_S = 3.0
+# A starved process runs for this share of each period.
+_STARVED_SHARE = 0.2
+_STARVATION_PERIOD_S = 0.5
 _EMPTY_ROW = base64.b64encode(b"{}").decode()
 _Target = _deployment.Deployment
 _Context = AsyncIterator[None]
@@ -143,6 +147,32 @@
         runner.speed = 1.0
 
 
+@_register
+async def _(
+    fault: _faults.RunnerPause, target: _Target, name: str
+) -> _Context:
+    process = target.runner_processes[fault.runner]
+    identifier = target.fleet.runners[fault.runner].identifier
+    with target.timeline.disturb(identifier, _RUNNER_RECOVERY_S):
+        if fault.kind is _faults.PauseKind.STOPPED:
+            process.send_signal(signal.SIGSTOP)
+            yield
+        else:
+            starvation = asyncio.create_task(_starve(process))
+            yield
+            starvation.cancel()
+        process.send_signal(signal.SIGCONT)
+
+
+async def _starve(process: _runner_link.RunnerProcess) -> None:
+    """Stops and continues a process until cancelled."""
+    while True:
+        process.send_signal(signal.SIGSTOP)
+        await asyncio.sleep(_STARVATION_PERIOD_S * (1 - _STARVED_SHARE))
+        process.send_signal(signal.SIGCONT)
+        await asyncio.sleep(_STARVATION_PERIOD_S * _STARVED_SHARE)
+
+
 @_register
 async def _(fault: _faults.Evacuation, target: _Target, name: str) -> _Context:
     key = f"evacuate/{fault.data_centre}"
--- a/soak/_run.py
+++ b/soak/_run.py
@@ -30,6 +30,7 @@
         self, target: _deployment.Deployment, folder: pathlib.Path
     ) -> None:
         self.found: dict[tuple[str, str], history.Violation] = {}
+        self._suspected: set[tuple[str, str]] = set()
         self._target = target
         self._folder = folder
         self._time = asyncio.get_running_loop().time
@@ -64,6 +65,8 @@
         await asyncio.sleep(_LAST_CHECKS_S)
         self._target.checks.report_unfinished()
         self._check()
+        await asyncio.sleep(_CHECK_INTERVAL_S / 4)
+        self._check()
 
     def summarise(self) -> None:
         """Writes all runs of tasks to the folder, and prints totals."""
@@ -79,13 +82,21 @@
         )
 
     def _check(self) -> bool:
-        """Prints new violations, and returns whether there is any."""
+        """Prints new violations, and returns whether there is any.
+
+        Only what is found twice counts, because the observations of runner
+        processes may arrive out of order.
+        """
         for item in self._target.fleet.runners:
             # Reading the property records the exits of runs that are over.
             _ = item.running
         self._target.check_processes()
+        suspected, self._suspected = self._suspected, set()
         for violation in self._target.checks.find_violations():
             key = (violation.rule, violation.task)
+            self._suspected.add(key)
+            if key not in suspected:
+                continue
             if self.found.setdefault(key, violation) is violation:
                 text = f"{violation.task}: {violation.detail}"
                 self._write(f"VIOLATION {violation.rule} {text}")
--- a/soak/_schedule.py
+++ b/soak/_schedule.py
@@ -8,6 +8,8 @@
 
 INSTANCES = 4
 RUNNERS = 9
+# Runners that are processes of their own, one in each data centre.
+PROCESS_RUNNERS = (6, 7, 8)
 DATA_CENTRES = ("here", "east", "west")
 _MEAN_GAP_S = 1.2
 _DURATIONS_S = (0.5, 7.0)
@@ -17,6 +19,7 @@
 # while they last. Written exits, terms and leases are at risk only then.
 _SERIES_SHARE = 0.35
 _INSTANCE_KINDS = tuple(_faults.InstanceKind)
+_PAUSE_KINDS = tuple(_faults.PauseKind)
 _RUNNER_KINDS = tuple(_faults.RunnerKind)
 
 
@@ -77,6 +80,8 @@
         [_faults.ACTIVE_SCHEDULER, source.randrange(INSTANCES)]
     )
     runner = source.randrange(RUNNERS)
+    stand_in = source.randrange(PROCESS_RUNNERS[0])
+    process = source.choice(PROCESS_RUNNERS)
     link = source.choice(list(_faults.LinkKind))
     signals = (signal.SIGTERM, signal.SIGKILL, signal.SIGSTOP)
     own = (_faults.InstanceStoreFault(instance, it) for it in _INSTANCE_KINDS)
@@ -88,7 +93,8 @@
             _faults.StoreLinkFault(instance, link),
             _faults.RunnerLinkFault(runner, link),
             _faults.RunnerLinkFault(runner, link),
-            *(_faults.RunnerFault(runner, kind) for kind in _RUNNER_KINDS),
+            *(_faults.RunnerFault(stand_in, kind) for kind in _RUNNER_KINDS),
+            *(_faults.RunnerPause(process, kind) for kind in _PAUSE_KINDS),
             _faults.Evacuation(source.choice(DATA_CENTRES)),
             _faults.ConfigurationChange(),
             _faults.Burst(source.randint(8, 20)),
--- a/soak/tests/faulty.py
+++ b/soak/tests/faulty.py
@@ -34,6 +34,15 @@
         return True
 
 
+class _HastyEntry(_fleet.RunnerEntry):
+    """Takes the runs of an expired lease for killed at once."""
+
+    def is_lease_expired(
+        self, now: datetime.timedelta, kill_time: datetime.timedelta
+    ) -> bool:
+        return super().is_lease_expired(now, datetime.timedelta())
+
+
 class _ForgetfulTask(_state.TaskEntry):
     """Does not count failed runs."""
 
@@ -50,6 +59,7 @@
 FAULTS: dict[str, tuple[typing.Any, type]] = {
     "acknowledge-early": (_runner_reconciler, _EarlyReconciler),
     "ignore-leases": (_fleet, _ImpatientEntry),
+    "ignore-kills": (_fleet, _HastyEntry),
     "ignore-failures": (_state, _ForgetfulTask),
     "ignore-evacuations": (_evacuations, _BlindWatcher),
 }
--- a/standins/runner.py
+++ b/standins/runner.py
@@ -130,9 +130,17 @@
         self._stalled_from = loop.time()
         await asyncio.sleep(duration_s)
         self._stalled_from = math.inf
-        self._resumed_at = loop.time()
+        self.resume()
         self._wake_renewals()
 
+    def resume(self) -> None:
+        """Records that the process was stalled until now.
+
+        A process that signals have stopped learns of it afterwards. Runs
+        whose lease has expired meanwhile are killed from now on.
+        """
+        self._resumed_at = asyncio.get_running_loop().time()
+
     @property
     def speed(self) -> float:
         """Share of their full speed that it gives runs without a limit."""
