Forget cancellations whose removal the feed has lost

A scheduler remembers cancellations of jobs that are not known.

A reload of the jobs' table now says which cancellations remain. They are in a module of their own, and the check of a reported task is with the occurrences.

--- a/tamarackhatch/entry/tests/test_cancellations.py
+++ b/tamarackhatch/entry/tests/test_cancellations.py
@@ -276,3 +276,35 @@
         await fleet.wait_for_state(jobs[0], model.JobState.COMPLETED)
 
     virtual_time.run_virtually(simulate())
+
+
+@pytest.mark.parametrize("is_history_lost", [False, True])
+def test_identifier_is_usable_after_its_cancel_row_is_removed(
+    is_history_lost: bool,
+) -> None:
+    """Guards against an accepted job that an old cancellation ends.
+
+    The feed may lose the removal of the row.
+    """
+
+    async def simulate() -> None:
+        fleet = await _start_fleet()
+        assert await _cancel(fleet, "00", "b") is _NO_JOB
+        await asyncio.sleep(2)
+        faults = fleet.network.get_faults(standin_fleet.STORE_ADDRESS)
+        if is_history_lost:
+            faults.lost_feeds |= {(n, records.JOBS_TABLE) for n in "ab"}
+            # The request in progress still gets changes.
+            await asyncio.sleep(2)
+        ref = records.get_cancel_ref("00")
+        fleet.store.remove(ref.table, ref.key, ref.partition)
+        await asyncio.sleep(1)
+        if is_history_lost:
+            fleet.store.discard_history()
+            faults.lost_feeds.clear()
+        await asyncio.sleep(3)
+        lookup = await fleet.ask_service("00", _STEP)
+        assert lookup.outcome is model.Outcome.DONE
+        await fleet.wait_for_state("00", model.JobState.COMPLETED, 10)
+
+    virtual_time.run_virtually(simulate())
--- a/tamarackhatch/scheduler/_job_tracker.py
+++ b/tamarackhatch/scheduler/_job_tracker.py
@@ -7,6 +7,7 @@
 from tamarackhatch import model
 from tamarackhatch import observability
 from tamarackhatch import records
+from tamarackhatch.scheduler import _cancellations
 from tamarackhatch.scheduler import _fleet
 from tamarackhatch.scheduler import _occurrences
 from tamarackhatch.scheduler import _state
@@ -40,7 +41,9 @@
         self._occurrences = _occurrences.OccurrenceTracker(
             time_source, self._phases, log, metrics
         )
-        self._early_cancellations: set[str] = set()
+        self._cancellations = _cancellations.Cancellations(
+            self._jobs, self._occurrences.finish_job, log
+        )
         self._synced_until: datetime.timedelta | None = None
         self._request_write: _occurrences.WriteRequest = lambda job: 0
         self._stop_task: _occurrences.StopCommand = lambda task: None
@@ -69,6 +72,11 @@
         self._phases.set_callback(wake)
         self._occurrences.set_callbacks(request_write, stop_task, on_finished)
 
+    @property
+    def cancellations(self) -> _cancellations.Cancellations:
+        """Ends jobs that callers have cancelled."""
+        return self._cancellations
+
     @property
     def waiting(
         self,
@@ -175,51 +183,17 @@
             self.open_due_occurrences()
         else:
             self._occurrences.open_next_occurrence(entry)
-        if job.identifier in self._early_cancellations:
-            self.cancel_job(job.identifier)
+        self._cancellations.apply_early(job.identifier)
 
     def open_due_occurrences(self) -> None:
         """Opens the occurrences of scheduled jobs whose time has come."""
         self._occurrences.open_due_occurrences()
 
     def hold_reported_occurrence(self, key: model.TaskKey) -> None:
-        """Adds the occurrence of a task that a runner lists, if it is unknown.
-
-        An earlier scheduler has opened it, though it may lie beyond those
-        that are open in this term, or not be due by its time of day.
-        """
-        entry, number = self._jobs.get(key.job), key.occurrence
-        if (
-            entry is None
-            or entry.state.is_final
-            or number in entry.occurrences
-            or not entry.finished_occurrences <= number < entry.job.occurrences
-            or key.step >= len(entry.job.steps)
-            or key.index >= entry.job.steps[key.step].count
-        ):
-            return
-        self._log.info("occurrence_held", job=key.job, occurrence=number)
-        self._occurrences.hold_occurrence(entry, number, None)
-
-    def cancel_job(self, identifier: str) -> None:
-        """Stops all tasks of a job, because a caller cancelled it.
-
-        A job that is not known is cancelled as soon as it is added: instances
-        of earlier builds may store it in spite of its cancellation.
-        """
-        entry = self._jobs.get(identifier)
-        if entry is None:
-            self._early_cancellations.add(identifier)
-            return
-        if entry.state.is_final:
-            return
-        entry.is_cancelled = True
-        self._log.info("job_cancelled", job=identifier)
-        self._occurrences.finish_job(entry, model.JobState.CANCELLED)
-
-    def forget_cancellation(self, identifier: str) -> None:
-        """Forgets the cancellation of a job that is not known."""
-        self._early_cancellations.discard(identifier)
+        """Adds the occurrence of a listed task, if it is unknown."""
+        entry = self._jobs.get(key.job)
+        if entry is not None and key.occurrence not in entry.occurrences:
+            self._occurrences.hold_reported_occurrence(entry, key)
 
     def allocate_run(self, task: _state.TaskEntry) -> int:
         """Returns the number of the next run of a task."""
--- a/tamarackhatch/scheduler/_occurrences.py
+++ b/tamarackhatch/scheduler/_occurrences.py
@@ -101,6 +101,28 @@
         occurrence.is_held = True
         entry.occurrences[number] = occurrence
 
+    def hold_reported_occurrence(
+        self, entry: _state.JobEntry, key: model.TaskKey
+    ) -> None:
+        """Adds the occurrence of a task that a runner lists.
+
+        An earlier scheduler has opened it, though it may lie beyond those
+        that are open in this term, or not be due by its time of day.
+
+        Args:
+            entry: The job.
+            key: The task; if the job has no such task, nothing is added.
+        """
+        number, steps = key.occurrence, entry.job.steps
+        if (
+            not entry.state.is_final
+            and entry.finished_occurrences <= number < entry.job.occurrences
+            and key.step < len(steps)
+            and key.index < steps[key.step].count
+        ):
+            self._log.info("occurrence_held", job=key.job, occurrence=number)
+            self.hold_occurrence(entry, number, None)
+
     def complete_task(self, task: _state.TaskEntry) -> None:
         """Completes a task, and what is finished with it."""
         self._phases.enter_phase(task, _state.TaskPhase.DONE)
--- a/tamarackhatch/scheduler/_scheduler.py
+++ b/tamarackhatch/scheduler/_scheduler.py
@@ -181,6 +181,7 @@
             records.JOB_PARTITIONS,
             self._apply_job_row,
             log,
+            on_reload=self._forget_removed_cancellations,
             on_synced=job_tracker.mark_synced,
         )
         self._runner_watcher = records.TableWatcher(
@@ -396,12 +397,12 @@
         cancelled = records.get_cancelled_job(row.ref.key)
         if row.is_deleted:
             if cancelled is not None:
-                job_tracker.forget_cancellation(cancelled)
+                job_tracker.cancellations.forget(cancelled)
             return
         if cancelled is not None:
             if not job_tracker.has_job(cancelled):
                 self._garbage_collector.record_marker(row)
-            job_tracker.cancel_job(cancelled)
+            job_tracker.cancellations.cancel(cancelled)
             return
         if records.get_refused_job(row.ref.key) is not None:
             self._garbage_collector.record_marker(row)
@@ -431,6 +432,13 @@
         job_tracker.add_job(job, row.version, progress)
         self._runner_manager.apply_unread_runs(job.identifier)
 
+    def _forget_removed_cancellations(self, keys: set[str]) -> None:
+        """Forgets rows whose removal the feed may not have passed on."""
+        cancelled = {records.get_cancelled_job(key) for key in keys}
+        self._context.job_tracker.cancellations.keep_only(
+            {identifier for identifier in cancelled if identifier is not None}
+        )
+
     async def _open_occurrences(self) -> None:
         while True:
             self._context.job_tracker.open_due_occurrences()
