Read the exits of a runner to their end before its tasks start

Cause: a report lists 500 exits at a time, and the first one of a term was taken for complete. The tasks of the other exits seemed to run nowhere.

Change: a runner is reconciled with the first report that lists fewer than 500 exits. Until then its tasks stay paused, also beyond the usual wait, as long as it answers or its lease lasts.

--- a/standins/runner.py
+++ b/standins/runner.py
@@ -25,6 +25,9 @@
 START_PATH = "/-/run-start"
 STOP_PATH = "/-/run-stop"
 SPEED_LIMIT_PATH = "/-/pace"
+# A report lists at most this many exits; the others follow once these are
+# acknowledged.
+MAX_LISTED_EXITS = 500
 _RESTART_S = 3.0
 
 
@@ -291,7 +294,10 @@
             self._update()
         running = [self._list_run(run) for run in self._runs.values()]
         return self._make_response(
-            200, born=self._incarnation, running=running, ended=self._exits
+            200,
+            born=self._incarnation,
+            running=running,
+            ended=self._exits[:MAX_LISTED_EXITS],
         )
 
     def _list_run(self, run: Run) -> list[typing.Any]:
--- a/tamarackhatch/scheduler/_fleet.py
+++ b/tamarackhatch/scheduler/_fleet.py
@@ -304,13 +304,12 @@
         return self.clock + elapsed > reading + _EXPIRY_MARGIN
 
     def record_first_answer(self, exclusive_from: datetime.timedelta) -> None:
-        """Records the first report in this term, which lists all runs.
+        """Records the first report in this term.
 
         Args:
             exclusive_from: Monotonic time until which it may still answer a
                 renewal of an earlier scheduler that it had accepted before.
         """
-        self.unlisted_tasks = frozenset()
         self.exclusive_from = exclusive_from
 
     def record_replacement(self) -> None:
--- a/tamarackhatch/scheduler/_runner_manager.py
+++ b/tamarackhatch/scheduler/_runner_manager.py
@@ -165,7 +165,6 @@
                 warning_time = deadline
                 self._log_unreconciled("takeover_waits_for_runners")
             if now > deadline:
-                self._log_unreconciled("runners_unreconciled")
                 self._forget_earlier_runs()
             await context.clock.sleep(_CHECK_INTERVAL)
         context.load_monitor.awaited_runners = 0
@@ -178,10 +177,21 @@
         self._dispatcher.resume_starts()
 
     def _forget_earlier_runs(self) -> None:
-        """Ends the wait for runners, whose earlier leases have expired."""
+        """Ends the wait for runners whose earlier leases have expired."""
+        awaited = {
+            identifier: tasks
+            for identifier, tasks in self._unreconciled.items()
+            if identifier in self._reconcilers
+            and self._reconcilers[identifier].awaits_exits
+        }
+        if len(awaited) == len(self._unreconciled):
+            return
+        self._log_unreconciled("runners_unreconciled")
         for entry in self._context.fleet.values():
-            entry.unlisted_tasks = frozenset()
-        self._unreconciled.clear()
+            if entry.identifier not in awaited:
+                entry.unlisted_tasks = frozenset()
+        self._unreconciled = awaited
+        self._pause_starts()
 
     def _pause_starts(self) -> None:
         """Pauses the tasks that may run on unreconciled runners."""
--- a/tamarackhatch/scheduler/_runner_reconciler.py
+++ b/tamarackhatch/scheduler/_runner_reconciler.py
@@ -33,8 +33,6 @@
 # A renewal that fails sooner after the wait that it asked for has lost its
 # connection; a later failure is a timeout.
 _MAX_BREAK_DELAY = datetime.timedelta(milliseconds=500)
-# A report lists at most this many exits; a full report may omit others.
-_MAX_LISTED_EXITS = 500
 # A process that accepts connections and does not answer may be stopped or
 # starved, and then kills its runs when it goes on. Long-running tasks have to
 # run again nine seconds after a lease has expired.
@@ -67,6 +65,7 @@
         self._untrack = untrack
         self._track = track
         self._has_reported = False
+        self._has_listed_all = False
         self._started = context.get_now()
         self._crashes = _crash_recorder.CrashRecorder(context, entry)
         self._throttling = _throttling.ThrottlingController(
@@ -84,7 +83,20 @@
     @property
     def knows_all_runs(self) -> bool:
         """Whether no run of an earlier scheduler can be unknown here."""
-        return self._has_reported or self._entry.is_replaced
+        return self._has_listed_all or self._entry.is_replaced
+
+    @property
+    def awaits_exits(self) -> bool:
+        """Whether the runner has listed a part of its exits only.
+
+        The others follow once these are acknowledged, unless its lease has
+        expired.
+        """
+        return (
+            self._has_reported
+            and not self._has_listed_all
+            and not self._is_lease_expired(self._context.get_now())
+        )
 
     async def run(self) -> None:
         """Reconciles until the runner has left and no run can exist there."""
@@ -257,9 +269,13 @@
                 )
                 entry.unread_running[item.task] = (item, first_seen)
         self._drop_runs_of_absent_jobs()
-        exit_count = len(report.exits) + len(report.unreadable_exits)
-        if exit_count < _MAX_LISTED_EXITS and not report.unreadable_running:
-            self._record_missing_runs(listed, sent)
+        if _runner_reports.lists_all_exits(report):
+            self._has_listed_all = True
+            entry.unlisted_tasks = frozenset()
+            if not report.unreadable_running:
+                _runner_reports.record_missing_runs(
+                    context, entry, listed, sent
+                )
         entry.listed = report.running
         _runner_reports.count_unassigned_runs(context, entry)
 
@@ -407,20 +423,6 @@
         if item.checkpoint:
             task.checkpoint = item.checkpoint
 
-    def _record_missing_runs(
-        self,
-        listed: dict[model.TaskKey, model.RunningTask],
-        sent: datetime.timedelta,
-    ) -> None:
-        for task in list(self._entry.tasks.values()):
-            item = listed.get(task.key)
-            if item is not None and item.run == task.run:
-                continue
-            if task.confirmed is not None and task.confirmed < sent:
-                self._context.job_tracker.record_lost_run(
-                    task, "not in the report"
-                )
-
     def _untrack_if_idle(self) -> None:
         """Untracks an idle runner, so later schedulers don't wait for it.
 
--- a/tamarackhatch/scheduler/_runner_reports.py
+++ b/tamarackhatch/scheduler/_runner_reports.py
@@ -1,5 +1,6 @@
-"""What the reports of runners say beyond their runs and exits."""
+"""What the reports of runners say beyond the runs and exits they list."""
 
+from collections.abc import Mapping
 import datetime
 
 from tamarackhatch import model
@@ -10,6 +11,8 @@
 # A lease of an earlier scheduler may be longer by this share, because that
 # scheduler's estimate of the runner's clock may be ahead.
 _EARLIER_LEASE_EXCESS_SHARE = 0.05
+# A report lists at most this many exits; a full report may omit others.
+_MAX_LISTED_EXITS = 500
 
 
 def get_earlier_lease_end(
@@ -36,6 +39,12 @@
     return lease_end
 
 
+def lists_all_exits(report: model.RunnerReport) -> bool:
+    """Returns whether a report lists all exits that are not acknowledged."""
+    count = len(report.exits) + len(report.unreadable_exits)
+    return count < _MAX_LISTED_EXITS
+
+
 def log_unreadable_entries(
     context: _context.SchedulerContext,
     entry: _fleet.RunnerEntry,
@@ -81,3 +90,25 @@
         else:
             unassigned += step.reserved
     entry.load.unassigned = unassigned
+
+
+def record_missing_runs(
+    context: _context.SchedulerContext,
+    entry: _fleet.RunnerEntry,
+    listed: Mapping[model.TaskKey, model.RunningTask],
+    sent: datetime.timedelta,
+) -> None:
+    """Records that runs which a complete report does not list have ended.
+
+    Args:
+        context: Shared components of the scheduler.
+        entry: The runner.
+        listed: The runs in progress that it lists.
+        sent: Monotonic time at which the renewal was sent that it answers.
+    """
+    for task in list(entry.tasks.values()):
+        item = listed.get(task.key)
+        if item is not None and item.run == task.run:
+            continue
+        if task.confirmed is not None and task.confirmed < sent:
+            context.job_tracker.record_lost_run(task, "not in the report")
