Count down the lease of earlier schedulers over terms

The heartbeat said whether its scheduler was the sole one. After a kill, a series of terms that each last less than a leader lease never became the sole ones, and held back new jobs and exits anew in each term.

--- a/tamarackhatch/election/_election.py
+++ b/tamarackhatch/election/_election.py
@@ -415,14 +415,8 @@
         # has read the jobs.
         previous = self._heartbeat
         pending = {} if previous is None else previous.pending
-        # A scheduler before the previous one may still be active, though the
-        # previous one has stopped.
-        is_sole = previous is None or (
-            previous.is_sole
-            and (
-                previous.is_released
-                or previous.instance == self._candidate.instance
-            )
+        earlier_lease = _leader_lease.get_earlier_lease(
+            previous, self._candidate.instance
         )
         heartbeat = records.LeaderHeartbeat(
             self._candidate.instance,
@@ -430,7 +424,7 @@
             number,
             pending=pending,
             is_pending_known=previous is None or previous.is_pending_known,
-            is_sole=is_sole,
+            earlier_lease=earlier_lease,
         )
         value = records.encode_leader_heartbeat(heartbeat)
         result = await self._store.write(
@@ -448,5 +442,5 @@
             return None
         self._log.info("campaign_won", term=number, token=result.version)
         return _leader_lease.Term(
-            number, result.version, started_at, pending, is_sole
+            number, result.version, started_at, pending, earlier_lease
         )
--- a/tamarackhatch/election/_leader_lease.py
+++ b/tamarackhatch/election/_leader_lease.py
@@ -5,6 +5,7 @@
 import attrs
 
 from tamarackhatch import clock
+from tamarackhatch import records
 
 # Leases are waited for on clocks that may be slower by 3%.
 _SLOW_CLOCK_FACTOR = 1.03
@@ -20,16 +21,38 @@
         sent_at: Boot time before the write that won the term was sent.
         pending: For each queue, the number of jobs of which no task has
             started yet, as the previous scheduler reported it.
-        is_sole: Whether the schedulers of all earlier terms were known to
-            send no more commands when the term began. They handed over, their
-            processes ended, or their leases expired.
+        earlier_lease: Longest time for which a scheduler of an earlier term
+            may still send commands when the term begins; None for that of a
+            leader lease.
     """
 
     number: int
     token: int
     sent_at: datetime.timedelta
     pending: dict[str, int] = attrs.field(factory=dict)
-    is_sole: bool = False
+    earlier_lease: datetime.timedelta | None = None
+
+
+def get_earlier_lease(
+    previous: records.LeaderHeartbeat | None, instance: str
+) -> datetime.timedelta | None:
+    """Returns how long earlier schedulers may still send commands.
+
+    Though the previous one has stopped, one before it may still be active.
+
+    Args:
+        previous: Latest heartbeat of the previous scheduler; None if there
+            was none.
+        instance: Instance that begins a term.
+
+    Returns:
+        That time; None if it may be as long as a leader lease.
+    """
+    if previous is None:
+        return datetime.timedelta()
+    if previous.is_released or previous.instance == instance:
+        return previous.earlier_lease
+    return None
 
 
 class LeaderLease:
@@ -61,6 +84,9 @@
         self._confirmed_at = term.sent_at
         self._is_revoked = False
         self._began = time_source.get_boot_time()
+        self._earlier_lease = duration * _SLOW_CLOCK_FACTOR
+        if term.earlier_lease is not None:
+            self._earlier_lease = min(self._earlier_lease, term.earlier_lease)
 
     @property
     def term(self) -> Term:
@@ -83,14 +109,17 @@
 
     @property
     def is_sole(self) -> bool:
-        """Whether no scheduler of an earlier term sends commands any more.
+        """Whether no scheduler of an earlier term sends commands any more."""
+        return not self.earlier_lease
+
+    @property
+    def earlier_lease(self) -> datetime.timedelta:
+        """Longest time for which one of an earlier term may send commands.
 
         The store has confirmed none of them since this term began.
         """
-        if self._term.is_sole:
-            return True
         elapsed = self._clock.get_boot_time() - self._began
-        return elapsed > self._duration * _SLOW_CLOCK_FACTOR
+        return max(datetime.timedelta(), self._earlier_lease - elapsed)
 
     def extend(self, sent_at: datetime.timedelta) -> None:
         """Extends the lease after the store confirmed the term.
--- a/tamarackhatch/records/_leadership.py
+++ b/tamarackhatch/records/_leadership.py
@@ -1,5 +1,7 @@
 """Rows of the leader heartbeat and of the runners that schedulers track."""
 
+import datetime
+
 import attrs
 import orjson
 
@@ -16,6 +18,10 @@
 _PACKED_PENDING = "packed_pending"
 _METRICS_ADDRESS = "metrics_address"
 _WAITS = "waits"
+_EARLIER_LEASE = "earlier_lease_ms"
+# A longer one is unreadable, and so unknown.
+_MAX_LEASE_MS = 600_000
+_MILLISECOND = datetime.timedelta(milliseconds=1)
 
 
 @attrs.frozen
@@ -40,8 +46,9 @@
         is_pending_known: Whether ``pending`` is complete; if not, it is empty.
         metrics_address: ``host:port`` at which the scheduler answers
             operators; empty if it has none, and in rows of earlier builds.
-        is_sole: Whether no scheduler of an earlier term sends commands any
-            more; False in rows of earlier builds.
+        earlier_lease: Longest time, from when the row was written, for which
+            a scheduler of an earlier term may still send commands; None if
+            unknown, as in rows of earlier builds.
         waits: Waiting batch work; empty if no new work has to wait, or if
             nothing is known of it.
     """
@@ -56,7 +63,7 @@
     position: int = 0
     is_pending_known: bool = True
     metrics_address: str = ""
-    is_sole: bool = False
+    earlier_lease: datetime.timedelta | None = None
     waits: tuple[model.WaitSummary, ...] = ()
 
     @property
@@ -106,8 +113,9 @@
         del document["configuration"], document["position"]
     if heartbeat.is_pending_known:
         del document["is_pending_known"]
-    if not heartbeat.is_sole:
-        del document["is_sole"]
+    del document["earlier_lease"]
+    if heartbeat.earlier_lease is not None:
+        document[_EARLIER_LEASE] = heartbeat.earlier_lease // _MILLISECOND
     if not heartbeat.metrics_address:
         del document[_METRICS_ADDRESS]
     value = orjson.dumps(document)
@@ -148,6 +156,10 @@
             del document[_METRICS_ADDRESS]
         if _WAITS in document:
             document[_WAITS] = _waits.decode_waits(document[_WAITS])
+        lease_ms = document.pop(_EARLIER_LEASE, None)
+        document.pop("earlier_lease", None)
+        if type(lease_ms) is int and 0 <= lease_ms <= _MAX_LEASE_MS:
+            document["earlier_lease"] = lease_ms * _MILLISECOND
         # A newer build may add fields. It must be possible to take over from
         # it.
         heartbeat = LeaderHeartbeat(
--- a/tamarackhatch/records/tests/test_leader_heartbeat.py
+++ b/tamarackhatch/records/tests/test_leader_heartbeat.py
@@ -1,6 +1,7 @@
 """Tests the row of the leader heartbeat."""
 
 import base64
+import datetime
 import hashlib
 import zlib
 
@@ -190,22 +191,30 @@
         records.decode_leader_heartbeat(orjson.dumps(document))
 
 
+_MS = datetime.timedelta(milliseconds=1)
+
+
 @pytest.mark.parametrize(
-    ("row", "is_sole"),
+    ("field", "lease"),
     [
-        (b'{"instance":"a","incarnation":"a-1","term":3}', False),
-        (
-            b'{"instance":"a","incarnation":"a-1","term":3,"is_sole":true}',
-            True,
-        ),
+        ("", None),
+        (',"earlier_lease_ms":0', 0 * _MS),
+        (',"earlier_lease_ms":1250', 1250 * _MS),
+        (',"earlier_lease_ms":-1', None),
+        (',"earlier_lease_ms":true', None),
+        (',"earlier_lease_ms":"0"', None),
+        (',"earlier_lease_ms":1e300', None),
+        (',"earlier_lease_ms":99999999999999999999', None),
+        (',"earlier_lease":0', None),
     ],
 )
-def test_sole_scheduler_is_read_from_rows_of_all_builds(
-    row: bytes, is_sole: bool
+def test_lease_of_earlier_schedulers_is_read_from_rows_of_all_builds(
+    field: str, lease: datetime.timedelta | None
 ) -> None:
     """Guards against trust in a term of a build that does not know it."""
-    heartbeat = records.LeaderHeartbeat("a", "a-1", 3, is_sole=is_sole)
-    assert records.decode_leader_heartbeat(row) == heartbeat
+    row = '{"instance":"a","incarnation":"a-1","term":3' + field + "}"
+    heartbeat = records.LeaderHeartbeat("a", "a-1", 3, earlier_lease=lease)
+    assert records.decode_leader_heartbeat(row.encode()) == heartbeat
     encoded = records.encode_leader_heartbeat(heartbeat)
-    assert (b"is_sole" in encoded) is is_sole
+    assert (b"earlier_lease_ms" in encoded) is (lease is not None)
     assert records.decode_leader_heartbeat(encoded) == heartbeat
--- a/tamarackhatch/scheduler/_writer.py
+++ b/tamarackhatch/scheduler/_writer.py
@@ -285,7 +285,7 @@
             None if publication is None else publication.version,
             0 if publication is None else publication.position,
             metrics_address=self._heartbeat.metrics_address,
-            is_sole=self._leader_lease.is_sole,
+            earlier_lease=self._leader_lease.earlier_lease,
             waits=() if is_release else self._summarise_waits(),
         )
         return model.Put(
