--- a/tamarackhatch/scheduler/tests/test_late_kills.py
+++ b/tamarackhatch/scheduler/tests/test_late_kills.py
@@ -132,6 +132,21 @@
     virtual_time.run_virtually(simulate())
 
 
+@pytest.mark.parametrize("stall_s", [12.0])
+def test_tasks_of_a_runner_that_stalls_for_long_wait_for_it(
+    stall_s: float,
+) -> None:
+    """Guards against two runs after a stall that outlasts every wait."""
+
+    async def simulate() -> None:
+        fleet = await _start(400)
+        await fleet.runners[0].stall(stall_s)
+        await asyncio.sleep(8)
+        assert fleet.check() == []
+
+    virtual_time.run_virtually(simulate())
+
+
 class _LateCalls:
     """Holds back calls to a runner, or its answers, for random times."""
 
