Decode the lease of earlier schedulers from objects only

A heartbeat row whose JSON is a text raised AttributeError, which the reader does not declare, instead of MalformedRowError.

The field is read in a function of its own, which checks for an object.

--- a/tamarackhatch/records/_leadership.py
+++ b/tamarackhatch/records/_leadership.py
@@ -75,7 +75,9 @@
 
 
 _HEARTBEAT_FIELDS = tuple(
-    field.name for field in attrs.fields(LeaderHeartbeat)
+    field.name
+    for field in attrs.fields(LeaderHeartbeat)
+    if field.name != "earlier_lease"
 )
 
 
@@ -156,10 +158,6 @@
             del document[_METRICS_ADDRESS]
         if _WAITS in document:
             document[_WAITS] = _waits.decode_waits(document[_WAITS])
-        lease_ms = document.pop(_EARLIER_LEASE, None)
-        document.pop("earlier_lease", None)
-        if type(lease_ms) is int and 0 <= lease_ms <= _MAX_LEASE_MS:
-            document["earlier_lease"] = lease_ms * _MILLISECOND
         # A newer build may add fields. It must be possible to take over from
         # it.
         heartbeat = LeaderHeartbeat(
@@ -167,7 +165,8 @@
                 name: document[name]
                 for name in _HEARTBEAT_FIELDS
                 if name in document
-            }
+            },
+            earlier_lease=_decode_earlier_lease(document),
         )
         _types.check_types(heartbeat)
         return heartbeat
@@ -177,6 +176,16 @@
         ) from error
 
 
+def _decode_earlier_lease(document: object) -> datetime.timedelta | None:
+    """Returns the field of a heartbeat row; None if absent or malformed."""
+    if not isinstance(document, dict):
+        return None
+    milliseconds = document.get(_EARLIER_LEASE)
+    if type(milliseconds) is int and 0 <= milliseconds <= _MAX_LEASE_MS:
+        return milliseconds * _MILLISECOND
+    return None
+
+
 def encode_tracked_runners(
     tracked_runners: tuple[TrackedRunner, ...],
 ) -> bytes:
