Checker: tell the three forms of TWICE apart

A report of TWICE did not say which form of the rule was broken: two runs at once, a start after an acknowledged success, or a start over a second after it was acknowledged or the job was shown as completed. The last one was not checked at all. An overlap no longer also counts as a start after the end.

--- a/standins/history.py
+++ b/standins/history.py
@@ -5,6 +5,7 @@
 
 import attrs
 
+from standins import repetitions
 from tamarackhatch import model
 
 # A capacity that has shrunk counts after the time that the platform gives
@@ -93,11 +94,13 @@
         rule: Short name of the rule, such as TWICE.
         task: Name of the task that broke it.
         detail: What happened, in words.
+        form: How a task ran twice; None for other rules.
     """
 
     rule: str
     task: str
     detail: str
+    form: repetitions.Form | None = None
 
 
 class History:
@@ -231,10 +234,16 @@
             by_task.setdefault(record.task, []).append(record)
         for task, runs in by_task.items():
             runs.sort(key=lambda record: record.started)
-            violations += _check_overlaps(task, runs)
-            violations += _check_exits(task, runs, max_attempts)
-            violations += _check_crashes(task, runs)
             job = task.split(".")[0]
+            violations += [
+                Violation("TWICE", task, detail, form)
+                for form, detail in repetitions.find_repetitions(
+                    runs, self.completed.get(job)
+                )
+            ]
+            violations += _check_numbers(task, runs)
+            violations += _check_failures(task, runs, max_attempts)
+            violations += _check_crashes(task, runs)
             if job in self.refused and job not in self.accepted:
                 violations.append(
                     Violation(
@@ -347,28 +356,15 @@
         return violations
 
 
-def _check_overlaps(task: str, runs: list[RunRecord]) -> list[Violation]:
-    violations = []
-    for index, later in enumerate(runs):
-        for earlier in runs[:index]:
-            if earlier.exited is None or earlier.exited > later.started:
-                violations.append(
-                    Violation(
-                        "TWICE",
-                        task,
-                        f"run {later.run} on {later.runner} started while "
-                        f"run {earlier.run} on {earlier.runner} ran",
-                    )
-                )
-            if later.run <= earlier.run:
-                violations.append(
-                    Violation(
-                        "NUMBER",
-                        task,
-                        f"run {later.run} started after run {earlier.run}",
-                    )
-                )
-    return violations
+def _check_numbers(task: str, runs: list[RunRecord]) -> list[Violation]:
+    return [
+        Violation(
+            "NUMBER", task, f"run {later.run} started after run {earlier.run}"
+        )
+        for index, later in enumerate(runs)
+        for earlier in runs[:index]
+        if later.run <= earlier.run
+    ]
 
 
 def _check_crashes(task: str, runs: list[RunRecord]) -> list[Violation]:
@@ -391,25 +387,16 @@
     ]
 
 
-def _check_exits(
+def _check_failures(
     task: str, runs: list[RunRecord], max_attempts: int
 ) -> list[Violation]:
     violations = []
     for index, later in enumerate(runs):
-        before = [
-            run
+        failed = sum(
+            1
             for run in runs[:index]
-            if run.exited is not None and run.is_exit_acknowledged
-        ]
-        if any(run.exit_reason == "done" for run in before):
-            violations.append(
-                Violation(
-                    "TWICE",
-                    task,
-                    f"run {later.run} started after done",
-                )
-            )
-        failed = sum(1 for run in before if run.exit_reason == "failed")
+            if run.exit_reason == "failed" and run.is_exit_acknowledged
+        )
         if failed >= max_attempts:
             violations.append(
                 Violation(
--- a/standins/tests/test_checker.py
+++ b/standins/tests/test_checker.py
@@ -5,6 +5,7 @@
 import pytest
 
 from standins import history
+from standins import repetitions
 from standins import virtual_time
 from tamarackhatch import model
 
@@ -75,6 +76,57 @@
     assert {item.rule for item in record.check(2)} == rules
 
 
+_AT_ONCE = repetitions.Form.AT_ONCE
+_AFTER_DONE = repetitions.Form.AFTER_DONE
+_AFTER_NOTICE = repetitions.Form.AFTER_NOTICE
+
+
+@pytest.mark.parametrize(
+    ("runs", "completed", "forms"),
+    [
+        (
+            [_make_run(1, 0, 2, "done", 2.1), _make_run(2, 1, 3)],
+            None,
+            [_AT_ONCE],
+        ),
+        ([_make_run(1, 0, 1, "lapsed", 1.1), _make_run(2, 3, 4)], None, []),
+        (
+            [_make_run(1, 0, 1, "done", 1.5), _make_run(2, 2.4, 3)],
+            None,
+            [_AFTER_DONE],
+        ),
+        (
+            [_make_run(1, 0, 1, "done", 5.0), _make_run(2, 2.4, 3)],
+            None,
+            [_AFTER_DONE],
+        ),
+        (
+            [_make_run(1, 0, 1, "done", 1.5), _make_run(2, 2.6, 3)],
+            None,
+            [_AFTER_DONE, _AFTER_NOTICE],
+        ),
+        (
+            [_make_run(1, 0, 1, "done", 5, True), _make_run(2, 2.4, 3)],
+            1.5,
+            [],
+        ),
+        (
+            [_make_run(1, 0, 1, "done", 5, True), _make_run(2, 2.6, 3)],
+            1.5,
+            [_AFTER_NOTICE],
+        ),
+    ],
+)
+def test_forms_of_repetition_are_told_apart(
+    runs: list[history.RunRecord],
+    completed: float | None,
+    forms: list[repetitions.Form],
+) -> None:
+    """Guards against a finding that does not say which form was broken."""
+    found = repetitions.find_repetitions(runs, completed)
+    assert [form for form, _ in found] == forms
+
+
 def test_runs_of_refused_or_unsubmitted_jobs_are_found() -> None:
     """Guards against a missed run of a refused or never submitted job."""
     record = history.History()
