Stand-in: a restart may reset the runner's open connections

A killed process resets its connections, while the stand-in let calls to the earlier incarnation be answered by the next one. Both kinds can be played now; the default is as before.

--- a/standins/runner.py
+++ b/standins/runner.py
@@ -101,6 +101,8 @@
         self._plan = plan
         self._history = run_history
         self._incarnation = 1
+        # Connections to earlier incarnations are reset.
+        self._reset_incarnation = 1
         self._registration_number = 0
         self._runs_changed = asyncio.Event()
         self._start_incarnation()
@@ -158,8 +160,13 @@
             run.set_runner_speed(now, speed)
         self._wake_renewals()
 
-    def crash(self) -> None:
-        """Ends all runs without a report and starts a new incarnation."""
+    def crash(self, resets_connections: bool = False) -> None:
+        """Ends all runs without a report and starts a new incarnation.
+
+        Args:
+            resets_connections: Whether calls that wait for their answer see
+                that the earlier incarnation has ended.
+        """
         self._update()
         for run in self._runs.values():
             now = asyncio.get_running_loop().time()
@@ -168,6 +175,9 @@
             )
         self._incarnation += 1
         self._start_incarnation()
+        if resets_connections:
+            self._reset_incarnation = self._incarnation
+            self._wake_renewals()
 
     def _crash_by_run(self, task: str, number: int) -> None:
         """Crashes because of a run, and is back after some seconds."""
@@ -271,6 +281,7 @@
 
     async def _renew(self, body: network.Body) -> network.Response:
         loop = asyncio.get_running_loop()
+        incarnation = self._incarnation
         acknowledged_exit = body.get("ack_cursor", 0)
         self._extend_lease(body)
         self._history.record_acknowledgement(
@@ -289,7 +300,7 @@
                     await self._runs_changed.wait()
             except TimeoutError:
                 pass
-            if self.is_down:
+            if self.is_down or incarnation < self._reset_incarnation:
                 raise network.BrokenConnectionError
             self._update()
         running = [self._list_run(run) for run in self._runs.values()]
