Refuse late commands at runners that have restarted

Callers saw tasks run again after they were done (TWICE, after done, and seldom at once). A call to a runner that got no answer is carried out seconds later. If the runner has restarted under its identifier meanwhile, it knows neither the run nor a fencing token, and its clock starts anew, so that the lease end in the call does not protect it either. All commands of a term had one token, which the runner refuses only if it has got a higher one.

Now an unanswered command, a missed renewal or a new incarnation raises the token of all later commands to that runner, to the version in which the store last confirmed the term. That is above every token the runner has got, and below that of the next term. A command that was overtaken is sent again. A row of the registry that names another incarnation causes a renewal at once.

--- a/tamarackhatch/election/_leader_lease.py
+++ b/tamarackhatch/election/_leader_lease.py
@@ -82,6 +82,7 @@
         self._term = term
         self._duration = duration
         self._confirmed_at = term.sent_at
+        self._confirmed_version = term.token
         self._is_revoked = False
         self._began = time_source.get_boot_time()
         self._earlier_lease = duration * _SLOW_CLOCK_FACTOR
@@ -93,6 +94,14 @@
         """The term that the lease belongs to."""
         return self._term
 
+    @property
+    def confirmed_version(self) -> int:
+        """Version in which the store last confirmed the term.
+
+        It is below the token of any later term.
+        """
+        return self._confirmed_version
+
     @property
     def is_revoked(self) -> bool:
         """Whether another scheduler is known to have taken over."""
@@ -121,13 +130,15 @@
         elapsed = self._clock.get_boot_time() - self._began
         return max(datetime.timedelta(), self._earlier_lease - elapsed)
 
-    def extend(self, sent_at: datetime.timedelta) -> None:
+    def extend(self, sent_at: datetime.timedelta, version: int) -> None:
         """Extends the lease after the store confirmed the term.
 
         Args:
             sent_at: Boot time before the confirmed write was sent.
+            version: Version of the confirmed write.
         """
         self._confirmed_at = max(self._confirmed_at, sent_at)
+        self._confirmed_version = max(self._confirmed_version, version)
 
     def revoke(self) -> None:
         """Ends the lease, because another scheduler has taken over."""
--- a/tamarackhatch/scheduler/_commands.py
+++ b/tamarackhatch/scheduler/_commands.py
@@ -1,6 +1,8 @@
 """Sends commands to runners until their outcomes are known."""
 
 import asyncio
+from collections.abc import Awaitable
+from collections.abc import Callable
 from collections.abc import Coroutine
 import datetime
 import typing
@@ -9,17 +11,10 @@
 from tamarackhatch import platform
 from tamarackhatch.scheduler import _context
 from tamarackhatch.scheduler import _fleet
+from tamarackhatch.scheduler import _start_refusals
 from tamarackhatch.scheduler import _state
 
 _RETRY_PAUSE = datetime.timedelta(milliseconds=60)
-# A runner that refused a start gets no new tasks for this long. Within this
-# time a renewal corrects the scheduler's state of the runner.
-_REFUSAL_PAUSE = datetime.timedelta(milliseconds=300)
-# The pause doubles with each refusal for lack of capacity, because each has a
-# price. A runner writes its registry row about once a second, so that a longer
-# pause would outlast the correction of a capacity.
-_MAX_CAPACITY_REFUSAL_PAUSE = datetime.timedelta(milliseconds=2400)
-_UNHEALTHY_PAUSE = datetime.timedelta(seconds=1)
 _MAX_SPEED_LIMIT_ATTEMPTS = 2
 _FULL_SPEED_PERCENT = 100
 
@@ -76,6 +71,39 @@
         command = platform.RunCommand(listed.task, listed.run)
         self._spawn_delivery(self._send_stop(entry, command))
 
+    def fence_restarted_runner(self, entry: _fleet.RunnerEntry) -> None:
+        """Lets a runner that has restarted refuse all earlier commands.
+
+        The renewal in progress may have been sent to the earlier incarnation,
+        and get no answer for seconds.
+        """
+        entry.fence.record_unanswered_command()
+        self._spawn_delivery(self._read_report(entry))
+
+    def handle_fenced_command(
+        self,
+        kind: str,
+        entry: _state.TaskRunner,
+        authority: platform.Authority,
+    ) -> bool:
+        """Ends the term, unless a later command of its own has a higher token.
+
+        Returns:
+            Whether another scheduler has taken over.
+        """
+        context = self._context
+        is_superseded = entry.fence.is_current(authority.token)
+        context.log.warning(
+            "command_fenced",
+            kind=kind,
+            runner=entry.identifier,
+            token=authority.token,
+            superseded=is_superseded,
+        )
+        if is_superseded:
+            context.leader_lease.revoke()
+        return is_superseded
+
     def set_speed_limit(self, task: _state.TaskEntry, percent: int) -> None:
         """Sets the speed limit of a task's run, in per cent of full speed."""
         if task.runner is not None:
@@ -170,7 +198,6 @@
                     self.set_speed_limit(task, speed_limit_percent)
                 return
             if outcome is _Outcome.FENCED:
-                context.leader_lease.revoke()
                 return
             if outcome is None:
                 is_uncertain = True
@@ -182,9 +209,11 @@
                 await context.clock.sleep(_RETRY_PAUSE)
                 continue
             if is_uncertain:
-                self._resolve_uncertain_start(task, entry, outcome)
+                _start_refusals.resolve_uncertain_start(
+                    context, task, entry, outcome
+                )
                 return
-            self._apply_refusal(task, entry, outcome)
+            _start_refusals.apply_refusal(context, task, entry, outcome)
             return
 
     def _grant_lease(
@@ -225,14 +254,17 @@
         if not context.leader_lease.is_valid:
             return None
         try:
-            outcome = await context.client.start(
-                entry.record,
-                context.authority,
-                platform.RunCommand(task.key, run),
-                task.job.job.specification,
-                lease_end,
-                task.checkpoint,
-                task.ticket,
+            outcome = await self._send_with_token(
+                entry,
+                lambda authority: context.client.start(
+                    entry.record,
+                    authority,
+                    platform.RunCommand(task.key, run),
+                    task.job.job.specification,
+                    lease_end,
+                    task.checkpoint,
+                    task.ticket,
+                ),
             )
         except platform.RunnerUnavailableError as error:
             self._log_unanswered("start", task, entry, error.message)
@@ -246,62 +278,6 @@
         self._count_command("start", outcome.value)
         return outcome
 
-    def _apply_refusal(
-        self,
-        task: _state.TaskEntry,
-        entry: _fleet.RunnerEntry,
-        outcome: platform.CommandOutcome,
-    ) -> None:
-        context = self._context
-        context.log.info(
-            "start_refused",
-            task=str(task.key),
-            run=task.run,
-            runner=entry.identifier,
-            outcome=outcome.value,
-        )
-        if outcome is _Outcome.NO_TICKET:
-            key = task.key
-            step = (key.job, key.occurrence, key.step)
-            context.tickets.discard_ticket(step, entry.identifier)
-            if task.job.job.queue.advice is None:
-                # The queue got its policy after this job was submitted, so
-                # further starts would be refused as well.
-                entry.avoid_until = context.get_now() + _UNHEALTHY_PAUSE
-            context.job_tracker.undo_start(task)
-            return
-        now = context.get_now()
-        pause = _REFUSAL_PAUSE
-        if outcome in (_Outcome.UNHEALTHY, _Outcome.RESTARTED):
-            pause = _UNHEALTHY_PAUSE
-        elif outcome is _Outcome.NO_CAPACITY:
-            if now < entry.avoid_until:
-                # Refused together with a start that began the pause.
-                context.job_tracker.undo_start(task)
-                return
-            pause = min(
-                _REFUSAL_PAUSE * 2**entry.capacity_refusals,
-                _MAX_CAPACITY_REFUSAL_PAUSE,
-            )
-            entry.capacity_refusals = min(entry.capacity_refusals + 1, 10)
-        entry.avoid_until = now + pause
-        context.job_tracker.undo_start(task)
-
-    def _resolve_uncertain_start(
-        self,
-        task: _state.TaskEntry,
-        entry: _fleet.RunnerEntry,
-        outcome: platform.CommandOutcome,
-    ) -> None:
-        """Handles the refusal of a start after an unanswered attempt."""
-        if outcome is _Outcome.OUTDATED:
-            # The run has started and exited; the next report lists the exit.
-            self._context.job_tracker.confirm_run(task, entry)
-            return
-        # The unanswered attempt may still be carried out; a stop prevents
-        # that.
-        self._context.job_tracker.evict_task(task, f"start {outcome.value}")
-
     async def _deliver_stop(
         self, task: _state.TaskEntry, entry: _state.TaskRunner, run: int
     ) -> None:
@@ -322,8 +298,11 @@
         if not context.leader_lease.is_valid:
             return False
         try:
-            outcome = await context.client.stop(
-                entry.record, context.authority, command
+            outcome = await self._send_with_token(
+                entry,
+                lambda authority: context.client.stop(
+                    entry.record, authority, command
+                ),
             )
         except (
             platform.RunnerUnavailableError,
@@ -340,10 +319,31 @@
             self._count_command("stop", "unknown")
             return False
         self._count_command("stop", outcome.value)
-        if outcome is _Outcome.FENCED:
-            context.leader_lease.revoke()
         return outcome in (_Outcome.ACCEPTED, _Outcome.OUTDATED)
 
+    async def _read_report(self, entry: _fleet.RunnerEntry) -> None:
+        context = self._context
+        if not context.leader_lease.is_valid:
+            return
+        try:
+            await context.client.renew(
+                entry.record,
+                context.get_authority(entry),
+                acknowledged_exit=0,
+                lease_end=None,
+                wait=datetime.timedelta(),
+            )
+        except (
+            platform.FencedError,
+            platform.RunnerUnavailableError,
+            platform.MalformedBodyError,
+        ) as error:
+            context.log.info(
+                "restarted_runner_not_fenced",
+                runner=entry.identifier,
+                reason=error.message,
+            )
+
     async def _deliver_speed_limit(
         self,
         task: _state.TaskEntry,
@@ -362,8 +362,11 @@
                 return
             command = platform.RunCommand(task.key, run)
             try:
-                outcome = await context.client.set_speed_limit(
-                    entry.record, context.authority, command, percent
+                outcome = await self._send_with_token(
+                    entry,
+                    lambda authority: context.client.set_speed_limit(
+                        entry.record, authority, command, percent
+                    ),
                 )
             except (
                 platform.RunnerUnavailableError,
@@ -382,6 +385,35 @@
         if task.run == run and task.speed_limit_percent == percent:
             task.speed_limit_percent = None
 
+    async def _send_with_token(
+        self,
+        entry: _state.TaskRunner,
+        send: Callable[
+            [platform.Authority], Awaitable[platform.CommandOutcome]
+        ],
+    ) -> platform.CommandOutcome:
+        """Sends a command, and again if one with a higher token overtook it.
+
+        Args:
+            entry: The runner.
+            send: Sends the command with an authority.
+
+        Raises:
+            RunnerUnavailableError: The command was not carried out.
+            RunnerOutcomeUnknownError: The command may be carried out later.
+        """
+        while True:
+            authority = self._context.get_authority(entry)
+            try:
+                outcome = await send(authority)
+            except platform.RunnerOutcomeUnknownError:
+                entry.fence.record_unanswered_command()
+                raise
+            if outcome is not _Outcome.FENCED:
+                return outcome
+            if self.handle_fenced_command("command", entry, authority):
+                return outcome
+
     def _log_unanswered(
         self,
         kind: str,
--- a/tamarackhatch/scheduler/_context.py
+++ b/tamarackhatch/scheduler/_context.py
@@ -18,6 +18,7 @@
 from tamarackhatch.scheduler import _fleet
 from tamarackhatch.scheduler import _job_tracker
 from tamarackhatch.scheduler import _load_monitor
+from tamarackhatch.scheduler import _state
 from tamarackhatch.scheduler import _tickets
 from tamarackhatch.scheduler import _writer
 from tamarackhatch import settings
@@ -31,7 +32,6 @@
         clock: Source of time.
         settings: Settings of the instance.
         leader_lease: Time-bounded right to send commands.
-        authority: The same right, as the client checks it before it sends.
         client: Sends commands to runners.
         job_tracker: State of unfinished jobs and tasks.
         fleet: Runners by identifier.
@@ -58,7 +58,6 @@
     clock: clock.Clock
     settings: settings.Settings
     leader_lease: election.LeaderLease
-    authority: platform.Authority
     client: platform.RunnerClient
     job_tracker: _job_tracker.JobTracker
     fleet: dict[str, _fleet.RunnerEntry]
@@ -87,6 +86,13 @@
         """Returns monotonic time."""
         return self.clock.get_monotonic()
 
+    def get_authority(self, runner: _state.TaskRunner) -> platform.Authority:
+        """Returns the right to send a command to a runner now."""
+        return platform.Authority(
+            runner.fence.advance(self.leader_lease.confirmed_version),
+            lambda: self.leader_lease.is_valid,
+        )
+
     def list_open_runners(self) -> list[_fleet.RunnerEntry]:
         """Returns the runners in data centres that are not evacuated."""
         # There are far fewer data centres than runners.
--- a/tamarackhatch/scheduler/_fleet.py
+++ b/tamarackhatch/scheduler/_fleet.py
@@ -6,6 +6,7 @@
 
 from tamarackhatch import model
 from tamarackhatch import placement
+from tamarackhatch.scheduler import _command_fence
 from tamarackhatch.scheduler import _crash_suspects
 from tamarackhatch.scheduler import _state
 
@@ -60,6 +61,7 @@
         suspects: Those of them that may have crashed a runner before.
         lease_end: Latest lease end that any command has carried, on the
             runner's clock.
+        fence: Chooses the fencing tokens of the commands sent to it.
         clock: Reading of the runner's clock in its last answer.
         clock_read: Monotonic time at which that answer arrived; None before
             the first answer.
@@ -104,6 +106,9 @@
     tasks: dict[model.TaskKey, _state.TaskEntry] = attrs.field(factory=dict)
     suspects: dict[model.TaskKey, _state.TaskEntry] = attrs.field(factory=dict)
     lease_end: datetime.timedelta = datetime.timedelta()
+    fence: _command_fence.CommandFence = attrs.field(
+        factory=_command_fence.CommandFence
+    )
     clock: datetime.timedelta = datetime.timedelta()
     clock_read: datetime.timedelta | None = None
     processed_exit: int = 0
@@ -175,17 +180,20 @@
         self.load.remove_task(task.key, task.step)
         self.load.best_effort_usage.remove_task(task.key, now)
 
+    def names_other_incarnation(self, record: model.Runner) -> bool:
+        """Returns whether a registry row is not of the one that answered."""
+        return (
+            bool(record.incarnation and self.incarnation)
+            and record.incarnation != self.incarnation
+        )
+
     @property
     def _is_record_current(self) -> bool:
         """Whether the registry row is of the incarnation that answered last.
 
         A runner that restarted under its identifier may have another capacity.
         """
-        return (
-            not self.record.incarnation
-            or not self.incarnation
-            or self.record.incarnation == self.incarnation
-        )
+        return not self.names_other_incarnation(self.record)
 
     @property
     def acknowledgeable_exit(self) -> int:
@@ -318,6 +326,18 @@
         self.unlisted_tasks = frozenset()
         self.listed = ()
 
+    def forget_earlier_incarnation(self) -> None:
+        """Forgets what an earlier incarnation has reported.
+
+        Commands that were meant for it may still reach this one.
+        """
+        self.fence.record_unanswered_command()
+        self.supposed_crashes.clear()
+        self.processed_exit = self.acknowledged_exit = 0
+        self.pending_acks.clear()
+        self.unread_exits.clear()
+        self.unread_running.clear()
+
     def record_lease_end(self) -> None:
         """Records that all runs here have ended with the lease."""
         self.listed = ()
--- a/tamarackhatch/scheduler/_runner_manager.py
+++ b/tamarackhatch/scheduler/_runner_manager.py
@@ -315,6 +315,8 @@
             self._context.log.info(
                 "runner_registered_again", runner=record.identifier
             )
+        if entry.names_other_incarnation(record):
+            self._commands.fence_restarted_runner(entry)
         age = _MAX_READ_DELAY if entry.is_capacity_known else _MAX_ROW_AGE
         entry.update_record(record, self._context.get_now() - age)
         entry.is_registered = True
--- a/tamarackhatch/scheduler/_runner_reconciler.py
+++ b/tamarackhatch/scheduler/_runner_reconciler.py
@@ -132,17 +132,17 @@
             lease_end = entry.compute_lease_end(sent, context.settings.lease)
         if lease_end is not None and not entry.pending_acks:
             wait = _renewal_wait.choose_renewal_wait(entry, context.get_now())
+        authority = context.get_authority(entry)
         try:
             report = await context.client.renew(
                 entry.record,
-                context.authority,
+                authority,
                 entry.acknowledgeable_exit,
                 lease_end,
                 wait,
             )
         except platform.FencedError:
-            context.log.warning("renewal_fenced", runner=entry.identifier)
-            context.leader_lease.revoke()
+            self._commands.handle_fenced_command("renew", entry, authority)
             return None
         except (
             platform.RunnerUnavailableError,
@@ -168,6 +168,7 @@
         context.metrics.commands.labels("renew", "unanswered").inc()
         context.load_monitor.counters.missed_renewals += 1
         entry.missed_renewals += 1
+        entry.fence.record_unanswered_command()
         now = context.get_now()
         if entry.missed_renewals == 1:
             context.log.warning(
@@ -342,11 +343,7 @@
         elif entry.is_restored and report.running:
             # Idle, it may have been ejected by an earlier scheduler.
             context.health.trust(entry.identifier)
-        entry.supposed_crashes.clear()
-        entry.processed_exit = entry.acknowledged_exit = 0
-        entry.pending_acks.clear()
-        entry.unread_exits.clear()
-        entry.unread_running.clear()
+        entry.forget_earlier_incarnation()
         if entry.incarnation:
             # Commands whose lease end was computed from the earlier
             # incarnation's clock grant the longest lease.
--- a/tamarackhatch/scheduler/_scheduler.py
+++ b/tamarackhatch/scheduler/_scheduler.py
@@ -116,9 +116,6 @@
             clock=time_source,
             settings=configured,
             leader_lease=self._leader_lease,
-            authority=platform.Authority(
-                term.token, lambda: self._leader_lease.is_valid
-            ),
             client=dependencies.client,
             job_tracker=job_tracker,
             fleet=fleet,
--- a/tamarackhatch/scheduler/_state.py
+++ b/tamarackhatch/scheduler/_state.py
@@ -10,6 +10,7 @@
 from tamarackhatch import model
 from tamarackhatch import placement
 from tamarackhatch import records
+from tamarackhatch.scheduler import _command_fence
 
 _EPOCH = datetime.datetime(1970, 1, 1, tzinfo=datetime.timezone.utc)
 
@@ -78,10 +79,12 @@
     Attributes:
         record: The runner's latest row in the registry.
         load: Tasks placed on the runner and their resources.
+        fence: Chooses the fencing tokens of the commands sent to it.
     """
 
     record: model.Runner
     load: placement.RunnerLoad
+    fence: _command_fence.CommandFence
 
     @property
     def identifier(self) -> str:
--- a/tamarackhatch/scheduler/_writer.py
+++ b/tamarackhatch/scheduler/_writer.py
@@ -354,7 +354,7 @@
             return False
         self._metrics.commit_seconds.observe(elapsed.total_seconds())
         self._sequence = result.version
-        self._leader_lease.extend(sent)
+        self._leader_lease.extend(sent, result.version)
         if has_heartbeat:
             self._last_heartbeat = began
         return True
