Never let libcurl repeat a call to a runner

A runner could receive the same call twice, the second time in its next incarnation: if a kept connection ends before a byte of the answer, libcurl sends the request again over a new connection. A renewal then makes the next incarnation forget exits that no report has listed, by the acknowledgement and the lease of the earlier one, and a start reaches it by a lease of the earlier one. The scheduler saw one answer and no missed renewal.

Calls now say whether they are repeatable, and those to runners are not. A repeated request is aborted just before it is sent, and counts as lost, which the callers handle. Transactions of the store stay repeatable: they are conditional, and each caller resolves a conflict with its own first attempt.

--- a/tamarackhatch/platform/_runner_client.py
+++ b/tamarackhatch/platform/_runner_client.py
@@ -305,6 +305,7 @@
             orjson.dumps(body),
             (f"X-Expect-Instance: {runner.identifier}",),
             is_permitted=is_permitted,
+            is_repeatable=False,
         )
         try:
             return await self._client.send(call)
--- a/tamarackhatch/transport/_calls.py
+++ b/tamarackhatch/transport/_calls.py
@@ -44,6 +44,9 @@
             False, the call fails.
         needs_new_connection: Whether no open connection may be used, because
             the same call waits for its answer on one, which may be dead.
+        is_repeatable: Whether it may be sent again over a new connection, if
+            an open one ends without an answer. The server may then carry it
+            out twice, and another process may have taken its place.
     """
 
     method: str
@@ -55,6 +58,7 @@
     transfer_time: datetime.timedelta = datetime.timedelta()
     is_permitted: Callable[[], bool] = lambda: True
     needs_new_connection: bool = False
+    is_repeatable: bool = True
 
 
 @attrs.frozen
--- a/tamarackhatch/transport/_client.py
+++ b/tamarackhatch/transport/_client.py
@@ -58,8 +58,13 @@
         self.timer: asyncio.TimerHandle | None = None
 
     def prepare_sending(self, *_: object) -> int:
-        """Decides whether to send; libcurl calls this just before."""
-        if not self.call.is_permitted():
+        """Decides whether to send; libcurl calls this just before.
+
+        libcurl sends a request again by itself if an open connection ends
+        before a byte of the answer has arrived.
+        """
+        is_repeated = self.is_sent and not self.call.is_repeatable
+        if is_repeated or not self.call.is_permitted():
             return int(pycurl.PREREQFUNC_ABORT)
         self.is_sent = True
         return int(pycurl.PREREQFUNC_OK)
