Report tasks that have run twice, by form

The users saw TWICE without logs. The scheduler itself sees most cases in the reports of runners: a run is listed as running or done although the task runs elsewhere or was done by another run. It logged such runs as orphans without the reason, and dropped exits of jobs that were over without a line.

Each repeated run is now logged once as repeated_run_found, with its form, both runs and their runners, and the time since the runner restarted or was silent, and is counted by form.

--- a/tamarackhatch/observability/_metrics.py
+++ b/tamarackhatch/observability/_metrics.py
@@ -49,6 +49,12 @@
             ["how"],
             registry=self._registry,
         )
+        self.repeated_runs = prometheus_client.Counter(
+            "tamarackhatch_repeated_runs",
+            "Runs that repeat a task, by form.",
+            ["form"],
+            registry=self._registry,
+        )
         self.lost_runners = prometheus_client.Counter(
             "tamarackhatch_lost_runners",
             "Runners lost with runs on them, by the reason.",
--- a/tamarackhatch/scheduler/_commands.py
+++ b/tamarackhatch/scheduler/_commands.py
@@ -73,6 +73,13 @@
             run=listed.run,
             runner=entry.identifier,
         )
+        job_tracker = self._context.job_tracker
+        self._context.repeated_runs.record_running(
+            entry,
+            listed,
+            job_tracker.find_task(listed.task),
+            job_tracker.find_job(listed.task.job),
+        )
         command = platform.RunCommand(listed.task, listed.run)
         self._spawn_delivery(self._send_stop(entry, command))
 
--- a/tamarackhatch/scheduler/_context.py
+++ b/tamarackhatch/scheduler/_context.py
@@ -18,6 +18,7 @@
 from tamarackhatch.scheduler import _fleet
 from tamarackhatch.scheduler import _job_tracker
 from tamarackhatch.scheduler import _load_monitor
+from tamarackhatch.scheduler import _repeated_runs
 from tamarackhatch.scheduler import _tickets
 from tamarackhatch.scheduler import _writer
 from tamarackhatch import settings
@@ -43,6 +44,7 @@
         policy: Weights and limits of placement.
         tickets: Requests and caches tickets of the placement policy service.
         load_monitor: Counts the work of the scheduler.
+        repeated_runs: Reports tasks that have run twice.
         wait_estimator: Estimates how long new work waits.
         stalls: Finds runners that hang.
         health: Knows which runners fail.
@@ -69,6 +71,7 @@
     policy: placement.PlacementPolicy
     tickets: _tickets.TicketCache
     load_monitor: _load_monitor.LoadMonitor
+    repeated_runs: _repeated_runs.RepeatedRunRecorder
     wait_estimator: admission.WaitEstimator
     stalls: health.StallDetector
     health: health.HealthMonitor
--- a/tamarackhatch/scheduler/_fleet.py
+++ b/tamarackhatch/scheduler/_fleet.py
@@ -83,6 +83,10 @@
         supposed_crashes: Runs, with their tasks, that are recorded as ended
             by a crash because the runner does not answer. None of them counts
             if the same incarnation answers again.
+        restarted_at: Monotonic time at which a report first showed its latest
+            restart; None if it has not restarted in this term.
+        answering_again_at: Monotonic time at which it answered again after
+            renewals without an answer; None if it always answered.
         avoid_until: Monotonic time until which it gets no new tasks.
         exclusive_from: Monotonic time from which no earlier scheduler receives
             exits from it; None before its first answer in this term.
@@ -124,6 +128,8 @@
     supposed_crashes: list[tuple[_state.TaskEntry, int]] = attrs.field(
         factory=list
     )
+    restarted_at: datetime.timedelta | None = None
+    answering_again_at: datetime.timedelta | None = None
     avoid_until: datetime.timedelta = datetime.timedelta()
     exclusive_from: datetime.timedelta | None = None
     leaves_at: datetime.timedelta | None = None
--- a/tamarackhatch/scheduler/_job_tracker.py
+++ b/tamarackhatch/scheduler/_job_tracker.py
@@ -104,6 +104,10 @@
         """Returns whether a job is known."""
         return identifier in self._jobs
 
+    def find_job(self, identifier: str) -> _state.JobEntry | None:
+        """Returns a job, or None if it is unknown."""
+        return self._jobs.get(identifier)
+
     def needs_service(self, name: str) -> bool:
         """Returns whether a job needs the runners of a service."""
         return any(
--- a/tamarackhatch/scheduler/_runner_reconciler.py
+++ b/tamarackhatch/scheduler/_runner_reconciler.py
@@ -220,6 +220,7 @@
         now = context.get_now()
         if entry.missed_renewals:
             context.log.info("runner_answering_again", runner=entry.identifier)
+            entry.answering_again_at = now
         entry.missed_renewals = 0
         if report.incarnation != entry.incarnation:
             self._apply_new_incarnation(report)
@@ -339,6 +340,7 @@
                 incarnation=report.incarnation,
             )
             _health.forget_runner(context, entry.identifier)
+            entry.restarted_at = context.get_now()
         elif entry.is_restored and report.running:
             # Idle, it may have been ejected by an earlier scheduler.
             context.health.trust(entry.identifier)
@@ -354,16 +356,7 @@
         else:
             entry.lease_end = report.clock_reading + settings.lease
         entry.incarnation = report.incarnation
-        # An attempt of a start may have reached this incarnation already. Runs
-        # that have exited there are applied with their exits.
-        runs = {
-            (item.task, item.run) for item in report.running + report.exits
-        }
-        lost = [
-            task
-            for task in entry.tasks.values()
-            if (task.key, task.run) not in runs
-        ]
+        lost = _runner_reports.list_lost_tasks(entry, report)
         if lost:
             entry.evidence = _Evidence.ENDED
             self._crashes.record_crash("restarted", lost, may_start=True)
@@ -372,6 +365,7 @@
         context, entry = self._context, self._entry
         context.job_tracker.hold_reported_occurrence(run_exit.task)
         task = context.job_tracker.find_task(run_exit.task)
+        context.repeated_runs.record_exit(entry, run_exit, task)
         generation = 0
         if task is not None:
             is_latest = (
--- a/tamarackhatch/scheduler/_runner_reports.py
+++ b/tamarackhatch/scheduler/_runner_reports.py
@@ -6,6 +6,7 @@
 from tamarackhatch import model
 from tamarackhatch.scheduler import _context
 from tamarackhatch.scheduler import _fleet
+from tamarackhatch.scheduler import _state
 from tamarackhatch import settings
 
 # A lease of an earlier scheduler may be longer by this share, because that
@@ -92,6 +93,26 @@
     entry.load.unassigned = unassigned
 
 
+def list_lost_tasks(
+    entry: _fleet.RunnerEntry, report: model.RunnerReport
+) -> list[_state.TaskEntry]:
+    """Returns the tasks whose runs are not of a new incarnation.
+
+    An attempt of a start may have reached the new incarnation before its
+    first report. Runs that have exited there are applied with their exits.
+
+    Args:
+        entry: The runner.
+        report: The first report of its new incarnation.
+    """
+    runs = {(item.task, item.run) for item in report.running + report.exits}
+    return [
+        task
+        for task in entry.tasks.values()
+        if (task.key, task.run) not in runs
+    ]
+
+
 def record_missing_runs(
     context: _context.SchedulerContext,
     entry: _fleet.RunnerEntry,
--- a/tamarackhatch/scheduler/_scheduler.py
+++ b/tamarackhatch/scheduler/_scheduler.py
@@ -26,6 +26,7 @@
 from tamarackhatch.scheduler import _job_tracker
 from tamarackhatch.scheduler import _load_monitor
 from tamarackhatch.scheduler import _near_places
+from tamarackhatch.scheduler import _repeated_runs
 from tamarackhatch.scheduler import _runner_manager
 from tamarackhatch.scheduler import _state
 from tamarackhatch.scheduler import _stragglers
@@ -131,6 +132,9 @@
             ),
             tickets=self._tickets,
             load_monitor=_load_monitor.LoadMonitor(time_source, log, metrics),
+            repeated_runs=_repeated_runs.RepeatedRunRecorder(
+                time_source, log, metrics
+            ),
             wait_estimator=admission.WaitEstimator(),
             health=health.HealthMonitor(),
             stalls=health.StallDetector(),
