Do not take runs for lost that are newer than the report

A task ran twice at once after its runner had restarted: the new incarnation made its first report, then started the task, and the answer of the start overtook the report on another connection. The report does not list the run, so that the run counted as lost with the earlier incarnation, and the task started again beside it.

Runs that were confirmed since the renewal was sent are left to the next report, as in reports of a known incarnation.

--- a/tamarackhatch/scheduler/_runner_reconciler.py
+++ b/tamarackhatch/scheduler/_runner_reconciler.py
@@ -223,7 +223,7 @@
             entry.answering_again_at = now
         entry.missed_renewals = 0
         if report.incarnation != entry.incarnation:
-            self._apply_new_incarnation(report)
+            self._apply_new_incarnation(report, sent)
         for task, run in entry.supposed_crashes:
             context.job_tracker.retract_crash(task, run)
         entry.supposed_crashes.clear()
@@ -330,7 +330,9 @@
                 del entry.unread_running[key]
                 self._apply_running_task(item)
 
-    def _apply_new_incarnation(self, report: model.RunnerReport) -> None:
+    def _apply_new_incarnation(
+        self, report: model.RunnerReport, sent: datetime.timedelta
+    ) -> None:
         context, entry = self._context, self._entry
         settings = context.settings
         if entry.incarnation:
@@ -356,7 +358,7 @@
         else:
             entry.lease_end = report.clock_reading + settings.lease
         entry.incarnation = report.incarnation
-        lost = _runner_reports.list_lost_tasks(entry, report)
+        lost = _runner_reports.list_lost_tasks(entry, report, sent)
         if lost:
             entry.evidence = _Evidence.ENDED
             self._crashes.record_crash("restarted", lost, may_start=True)
--- a/tamarackhatch/scheduler/_runner_reports.py
+++ b/tamarackhatch/scheduler/_runner_reports.py
@@ -94,22 +94,28 @@
 
 
 def list_lost_tasks(
-    entry: _fleet.RunnerEntry, report: model.RunnerReport
+    entry: _fleet.RunnerEntry,
+    report: model.RunnerReport,
+    sent: datetime.timedelta,
 ) -> list[_state.TaskEntry]:
     """Returns the tasks whose runs are not of a new incarnation.
 
     An attempt of a start may have reached the new incarnation before its
-    first report. Runs that have exited there are applied with their exits.
+    first report. Runs that have exited there are applied with their exits,
+    and the next report tells of those that were confirmed since the renewal
+    was sent, because they may have started after the report was made.
 
     Args:
         entry: The runner.
         report: The first report of its new incarnation.
+        sent: Monotonic time at which the renewal was sent that it answers.
     """
     runs = {(item.task, item.run) for item in report.running + report.exits}
     return [
         task
         for task in entry.tasks.values()
         if (task.key, task.run) not in runs
+        and (task.confirmed is None or task.confirmed < sent)
     ]
 
 
