Tell apart connections that are closed, and processes that are new

Since calls to runners are not repeated, one that libcurl sends over a connection which the runner had closed while it was idle is lost, although no runner received it: libcurl looks for such connections only once a second (3 of 7 calls lost, with idle times of 0.1 to 4 s). The client now looks at the connection itself just before it sends, and lets libcurl repeat such a call.

It also knows when each connection was opened, and can send another body over one that is younger than a given time. The process at its end may be another one than the caller knows.

Tests use real sockets; the calls after 0.1 s of idle time were lost before.

--- a/tamarackhatch/transport/_calls.py
+++ b/tamarackhatch/transport/_calls.py
@@ -47,6 +47,10 @@
         is_repeatable: Whether it may be sent again over a new connection, if
             an open one ends without an answer. The server may then carry it
             out twice, and another process may have taken its place.
+        opened_before: Monotonic time at which the process was up that the
+            call is for; None for any process. One that is reached over a
+            connection opened later may have taken its place.
+        other_body: Body for such a process, padded to the length of ``body``.
     """
 
     method: str
@@ -59,6 +63,13 @@
     is_permitted: Callable[[], bool] = lambda: True
     needs_new_connection: bool = False
     is_repeatable: bool = True
+    opened_before: datetime.timedelta | None = None
+    other_body: bytes = b""
+
+    @property
+    def has_other_body(self) -> bool:
+        """Whether the body depends on the age of the connection."""
+        return self.opened_before is not None
 
 
 @attrs.frozen
--- a/tamarackhatch/transport/_client.py
+++ b/tamarackhatch/transport/_client.py
@@ -8,8 +8,8 @@
 import contextlib
 import datetime
 import functools
-import io
 import ipaddress
+import itertools
 import select
 import typing
 
@@ -17,6 +17,7 @@
 
 from tamarackhatch import clock
 from tamarackhatch.transport import _calls
+from tamarackhatch.transport import _transfer
 
 # A full accept queue may drop a connection request. The timeout is well below
 # the usual call timeout, so that a second attempt fits into the call.
@@ -45,31 +46,6 @@
 _MILLISECOND = datetime.timedelta(milliseconds=1)
 
 
-class _Transfer:
-    """A call in progress on one easy handle."""
-
-    def __init__(
-        self, call: _calls.Call, answer: asyncio.Future[_calls.Answer]
-    ) -> None:
-        self.call = call
-        self.answer = answer
-        self.body_buffer = io.BytesIO()
-        self.is_sent = False
-        self.timer: asyncio.TimerHandle | None = None
-
-    def prepare_sending(self, *_: object) -> int:
-        """Decides whether to send; libcurl calls this just before.
-
-        libcurl sends a request again by itself if an open connection ends
-        before a byte of the answer has arrived.
-        """
-        is_repeated = self.is_sent and not self.call.is_repeatable
-        if is_repeated or not self.call.is_permitted():
-            return int(pycurl.PREREQFUNC_ABORT)
-        self.is_sent = True
-        return int(pycurl.PREREQFUNC_OK)
-
-
 class HttpClient:
     """Sends HTTP/1.1 calls over a limited number of connections per host.
 
@@ -98,8 +74,14 @@
         self._poller = select.epoll()
         self._loop.add_reader(self._poller.fileno(), self._process_sockets)
         self._watched_descriptors: set[int] = set()
-        self._idle_handles: list[pycurl.Curl] = []
-        self._transfers: dict[pycurl.Curl, _Transfer] = {}
+        # A handle that was given a body cannot read one later, so that there
+        # are two kinds.
+        self._idle_handles: dict[bool, list[pycurl.Curl]] = {
+            True: [],
+            False: [],
+        }
+        self._transfers: dict[pycurl.Curl, _transfer.Transfer] = {}
+        self._connections = _transfer.Connections(time_source)
         self._last_timeout_by_address: dict[str, datetime.timedelta] = {}
         self._is_closed = False
 
@@ -113,10 +95,11 @@
         if self._is_closed:
             raise _calls.CallNotSentError("HTTP client is closed")
         _calls.check_head(call)
-        handle = self._idle_handles.pop() if self._idle_handles else None
-        if handle is None:
-            handle = _make_handle()
-        transfer = _Transfer(call, self._loop.create_future())
+        idle_handles = self._idle_handles[call.has_other_body]
+        handle = idle_handles.pop() if idle_handles else _make_handle()
+        transfer = _transfer.Transfer(
+            call, self._loop.create_future(), self._connections
+        )
         try:
             self._configure_handle(handle, transfer)
         except pycurl.error as error:
@@ -164,14 +147,14 @@
         self._transfers.clear()
         if self._timer is not None:
             self._timer.cancel()
-        for handle in self._idle_handles:
+        for handle in itertools.chain(*self._idle_handles.values()):
             handle.close()
         self._multi.close()
         self._loop.remove_reader(self._poller.fileno())
         self._poller.close()
 
     def _configure_handle(
-        self, handle: pycurl.Curl, transfer: _Transfer
+        self, handle: pycurl.Curl, transfer: _transfer.Transfer
     ) -> None:
         call = transfer.call
         handle.setopt(pycurl.URL, f"http://{call.address}{call.path}")
@@ -196,7 +179,13 @@
             handle.setopt(pycurl.HTTPGET, 1)
         else:
             handle.setopt(pycurl.POST, 1)
-            handle.setopt(pycurl.POSTFIELDS, call.body)
+            if call.has_other_body:
+                # The body depends on the connection that the call gets.
+                handle.setopt(pycurl.POSTFIELDSIZE, len(call.body))
+                handle.setopt(pycurl.READFUNCTION, transfer.read_body)
+                handle.setopt(pycurl.SEEKFUNCTION, transfer.rewind_body)
+            else:
+                handle.setopt(pycurl.POSTFIELDS, call.body)
         handle.setopt(pycurl.CUSTOMREQUEST, call.method)
         handle.setopt(
             pycurl.HTTPHEADER,
@@ -204,10 +193,11 @@
         )
         handle.setopt(pycurl.WRITEDATA, transfer.body_buffer)
         handle.setopt(pycurl.PREREQFUNCTION, transfer.prepare_sending)
+        handle.setopt(pycurl.SOCKOPTFUNCTION, transfer.record_socket)
         self._limit_connection_age(handle, call)
 
     def _end_if_stalled(
-        self, handle: pycurl.Curl, transfer: _Transfer, received: int
+        self, handle: pycurl.Curl, transfer: _transfer.Transfer, received: int
     ) -> None:
         """Ends a call unless its answer still arrives.
 
@@ -327,8 +317,9 @@
             )
         else:
             result = self._process_failure(handle, transfer, *failure)
-        if len(self._idle_handles) < _MAX_IDLE_HANDLES:
-            self._idle_handles.append(handle)
+        idle_handles = self._idle_handles[transfer.call.has_other_body]
+        if len(idle_handles) < _MAX_IDLE_HANDLES:
+            idle_handles.append(handle)
         else:
             handle.close()
         if transfer.answer.done():
@@ -341,7 +332,7 @@
     def _process_failure(
         self,
         handle: pycurl.Curl,
-        transfer: _Transfer,
+        transfer: _transfer.Transfer,
         code: int,
         message: str,
     ) -> Exception:
--- a/tamarackhatch/transport/tests/raw_server.py
+++ b/tamarackhatch/transport/tests/raw_server.py
@@ -11,19 +11,32 @@
 
 # Answers one request that was read from a connection.
 Handler = Callable[[socket.socket], None]
+# Serves a connection until it ends.
+ConnectionHandler = Callable[[socket.socket], None]
 
 
 @contextlib.contextmanager
 def serve(handle: Handler) -> Iterator[str]:
     """Serves each connection in a thread, and yields the server's address."""
+
+    def serve_connection(connection: socket.socket) -> None:
+        while connection.recv(65536):
+            handle(connection)
+
+    with serve_connections(serve_connection) as address:
+        yield address
+
+
+@contextlib.contextmanager
+def serve_connections(handle: ConnectionHandler) -> Iterator[str]:
+    """Does the same, with a handler that also reads the requests."""
     listener = socket.create_server(("127.0.0.1", 0))
     is_stopped = threading.Event()
     connections: list[socket.socket] = []
 
     def serve_connection(connection: socket.socket) -> None:
         with contextlib.suppress(OSError):
-            while connection.recv(65536):
-                handle(connection)
+            handle(connection)
 
     def accept() -> None:
         while not is_stopped.is_set():
