Acknowledge exits only to the process that listed them

A task that was done ran again, and both exits were acknowledged: a runner restarted after it had made a report, and the next renewal, which acknowledges exits of the earlier incarnation, reached the new one over a new connection. It forgot its own exits up to that number unread, so that their runs counted as lost. No call was late or lost: it takes a runner that restarts while a report is on its way, or while this process is stopped before it renews again.

A connection belongs to one process. Renewals acknowledge exits only over a connection that was opened before the latest report was made, whose time is known from the runner's clock; over a younger one the same renewal carries no acknowledgement, and the next one follows with it.

--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -66,6 +66,7 @@
         log_path: str = os.devnull,
         policy: placement.PlacementPolicy = placement.PlacementPolicy(),
         data_centres: Sequence[str] = ("here",),
+        fleet_network: network.Network | None = None,
     ) -> None:
         """Creates the deployment, without instances.
 
@@ -76,11 +77,12 @@
             log_path: File to which instances append their logs.
             policy: Placement policy of all instances.
             data_centres: Data centres of the runners, in turn.
+            fleet_network: Network to use; None for a new one.
         """
         self.policy = policy
         loop = asyncio.get_running_loop()
         self.clock = virtual_time.VirtualClock(loop)
-        self.network = network.Network(seed)
+        self.network = fleet_network or network.Network(seed)
         self.store = store.StoreStandIn()
         self.history = history.History()
         self.runners: list[runner.RunnerStandIn] = []
@@ -115,6 +117,9 @@
         """Connects a runner to the network and starts its registration."""
         self.runners.append(added)
         self.network.serve(added.address, added.handle)
+        added.on_restart = lambda: self.network.reset_connections(
+            added.address
+        )
         self._registrations.append(
             asyncio.create_task(self._register_periodically(added))
         )
--- a/standins/network.py
+++ b/standins/network.py
@@ -134,6 +134,9 @@
         self._random = random.Random(seed)
         self._late_tasks: set[asyncio.Task[None]] = set()
         self._abandonable_tasks: set[asyncio.Future[Response]] = set()
+        # Loop time at which the connection between a client and an address
+        # was opened.
+        self._connections: dict[tuple[str, str], float] = {}
 
     def serve(self, address: str, handler: Handler) -> None:
         """Sends calls for an address to a handler from now on."""
@@ -147,6 +150,11 @@
         """Returns the faults of an address, to be changed in place."""
         return self._faults.setdefault(address, Faults())
 
+    def reset_connections(self, address: str) -> None:
+        """Ends the connections to an address, whose process has ended."""
+        for name in [name for name in self._connections if name[1] == address]:
+            del self._connections[name]
+
     def make_client(self, name: str) -> "NetworkClient":
         """Returns a client with the name by which faults select it."""
         return NetworkClient(self, name)
@@ -198,7 +206,10 @@
                 if refusal is not None:
                     await asyncio.sleep(faults.delay_s)
                     return transport.Answer(refusal, b"")
-                request = _decode(call)
+                opened = self._connections.setdefault(
+                    (name, call.address), loop.time()
+                )
+                request = _decode(call, opened)
                 fault_draw = self._random.random()
                 is_late = name in faults.late_clients
                 if is_late or fault_draw < faults.late_call_share:
@@ -291,10 +302,14 @@
         return
 
 
-def _decode(call: transport.Call) -> Request:
+def _decode(call: transport.Call, opened: float) -> Request:
     url = urllib.parse.urlsplit(call.path)
     query = dict(urllib.parse.parse_qsl(url.query, keep_blank_values=True))
-    body = orjson.loads(call.body) if call.body else {}
+    encoded = call.body
+    if call.opened_before is not None:
+        if opened >= call.opened_before.total_seconds():
+            encoded = call.other_body
+    body = orjson.loads(encoded) if encoded else {}
     prefix = "X-Expect-Instance: "
     expected_instance = next(
         (
--- a/standins/runner.py
+++ b/standins/runner.py
@@ -65,6 +65,7 @@
             run; None for runs without progress and checkpoints.
         restore_s: Seconds that a run needs to resume from a checkpoint.
         kill_s: Seconds that it takes to kill runs whose lease has expired.
+        on_restart: Called when an incarnation begins.
     """
 
     def __init__(
@@ -94,6 +95,7 @@
         self.checkpoint_interval_s: float | None = None
         self.restore_s = 0.0
         self.kill_s = 0.0
+        self.on_restart: Callable[[], None] = lambda: None
         self._stalled_from = math.inf
         self._resumed_at = -math.inf
         self._speed = 1.0
@@ -107,6 +109,7 @@
 
     def _start_incarnation(self) -> None:
         loop = asyncio.get_running_loop()
+        self.on_restart()
         self._incarnation_start = loop.time()
         self._token = 0
         self._lease_end_ms = 0
--- a/standins/virtual_time.py
+++ b/standins/virtual_time.py
@@ -68,14 +68,21 @@
         await asyncio.sleep(max(0.0, duration.total_seconds()))
 
 
-def run_virtually(main: Coroutine[typing.Any, typing.Any, Result]) -> Result:
+def run_virtually(
+    main: Coroutine[typing.Any, typing.Any, Result],
+    loop: VirtualLoop | None = None,
+) -> Result:
     """Runs a coroutine in virtual time, then cancels all remaining tasks.
 
+    Args:
+        main: The coroutine.
+        loop: Loop to use; None for a new one.
+
     Raises:
         HangError: No task is ready and no timer is set, or the coroutine needs
             over an hour of virtual time.
     """
-    loop = VirtualLoop()
+    loop = VirtualLoop() if loop is None else loop
     try:
         return loop.run_until_complete(main)
     finally:
--- a/tamarackhatch/platform/_runner_client.py
+++ b/tamarackhatch/platform/_runner_client.py
@@ -118,6 +118,7 @@
         acknowledged_exit: int,
         lease_end: datetime.timedelta | None,
         wait: datetime.timedelta,
+        reported_at: datetime.timedelta = datetime.timedelta.min,
     ) -> model.RunnerReport:
         """Renews the lease of all runs on a runner, and returns its report.
 
@@ -128,6 +129,10 @@
             lease_end: End of the lease on the runner's clock; None reads the
                 report without a renewal, which needs no valid authority.
             wait: How long the runner may wait for an exit before it answers.
+            reported_at: Monotonic time at which the incarnation was up that
+                listed the acknowledged exit. Another one, which may be at the
+                end of a connection that is opened later, gets no
+                acknowledgement: it would forget other exits unread.
 
         Raises:
             RunnerUnavailableError: No report came.
@@ -154,6 +159,8 @@
                 body,
                 wait + _RENEWAL_ANSWER_ALLOWANCE,
                 is_permitted,
+                reported_at if acknowledged_exit else None,
+                {**body, "ack_cursor": 0},
             )
         except _runner_errors.RunnerOutcomeUnknownError as error:
             if error.is_stalled:
@@ -296,16 +303,25 @@
         body: dict[str, typing.Any],
         timeout: datetime.timedelta,
         is_permitted: Callable[[], bool],
+        opened_before: datetime.timedelta | None = None,
+        other_body: dict[str, typing.Any] | None = None,
     ) -> transport.Answer:
+        encoded = orjson.dumps(body)
         call = transport.Call(
             "POST",
             runner.address,
             path,
             timeout,
-            orjson.dumps(body),
+            encoded,
             (f"X-Expect-Instance: {runner.identifier}",),
             is_permitted=is_permitted,
             is_repeatable=False,
+            opened_before=opened_before,
+            other_body=(
+                orjson.dumps(other_body).ljust(len(encoded))
+                if other_body
+                else b""
+            ),
         )
         try:
             return await self._client.send(call)
--- a/tamarackhatch/platform/tests/test_runner_calls.py
+++ b/tamarackhatch/platform/tests/test_runner_calls.py
@@ -8,6 +8,7 @@
 import threading
 import typing
 
+import orjson
 import pytest
 
 from tamarackhatch import clock
@@ -119,3 +120,48 @@
     with raw_server.serve(runner_process.handle) as address:
         asyncio.run(send_two())
     assert runner_process.received == 2
+
+
+@pytest.mark.parametrize(
+    ("is_restarted", "expected"), [(False, [0, 57]), (True, [0, 0])]
+)
+def test_exits_are_acknowledged_to_the_process_that_listed_them(
+    is_restarted: bool, expected: list[int]
+) -> None:
+    """Guards against a restarted runner that forgets exits unread."""
+    received: list[int] = []
+
+    def serve_connection(connection: socket.socket) -> None:
+        while data := connection.recv(65536):
+            body = orjson.loads(data.rpartition(b"\r\n\r\n")[2])
+            received.append(body["ack_cursor"])
+            connection.sendall(
+                b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%b"
+                % (len(_REPORT), _REPORT)
+            )
+            if is_restarted:
+                connection.close()
+                return
+
+    async def renew_twice() -> None:
+        time_source = clock.SystemClock()
+        http = transport.HttpClient(time_source, 4)
+        client = platform.RunnerClient(http)
+        runner = model.Runner(
+            "i-0", "office", address, "", False, model.Resources()
+        )
+        for acknowledged_exit in (0, 57):
+            await client.renew(
+                runner,
+                _AUTHORITY,
+                acknowledged_exit,
+                datetime.timedelta(seconds=5),
+                datetime.timedelta(),
+                reported_at=time_source.get_monotonic(),
+            )
+            await asyncio.sleep(0.05)
+        http.close()
+
+    with raw_server.serve_connections(serve_connection) as address:
+        asyncio.run(renew_twice())
+    assert received == expected
--- a/tamarackhatch/scheduler/_fleet.py
+++ b/tamarackhatch/scheduler/_fleet.py
@@ -63,6 +63,7 @@
         clock: Reading of the runner's clock in its last answer.
         clock_read: Monotonic time at which that answer arrived; None before
             the first answer.
+        clock_offset: Lower bound of monotonic time less its clock.
         processed_exit: Number of the last exit that was processed.
         acknowledged_exit: Number of the last exit that is durable.
         pending_acks: Exits that are not durable yet, by number and in their
@@ -110,6 +111,7 @@
     lease_end: datetime.timedelta = datetime.timedelta()
     clock: datetime.timedelta = datetime.timedelta()
     clock_read: datetime.timedelta | None = None
+    clock_offset: datetime.timedelta = datetime.timedelta.min
     processed_exit: int = 0
     acknowledged_exit: int = 0
     pending_acks: dict[int, PendingAck] = attrs.field(factory=dict)
@@ -250,6 +252,27 @@
         """
         return not (self.tasks or self.pending_acks or self.listed)
 
+    @property
+    def reported_at(self) -> datetime.timedelta:
+        """Earliest monotonic time at which its last report was made."""
+        return self.clock + self.clock_offset
+
+    def record_clock(
+        self,
+        reading: datetime.timedelta,
+        sent: datetime.timedelta,
+        now: datetime.timedelta,
+    ) -> None:
+        """Records a reading of the runner's clock, which may be slow.
+
+        Args:
+            reading: The reading.
+            sent: Monotonic time at which the renewal was sent.
+            now: Monotonic time at which its answer arrived.
+        """
+        self.clock, self.clock_read = reading, now
+        self.clock_offset = max(self.clock_offset, sent - reading)
+
     def acknowledge_durable_exits(self, generation: int) -> None:
         """Advances acknowledged_exit over all exits that are durable.
 
--- a/tamarackhatch/scheduler/_runner_reconciler.py
+++ b/tamarackhatch/scheduler/_runner_reconciler.py
@@ -139,6 +139,7 @@
                 entry.acknowledgeable_exit,
                 lease_end,
                 wait,
+                entry.reported_at,
             )
         except platform.FencedError:
             context.log.warning("renewal_fenced", runner=entry.identifier)
@@ -230,7 +231,7 @@
         entry.lost_contact_at = None
         entry.evidence = _Evidence.SILENT
         _runner_reports.log_unreadable_entries(context, entry, report)
-        entry.clock, entry.clock_read = report.clock_reading, now
+        entry.record_clock(report.clock_reading, sent, now)
         if not self._has_reported:
             # An earlier scheduler may have granted a lease just before this
             # answer.
@@ -349,6 +350,7 @@
         entry.supposed_crashes.clear()
         entry.processed_exit = entry.acknowledged_exit = 0
         entry.pending_acks.clear()
+        entry.clock_offset = datetime.timedelta.min
         entry.unread_exits.clear()
         entry.unread_running.clear()
         if entry.incarnation:
--- a/tamarackhatch/scheduler/tests/test_overtaken_reports.py
+++ b/tamarackhatch/scheduler/tests/test_overtaken_reports.py
@@ -70,3 +70,44 @@
         assert fleet.check() == []
 
     virtual_time.run_virtually(simulate())
+
+
+@pytest.mark.parametrize("report_delay_s", [0.2, 0.5])
+@pytest.mark.parametrize("run_s", [0.1, 0.3])
+def test_exit_of_a_new_incarnation_is_not_acknowledged_unread(
+    run_s: float, report_delay_s: float
+) -> None:
+    """Guards against a task that runs again after its end was forgotten.
+
+    The runner restarts after it has made a report, and ends a run before the
+    next renewal arrives, which acknowledges exits of the incarnation before.
+    """
+
+    async def simulate() -> None:
+        fleet = standin_fleet.VirtualFleet(
+            1, lambda task, run: (run_s, "done")
+        )
+        item = fleet.runners[0]
+        is_restarted = asyncio.Event()
+
+        async def handle(request: network.Request) -> network.Response:
+            response = await item.handle(request)
+            if response.body.get("ended") and not is_restarted.is_set():
+                item.crash()
+                is_restarted.set()
+                await asyncio.sleep(report_delay_s)
+            return response
+
+        fleet.network.serve(item.address, handle)
+        fleet.start_instance("a")
+        await fleet.wait_until(lambda: fleet.get_leader() is not None)
+        await asyncio.sleep(2)
+        await fleet.submit("00", model.Step(1, _TASK))
+        await is_restarted.wait()
+        await fleet.submit("01", model.Step(1, _TASK))
+        for job in ("00", "01"):
+            await fleet.wait_for_state(job, model.JobState.COMPLETED)
+        await asyncio.sleep(2)
+        assert fleet.check() == []
+
+    virtual_time.run_virtually(simulate())
