Report a late start that repeats a run under its number

repeated_run_found missed the most frequent case, a start that the next incarnation of a runner carries out late: it has the number and the runner of the run that was done, so that it counted as the same run. Runs are now told apart by the incarnation of their runner as well.

--- a/tamarackhatch/scheduler/_repeated_runs.py
+++ b/tamarackhatch/scheduler/_repeated_runs.py
@@ -43,11 +43,24 @@
         runner: Identifier of its runner; None as above.
         since: Monotonic time at which it was placed, or seen to be done;
             None as above.
+        incarnation: Incarnation of the runner; 0 if it is not known.
     """
 
     run: int | None = None
     runner: str | None = None
     since: datetime.timedelta | None = None
+    incarnation: int = 0
+
+    def is_same(self, run: int, entry: _fleet.RunnerEntry) -> bool:
+        """Returns whether it is a run that a runner lists.
+
+        A late start repeats a run on another incarnation under its number.
+        """
+        return (self.run, self.runner, self.incarnation) == (
+            run,
+            entry.identifier,
+            entry.incarnation,
+        )
 
 
 class RepeatedRunRecorder:
@@ -88,8 +101,8 @@
         """
         other = self._done.get(item.task)
         if other is not None and other.run is not None:
-            if item.run != other.run:
-                is_later = item.run > other.run
+            if not other.is_same(item.run, entry):
+                is_later = item.run >= other.run
                 form = Form.AFTER_DONE if is_later else Form.AT_ONCE
                 self._record(form, "running", entry, item, other)
         elif job is not None and job.state is model.JobState.COMPLETED:
@@ -118,7 +131,7 @@
             return
         other = self._done.get(run_exit.task)
         if other is not None:
-            if other.run != run_exit.run:
+            if not other.is_same(run_exit.run, entry):
                 self._record(Form.AFTER_DONE, "done", entry, run_exit, other)
             return
         if task is not None and _runs_elsewhere(task, entry):
@@ -126,7 +139,10 @@
                 Form.AFTER_DONE, "done", entry, run_exit, _get_run(task)
             )
         self._done[run_exit.task] = _OtherRun(
-            run_exit.run, entry.identifier, self._clock.get_monotonic()
+            run_exit.run,
+            entry.identifier,
+            self._clock.get_monotonic(),
+            entry.incarnation,
         )
         if len(self._done) > _MAX_DONE_RUNS:
             self._done.popitem(last=False)
@@ -139,7 +155,12 @@
         repeated: model.RunningTask | model.RunExit,
         other: _OtherRun,
     ) -> None:
-        key = (repeated.task, repeated.run, entry.identifier)
+        key = (
+            repeated.task,
+            repeated.run,
+            entry.identifier,
+            entry.incarnation,
+        )
         if key in self._known:
             return
         self._known[key] = None
--- a/tamarackhatch/scheduler/tests/test_repeated_runs.py
+++ b/tamarackhatch/scheduler/tests/test_repeated_runs.py
@@ -114,7 +114,7 @@
             identifier, "office", "h:1", "", False, model.Resources(16_000, 64)
         )
     )
-    entry.incarnation = 7
+    entry.incarnation = 7 if identifier == "i-1" else 3
     return entry
 
 
@@ -149,6 +149,14 @@
     report.list_done(2, report.second, is_known=False)
 
 
+def _list_late_start_on_next_incarnation(report: _Report) -> None:
+    report.second.incarnation = 6
+    report.list_done(1, report.second)
+    report.wait(_SECOND)
+    report.second.incarnation = 7
+    report.list_running(1, report.second, is_known=False)
+
+
 def _list_success_while_running_elsewhere(report: _Report) -> None:
     report.place(2, report.first)
     report.wait(_SECOND)
@@ -183,6 +191,11 @@
             _repeated_runs.Form.AFTER_DONE,
             [2, "done", "i-1", 1, "i-0", 1000],
         ),
+        (
+            _list_late_start_on_next_incarnation,
+            _repeated_runs.Form.AFTER_DONE,
+            [1, "running", "i-1", 1, "i-1", 1000],
+        ),
         (
             _list_success_while_running_elsewhere,
             _repeated_runs.Form.AFTER_DONE,
