Keep the age of connections that are in use

The client forgot the age of the connections that it had opened first, though they may be used all the time. Renewals over one of these then carried no acknowledgement any more: exits of a busy runner would never be acknowledged, and finished tasks could run again once its lease expires. Found in review; test_age_of_a_connection_in_use_stays_known failed.

--- a/tamarackhatch/transport/_transfer.py
+++ b/tamarackhatch/transport/_transfer.py
@@ -1,6 +1,7 @@
 """A call in progress, and what is known of the connection that it gets."""
 
 import asyncio
+import collections
 import datetime
 import io
 import select
@@ -40,7 +41,10 @@
 
     def __init__(self, time_source: clock.Clock) -> None:
         self._clock = time_source
-        self._connections: dict[tuple[object, ...], _Connection] = {}
+        # Those used last are at the end.
+        self._connections: collections.OrderedDict[
+            tuple[object, ...], _Connection
+        ] = collections.OrderedDict()
 
     def make_connection(self, descriptor: int) -> _Connection:
         """Returns a connection that is opened now."""
@@ -48,14 +52,17 @@
 
     def add(self, name: tuple[object, ...], added: _Connection) -> None:
         """Adds a connection under its addresses and ports."""
-        self._connections.pop(name, None)
         self._connections[name] = added
+        self._connections.move_to_end(name)
         if len(self._connections) > _MAX_KNOWN_CONNECTIONS:
-            del self._connections[next(iter(self._connections))]
+            self._connections.popitem(last=False)
 
     def find(self, name: tuple[object, ...]) -> _Connection | None:
-        """Returns a connection, or None if it is not known."""
-        return self._connections.get(name)
+        """Returns a connection that is used, or None if it is not known."""
+        found = self._connections.get(name)
+        if found is not None:
+            self._connections.move_to_end(name)
+        return found
 
 
 class Transfer:
