Raise fencing tokens also while the store confirms nothing

A task could run twice at once: an unanswered start was repeated under the same token, because the store had confirmed nothing since the one before, and the late attempt ran on the restarted runner beside a run elsewhere.

Each raise took the latest version in which the store had confirmed the term. It takes the lowest one above the runner's token now, of the last 64.

--- a/tamarackhatch/election/_leader_lease.py
+++ b/tamarackhatch/election/_leader_lease.py
@@ -1,5 +1,7 @@
 """Term of the active scheduler, and how long it may send commands in it."""
 
+import collections
+from collections.abc import Sequence
 import datetime
 
 import attrs
@@ -9,6 +11,9 @@
 
 # Leases are waited for on clocks that may be slower by 3%.
 _SLOW_CLOCK_FACTOR = 1.03
+# Fencing tokens that remain while the store confirms nothing, which is for a
+# leader lease at most.
+_MAX_KEPT_VERSIONS = 64
 
 
 @attrs.frozen
@@ -82,7 +87,9 @@
         self._term = term
         self._duration = duration
         self._confirmed_at = term.sent_at
-        self._confirmed_version = term.token
+        self._confirmed_versions = collections.deque(
+            [term.token], maxlen=_MAX_KEPT_VERSIONS
+        )
         self._is_revoked = False
         self._began = time_source.get_boot_time()
         self._earlier_lease = duration * _SLOW_CLOCK_FACTOR
@@ -95,12 +102,12 @@
         return self._term
 
     @property
-    def confirmed_version(self) -> int:
-        """Version in which the store last confirmed the term.
+    def confirmed_versions(self) -> Sequence[int]:
+        """Latest versions in which the store confirmed the term, ascending.
 
-        It is below the token of any later term.
+        They are below the token of any later term.
         """
-        return self._confirmed_version
+        return self._confirmed_versions
 
     @property
     def is_revoked(self) -> bool:
@@ -138,7 +145,8 @@
             version: Version of the confirmed write.
         """
         self._confirmed_at = max(self._confirmed_at, sent_at)
-        self._confirmed_version = max(self._confirmed_version, version)
+        if version > self._confirmed_versions[-1]:
+            self._confirmed_versions.append(version)
 
     def revoke(self) -> None:
         """Ends the lease, because another scheduler has taken over."""
--- a/tamarackhatch/scheduler/_command_fence.py
+++ b/tamarackhatch/scheduler/_command_fence.py
@@ -1,5 +1,7 @@
 """Fencing tokens that shut out a scheduler's own late commands."""
 
+from collections.abc import Sequence
+
 import attrs
 
 
@@ -14,26 +16,25 @@
 
     Tokens are versions of the store in which it has confirmed the term. These
     are above the token with which the term began, and below those of later
-    terms.
+    terms. Each raise takes the lowest of them, so that some remain while the
+    store confirms nothing.
     """
 
     _token: int = 0
     _is_outdated: bool = True
 
-    @property
-    def is_outdated(self) -> bool:
-        """Whether a command with the latest token may be carried out late."""
-        return self._is_outdated
-
-    def advance(self, confirmed: int) -> int:
+    def advance(self, confirmed: Sequence[int]) -> int:
         """Returns the token of a command that is sent now.
 
         Args:
-            confirmed: Version in which the store last confirmed the term.
+            confirmed: Versions in which the store confirmed the term,
+                ascending.
         """
-        if self._is_outdated and confirmed > self._token:
-            self._token = confirmed
-            self._is_outdated = False
+        if self._is_outdated:
+            higher = (it for it in confirmed if it > self._token)
+            token = next(higher, self._token)
+            self._is_outdated = token == self._token
+            self._token = token
         return self._token
 
     def record_unanswered_command(self) -> None:
--- a/tamarackhatch/scheduler/_context.py
+++ b/tamarackhatch/scheduler/_context.py
@@ -92,7 +92,7 @@
     def get_authority(self, runner: _state.TaskRunner) -> platform.Authority:
         """Returns the right to send a command to a runner now."""
         return platform.Authority(
-            runner.fence.advance(self.leader_lease.confirmed_version),
+            runner.fence.advance(self.leader_lease.confirmed_versions),
             lambda: self.leader_lease.is_valid,
         )
 
--- a/tamarackhatch/scheduler/tests/test_command_fence.py
+++ b/tamarackhatch/scheduler/tests/test_command_fence.py
@@ -15,24 +15,34 @@
 
 
 @pytest.mark.parametrize(
-    ("is_unanswered", "confirmed", "token", "is_outdated"),
+    ("unanswered", "confirmed", "tokens"),
     [
-        (False, 7, 7, False),
-        (False, 9, 7, False),
-        (True, 7, 7, True),
-        (True, 9, 9, False),
+        (False, [7], [7, 7]),
+        (False, [7, 9], [7, 7]),
+        (True, [7], [7, 7]),
+        (True, [7, 9], [9, 9]),
+        (True, [7, 9, 12], [9, 9]),
+        (True, [8, 9, 12], [8, 8]),
     ],
 )
 def test_unanswered_command_raises_the_token_of_later_ones(
-    is_unanswered: bool, confirmed: int, token: int, is_outdated: bool
+    unanswered: bool, confirmed: list[int], tokens: list[int]
 ) -> None:
     """Guards against later commands that do not shut out a late one."""
     fence = _command_fence.CommandFence()
-    assert fence.advance(7) == 7
-    if is_unanswered:
+    assert fence.advance([7]) == 7
+    if unanswered:
         fence.record_unanswered_command()
-    assert fence.advance(confirmed) == token
-    assert fence.is_outdated is is_outdated
+    assert [fence.advance(confirmed), fence.advance(confirmed)] == tokens
+
+
+def test_token_rises_as_soon_as_the_store_confirms_the_term() -> None:
+    """Guards against a late command that is shut out never."""
+    fence = _command_fence.CommandFence()
+    fence.advance([7])
+    fence.record_unanswered_command()
+    assert fence.advance([7]) == 7
+    assert fence.advance([7, 9]) == 9
 
 
 @pytest.mark.parametrize(
@@ -43,9 +53,9 @@
 ) -> None:
     """Guards against a term that its own commands end."""
     fence = _command_fence.CommandFence()
-    fence.advance(7)
+    fence.advance([7])
     fence.record_unanswered_command()
-    fence.advance(9)
+    fence.advance([7, 9])
     assert fence.is_current(token) is is_current
 
 
