Acknowledge each exit to a runner only until it is forgotten there

Each renewal repeated the last acknowledgement, though the runner no longer listed these exits. One that was held back for over two seconds reached the next incarnation of its runner under the same token, which forgot a new exit under an old number: the task ran again, though its end counted as acknowledged. A renewal carries an acknowledgement now only if the last report lists exits that are durable.

--- a/tamarackhatch/scheduler/_fleet.py
+++ b/tamarackhatch/scheduler/_fleet.py
@@ -68,6 +68,8 @@
         clock_offset: Lower bound of monotonic time less its clock.
         processed_exit: Number of the last exit that was processed.
         acknowledged_exit: Number of the last exit that is durable.
+        forgotten_exit: Number up to which its last report lists no exits,
+            because it has got their acknowledgement.
         pending_acks: Exits that are not durable yet, by number and in their
             order.
         unread_exits: Exits of jobs that may be stored and not be read yet, by
@@ -119,6 +121,7 @@
     clock_offset: datetime.timedelta = datetime.timedelta.min
     processed_exit: int = 0
     acknowledged_exit: int = 0
+    forgotten_exit: int = 0
     pending_acks: dict[int, PendingAck] = attrs.field(factory=dict)
     unread_exits: dict[int, tuple[model.RunExit, datetime.timedelta]] = (
         attrs.field(factory=dict)
@@ -205,13 +208,16 @@
 
     @property
     def acknowledgeable_exit(self) -> int:
-        """Number of the exit up to which a renewal may acknowledge exits.
+        """Number of the exit up to which a renewal has to acknowledge exits.
 
-        0 if the runner may have restarted since its last answer: a new
-        incarnation numbers its exits anew, and would discard them unread.
+        0 if there is none, or if the runner may have restarted since its last
+        answer: a new incarnation numbers its exits anew, and would discard
+        them unread.
         """
         if self.missed_renewals or not self._is_record_current:
             return 0
+        if self.acknowledged_exit <= self.forgotten_exit:
+            return 0
         return self.acknowledged_exit
 
     @property
@@ -363,11 +369,21 @@
         self.fence.record_unanswered_command()
         self.supposed_crashes.clear()
         self.processed_exit = self.acknowledged_exit = 0
+        self.forgotten_exit = 0
         self.pending_acks.clear()
         self.clock_offset = datetime.timedelta.min
         self.unread_exits.clear()
         self.unread_running.clear()
 
+    def record_listed_exits(self, exits: tuple[model.RunExit, ...]) -> None:
+        """Records which exits a complete report still lists.
+
+        Must be called once they are processed.
+        """
+        self.forgotten_exit = self.processed_exit
+        if exits:
+            self.forgotten_exit = min(item.number for item in exits) - 1
+
     def record_lease_end(self) -> None:
         """Records that all runs here have ended with the lease."""
         self.listed = ()
--- a/tamarackhatch/scheduler/_runner_reconciler.py
+++ b/tamarackhatch/scheduler/_runner_reconciler.py
@@ -279,6 +279,8 @@
                 _runner_reports.record_missing_runs(
                     context, entry, listed, sent
                 )
+        if not report.unreadable_exits:
+            entry.record_listed_exits(report.exits)
         entry.listed = report.running
         _runner_reports.count_unassigned_runs(context, entry)
 
