Judge the age of connections by when they were established

An acknowledgement could reach a process that came up while the connection was being opened, since its age counted from the creation of the socket. And the time of a report was estimated from the runner's clock: after a suspension of the scheduler's machine it lay in the future, so that any connection counted as old enough.

A connection's age counts from its establishment, and a report counts as made when its renewal was sent. A process that the connection reaches was up before that renewal, and one that takes its place later cannot be at its end.

--- a/tamarackhatch/scheduler/_fleet.py
+++ b/tamarackhatch/scheduler/_fleet.py
@@ -65,7 +65,7 @@
         clock: Reading of the runner's clock in its last answer.
         clock_read: Monotonic time at which that answer arrived; None before
             the first answer.
-        clock_offset: Lower bound of monotonic time less its clock.
+        reported_at: Monotonic time after which its last report was made.
         processed_exit: Number of the last exit that was processed.
         acknowledged_exit: Number of the last exit that is durable.
         forgotten_exit: Number up to which its last report lists no exits,
@@ -118,7 +118,7 @@
     )
     clock: datetime.timedelta = datetime.timedelta()
     clock_read: datetime.timedelta | None = None
-    clock_offset: datetime.timedelta = datetime.timedelta.min
+    reported_at: datetime.timedelta = datetime.timedelta.min
     processed_exit: int = 0
     acknowledged_exit: int = 0
     forgotten_exit: int = 0
@@ -266,26 +266,20 @@
         """
         return not (self.tasks or self.pending_acks or self.listed)
 
-    @property
-    def reported_at(self) -> datetime.timedelta:
-        """Earliest monotonic time at which its last report was made."""
-        return self.clock + self.clock_offset
-
     def record_clock(
         self,
         reading: datetime.timedelta,
         sent: datetime.timedelta,
         now: datetime.timedelta,
     ) -> None:
-        """Records a reading of the runner's clock, which may be slow.
+        """Records a reading of the runner's clock.
 
         Args:
             reading: The reading.
             sent: Monotonic time at which the renewal was sent.
             now: Monotonic time at which its answer arrived.
         """
-        self.clock, self.clock_read = reading, now
-        self.clock_offset = max(self.clock_offset, sent - reading)
+        self.clock, self.clock_read, self.reported_at = reading, now, sent
 
     def acknowledge_durable_exits(self, generation: int) -> None:
         """Advances acknowledged_exit over all exits that are durable.
@@ -371,7 +365,6 @@
         self.processed_exit = self.acknowledged_exit = 0
         self.forgotten_exit = 0
         self.pending_acks.clear()
-        self.clock_offset = datetime.timedelta.min
         self.unread_exits.clear()
         self.unread_running.clear()
 
--- a/tamarackhatch/transport/_transfer.py
+++ b/tamarackhatch/transport/_transfer.py
@@ -22,7 +22,7 @@
 
     Attributes:
         descriptor: Its file descriptor.
-        opened: Monotonic time at which it was opened.
+        opened: Monotonic time at which it was known to be established.
     """
 
     descriptor: int
@@ -46,13 +46,11 @@
             tuple[object, ...], _Connection
         ] = collections.OrderedDict()
 
-    def make_connection(self, descriptor: int) -> _Connection:
-        """Returns a connection that is opened now."""
-        return _Connection(descriptor, self._clock.get_monotonic())
-
-    def add(self, name: tuple[object, ...], added: _Connection) -> None:
-        """Adds a connection under its addresses and ports."""
-        self._connections[name] = added
+    def add(self, name: tuple[object, ...], descriptor: int) -> None:
+        """Adds a connection, which is established, by addresses and ports."""
+        self._connections[name] = _Connection(
+            descriptor, self._clock.get_monotonic()
+        )
         self._connections.move_to_end(name)
         if len(self._connections) > _MAX_KNOWN_CONNECTIONS:
             self._connections.popitem(last=False)
@@ -80,13 +78,13 @@
         self.is_sent = False
         self.timer: asyncio.TimerHandle | None = None
         self._connections = connections
-        self._opened: _Connection | None = None
+        self._opened_descriptor: int | None = None
         self._may_repeat = True
         self._body = io.BytesIO()
 
     def record_socket(self, descriptor: int, _purpose: int) -> int:
         """Records that a connection is opened for the call."""
-        self._opened = self._connections.make_connection(descriptor)
+        self._opened_descriptor = descriptor
         return int(pycurl.SOCKOPT_OK)
 
     def prepare_sending(self, *name: object) -> int:
@@ -99,9 +97,9 @@
         """
         if not self._may_repeat or not self.call.is_permitted():
             return int(pycurl.PREREQFUNC_ABORT)
-        if self._opened is not None:
-            self._connections.add(name, self._opened)
-            self._opened = None
+        if self._opened_descriptor is not None:
+            self._connections.add(name, self._opened_descriptor)
+            self._opened_descriptor = None
         if not self.call.is_repeatable:
             self._choose_body(self._connections.find(name))
         self.is_sent = True
--- a/tamarackhatch/transport/tests/test_connection_age.py
+++ b/tamarackhatch/transport/tests/test_connection_age.py
@@ -14,6 +14,7 @@
 
 _TIMEOUT = datetime.timedelta(milliseconds=800)
 _MAX_CONNECTIONS = 8
+_SECOND = datetime.timedelta(seconds=1)
 
 
 def test_age_of_a_connection_in_use_stays_known(
@@ -64,3 +65,42 @@
     ):
         asyncio.run(send_all())
     assert received == [b"{1}"] * 21
+
+
+@pytest.mark.parametrize("connect_s", [0.2, 0.6])
+def test_connection_is_not_older_than_its_establishment(
+    connect_s: float,
+) -> None:
+    """Guards against an acknowledgement to a process that came up meanwhile.
+
+    A report is made between the creation of the socket and its connection.
+    """
+    time_source = clock.ManualClock()
+    connections = _transfer.Connections(time_source)
+    name = ("10.0.0.1", "10.0.0.2", 80, 40_000)
+
+    async def open_and_use() -> bytes:
+        loop = asyncio.get_running_loop()
+        call = transport.Call(
+            "POST", "10.0.0.1:80", "/", _TIMEOUT, b"{1}", is_repeatable=False
+        )
+        opening = _transfer.Transfer(call, loop.create_future(), connections)
+        with socket.socket() as used:
+            opening.record_socket(used.fileno(), 0)
+            await time_source.advance(connect_s / 2 * _SECOND)
+            reported = time_source.get_monotonic()
+            await time_source.advance(connect_s / 2 * _SECOND)
+            opening.prepare_sending(*name)
+            later = _transfer.Transfer(
+                attrs.evolve(
+                    call,
+                    opened_before=reported + _SECOND / 1000,
+                    other_body=b"{} ",
+                ),
+                loop.create_future(),
+                connections,
+            )
+            later.prepare_sending(*name)
+            return later.read_body(10)
+
+    assert asyncio.run(open_and_use()) == b"{} "
