Stand-ins: registry rows carry the runner's clock and can expire

A row of the platform carries clock_ms and is removed after three heartbeats of silence; a stopped process writes none. Without heartbeat_s rows stay as before. test_late_kills.py passes as before.

--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -30,6 +30,9 @@
     max_attempts=3,
 )
 _REGISTRATION_INTERVAL_S = 1.0
+# Heartbeats of silence after which a registry entry expires.
+_EXPIRY_HEARTBEATS = 3
+_EXPIRY_CHECK_INTERVAL_S = 0.05
 _SUBMIT_TIMEOUT = datetime.timedelta(seconds=3)
 
 
@@ -56,6 +59,9 @@
             configuration says.
         services: Names of the services that are configured.
         bounds: Time bounds of the instances that are started from now on.
+        heartbeat_s: Seconds between two registrations of a runner whose entry
+            expires after three heartbeats of silence; None for entries that
+            stay until they are removed.
     """
 
     def __init__(
@@ -90,6 +96,7 @@
         self.enforces_capacity = True
         self.services = {SERVICE}
         self.bounds = settings.Bounds(max_lease=runner.MAX_LEASE)
+        self.heartbeat_s: float | None = None
         self.log_descriptor = os.open(
             log_path, os.O_WRONLY | os.O_CREAT | os.O_APPEND
         )
@@ -320,10 +327,25 @@
     async def _register_periodically(
         self, registered: runner.RunnerStandIn
     ) -> None:
+        loop = asyncio.get_running_loop()
         while True:
             is_store_up = not (
                 self.store.is_down or self.store.is_unresponsive
             )
-            if is_store_up and registered.is_registering:
-                registered.register(self.store)
-            await asyncio.sleep(_REGISTRATION_INTERVAL_S)
+            interval_s = self.heartbeat_s or 0.0
+            silent_s = loop.time() - registered.registered_at
+            if silent_s >= interval_s:
+                if is_store_up and registered.is_registering:
+                    registered.register(self.store)
+            if self.heartbeat_s is None:
+                await asyncio.sleep(_REGISTRATION_INTERVAL_S)
+                continue
+            if silent_s >= _EXPIRY_HEARTBEATS * interval_s:
+                self._expire_entry(registered)
+            await asyncio.sleep(_EXPIRY_CHECK_INTERVAL_S)
+
+    def _expire_entry(self, registered: runner.RunnerStandIn) -> None:
+        now = asyncio.get_running_loop().time()
+        is_silent = registered.registered_at < now
+        if is_silent and self.store.get("servers", registered.identifier):
+            self.store.remove("servers", registered.identifier)
--- a/standins/runner.py
+++ b/standins/runner.py
@@ -65,6 +65,8 @@
             run; None for runs without progress and checkpoints.
         restore_s: Seconds that a run needs to resume from a checkpoint.
         kill_s: Seconds that it takes to kill runs whose lease has expired.
+        registered_at: Loop time at which it last registered; minus infinity
+            before that.
     """
 
     def __init__(
@@ -94,6 +96,7 @@
         self.checkpoint_interval_s: float | None = None
         self.restore_s = 0.0
         self.kill_s = 0.0
+        self.registered_at = -math.inf
         self._stalled_from = math.inf
         self._resumed_at = -math.inf
         self._speed = 1.0
@@ -191,9 +194,13 @@
         self._start_incarnation()
 
     def register(self, store_stand_in: store.StoreStandIn) -> None:
-        """Writes the runner's entry into the registry in the store."""
-        if self.is_down:
+        """Writes the runner's entry into the registry in the store.
+
+        A process that is stopped writes nothing.
+        """
+        if self.is_down or self._stalled_from < math.inf:
             return
+        self.registered_at = asyncio.get_running_loop().time()
         for identifier in self._earlier_identifiers:
             store_stand_in.remove("servers", identifier)
         self._earlier_identifiers.clear()
@@ -212,6 +219,7 @@
                 "gpu": self.capacity.accelerators,
             },
             "labels": self.labels,
+            "clock_ms": self._get_clock_ms(),
             "born": self._incarnation,
             "seq": self._registration_number,
         }
