Decode the runner's clock in its registry entry

Each entry carries clock_ms, a reading of the runner's own clock at its heartbeat. A missing or malformed one means that it is not known, and leaves the runner usable. Nothing uses it yet.

The test fails without the field.

--- a/tamarackhatch/model/_runners.py
+++ b/tamarackhatch/model/_runners.py
@@ -25,6 +25,8 @@
             entry does not state it.
         remaining: Minimum time until a draining runner leaves; None if it is
             not draining.
+        clock_reading: Time on the runner's monotonic clock when it wrote the
+            entry; None if the entry does not state it.
     """
 
     identifier: str
@@ -36,6 +38,7 @@
     labels: tuple[str, ...] = ()
     incarnation: int = 0
     remaining: datetime.timedelta | None = None
+    clock_reading: datetime.timedelta | None = None
 
     @property
     def rack(self) -> str:
--- a/tamarackhatch/platform/_registry.py
+++ b/tamarackhatch/platform/_registry.py
@@ -1,5 +1,6 @@
 """Decodes the registry entries that runners write to the platform's store."""
 
+import datetime
 import ipaddress
 import re
 import typing
@@ -66,7 +67,8 @@
     _check_address(texts["address"])
     is_draining = texts["state"] == _STATE_DRAINING
     # "zone" is the data centre, "born" the start of the runner's process in
-    # Unix ms, "remaining_ms" the least time until a draining runner leaves.
+    # Unix ms, "clock_ms" a reading of its monotonic clock, "remaining_ms" the
+    # least time until a draining runner leaves.
     # Without the latter, the runner counts as about to leave.
     return model.Runner(
         identifier=row.ref.key,
@@ -82,6 +84,7 @@
             if is_draining
             else None
         ),
+        clock_reading=_decode_clock(document),
     )
 
 
@@ -104,6 +107,22 @@
     return resources
 
 
+def _decode_clock(
+    document: dict[str, typing.Any],
+) -> datetime.timedelta | None:
+    """Returns the runner's clock; None if it is missing or malformed.
+
+    It only serves as evidence, so that a runner is usable without it.
+    """
+    if "clock_ms" not in document:
+        return None
+    try:
+        reading = _decoding.get_duration(document, "clock_ms")
+    except _decoding.MalformedBodyError:
+        return None
+    return reading if reading >= datetime.timedelta() else None
+
+
 def _get_short_text(document: dict[str, typing.Any], name: str) -> str:
     text = _decoding.get_text(document, name)
     if len(text) > (_MAX_ADDRESS if name == "address" else _MAX_TEXT):
--- a/tamarackhatch/platform/tests/test_decoding.py
+++ b/tamarackhatch/platform/tests/test_decoding.py
@@ -136,6 +136,31 @@
     platform.decode_runner(_make_runner_row({**_RUNNER_ENTRY, **change}))
 
 
+@pytest.mark.parametrize(
+    "change, seconds",
+    [
+        ({"clock_ms": 482113}, 482.113),
+        ({"clock_ms": 0}, 0),
+        ({"clock_ms": -1}, None),
+        ({"clock_ms": 1e300}, None),
+        ({"clock_ms": "482113"}, None),
+        ({"clock_ms": True}, None),
+        ({"clock_ms": None}, None),
+        ({}, None),
+    ],
+)
+def test_clock_of_a_runner_entry_is_decoded(
+    change: dict[str, typing.Any], seconds: float | None
+) -> None:
+    """Guards against proofs from a clock that the entry does not state."""
+    entry = {**_RUNNER_ENTRY, **change}
+    if not change:
+        entry.pop("clock_ms", None)
+    reading = platform.decode_runner(_make_runner_row(entry)).clock_reading
+    expected = None if seconds is None else datetime.timedelta(seconds=seconds)
+    assert reading == expected
+
+
 def test_published_example_of_a_runner_entry_is_decoded() -> None:
     """Guards against rejecting what the users' runners write."""
     value = (
@@ -148,6 +173,7 @@
     runner = platform.decode_runner(model.Row(ref, value, 1))
     assert runner.capacity == model.Resources(16000, 32768, 0)
     assert runner.incarnation == 0
+    assert runner.clock_reading == datetime.timedelta(seconds=482.113)
 
 
 @pytest.mark.parametrize(
