Wait for a proof before tasks of a silent runner start again

Callers saw TWICE, two runs at once. A lease counted as expired stop_timeout_ms after its end, and three seconds later if the runner accepted connections. A cut hides that its process is stopped or starved; it then kills its runs when it goes on, beside those that replaced them.

Now the runs of a silent runner are over if another runner answers at its address, or if three of its registry rows since the lease's end show that its process has run for long enough to kill them. One such row proves nothing: a process that goes on may write it before it kills. A runner lived at its last answer, at its last row and when it last accepted a connection, so that this is later for a process that only hangs. The time is checked during renewals too, which take over a second.

runner_lost tells the proof, how long the runner has been silent and past its lease, and the age and clock of its row; the counter of lost runners has the proof as a label.

The deliberate fault in test_history.py bypasses the proof now, since a lease that counts as expired alone no longer breaks the rule.

--- a/tamarackhatch/observability/_metrics.py
+++ b/tamarackhatch/observability/_metrics.py
@@ -51,8 +51,8 @@
         )
         self.lost_runners = prometheus_client.Counter(
             "tamarackhatch_lost_runners",
-            "Runners lost with runs on them, by the reason.",
-            ["reason"],
+            "Runners lost with runs on them, by the reason and its proof.",
+            ["reason", "proof"],
             registry=self._registry,
         )
         self.failed_jobs = prometheus_client.Counter(
--- a/tamarackhatch/scheduler/_crash_recorder.py
+++ b/tamarackhatch/scheduler/_crash_recorder.py
@@ -5,6 +5,7 @@
 from tamarackhatch.scheduler import _context
 from tamarackhatch.scheduler import _crash_suspects
 from tamarackhatch.scheduler import _fleet
+from tamarackhatch.scheduler import _run_proofs
 from tamarackhatch.scheduler import _state
 
 _MAX_LOGGED_RUNS = 12
@@ -26,20 +27,22 @@
     def record_crash(
         self,
         reason: str,
+        proof: _run_proofs.Proof,
         tasks: list[_state.TaskEntry],
         may_start: bool = False,
     ) -> None:
         """Records the end of a runner and of the runs there.
 
         Args:
-            reason: How the end is known, for logs and metrics.
+            reason: Why the runs have ended, for logs and metrics.
+            proof: What shows that they have.
             tasks: Tasks on the runner whose runs have ended or are not known
                 to have started.
             may_start: Whether a late attempt of an unconfirmed start can
                 still be carried out.
         """
         entry, job_tracker = self._entry, self._context.job_tracker
-        self._log_lost_runner(reason)
+        self._log_lost_runner(reason, proof)
         involved = self.suppose_crash(tasks)
         for task in tasks:
             if may_start and task.confirmed is None:
@@ -73,22 +76,19 @@
             entry.supposed_crashes += [(task, task.run) for task, _ in roles]
         return [task for task, _ in roles]
 
-    def _log_lost_runner(self, reason: str) -> None:
+    def _log_lost_runner(self, reason: str, proof: _run_proofs.Proof) -> None:
         """Logs the runs on a lost runner, the latest first."""
         context, entry = self._context, self._entry
         lost_at = entry.lost_contact_at or context.get_now()
         tasks = sorted(entry.tasks.values(), key=lambda task: -task.placed_at)
-        context.metrics.lost_runners.labels(reason).inc()
+        context.metrics.lost_runners.labels(reason, proof.value).inc()
         context.log.warning(
             "runner_lost",
             runner=entry.identifier,
             reason=reason,
+            proof=proof.value,
             evidence=entry.evidence.name.lower(),
-            accepts_connections=entry.is_stalled,
-            silent_ms=(
-                entry.clock_read
-                and (context.get_now() - entry.clock_read) // _MILLISECOND
-            ),
+            **self._describe_silence(),
             runs=len(tasks),
             latest=[
                 [
@@ -100,3 +100,27 @@
                 for task in tasks[:_MAX_LOGGED_RUNS]
             ],
         )
+
+    def _describe_silence(self) -> dict[str, object]:
+        """Returns what is known of the runner's clock, in milliseconds."""
+        entry, now = self._entry, self._context.get_now()
+        if entry.clock_read is None:
+            return {}
+        signs = entry.life_signs
+        past_lease = entry.estimate_clock(now) - entry.lease_end
+        described: dict[str, object] = {
+            "silent_ms": (now - entry.clock_read) // _MILLISECOND,
+            "past_lease_ms": past_lease // _MILLISECOND,
+            "is_registered": entry.is_registered,
+        }
+        if signs.accepted_at is not None:
+            accepted = now - signs.accepted_at
+            described["accepted_ms"] = accepted // _MILLISECOND
+        if signs.row_clock is not None and signs.row_written_at is not None:
+            described["row_age_ms"] = (
+                now - signs.row_written_at
+            ) // _MILLISECOND
+            described["row_past_lease_ms"] = (
+                signs.row_clock - entry.lease_end
+            ) // _MILLISECOND
+        return described
--- a/tamarackhatch/scheduler/_fleet.py
+++ b/tamarackhatch/scheduler/_fleet.py
@@ -7,6 +7,7 @@
 from tamarackhatch import model
 from tamarackhatch import placement
 from tamarackhatch.scheduler import _crash_suspects
+from tamarackhatch.scheduler import _life_signs
 from tamarackhatch.scheduler import _state
 
 # A runner's monotonic clock may be slower than the scheduler's by this share.
@@ -77,8 +78,7 @@
             task does not fit; those of one pause count once.
         lost_contact_at: Earliest monotonic time at which the runner may have
             stopped answering; None while it answers.
-        is_stalled: Whether it accepted a connection for the last renewal, and
-            did not answer.
+        life_signs: What shows that it is alive while it does not answer.
         evidence: Evidence that it has crashed, while it does not answer.
         supposed_crashes: Runs, with their tasks, that are recorded as ended
             by a crash because the runner does not answer. None of them counts
@@ -119,7 +119,9 @@
     missed_renewals: int = 0
     capacity_refusals: int = 0
     lost_contact_at: datetime.timedelta | None = None
-    is_stalled: bool = False
+    life_signs: _life_signs.LifeSigns = attrs.field(
+        factory=_life_signs.LifeSigns
+    )
     evidence: _crash_suspects.Evidence = _crash_suspects.Evidence.SILENT
     supposed_crashes: list[tuple[_state.TaskEntry, int]] = attrs.field(
         factory=list
@@ -146,6 +148,13 @@
         self.leaves_at = None
         if record.remaining is not None:
             self.leaves_at = written_at + record.remaining
+        is_same_incarnation = (
+            bool(record.incarnation) and record.incarnation == self.incarnation
+        )
+        if is_same_incarnation and record.clock_reading is not None:
+            self.life_signs.record_row(
+                record.clock_reading, written_at, self.lease_end
+            )
 
     def assign_task(self, task: _state.TaskEntry) -> None:
         """Reserves capacity for a task that may run on this runner."""
@@ -300,8 +309,19 @@
         """Returns whether the runner's clock is certainly past a reading."""
         if self.clock_read is None:
             return False
-        elapsed = (now - self.clock_read) * (1 - _MAX_CLOCK_DRIFT_SHARE)
-        return self.clock + elapsed > reading + _EXPIRY_MARGIN
+        return self.estimate_clock(now) > reading + _EXPIRY_MARGIN
+
+    def estimate_clock(self, time: datetime.timedelta) -> datetime.timedelta:
+        """Returns the least reading of the runner's clock since its answer.
+
+        Must only be called once the runner has answered.
+
+        Args:
+            time: Monotonic time after its latest answer.
+        """
+        assert self.clock_read is not None
+        elapsed = (time - self.clock_read) * (1 - _MAX_CLOCK_DRIFT_SHARE)
+        return self.clock + elapsed
 
     def record_first_answer(self, exclusive_from: datetime.timedelta) -> None:
         """Records the first report in this term.
--- a/tamarackhatch/scheduler/_runner_reconciler.py
+++ b/tamarackhatch/scheduler/_runner_reconciler.py
@@ -11,9 +11,12 @@
 from tamarackhatch.scheduler import _crash_suspects
 from tamarackhatch.scheduler import _fleet
 from tamarackhatch.scheduler import _health
+from tamarackhatch.scheduler import _life_signs
 from tamarackhatch.scheduler import _renewal_wait
+from tamarackhatch.scheduler import _run_proofs
 from tamarackhatch.scheduler import _run_times
 from tamarackhatch.scheduler import _runner_reports
+from tamarackhatch.scheduler import _silent_runners
 from tamarackhatch.scheduler import _state
 from tamarackhatch.scheduler import _throttling
 
@@ -27,16 +30,6 @@
 _MAX_DURABILITY_WAIT = datetime.timedelta(milliseconds=300)
 # Renewals in a row without an answer after which an idle runner is untracked.
 _UNTRACK_AFTER_MISSED_RENEWALS = 2
-# Renewals in a row that fail without a connection after which the runs are
-# recorded as ended by a crash. A reset connection alone fails once.
-_SUPPOSE_CRASH_AFTER_MISSED_RENEWALS = 2
-# A renewal that fails sooner after the wait that it asked for has lost its
-# connection; a later failure is a timeout.
-_MAX_BREAK_DELAY = datetime.timedelta(milliseconds=500)
-# A process that accepts connections and does not answer may be stopped or
-# starved, and then kills its runs when it goes on. Long-running tasks have to
-# run again nine seconds after a lease has expired.
-_MAX_STALL = datetime.timedelta(seconds=3)
 
 
 class RunnerReconciler:
@@ -68,6 +61,9 @@
         self._has_listed_all = False
         self._started = context.get_now()
         self._crashes = _crash_recorder.CrashRecorder(context, entry)
+        self._silence = _silent_runners.SilentRunnerRecorder(
+            context, entry, self._crashes
+        )
         self._throttling = _throttling.ThrottlingController(
             context, entry, commands
         )
@@ -95,7 +91,7 @@
         return (
             self._has_reported
             and not self._has_listed_all
-            and not self._is_lease_expired(self._context.get_now())
+            and self._silence.find_proof() is None
         )
 
     async def run(self) -> None:
@@ -103,7 +99,9 @@
         context, entry = self._context, self._entry
         while not context.leader_lease.is_revoked:
             sent = context.get_now()
-            report = await self._renew_lease(sent)
+            report = await self._silence.end_runs_during(
+                self._renew_lease(sent)
+            )
             if report is None:
                 if self._is_removable():
                     return
@@ -148,67 +146,23 @@
             platform.RunnerUnavailableError,
             platform.MalformedBodyError,
         ) as error:
-            entry.is_stalled = isinstance(error, platform.RunnerStalledError)
+            if isinstance(error, platform.RunnerStalledError):
+                entry.life_signs.accepted_at = sent
             is_replaced = isinstance(error, platform.RunnerReplacedError)
-            self._record_missed_renewal(error.message, sent, wait, is_replaced)
+            self._silence.record_missed_renewal(
+                error.message, sent, wait, is_replaced
+            )
             return None
-        entry.is_stalled = False
         context.metrics.commands.labels("renew", "accepted").inc()
         context.load_monitor.counters.renewals += 1
         return report
 
-    def _record_missed_renewal(
-        self,
-        reason: str,
-        sent: datetime.timedelta,
-        wait: datetime.timedelta,
-        is_replaced: bool,
-    ) -> None:
-        context, entry = self._context, self._entry
-        context.metrics.commands.labels("renew", "unanswered").inc()
-        context.load_monitor.counters.missed_renewals += 1
-        entry.missed_renewals += 1
-        now = context.get_now()
-        if entry.missed_renewals == 1:
-            context.log.warning(
-                "runner_not_answering", runner=entry.identifier, reason=reason
-            )
-            _health.record_loss(context, entry.identifier)
-            is_timeout = now - sent > wait + _MAX_BREAK_DELAY
-            entry.lost_contact_at = entry.clock_read if is_timeout else now
-            if not is_timeout:
-                entry.evidence = _Evidence.REFUSED
-        if is_replaced:
-            entry.record_replacement()
-        if self._is_lease_expired(now):
-            entry.record_lease_end()
-        if not entry.tasks:
-            return
-        tasks = list(entry.tasks.values())
-        if entry.is_replaced:
-            self._crashes.record_crash("replaced", tasks)
-        elif self._is_lease_expired(now):
-            self._crashes.record_crash("lease expired", tasks)
-        elif (
-            entry.missed_renewals == _SUPPOSE_CRASH_AFTER_MISSED_RENEWALS
-            and entry.evidence is not _Evidence.SILENT
-        ):
-            self._crashes.suppose_crash(tasks)
-
-    def _is_lease_expired(self, now: datetime.timedelta) -> bool:
-        kill_time = self._context.settings.bounds.stop_timeout
-        if self._entry.is_stalled:
-            kill_time += _MAX_STALL
-        return self._entry.is_lease_expired(now, kill_time)
-
     def _is_removable(self) -> bool:
         entry, now = self._entry, self._context.get_now()
         if entry.is_registered or entry.tasks:
             return False
-        if entry.is_replaced:
-            return True
-        if entry.clock_read is not None:
-            return self._is_lease_expired(now)
+        if entry.is_replaced or entry.clock_read is not None:
+            return self._silence.find_proof() is not None
         # The runner never answered, so leases of an earlier scheduler may
         # still be valid.
         return now - self._started > self._context.settings.takeover_wait
@@ -228,6 +182,7 @@
         entry.supposed_crashes.clear()
         entry.lost_contact_at = None
         entry.evidence = _Evidence.SILENT
+        entry.life_signs.accepted_at = None
         _runner_reports.log_unreadable_entries(context, entry, report)
         entry.clock, entry.clock_read = report.clock_reading, now
         if not self._has_reported:
@@ -342,6 +297,7 @@
         elif entry.is_restored and report.running:
             # Idle, it may have been ejected by an earlier scheduler.
             context.health.trust(entry.identifier)
+        entry.life_signs = _life_signs.LifeSigns()
         entry.supposed_crashes.clear()
         entry.processed_exit = entry.acknowledged_exit = 0
         entry.pending_acks.clear()
@@ -366,7 +322,12 @@
         ]
         if lost:
             entry.evidence = _Evidence.ENDED
-            self._crashes.record_crash("restarted", lost, may_start=True)
+            self._crashes.record_crash(
+                "restarted",
+                _run_proofs.Proof.RESTARTED,
+                lost,
+                may_start=True,
+            )
 
     def _apply_exit(self, run_exit: model.RunExit) -> None:
         context, entry = self._context, self._entry
--- a/tamarackhatch/scheduler/tests/test_history.py
+++ b/tamarackhatch/scheduler/tests/test_history.py
@@ -18,7 +18,7 @@
 from standins import virtual_time
 from tamarackhatch import model
 from tamarackhatch import records
-from tamarackhatch.scheduler import _fleet
+from tamarackhatch.scheduler import _run_proofs
 from tamarackhatch.scheduler import _runner_reconciler
 from tamarackhatch.scheduler import _state
 
@@ -245,9 +245,9 @@
 def _ignore_leases(monkeypatch: pytest.MonkeyPatch) -> None:
     """Makes tasks of a runner that does not answer count as lost at once."""
     monkeypatch.setattr(
-        _fleet.RunnerEntry,
-        "is_lease_expired",
-        lambda self, now, kill_time: True,
+        _run_proofs,
+        "find_proof",
+        lambda entry, now, stop_timeout: _run_proofs.Proof.NONE,
     )
 
 
