--- a/tamarackhatch/scheduler/_runner_reconciler.py
+++ b/tamarackhatch/scheduler/_runner_reconciler.py
@@ -11,7 +11,6 @@
 from tamarackhatch.scheduler import _crash_suspects
 from tamarackhatch.scheduler import _fleet
 from tamarackhatch.scheduler import _health
-from tamarackhatch.scheduler import _life_signs
 from tamarackhatch.scheduler import _renewal_wait
 from tamarackhatch.scheduler import _run_proofs
 from tamarackhatch.scheduler import _run_times
@@ -130,17 +129,17 @@
             lease_end = entry.compute_lease_end(sent, context.settings.lease)
         if lease_end is not None and not entry.pending_acks:
             wait = _renewal_wait.choose_renewal_wait(entry, context.get_now())
+        authority = context.get_authority(entry)
         try:
             report = await context.client.renew(
                 entry.record,
-                context.authority,
+                authority,
                 entry.acknowledgeable_exit,
                 lease_end,
                 wait,
             )
         except platform.FencedError:
-            context.log.warning("renewal_fenced", runner=entry.identifier)
-            context.leader_lease.revoke()
+            self._commands.handle_fenced_command("renew", entry, authority)
             return None
         except (
             platform.RunnerUnavailableError,
@@ -297,12 +296,7 @@
         elif entry.is_restored and report.running:
             # Idle, it may have been ejected by an earlier scheduler.
             context.health.trust(entry.identifier)
-        entry.life_signs = _life_signs.LifeSigns()
-        entry.supposed_crashes.clear()
-        entry.processed_exit = entry.acknowledged_exit = 0
-        entry.pending_acks.clear()
-        entry.unread_exits.clear()
-        entry.unread_running.clear()
+        entry.forget_earlier_incarnation()
         if entry.incarnation:
             # Commands whose lease end was computed from the earlier
             # incarnation's clock grant the longest lease.
