--- a/tamarackhatch/scheduler/_state.py
+++ b/tamarackhatch/scheduler/_state.py
@@ -73,6 +73,20 @@
     is_over: bool = False
 
 
+@attrs.frozen
+class PendingAck:
+    """An exit that is not durable yet.
+
+    Attributes:
+        task: The task.
+        generation: The writer's generation that makes it durable; None for an
+            exit of a job that is not read yet.
+    """
+
+    task: model.TaskKey
+    generation: int | None
+
+
 class TaskRunner(typing.Protocol):
     """What a task knows of the runner that it is placed on.
 
--- a/tamarackhatch/scheduler/tests/test_command_fence.py
+++ b/tamarackhatch/scheduler/tests/test_command_fence.py
@@ -1,6 +1,8 @@
 """Tests the fencing tokens of the commands to one runner."""
 
 import asyncio
+from collections.abc import Awaitable
+from collections.abc import Callable
 
 import pytest
 
@@ -131,3 +133,68 @@
         assert fleet.check() == []
 
     virtual_time.run_virtually(simulate())
+
+
+class _Observer:
+    """Notes the token of each command that a runner gets, with its time."""
+
+    def __init__(self, fleet: standin_fleet.VirtualFleet) -> None:
+        self.tokens: list[tuple[float, int]] = []
+        self._runner = fleet.runners[0]
+        fleet.network.serve(self._runner.address, self._handle)
+
+    async def _handle(self, request: network.Request) -> network.Response:
+        time = asyncio.get_running_loop().time()
+        self.tokens.append((time, request.body["fencing_token"]))
+        return await self._runner.handle(request)
+
+
+async def _cut_off(fleet: standin_fleet.VirtualFleet) -> None:
+    faults = fleet.network.get_faults(fleet.runners[0].address)
+    faults.unreachable_from.add("*")
+    await asyncio.sleep(3)
+    faults.unreachable_from.clear()
+
+
+async def _restart(fleet: standin_fleet.VirtualFleet) -> None:
+    fleet.runners[0].is_registering = False
+    fleet.runners[0].crash()
+
+
+async def _restart_and_register(fleet: standin_fleet.VirtualFleet) -> None:
+    fleet.runners[0].crash()
+    fleet.runners[0].register(fleet.store)
+
+
+@pytest.mark.parametrize(
+    ("trouble", "longest_s"),
+    [
+        pytest.param(_cut_off, 1.1, id="missed-renewals"),
+        pytest.param(_restart, 1.7, id="report-of-a-new-incarnation"),
+        pytest.param(_restart_and_register, 0.5, id="row-of-a-new-one"),
+    ],
+)
+@pytest.mark.parametrize("offset_ms", [0, 300, 700, 1100])
+def test_trouble_of_a_runner_raises_the_token_soon(
+    offset_ms: int,
+    trouble: Callable[[standin_fleet.VirtualFleet], Awaitable[None]],
+    longest_s: float,
+) -> None:
+    """Guards against late commands that stay valid for long."""
+
+    async def simulate() -> None:
+        fleet = standin_fleet.VirtualFleet(1)
+        fleet.start_instance("a")
+        await fleet.wait_until(lambda: fleet.get_leader() is not None)
+        await asyncio.sleep(2 + offset_ms / 1000)
+        observer = _Observer(fleet)
+        await fleet.submit("00", _STEP)
+        await fleet.wait_for_state("00", model.JobState.COMPLETED)
+        highest = max(token for _, token in observer.tokens)
+        await trouble(fleet)
+        ended = asyncio.get_running_loop().time()
+        await asyncio.sleep(longest_s)
+        later = [token for time, token in observer.tokens if time >= ended]
+        assert max(later, default=0) > highest
+
+    virtual_time.run_virtually(simulate())
