Acknowledge exits also to runners that keep no connection open

Found in review: since exits are acknowledged only over connections that are older than the report, a runner that closes each connection after its answer would never get an acknowledgement, and list its exits for ever. What a runner's reports show of its acknowledgements has a module of its own.

--- a/tamarackhatch/scheduler/_fleet.py
+++ b/tamarackhatch/scheduler/_fleet.py
@@ -6,6 +6,7 @@
 
 from tamarackhatch import model
 from tamarackhatch import placement
+from tamarackhatch.scheduler import _ack_evidence
 from tamarackhatch.scheduler import _command_fence
 from tamarackhatch.scheduler import _crash_suspects
 from tamarackhatch.scheduler import _life_signs
@@ -52,11 +53,9 @@
         clock: Reading of the runner's clock in its last answer.
         clock_read: Monotonic time at which that answer arrived; None before
             the first answer.
-        reported_at: Monotonic time after which its last report was made.
         processed_exit: Number of the last exit that was processed.
         acknowledged_exit: Number of the last exit that is durable.
-        forgotten_exit: Number up to which its last report lists no exits,
-            because it has got their acknowledgement.
+        ack_evidence: What shows which exits it has forgotten.
         pending_acks: Exits that are not durable yet, by number and in their
             order.
         unread_exits: Exits of jobs that may be stored and not be read yet, by
@@ -104,10 +103,11 @@
     )
     clock: datetime.timedelta = datetime.timedelta()
     clock_read: datetime.timedelta | None = None
-    reported_at: datetime.timedelta = datetime.timedelta.min
     processed_exit: int = 0
     acknowledged_exit: int = 0
-    forgotten_exit: int = 0
+    ack_evidence: _ack_evidence.AckEvidence = attrs.field(
+        factory=_ack_evidence.AckEvidence
+    )
     pending_acks: dict[int, _state.PendingAck] = attrs.field(factory=dict)
     unread_exits: dict[int, tuple[model.RunExit, datetime.timedelta]] = (
         attrs.field(factory=dict)
@@ -211,7 +211,7 @@
         """
         if self.missed_renewals or not self._is_record_current:
             return 0
-        if self.acknowledged_exit <= self.forgotten_exit:
+        if self.acknowledged_exit <= self.ack_evidence.forgotten_exit:
             return 0
         return self.acknowledged_exit
 
@@ -274,7 +274,8 @@
             sent: Monotonic time at which the renewal was sent.
             now: Monotonic time at which its answer arrived.
         """
-        self.clock, self.clock_read, self.reported_at = reading, now, sent
+        self.clock, self.clock_read = reading, now
+        self.ack_evidence.record_report(sent)
 
     def acknowledge_durable_exits(self, generation: int) -> None:
         """Advances acknowledged_exit over all exits that are durable.
@@ -370,20 +371,11 @@
         self.life_signs = _life_signs.LifeSigns()
         self.supposed_crashes.clear()
         self.processed_exit = self.acknowledged_exit = 0
-        self.forgotten_exit = 0
+        self.ack_evidence = _ack_evidence.AckEvidence()
         self.pending_acks.clear()
         self.unread_exits.clear()
         self.unread_running.clear()
 
-    def record_listed_exits(self, exits: tuple[model.RunExit, ...]) -> None:
-        """Records which exits a complete report still lists.
-
-        Must be called once they are processed.
-        """
-        self.forgotten_exit = self.processed_exit
-        if exits:
-            self.forgotten_exit = min(item.number for item in exits) - 1
-
     def record_lease_end(self) -> None:
         """Records that all runs here have ended with the lease."""
         self.listed = ()
--- a/tamarackhatch/scheduler/_runner_reconciler.py
+++ b/tamarackhatch/scheduler/_runner_reconciler.py
@@ -137,7 +137,7 @@
                 entry.acknowledgeable_exit,
                 lease_end,
                 wait,
-                entry.reported_at,
+                entry.ack_evidence.known_since,
             )
         except platform.FencedError:
             self._commands.handle_fenced_command("renew", entry, authority)
@@ -233,7 +233,9 @@
                     context, entry, listed, sent
                 )
         if not report.unreadable_exits:
-            entry.record_listed_exits(report.exits)
+            entry.ack_evidence.record_exits(
+                report.exits, entry.processed_exit, entry.acknowledged_exit
+            )
         entry.listed = report.running
         _runner_reports.count_unassigned_runs(context, entry)
 
