--- a/standins/runner.py
+++ b/standins/runner.py
@@ -65,9 +65,9 @@
             run; None for runs without progress and checkpoints.
         restore_s: Seconds that a run needs to resume from a checkpoint.
         kill_s: Seconds that it takes to kill runs whose lease has expired.
-        on_restart: Called when an incarnation begins.
         registered_at: Loop time at which it last registered; minus infinity
             before that.
+        on_restart: Called when an incarnation begins.
     """
 
     def __init__(
@@ -97,8 +97,8 @@
         self.checkpoint_interval_s: float | None = None
         self.restore_s = 0.0
         self.kill_s = 0.0
-        self.on_restart: Callable[[], None] = lambda: None
         self.registered_at = -math.inf
+        self.on_restart: Callable[[], None] = lambda: None
         self._stalled_from = math.inf
         self._resumed_at = -math.inf
         self._speed = 1.0
