--- a/tamarackhatch/scheduler/_fleet.py
+++ b/tamarackhatch/scheduler/_fleet.py
@@ -65,6 +65,7 @@
         clock: Reading of the runner's clock in its last answer.
         clock_read: Monotonic time at which that answer arrived; None before
             the first answer.
+        clock_offset: Lower bound of monotonic time less its clock.
         processed_exit: Number of the last exit that was processed.
         acknowledged_exit: Number of the last exit that is durable.
         pending_acks: Exits that are not durable yet, by number and in their
@@ -85,6 +86,10 @@
         supposed_crashes: Runs, with their tasks, that are recorded as ended
             by a crash because the runner does not answer. None of them counts
             if the same incarnation answers again.
+        restarted_at: Monotonic time at which a report first showed its latest
+            restart; None if it has not restarted in this term.
+        answering_again_at: Monotonic time at which it answered again after
+            renewals without an answer; None if it always answered.
         avoid_until: Monotonic time until which it gets no new tasks.
         exclusive_from: Monotonic time from which no earlier scheduler receives
             exits from it; None before its first answer in this term.
@@ -111,6 +116,7 @@
     )
     clock: datetime.timedelta = datetime.timedelta()
     clock_read: datetime.timedelta | None = None
+    clock_offset: datetime.timedelta = datetime.timedelta.min
     processed_exit: int = 0
     acknowledged_exit: int = 0
     pending_acks: dict[int, PendingAck] = attrs.field(factory=dict)
@@ -129,6 +135,8 @@
     supposed_crashes: list[tuple[_state.TaskEntry, int]] = attrs.field(
         factory=list
     )
+    restarted_at: datetime.timedelta | None = None
+    answering_again_at: datetime.timedelta | None = None
     avoid_until: datetime.timedelta = datetime.timedelta()
     exclusive_from: datetime.timedelta | None = None
     leaves_at: datetime.timedelta | None = None
@@ -252,6 +260,27 @@
         """
         return not (self.tasks or self.pending_acks or self.listed)
 
+    @property
+    def reported_at(self) -> datetime.timedelta:
+        """Earliest monotonic time at which its last report was made."""
+        return self.clock + self.clock_offset
+
+    def record_clock(
+        self,
+        reading: datetime.timedelta,
+        sent: datetime.timedelta,
+        now: datetime.timedelta,
+    ) -> None:
+        """Records a reading of the runner's clock, which may be slow.
+
+        Args:
+            reading: The reading.
+            sent: Monotonic time at which the renewal was sent.
+            now: Monotonic time at which its answer arrived.
+        """
+        self.clock, self.clock_read = reading, now
+        self.clock_offset = max(self.clock_offset, sent - reading)
+
     def acknowledge_durable_exits(self, generation: int) -> None:
         """Advances acknowledged_exit over all exits that are durable.
 
@@ -335,6 +364,7 @@
         self.supposed_crashes.clear()
         self.processed_exit = self.acknowledged_exit = 0
         self.pending_acks.clear()
+        self.clock_offset = datetime.timedelta.min
         self.unread_exits.clear()
         self.unread_running.clear()
 
