--- a/standins/runner.py
+++ b/standins/runner.py
@@ -67,6 +67,7 @@
         kill_s: Seconds that it takes to kill runs whose lease has expired.
         registered_at: Loop time at which it last registered; minus infinity
             before that.
+        on_restart: Called when an incarnation begins.
     """
 
     def __init__(
@@ -97,6 +98,7 @@
         self.restore_s = 0.0
         self.kill_s = 0.0
         self.registered_at = -math.inf
+        self.on_restart: Callable[[], None] = lambda: None
         self._stalled_from = math.inf
         self._resumed_at = -math.inf
         self._speed = 1.0
@@ -112,6 +114,7 @@
 
     def _start_incarnation(self) -> None:
         loop = asyncio.get_running_loop()
+        self.on_restart()
         self._incarnation_start = loop.time()
         self._token = 0
         self._lease_end_ms = 0
