--- a/tamarackhatch/scheduler/_fleet.py
+++ b/tamarackhatch/scheduler/_fleet.py
@@ -161,13 +161,8 @@
         self.leaves_at = None
         if record.remaining is not None:
             self.leaves_at = written_at + record.remaining
-        is_same_incarnation = (
-            bool(record.incarnation) and record.incarnation == self.incarnation
-        )
-        if is_same_incarnation and record.clock_reading is not None:
-            self.life_signs.record_row(
-                record.clock_reading, written_at, self.lease_end
-            )
+        if record.incarnation and record.incarnation == self.incarnation:
+            self.life_signs.record_row(record, written_at, self.lease_end)
 
     def assign_task(self, task: _state.TaskEntry) -> None:
         """Reserves capacity for a task that may run on this runner."""
--- a/tamarackhatch/scheduler/_life_signs.py
+++ b/tamarackhatch/scheduler/_life_signs.py
@@ -4,6 +4,8 @@
 
 import attrs
 
+from tamarackhatch import model
+
 # Rows after a lease's end that prove its runs killed. A starved process still
 # writes some in time while its kills are late.
 _MIN_ROWS_PAST_LEASE = 3
@@ -32,18 +34,19 @@
 
     def record_row(
         self,
-        reading: datetime.timedelta,
+        record: model.Runner,
         written_at: datetime.timedelta,
         lease_end: datetime.timedelta,
     ) -> None:
         """Records a registry row of this incarnation.
 
         Args:
-            reading: Reading of the runner's clock in the row.
+            record: The row.
             written_at: Earliest monotonic time at which it was written.
             lease_end: Latest lease end on the runner's clock.
         """
-        if reading == self.row_clock:
+        reading = record.clock_reading
+        if reading is None or reading == self.row_clock:
             return
         self.row_clock, self.row_written_at = reading, written_at
         if reading <= lease_end or not self._has_row_past(lease_end):
