Ask a lost runner as long as late commands may reach it

In a play of real processes a task ran again after it was done: its runner was cut off, crashed and was taken for lost, so that the scheduler forgot it. The next incarnation was up for 2.4 s before its first registration, and a late start from before the loss was the first command that it got.

A runner is now asked at its address for 15 s after the last command that it did not answer, also when it is lost, and every 50 ms after a failure instead of every 200 ms. So its next incarnation gets a renewal with a higher token soon after it is up. test_lost_runner_is_asked_as_long_as_late_commands_may_reach_it failed in its three cases.

--- a/tamarackhatch/scheduler/_command_fence.py
+++ b/tamarackhatch/scheduler/_command_fence.py
@@ -1,9 +1,13 @@
 """Fencing tokens that shut out a scheduler's own late commands."""
 
 from collections.abc import Sequence
+import datetime
 
 import attrs
 
+# A command that got no answer is carried out within seconds, if at all.
+_MAX_DELAY = datetime.timedelta(seconds=15)
+
 
 @attrs.define
 class CommandFence:
@@ -22,6 +26,7 @@
 
     _token: int = 0
     _is_outdated: bool = True
+    _last_unanswered: datetime.timedelta | None = None
 
     def advance(self, confirmed: Sequence[int]) -> int:
         """Returns the token of a command that is sent now.
@@ -37,10 +42,28 @@
             self._token = token
         return self._token
 
-    def record_unanswered_command(self) -> None:
-        """Records that a command may be carried out late."""
+    def require_higher_token(self) -> None:
+        """Has all later commands shut out those that were sent before."""
         self._is_outdated = True
 
+    def record_unanswered_command(self, now: datetime.timedelta) -> None:
+        """Records that a command may be carried out late.
+
+        Args:
+            now: Monotonic time.
+        """
+        self._last_unanswered = now
+        self.require_higher_token()
+
+    def may_meet_late_command(self, now: datetime.timedelta) -> bool:
+        """Returns whether a late command may still reach the runner.
+
+        Args:
+            now: Monotonic time.
+        """
+        last = self._last_unanswered
+        return last is not None and now - last < _MAX_DELAY
+
     def is_current(self, token: int) -> bool:
         """Returns whether no command with a higher token was sent.
 
--- a/tamarackhatch/scheduler/_commands.py
+++ b/tamarackhatch/scheduler/_commands.py
@@ -84,7 +84,7 @@
         The renewal in progress may have been sent to the earlier incarnation,
         and get no answer for seconds.
         """
-        entry.fence.record_unanswered_command()
+        entry.fence.require_higher_token()
         self._spawn_delivery(self._read_report(entry))
 
     def handle_fenced_command(
@@ -414,7 +414,7 @@
             try:
                 outcome = await send(authority)
             except platform.RunnerOutcomeUnknownError:
-                entry.fence.record_unanswered_command()
+                entry.fence.record_unanswered_command(self._context.get_now())
                 raise
             if outcome is not _Outcome.FENCED:
                 return outcome
--- a/tamarackhatch/scheduler/_fleet.py
+++ b/tamarackhatch/scheduler/_fleet.py
@@ -362,7 +362,7 @@
 
         Commands that were meant for it may still reach this one.
         """
-        self.fence.record_unanswered_command()
+        self.fence.require_higher_token()
         self.life_signs = _life_signs.LifeSigns()
         self.supposed_crashes.clear()
         self.processed_exit = self.acknowledged_exit = 0
--- a/tamarackhatch/scheduler/_runner_reconciler.py
+++ b/tamarackhatch/scheduler/_runner_reconciler.py
@@ -22,6 +22,9 @@
 _Evidence = _crash_suspects.Evidence
 
 _RETRY_PAUSE = datetime.timedelta(milliseconds=200)
+# The same while a late command may reach the runner's next incarnation, which
+# obeys it unless a renewal with a higher token comes first.
+_FENCING_PAUSE = datetime.timedelta(milliseconds=50)
 # Between two renewals of a runner; each renewal has a cost.
 _MIN_RENEWAL_INTERVAL = datetime.timedelta(milliseconds=100)
 # The next renewal waits this long for exits to become durable, so that it can
@@ -106,7 +109,12 @@
                     return
                 if entry.missed_renewals >= _UNTRACK_AFTER_MISSED_RENEWALS:
                     self._untrack_if_idle()
-                await context.clock.sleep(_RETRY_PAUSE)
+                is_late_expected = entry.fence.may_meet_late_command(
+                    context.get_now()
+                )
+                await context.clock.sleep(
+                    _FENCING_PAUSE if is_late_expected else _RETRY_PAUSE
+                )
                 continue
             self._apply_report(report, sent)
             if entry.record.is_draining:
@@ -159,7 +167,11 @@
 
     def _is_removable(self) -> bool:
         entry, now = self._entry, self._context.get_now()
-        if entry.is_registered or entry.tasks:
+        if (
+            entry.is_registered
+            or entry.tasks
+            or entry.fence.may_meet_late_command(now)
+        ):
             return False
         if entry.is_replaced or entry.clock_read is not None:
             return self._silence.find_proof() is not None
--- a/tamarackhatch/scheduler/_silent_runners.py
+++ b/tamarackhatch/scheduler/_silent_runners.py
@@ -66,7 +66,7 @@
         context.metrics.commands.labels("renew", "unanswered").inc()
         context.load_monitor.counters.missed_renewals += 1
         entry.missed_renewals += 1
-        entry.fence.record_unanswered_command()
+        entry.fence.require_higher_token()
         now = context.get_now()
         if entry.missed_renewals == 1:
             context.log.warning(
--- a/tamarackhatch/scheduler/tests/test_command_fence.py
+++ b/tamarackhatch/scheduler/tests/test_command_fence.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import Awaitable
 from collections.abc import Callable
+import datetime
 
 import pytest
 
@@ -34,7 +35,7 @@
     fence = _command_fence.CommandFence()
     assert fence.advance([7]) == 7
     if unanswered:
-        fence.record_unanswered_command()
+        fence.record_unanswered_command(datetime.timedelta())
     assert [fence.advance(confirmed), fence.advance(confirmed)] == tokens
 
 
@@ -42,7 +43,7 @@
     """Guards against a late command that is shut out never."""
     fence = _command_fence.CommandFence()
     fence.advance([7])
-    fence.record_unanswered_command()
+    fence.require_higher_token()
     assert fence.advance([7]) == 7
     assert fence.advance([7, 9]) == 9
 
@@ -56,7 +57,7 @@
     """Guards against a term that its own commands end."""
     fence = _command_fence.CommandFence()
     fence.advance([7])
-    fence.record_unanswered_command()
+    fence.require_higher_token()
     fence.advance([7, 9])
     assert fence.is_current(token) is is_current
 
@@ -198,3 +199,38 @@
         assert max(later, default=0) > highest
 
     virtual_time.run_virtually(simulate())
+
+
+@pytest.mark.parametrize("back_after_s", [9.0, 11.0, 13.0])
+def test_lost_runner_is_asked_as_long_as_late_commands_may_reach_it(
+    back_after_s: float,
+) -> None:
+    """Guards against a runner that is forgotten, and obeys a late start.
+
+    It is back at its address, and not in the registry yet.
+    """
+
+    async def simulate() -> None:
+        fleet = standin_fleet.VirtualFleet(1)
+        fleet.start_instance("a")
+        await fleet.wait_until(lambda: fleet.get_leader() is not None)
+        await asyncio.sleep(2)
+        item = fleet.runners[0]
+        observer = _Observer(fleet)
+        faults = fleet.network.get_faults(item.address)
+        faults.late_clients.add("a")
+        await fleet.submit("00", _STEP)
+        await asyncio.sleep(0.5)
+        faults.late_clients.clear()
+        await fleet.wait_for_state("00", model.JobState.COMPLETED)
+        item.is_registering = False
+        fleet.store.remove("servers", item.identifier)
+        faults.unreachable_from.add("*")
+        await asyncio.sleep(back_after_s)
+        item.crash()
+        observer.tokens.clear()
+        faults.unreachable_from.clear()
+        await asyncio.sleep(1)
+        assert observer.tokens
+
+    virtual_time.run_virtually(simulate())
