--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -11,6 +11,7 @@
 import cappa
 
 import soak
+from soak import rota
 
 # Seeds that broke a rule with the default duration, with the cause and the
 # commit that mended it. They stand for the same schedules only as long as
@@ -25,7 +26,8 @@
 
     The exit code is 1 if any breaks a rule. With ``deliberate``, the name of
     a fault of `soak.tests.faulty`, the first violation ends the command, and
-    the exit code is 1 if there is none.
+    the exit code is 1 if there is none. The profile "rota" plays deployment
+    brindle-rota; ``program`` is the folder whose modules its instances run.
     """
 
     seed: typing.Annotated[int, cappa.Arg(long=True)] = 1
@@ -33,6 +35,10 @@
     seconds: typing.Annotated[float, cappa.Arg(long=True)] = 45.0
     regressions: typing.Annotated[bool, cappa.Arg(long=True)] = False
     deliberate: typing.Annotated[str | None, cappa.Arg(long=True)] = None
+    profile: typing.Annotated[
+        typing.Literal["soak", "rota"], cappa.Arg(long=True)
+    ] = "soak"
+    program: typing.Annotated[pathlib.Path | None, cappa.Arg(long=True)] = None
 
     def __call__(self) -> None:
         """Runs the seeds."""
@@ -50,10 +56,17 @@
     def _find_violations(self, seed: int) -> bool:
         folder = pathlib.Path(tempfile.mkdtemp(prefix=f"soak-{seed}-"))
         duration = datetime.timedelta(seconds=self.seconds)
-        schedule = soak.make_schedule(seed, duration)
-        print(f"seed {seed}, logs in {folder}", *schedule, sep="\n")
-        run = soak.run_seed(seed, schedule, folder, self.deliberate)
-        violations = asyncio.run(run)
+        print(f"seed {seed}, logs in {folder}")
+        if self.profile == "rota":
+            play = rota.run_seed(
+                seed, duration, folder, self.deliberate, self.program
+            )
+            violations = asyncio.run(play)
+        else:
+            schedule = soak.make_schedule(seed, duration)
+            print(*schedule, sep="\n")
+            run = soak.run_seed(seed, schedule, folder, self.deliberate)
+            violations = asyncio.run(run)
         if not violations:
             shutil.rmtree(folder)
         return bool(violations)
--- a/soak/_callers.py
+++ b/soak/_callers.py
@@ -1,6 +1,7 @@
 """Callers: they submit, cancel and ask, and record what is answered."""
 
 import asyncio
+from collections.abc import Coroutine
 import datetime
 import random
 import typing
@@ -69,7 +70,10 @@
         kind = self._random.choice(_KINDS)
         identifier = f"{kind}{self._random.getrandbits(60):015x}"
         path = self._random.choice(self.prefixes) + identifier
-        task = asyncio.create_task(self._follow_job(identifier, path))
+        self._start(self._follow_job(identifier, path))
+
+    def _start(self, work: Coroutine[typing.Any, typing.Any, None]) -> None:
+        task = asyncio.create_task(work)
         self._tasks.add(task)
         task.add_done_callback(self._forget_task)
 
--- a/soak/_checks.py
+++ b/soak/_checks.py
@@ -34,9 +34,9 @@
 
 @attrs.define
 class _KnownJob:
-    """Tasks of a job's first step, and what callers were answered when."""
+    """Tasks of a job's steps, and what callers were answered when."""
 
-    first_count: int
+    counts: tuple[int, ...]
     accepted: float = math.inf
     cancelled: float = math.inf
     final: model.JobState | None = None
@@ -68,9 +68,15 @@
         self._found.append(history.Violation(rule, subject, detail))
 
     def record_submission(
-        self, job: str, document: dict[str, typing.Any]
+        self,
+        job: str,
+        document: dict[str, typing.Any],
+        max_attempts: int = MAX_ATTEMPTS,
     ) -> None:
-        """Records that a caller is about to submit a job."""
+        """Records that a caller is about to submit a job.
+
+        Each of its steps waits for the one before.
+        """
         steps = []
         for item in document["steps"]:
             resources = model.Resources(item["cpu"], item["mem_mb"])
@@ -79,7 +85,8 @@
             steps.append(step)
         self._history.accepted.add(job)
         self._history.record_steps(job, steps)
-        self._jobs[job] = _KnownJob(steps[0].count)
+        self._history.max_attempts_by_job[job] = max_attempts
+        self._jobs[job] = _KnownJob(tuple(step.count for step in steps))
 
     def record_outcome(self, job: str, is_stored: bool) -> None:
         """Records that a job was accepted, or all its attempts refused."""
@@ -133,6 +140,10 @@
         yield
         order.ended = self._now
 
+    def is_accepted(self, job: str) -> bool:
+        """Returns whether a caller was told that a job is accepted."""
+        return job in self._jobs and self._jobs[job].accepted < math.inf
+
     def is_finished(self, job: str) -> bool:
         """Returns whether a final state was shown."""
         return self._jobs[job].final is not None
@@ -194,8 +205,9 @@
             job, occurrence, step, _ = run.task.split(".")
             if step == "0" or job not in self._jobs:
                 continue
-            for index in range(self._jobs[job].first_count):
-                earlier = f"{job}.{occurrence}.0.{index}"
+            before = int(step) - 1
+            for index in range(self._jobs[job].counts[before]):
+                earlier = f"{job}.{occurrence}.{before}.{index}"
                 if done.get(earlier, math.inf) > run.started:
                     yield history.Violation(
                         "ORDER", run.task, f"started before {earlier} was done"
--- a/soak/_deployment.py
+++ b/soak/_deployment.py
@@ -222,7 +222,7 @@
             # The stand-in here only registers.
             process = _runner_link.RunnerProcess(self.fleet.history)
             self.runner_processes[index] = process
-            added.address = await process.open(added.identifier, _KILL_S)
+            added.address = await process.open(added.identifier, str(_KILL_S))
             self.fleet.runners.append(added)
         else:
             self.fleet.add_runner(added)
--- a/soak/_run.py
+++ b/soak/_run.py
@@ -1,9 +1,15 @@
 """One run of the soak test."""
 
 import asyncio
+import collections
+from collections.abc import Awaitable
+from collections.abc import Callable
+from collections.abc import Sequence
 import datetime
+import functools
 import pathlib
 import signal
+import typing
 
 import attrs
 import orjson
@@ -13,6 +19,7 @@
 from soak import _injection
 from soak import _timeline
 from standins import history
+from standins import repetitions
 
 _CHECK_INTERVAL_S = 2.0
 # Time in which all accepted jobs must end after the last fault: a takeover
@@ -23,22 +30,48 @@
 _LAST_CHECKS_S = 5.0
 
 
-class _Run:
+class Planned(typing.Protocol):
+    """A fault with its time, counted from the start of the schedule."""
+
+    @property
+    def start(self) -> datetime.timedelta:
+        """When it begins."""
+
+    @property
+    def fault(self) -> object:
+        """The fault."""
+
+
+_Planned = typing.TypeVar("_Planned", bound=Planned)
+# Rule, subject and form.
+_Key = tuple[str, str, repetitions.Form | None]
+
+
+class Run(typing.Generic[_Planned]):
     """A run in progress, with one violation for each rule and subject."""
 
     def __init__(
-        self, target: _deployment.Deployment, folder: pathlib.Path
+        self,
+        target: _deployment.Deployment,
+        folder: pathlib.Path,
+        inject: Callable[[_Planned], Awaitable[None]],
     ) -> None:
-        self.found: dict[tuple[str, str], history.Violation] = {}
-        self._suspected: set[tuple[str, str]] = set()
+        """Creates a run.
+
+        Args:
+            target: The deployment.
+            folder: Folder of its logs.
+            inject: Carries out a fault.
+        """
+        self.found: dict[_Key, history.Violation] = {}
+        self._suspected: set[_Key] = set()
+        self._inject_fault = inject
         self._target = target
         self._folder = folder
         self._time = asyncio.get_running_loop().time
         self._start = self._time()
 
-    async def play(
-        self, schedule: tuple[_faults.PlannedFault, ...], is_brief: bool
-    ) -> None:
+    async def play(self, schedule: Sequence[_Planned], is_brief: bool) -> None:
         """Injects the faults, lifts them, and waits until all jobs end."""
         pending = {asyncio.create_task(self._inject(it)) for it in schedule}
         try:
@@ -75,8 +108,11 @@
         (self._folder / "runs.jsonl").write_bytes(b"\n".join(lines))
         elapsed_s = self._time() - self._start
         late_s = elapsed_s - self._measure_timely(self._start)
+        counts = collections.Counter(map(_get_name, self.found.values()))
+        by_name = [f"{name} {count}" for name, count in counts.items()]
         self._write(
-            f"{len(self.found)} violations, {len(observed.accepted)} jobs, "
+            f"{len(self.found)} violations ({', '.join(by_name)}), "
+            f"{len(observed.accepted)} jobs, "
             f"{len(observed.completed)} completed, {len(observed.runs)} runs, "
             f"the machine was late for {late_s:.1f} s"
         )
@@ -93,25 +129,30 @@
         self._target.check_processes()
         suspected, self._suspected = self._suspected, set()
         for violation in self._target.checks.find_violations():
-            key = (violation.rule, violation.task)
+            key = (violation.rule, violation.task, violation.form)
             self._suspected.add(key)
             if key not in suspected:
                 continue
             if self.found.setdefault(key, violation) is violation:
                 text = f"{violation.task}: {violation.detail}"
-                self._write(f"VIOLATION {violation.rule} {text}")
+                lines = [f"VIOLATION {_get_name(violation)} {text}"]
+                self._write("\n".join([*lines, *self.explain(violation)]))
         return bool(self.found)
 
+    def explain(self, violation: history.Violation) -> list[str]:
+        """Returns further lines about a violation."""
+        return []
+
     def _measure_timely(self, since: float) -> float:
         """Returns for how long the machine was not late."""
         scopes = {_timeline.MACHINE}
         return self._target.timeline.measure_quiet(scopes, since, self._time())
 
-    async def _inject(self, item: _faults.PlannedFault) -> None:
+    async def _inject(self, item: _Planned) -> None:
         await asyncio.sleep(item.start.total_seconds())
         leader = self._target.fleet.read_leader()
         self._write(f"{item.fault} begins, {leader} is active", False)
-        await _injection.inject(item, self._target)
+        await self._inject_fault(item)
         self._write(f"{item.fault} has ended", False)
 
     def _write(self, text: str, is_printed: bool = True) -> None:
@@ -124,6 +165,13 @@
             print(line, flush=True)
 
 
+def _get_name(violation: history.Violation) -> str:
+    """Returns the name of the rule, with the form in which it is broken."""
+    if violation.form is None:
+        return violation.rule
+    return f"{violation.rule} ({violation.form.value})"
+
+
 async def run_seed(
     seed: int,
     schedule: tuple[_faults.PlannedFault, ...],
@@ -146,7 +194,8 @@
     target = _deployment.Deployment(folder, seed, deliberate)
     try:
         await target.open()
-        run = _Run(target, folder)
+        inject = functools.partial(_injection.inject, target=target)
+        run: Run[_faults.PlannedFault] = Run(target, folder, inject)
         await run.play(schedule, deliberate is not None)
         run.summarise()
         return list(run.found.values())
--- a/soak/_runner_link.py
+++ b/soak/_runner_link.py
@@ -15,19 +15,27 @@
 class RunnerProcess:
     """One runner process, whose observations go to a history."""
 
-    def __init__(self, observed: history.History) -> None:
+    def __init__(
+        self, observed: history.History, module: str = _MODULE
+    ) -> None:
+        """Creates a runner whose process is not started yet.
+
+        Args:
+            observed: Where its observations are recorded.
+            module: Module that the process runs.
+        """
         self._history = observed
+        self._module = module
         self._process: asyncio.subprocess.Process | None = None
         self._reader: asyncio.Task[None] | None = None
 
-    async def open(self, identifier: str, kill_s: float) -> str:
+    async def open(self, *arguments: str) -> str:
         """Starts the process, and returns its address."""
         self._process = await asyncio.create_subprocess_exec(
             sys.executable,
             "-m",
-            _MODULE,
-            identifier,
-            str(kill_s),
+            self._module,
+            *arguments,
             stdout=asyncio.subprocess.PIPE,
         )
         assert self._process.stdout is not None
@@ -41,7 +49,7 @@
             self._process.send_signal(number)
 
     async def close(self) -> None:
-        """Ends the process."""
+        """Ends the process, and records what it has still observed."""
         self.send_signal(signal.SIGKILL)
         if self._process is not None:
             await self._process.wait()
@@ -51,15 +59,16 @@
     async def _collect(self) -> None:
         assert self._process is not None and self._process.stdout is not None
         async for line in self._process.stdout:
-            kind, values = orjson.loads(line)
-            self._apply(kind, values)
+            # A process that is killed may leave a part of a line.
+            if line.endswith(b"\n"):
+                kind, values = orjson.loads(line)
+                self._apply(kind, values)
 
     def _apply(self, kind: str, values: list[typing.Any]) -> None:
         observed = self._history
         if kind == "start":
-            observed.runs.append(history.RunRecord(*values))
             # Lines of other processes may have arrived before this one.
-            observed.runs.sort(key=lambda run: run.started)
+            observed.add_run(history.RunRecord(*values))
         elif kind == "exit":
             observed.record_exit(*values)
         elif kind == "expiry":
--- a/soak/_runner_process.py
+++ b/soak/_runner_process.py
@@ -23,7 +23,7 @@
 _MAX_LATENESS_S = 0.1
 
 
-class _Reporter(history.History):
+class Reporter(history.History):
     """Writes observations, with their times, instead of keeping them."""
 
     def record_start(
@@ -49,10 +49,15 @@
         _write("expiry", runner, incarnation, time)
 
     def record_acknowledgement(
-        self, runner: str, incarnation: int, exit_number: int
+        self,
+        runner: str,
+        incarnation: int,
+        exit_number: int,
+        time: float | None = None,
     ) -> None:
         if exit_number:
-            _write("acknowledgement", runner, incarnation, exit_number)
+            time = asyncio.get_running_loop().time()
+            _write("acknowledgement", runner, incarnation, exit_number, time)
 
 
 def _write(kind: str, *values: typing.Any) -> None:
@@ -60,14 +65,11 @@
     sys.stdout.buffer.flush()
 
 
-class _Process:
-    """The runner, and a timer that notices when the process was stopped."""
+class RunnerHost:
+    """A runner, and a timer that notices when the process was stopped."""
 
-    def __init__(self, identifier: str, kill_s: float) -> None:
-        self._runner = runner.RunnerStandIn(
-            identifier, "", processes.SERVICE, _callers.plan_run, _Reporter()
-        )
-        self._runner.kill_s = kill_s
+    def __init__(self, hosted: runner.RunnerStandIn) -> None:
+        self._runner = hosted
         self._time = asyncio.get_running_loop().time
         self._due = self._time()
         self._server = servers.StandInServer(self._handle)
@@ -93,9 +95,13 @@
             self._runner.resume()
 
 
-async def _main() -> None:
-    await _Process(sys.argv[1], float(sys.argv[2])).run()
+async def _main(identifier: str, kill_s: float) -> None:
+    hosted = runner.RunnerStandIn(
+        identifier, "", processes.SERVICE, _callers.plan_run, Reporter()
+    )
+    hosted.kill_s = kill_s
+    await RunnerHost(hosted).run()
 
 
 if __name__ == "__main__":
-    asyncio.run(_main())
+    asyncio.run(_main(sys.argv[1], float(sys.argv[2])))
--- /dev/null
+++ b/soak/rota/_run.py
@@ -0,0 +1,100 @@
+"""One play of deployment brindle-rota."""
+
+import asyncio
+import datetime
+import functools
+import pathlib
+import resource
+import signal
+
+from soak import _run
+from soak.rota import _deployment
+from soak.rota import _events
+from soak.rota import _injection
+from soak.rota import _schedule
+from soak.rota import _traffic
+from soak.rota import _troubles
+from standins import history
+
+
+class _Play(_run.Run[_troubles.PlannedTrouble]):
+    """A play in progress, which tells what a violation has to do with."""
+
+    def __init__(
+        self, target: _deployment.RotaDeployment, folder: pathlib.Path
+    ) -> None:
+        inject = functools.partial(_injection.inject, target=target)
+        super().__init__(target, folder, inject)
+        self._rota = target
+
+    def explain(self, violation: history.Violation) -> list[str]:
+        task = violation.task
+        runs = [it for it in self._rota.fleet.history.runs if it.task == task]
+        starts = [
+            start
+            for machine in self._rota.machines
+            for start in machine.proxy.starts
+            if start.task == task
+        ]
+        starts.sort(key=lambda start: start.received)
+        return _events.describe(task, runs, starts, self._rota.events)
+
+
+async def run_seed(
+    seed: int,
+    duration: datetime.timedelta,
+    folder: pathlib.Path,
+    deliberate: str | None = None,
+    program: pathlib.Path | None = None,
+) -> list[history.Violation]:
+    """Plays a seed with real processes, and returns the violations.
+
+    Args:
+        seed: Seed of the jobs, the troubles and the links.
+        duration: How long jobs and troubles begin.
+        folder: Folder of settings and logs.
+        deliberate: Name of a deliberate fault; the first violation then ends
+            the play.
+        program: Folder whose modules the instances run.
+    """
+    schedule = _schedule.make_schedule(seed, duration)
+    print(*schedule, sep="\n")
+    bursts = [
+        _traffic.Burst(
+            _traffic.ROSTER_BUILD,
+            item.start.total_seconds(),
+            (item.start + item.duration).total_seconds(),
+            item.fault.factor,
+        )
+        for item in schedule
+        if isinstance(item.fault, _troubles.Burst)
+    ]
+    arrivals = _traffic.draw_arrivals(seed, duration, bursts)
+    task = asyncio.current_task()
+    assert task is not None
+    # The processes are ended when this one is asked to end.
+    asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
+    target = _deployment.RotaDeployment(
+        folder, seed, deliberate, arrivals, program
+    )
+    try:
+        await target.open()
+        play = _Play(target, folder)
+        await play.play(schedule, deliberate is not None)
+        play.summarise()
+        return list(play.found.values())
+    finally:
+        await target.close()
+        _print_processor_time()
+
+
+def _print_processor_time() -> None:
+    own, children = (
+        resource.getrusage(who)
+        for who in (resource.RUSAGE_SELF, resource.RUSAGE_CHILDREN)
+    )
+    print(
+        f"processor time so far: {own.ru_utime + own.ru_stime:.0f} s for "
+        f"stand-ins and callers, "
+        f"{children.ru_utime + children.ru_stime:.0f} s for processes"
+    )
--- a/standins/history.py
+++ b/standins/history.py
@@ -1,11 +1,13 @@
 """Records runs and callers' answers, and checks rules about them."""
 
 import asyncio
+import bisect
 from collections.abc import Iterable
 
 import attrs
 
 from standins import repetitions
+from standins import reservations
 from tamarackhatch import model
 
 # A capacity that has shrunk counts after the time that the platform gives
@@ -107,23 +109,41 @@
     """Records starts and exits of runs, and the answers to callers.
 
     Attributes:
-        runs: All runs, in the order of their starts.
         accepted: Jobs that may have been accepted.
         refused: Jobs whose callers were told that they are refused.
         completed: Loop time, in seconds, at which each job was first shown as
             completed.
+        max_attempts_by_job: Number of failed runs after which a task of a job
+            must not be started, where it differs from the usual one.
     """
 
     def __init__(self) -> None:
-        self.runs: list[RunRecord] = []
+        self._runs: list[RunRecord] = []
         self.accepted: set[str] = set()
         self.refused: set[str] = set()
         self.completed: dict[str, float] = {}
+        self.max_attempts_by_job: dict[str, int] = {}
+        self._latest_runs: dict[tuple[str, str, int], RunRecord] = {}
+        # Runs by incarnation whose exits are not acknowledged.
+        self._open_runs: dict[tuple[str, int], list[RunRecord]] = {}
         self._reservations: dict[tuple[str, int], model.Resources] = {}
         self._capacities: dict[str, list[CapacityRecord]] = {}
         self._data_centres: dict[str, str] = {}
         self._evacuations: list[EvacuationRecord] = []
 
+    @property
+    def runs(self) -> list[RunRecord]:
+        """All runs, in the order of their starts; `add_run` adds one."""
+        return self._runs
+
+    @runs.setter
+    def runs(self, runs: list[RunRecord]) -> None:
+        self._runs = []
+        self._latest_runs.clear()
+        self._open_runs.clear()
+        for record in runs:
+            self.add_run(record)
+
     def record_steps(self, job: str, steps: Iterable[model.Step]) -> None:
         """Records what the tasks of a job reserve."""
         for index, step in enumerate(steps):
@@ -177,7 +197,17 @@
     ) -> None:
         """Records that an incarnation of a runner has started a run."""
         now = asyncio.get_running_loop().time()
-        self.runs.append(RunRecord(runner, incarnation, task, run, token, now))
+        self.add_run(RunRecord(runner, incarnation, task, run, token, now))
+
+    def add_run(self, record: RunRecord) -> None:
+        """Adds a run; runs that started later may have been added before."""
+        bisect.insort(self._runs, record, key=lambda item: item.started)
+        key = (record.runner, record.task, record.run)
+        latest = self._latest_runs.get(key)
+        if latest is None or latest.started <= record.started:
+            self._latest_runs[key] = record
+        group = (record.runner, record.incarnation)
+        self._open_runs.setdefault(group, []).append(record)
 
     def record_exit(
         self,
@@ -189,37 +219,50 @@
         exit_number: int = 0,
     ) -> None:
         """Records that a run exited at a loop time, in seconds."""
-        for record in reversed(self.runs):
-            if (record.runner, record.task, record.run) == (runner, task, run):
-                if record.exited is None:
-                    record.exited, record.exit_reason = time, exit_reason
-                    record.exit_number = exit_number
-                return
+        record = self._latest_runs.get((runner, task, run))
+        if record is not None and record.exited is None:
+            record.exited, record.exit_reason = time, exit_reason
+            record.exit_number = exit_number
+
+    def record_end(self, runner: str, incarnation: int, time: float) -> None:
+        """Records that an incarnation ended, and with it all its runs."""
+        for record in self._open_runs.pop((runner, incarnation), []):
+            if record.exited is None:
+                record.exited = max(time, record.started)
+                record.exit_reason = "crashed"
 
     def record_expiry(
         self, runner: str, incarnation: int, time: float
     ) -> None:
         """Records that an incarnation's lease expired at a loop time."""
-        for record in self.runs:
-            if (record.runner, record.incarnation) != (runner, incarnation):
-                continue
+        for record in self._open_runs.get((runner, incarnation), []):
             if record.exited is not None and record.exited <= time:
-                if record.acknowledged is None:
-                    record.is_expired = True
+                record.is_expired = True
 
     def record_acknowledgement(
-        self, runner: str, incarnation: int, exit_number: int
+        self,
+        runner: str,
+        incarnation: int,
+        exit_number: int,
+        time: float | None = None,
     ) -> None:
-        """Records that a scheduler acknowledged exits up to a number."""
-        now = asyncio.get_running_loop().time()
-        for record in self.runs:
-            if (record.runner, record.incarnation) != (runner, incarnation):
-                continue
-            if (
-                0 < record.exit_number <= exit_number
-                and record.acknowledged is None
-            ):
-                record.acknowledged = now
+        """Records that a scheduler acknowledged exits up to a number.
+
+        Args:
+            runner: Identifier of the runner.
+            incarnation: Incarnation of the runner.
+            exit_number: Number of the last of these exits.
+            time: Loop time, in seconds; None for now.
+        """
+        if time is None:
+            time = asyncio.get_running_loop().time()
+        remaining = []
+        for record in self._open_runs.get((runner, incarnation), []):
+            if 0 < record.exit_number <= exit_number:
+                record.acknowledged = time
+            else:
+                remaining.append(record)
+        self._open_runs[runner, incarnation] = remaining
 
     def check(self, max_attempts: int) -> list[Violation]:
         """Returns all broken rules.
@@ -242,7 +285,8 @@
                 )
             ]
             violations += _check_numbers(task, runs)
-            violations += _check_failures(task, runs, max_attempts)
+            limit = self.max_attempts_by_job.get(job, max_attempts)
+            violations += _check_failures(task, runs, limit)
             violations += _check_crashes(task, runs)
             if job in self.refused and job not in self.accepted:
                 violations.append(
@@ -264,19 +308,10 @@
 
     def _check_capacities(self) -> list[Violation]:
         violations = []
-        by_runner: dict[str, list[RunRecord]] = {}
-        for run in self.runs:
-            by_runner.setdefault(run.runner, []).append(run)
-        for run in self.runs:
+        for run, reserved in reservations.list_reserved(
+            self.runs, self.get_reservation
+        ):
             reservation = self.get_reservation(run.task)
-            reserved = model.Resources()
-            for other in by_runner[run.runner]:
-                if (
-                    other is run
-                    or other.started <= run.started
-                    and (other.exited is None or other.exited > run.started)
-                ):
-                    reserved += self.get_reservation(other.task)
             if any(
                 added and total > limit
                 for added, total, limit in zip(
@@ -333,13 +368,12 @@
         self, by_task: dict[str, list[RunRecord]]
     ) -> list[Violation]:
         violations = []
+        by_job: dict[str, list[str]] = {}
+        for task in by_task:
+            by_job.setdefault(task.split(".")[0], []).append(task)
         for job, time in self.completed.items():
-            tasks = {
-                task: runs
-                for task, runs in by_task.items()
-                if task.split(".")[0] == job
-            }
-            for task, runs in tasks.items():
+            for task in by_job.get(job, []):
+                runs = by_task[task]
                 if not any(
                     run.exit_reason == "done"
                     and run.exited is not None
--- a/standins/processes.py
+++ b/standins/processes.py
@@ -94,6 +94,8 @@
         store_address: str | None = None,
         has_internal_address: bool = False,
         bounds: dict[str, int] | None = None,
+        data_centre: str = "here",
+        program: pathlib.Path | None = None,
     ) -> None:
         """Starts a process and waits until it is ready.
 
@@ -105,8 +107,10 @@
                 that of the others.
             has_internal_address: Whether other instances know it.
             bounds: Further bounds of its settings, by key.
+            data_centre: Its data centre.
+            program: Folder whose modules it runs; None for the own ones.
         """
-        caller, readiness, internal, metrics = _get_free_ports(4)
+        caller, readiness, internal, metrics = get_free_ports(4)
         path = self._folder / f"{name}.jsonc"
         self.settings_paths[name] = path
         self.metrics_ports[name] = metrics
@@ -114,7 +118,7 @@
             orjson.dumps(
                 {
                     "instance": name,
-                    "data_centre": "here",
+                    "data_centre": data_centre,
                     "caller_address": f"127.0.0.1:{caller}",
                     "readiness_address": f"127.0.0.1:{readiness}",
                     "metrics_address": f"127.0.0.1:{metrics}",
@@ -141,6 +145,7 @@
                 *arguments,
                 stdout=log,
                 stderr=log,
+                cwd=program,
             )
         self._ports[name] = caller
         await self._wait_until_ready(readiness)
@@ -269,7 +274,7 @@
                         await asyncio.sleep(0.1)
 
 
-def _get_free_ports(count: int) -> list[int]:
+def get_free_ports(count: int) -> list[int]:
     """Returns free ports that no outgoing connection takes meanwhile."""
     sockets: list[socket.socket] = []
     try:
--- a/standins/runner.py
+++ b/standins/runner.py
@@ -1,16 +1,14 @@
 """Stand-in for a runner."""
 
 import asyncio
-import base64
 from collections.abc import Callable
 import datetime
 import math
 import typing
 
-import orjson
-
 from standins import history
 from standins import network
+from standins import registrations
 from standins import runs
 from standins import store
 from tamarackhatch import model
@@ -65,6 +63,7 @@
             run; None for runs without progress and checkpoints.
         restore_s: Seconds that a run needs to resume from a checkpoint.
         kill_s: Seconds that it takes to kill runs whose lease has expired.
+        max_lease: Longest lease that it grants.
     """
 
     def __init__(
@@ -75,6 +74,7 @@
         plan: Plan,
         run_history: history.History,
         capacity: model.Resources = model.Resources(16_000, 64_000),
+        incarnation: int = 1,
     ) -> None:
         self.identifier = identifier
         self.address = address
@@ -94,13 +94,14 @@
         self.checkpoint_interval_s: float | None = None
         self.restore_s = 0.0
         self.kill_s = 0.0
+        self.max_lease = MAX_LEASE
         self._stalled_from = math.inf
         self._resumed_at = -math.inf
         self._speed = 1.0
         self._earlier_identifiers: list[str] = []
         self._plan = plan
         self._history = run_history
-        self._incarnation = 1
+        self._incarnation = incarnation
         self._registration_number = 0
         self._runs_changed = asyncio.Event()
         self._start_incarnation()
@@ -197,31 +198,27 @@
         for identifier in self._earlier_identifiers:
             store_stand_in.remove("servers", identifier)
         self._earlier_identifiers.clear()
+        value = self.encode_registration()
+        store_stand_in.put("servers", self.identifier, value)
+        self._history.record_capacity(self.identifier, self.capacity)
+        self._history.record_data_centre(self.identifier, self.data_centre)
+
+    def encode_registration(self) -> str:
+        """Returns its next registry entry, as base64 text."""
         self._registration_number += 1
         entry = {
             "service": self.service,
             "address": self.address,
             "zone": self.data_centre,
-            "version": "v1",
-            "slots": 8,
             "state": self.state,
-            "cold_remaining_ms": 0,
-            "capacity": {
-                "cpu": self.capacity.processors,
-                "mem_mb": self.capacity.memory_mb,
-                "gpu": self.capacity.accelerators,
-            },
             "labels": self.labels,
             "born": self._incarnation,
             "seq": self._registration_number,
+            "clock_ms": self._get_clock_ms(),
         }
-        if self.leaves_at is not None:
-            remaining = self.leaves_at - asyncio.get_running_loop().time()
-            entry["remaining_ms"] = max(0, int(remaining * 1000))
-        value = base64.b64encode(orjson.dumps(entry)).decode()
-        store_stand_in.put("servers", self.identifier, value)
-        self._history.record_capacity(self.identifier, self.capacity)
-        self._history.record_data_centre(self.identifier, self.data_centre)
+        now = asyncio.get_running_loop().time()
+        remaining_s = None if self.leaves_at is None else self.leaves_at - now
+        return registrations.encode(entry, self.capacity, remaining_s)
 
     async def handle(self, request: network.Request) -> network.Response:
         """Answers one call; refuses fencing tokens below the highest seen."""
@@ -265,22 +262,18 @@
                 self._incarnation,
                 self._incarnation_start + self._lease_end_ms / 1000,
             )
-        latest_ms = self._get_clock_ms() + MAX_LEASE // _MILLISECOND
+        latest_ms = self._get_clock_ms() + self.max_lease // _MILLISECOND
         requested_ms = min(body.get("deadline_ms", 0), latest_ms)
         self._lease_end_ms = max(self._lease_end_ms, requested_ms)
 
     async def _renew(self, body: network.Body) -> network.Response:
         loop = asyncio.get_running_loop()
-        acknowledged_exit = body.get("ack_cursor", 0)
+        acknowledged = body.get("ack_cursor", 0)
         self._extend_lease(body)
         self._history.record_acknowledgement(
-            self.identifier, self._incarnation, acknowledged_exit
+            self.identifier, self._incarnation, acknowledged
         )
-        self._exits = [
-            run_exit
-            for run_exit in self._exits
-            if run_exit[0] > acknowledged_exit
-        ]
+        self._exits = [it for it in self._exits if it[0] > acknowledged]
         deadline = loop.time() + body.get("wait_ms", 0) / 1000
         while not self._exits and loop.time() < deadline:
             wait_s = min(deadline, self._get_next_exit_time()) - loop.time()
@@ -313,7 +306,7 @@
 
         Empty for none.
         """
-        if self.checkpoint_interval_s is None:
+        if self.checkpoint_interval_s is None or not self._saves(run.task):
             return ""
         count = run.compute_work_done(time) // self.checkpoint_interval_s
         return str(count * self.checkpoint_interval_s) if count else ""
@@ -380,6 +373,13 @@
     def _get_reservation(self, task: str) -> model.Resources:
         return self._history.get_reservation(task)
 
+    def _get_kill_s(self) -> float:
+        return self.kill_s
+
+    def _saves(self, task: str) -> bool:
+        """Returns whether a task takes checkpoints, if any does."""
+        return True
+
     def _set_speed_limit(self, body: network.Body) -> network.Response:
         run = self._runs.get(body["task"])
         if run is not None and run.run == body["run"]:
@@ -417,7 +417,7 @@
                 if run.exit_time > lease_end and not run.is_stopping:
                     run.exit_reason = "lapsed"
                     run.stop_time = (
-                        max(lease_end, self._resumed_at) + self.kill_s
+                        max(lease_end, self._resumed_at) + self._get_kill_s()
                     )
         for run in sorted(self._runs.values(), key=lambda run: run.exit_time):
             if run.exit_time <= min(now, self._stalled_from):
--- a/standins/servers.py
+++ b/standins/servers.py
@@ -52,7 +52,11 @@
         try:
             response = await self._handler(
                 network.Request(
-                    request.method or "GET", request.path, query, body
+                    request.method or "GET",
+                    request.path,
+                    query,
+                    body,
+                    request.headers.get("X-Expect-Instance", ""),
                 )
             )
         except network.NoResponseError:
--- a/standins/store.py
+++ b/standins/store.py
@@ -1,6 +1,7 @@
 """Stand-in for the platform's metadata store."""
 
 import asyncio
+import bisect
 import typing
 
 from standins import network
@@ -41,6 +42,7 @@
         self._window_start_s = 0.0
         self._writes_in_window = 0
         self._rows: dict[Key, tuple[str, int]] = {}
+        self._names: dict[tuple[str, str], list[str]] = {}
         self._changes: list[tuple[int, Key, str | None]] = []
         self._version = 0
         self._oldest_version = 0
@@ -132,24 +134,26 @@
     def _apply(self, puts: list[tuple[Key, str]], removals: list[Key]) -> int:
         self._version += 1
         for key, value in puts:
+            if key not in self._rows:
+                bisect.insort(self._names.setdefault(key[:2], []), key[2])
             self._rows[key] = (value, self._version)
             self._changes.append((self._version, key, value))
         for key in removals:
             if self._rows.pop(key, None) is not None:
+                self._names[key[:2]].remove(key[2])
                 self._changes.append((self._version, key, None))
         self._changed.set()
         self._changed = asyncio.Event()
         return self._version
 
     def _read_rows(self, query: dict[str, str]) -> network.Response:
-        keys = sorted(
-            key
-            for key in self._rows
-            if key[0] == query["table"]
-            and key[1] == query.get("part", "")
-            and query.get("from", "") <= key[2]
-            and (not query.get("to") or key[2] < query["to"])
-        )
+        group = (query["table"], query.get("part", ""))
+        names = self._names.get(group, [])
+        first = bisect.bisect_left(names, query.get("from", ""))
+        last = len(names)
+        if query.get("to"):
+            last = bisect.bisect_left(names, query["to"])
+        keys = [(*group, name) for name in names[first:last]]
         limit = min(500, int(query.get("limit", "500")))
         return network.Response(
             200,
@@ -188,8 +192,11 @@
         self, table: str, after: int
     ) -> list[dict[str, typing.Any]]:
         latest: dict[Key, dict[str, typing.Any]] = {}
-        for version, key, value in self._changes:
-            if version <= after or key[0] != table:
+        first = bisect.bisect_right(
+            self._changes, after, key=lambda change: change[0]
+        )
+        for version, key, value in self._changes[first:]:
+            if key[0] != table:
                 continue
             row = {"table": key[0], "part": key[1], "key": key[2]}
             latest[key] = {
