--- a/soak/_run.py
+++ b/soak/_run.py
@@ -87,7 +87,7 @@
             for task in pending:
                 task.cancel()
             await asyncio.gather(*pending, return_exceptions=True)
-        self._write("all faults are lifted")
+        self.write("all faults are lifted")
         since = self._time()
         self._target.callers.stop()
         while self._target.callers.open_jobs:
@@ -108,9 +108,9 @@
         (self._folder / "runs.jsonl").write_bytes(b"\n".join(lines))
         elapsed_s = self._time() - self._start
         late_s = elapsed_s - self._measure_timely(self._start)
-        counts = collections.Counter(map(_get_name, self.found.values()))
+        counts = collections.Counter(map(get_name, self.found.values()))
         by_name = [f"{name} {count}" for name, count in counts.items()]
-        self._write(
+        self.write(
             f"{len(self.found)} violations ({', '.join(by_name)}), "
             f"{len(observed.accepted)} jobs, "
             f"{len(observed.completed)} completed, {len(observed.runs)} runs, "
@@ -135,8 +135,8 @@
                 continue
             if self.found.setdefault(key, violation) is violation:
                 text = f"{violation.task}: {violation.detail}"
-                lines = [f"VIOLATION {_get_name(violation)} {text}"]
-                self._write("\n".join([*lines, *self.explain(violation)]))
+                lines = [f"VIOLATION {get_name(violation)} {text}"]
+                self.write("\n".join([*lines, *self.explain(violation)]))
         return bool(self.found)
 
     def explain(self, violation: history.Violation) -> list[str]:
@@ -151,11 +151,12 @@
     async def _inject(self, item: _Planned) -> None:
         await asyncio.sleep(item.start.total_seconds())
         leader = self._target.fleet.read_leader()
-        self._write(f"{item.fault} begins, {leader} is active", False)
+        self.write(f"{item.fault} begins, {leader} is active", False)
         await self._inject_fault(item)
-        self._write(f"{item.fault} has ended", False)
+        self.write(f"{item.fault} has ended", False)
 
-    def _write(self, text: str, is_printed: bool = True) -> None:
+    def write(self, text: str, is_printed: bool = True) -> None:
+        """Writes a line to the log of events, with its time."""
         now = self._time()
         utc = datetime.datetime.now(datetime.timezone.utc).isoformat()
         line = f"{now - self._start:6.2f} s ({now:.2f}) {text}"
@@ -165,7 +166,7 @@
             print(line, flush=True)
 
 
-def _get_name(violation: history.Violation) -> str:
+def get_name(violation: history.Violation) -> str:
     """Returns the name of the rule, with the form in which it is broken."""
     if violation.form is None:
         return violation.rule
--- a/soak/rota/_call_proxy.py
+++ b/soak/rota/_call_proxy.py
@@ -56,6 +56,7 @@
         run: Number of the run.
         token: Its fencing token.
         checkpoint: Checkpoint that it carries.
+        runner: Identifier of the runner that it was passed on to.
         received: Time at which it was received.
         passed_on: Time at which it was passed on to the runner.
         status: Status that the runner answered; 0 for none.
@@ -67,6 +68,7 @@
     token: int
     checkpoint: str
     received: float
+    runner: str = ""
     passed_on: float | None = None
     status: int = 0
     is_late: bool = False
@@ -74,12 +76,12 @@
     def __str__(self) -> str:
         passed_on = "not passed on"
         if self.passed_on is not None:
-            passed_on = f"passed on at {self.passed_on:.2f} s"
+            passed_on = f"passed on to {self.runner} at {self.passed_on:.3f} s"
         late = " LATE" if self.is_late else ""
         saved = f" from checkpoint {self.checkpoint}" * bool(self.checkpoint)
         return (
             f"start of run {self.run} with token {self.token}{saved} sent at "
-            f"{self.received:.2f} s, {passed_on}{late}, status {self.status}"
+            f"{self.received:.3f} s, {passed_on}{late}, status {self.status}"
         )
 
 
@@ -105,6 +107,7 @@
         self._random = source
         self._loop = asyncio.get_running_loop()
         self._target = ("", 0)
+        self._runner = ""
         self._generation = 0
         self._changed = asyncio.Event()
         self._listener: socket.socket | None = None
@@ -113,11 +116,16 @@
         self._tasks: dict[asyncio.Task[None], int] = {}
         self._late_tasks: set[asyncio.Task[None]] = set()
 
-    def set_target(self, target: str) -> None:
-        """Passes calls on to ``host:port`` from now on.
+    def set_target(self, target: str, identifier: str) -> None:
+        """Passes calls on to another process from now on.
 
         Calls on connections that were opened before do not reach it.
+
+        Args:
+            target: Its address, as ``host:port``.
+            identifier: Identifier of its runner.
         """
+        self._runner = identifier
         host, _, port = target.partition(":")
         self._target = (host, int(port))
 
@@ -273,7 +281,7 @@
         self, upstream: "_Upstream", message: bytes, call: StartCall | None
     ) -> bytes:
         if call is not None:
-            call.passed_on = self._loop.time()
+            call.passed_on, call.runner = self._loop.time(), self._runner
         answer = await upstream.send(message)
         if call is not None:
             call.status = int(answer.split(b" ", 2)[1])
--- a/soak/rota/_events.py
+++ b/soak/rota/_events.py
@@ -79,6 +79,8 @@
     """
     lines = [f"  {task}:"]
     for run in runs:
+        start = _find_start(run, starts)
+        late = " by a LATE start" if start and start.is_late else ""
         end = "runs"
         if run.exited is not None:
             end = f"{run.exit_reason} at {run.exited:.3f} s"
@@ -88,7 +90,7 @@
         lapsed = ", lease expired before" if run.is_expired else ""
         lines.append(
             f"    run {run.run} on {run.runner} of {run.incarnation}, token "
-            f"{run.token}: started at {run.started:.3f} s, {end}, exit "
+            f"{run.token}: started at {run.started:.3f} s{late}, {end}, exit "
             f"{run.exit_number}, {acknowledged}{lapsed}"
         )
     lines += [f"    {start}" for start in starts]
@@ -99,3 +101,31 @@
         relevant = log.list_relevant(runners, since, until)
         lines += [f"    {event}" for event in relevant]
     return lines
+
+
+def find_cause(
+    runs: list[history.RunRecord], starts: list[_call_proxy.StartCall]
+) -> str:
+    """Returns whether a start that was carried out late is among the runs."""
+    found = [_find_start(run, starts) for run in runs]
+    if any(start is not None and start.is_late for start in found):
+        return "with a late start"
+    return "without a late start"
+
+
+def _find_start(
+    run: history.RunRecord, starts: list[_call_proxy.StartCall]
+) -> _call_proxy.StartCall | None:
+    """Returns the start command that a run follows."""
+    earlier = [
+        start
+        for start in starts
+        if (start.runner, start.run) == (run.runner, run.run)
+        and start.passed_on is not None
+        and start.passed_on <= run.started
+    ]
+    return max(earlier, key=_get_passed_on, default=None)
+
+
+def _get_passed_on(start: _call_proxy.StartCall) -> float:
+    return start.passed_on or 0.0
--- a/soak/rota/_machines.py
+++ b/soak/rota/_machines.py
@@ -75,7 +75,8 @@
         self._observed.record_capacity(self.identifier, capacity)
         process = _runner_link.RunnerProcess(self._observed, _MODULE)
         arguments = orjson.dumps(attrs.asdict(options)).decode()
-        self.proxy.set_target(await process.open(arguments))
+        address = await process.open(arguments)
+        self.proxy.set_target(address, self.identifier)
         self._process = process
         self.is_up = True
         self._set_port()
--- a/soak/rota/_run.py
+++ b/soak/rota/_run.py
@@ -1,6 +1,7 @@
 """One play of deployment brindle-rota."""
 
 import asyncio
+import collections
 import datetime
 import functools
 import pathlib
@@ -26,6 +27,12 @@
         inject = functools.partial(_injection.inject, target=target)
         super().__init__(target, folder, inject)
         self._rota = target
+        self._causes: collections.Counter[str] = collections.Counter()
+
+    def summarise(self) -> None:
+        super().summarise()
+        for name, count in sorted(self._causes.items()):
+            self.write(f"{count} of {name}")
 
     def explain(self, violation: history.Violation) -> list[str]:
         task = violation.task
@@ -37,7 +44,10 @@
             if start.task == task
         ]
         starts.sort(key=lambda start: start.received)
-        return _events.describe(task, runs, starts, self._rota.events)
+        cause = _events.find_cause(runs, starts)
+        self._causes[f"{_run.get_name(violation)} {cause}"] += 1
+        lines = _events.describe(task, runs, starts, self._rota.events)
+        return [f"  {cause}", *lines]
 
 
 async def run_seed(
