--- a/standins/runner.py
+++ b/standins/runner.py
@@ -102,6 +102,8 @@
         self._plan = plan
         self._history = run_history
         self._incarnation = incarnation
+        # Connections to earlier incarnations are reset.
+        self._reset_incarnation = incarnation
         self._registration_number = 0
         self._runs_changed = asyncio.Event()
         self._start_incarnation()
@@ -159,8 +161,13 @@
             run.set_runner_speed(now, speed)
         self._wake_renewals()
 
-    def crash(self) -> None:
-        """Ends all runs without a report and starts a new incarnation."""
+    def crash(self, resets_connections: bool = False) -> None:
+        """Ends all runs without a report and starts a new incarnation.
+
+        Args:
+            resets_connections: Whether calls that wait for their answer see
+                that the earlier incarnation has ended.
+        """
         self._update()
         for run in self._runs.values():
             now = asyncio.get_running_loop().time()
@@ -169,6 +176,9 @@
             )
         self._incarnation += 1
         self._start_incarnation()
+        if resets_connections:
+            self._reset_incarnation = self._incarnation
+            self._wake_renewals()
 
     def _crash_by_run(self, task: str, number: int) -> None:
         """Crashes because of a run, and is back after some seconds."""
@@ -206,19 +216,8 @@
     def encode_registration(self) -> str:
         """Returns its next registry entry, as base64 text."""
         self._registration_number += 1
-        entry = {
-            "service": self.service,
-            "address": self.address,
-            "zone": self.data_centre,
-            "state": self.state,
-            "labels": self.labels,
-            "born": self._incarnation,
-            "seq": self._registration_number,
-            "clock_ms": self._get_clock_ms(),
-        }
-        now = asyncio.get_running_loop().time()
-        remaining_s = None if self.leaves_at is None else self.leaves_at - now
-        return registrations.encode(entry, self.capacity, remaining_s)
+        numbers = (self._incarnation, self._registration_number)
+        return registrations.encode(self, *numbers, self._get_clock_ms())
 
     async def handle(self, request: network.Request) -> network.Response:
         """Answers one call; refuses fencing tokens below the highest seen."""
@@ -268,6 +267,7 @@
 
     async def _renew(self, body: network.Body) -> network.Response:
         loop = asyncio.get_running_loop()
+        incarnation = self._incarnation
         acknowledged = body.get("ack_cursor", 0)
         self._extend_lease(body)
         self._history.record_acknowledgement(
@@ -282,7 +282,7 @@
                     await self._runs_changed.wait()
             except TimeoutError:
                 pass
-            if self.is_down:
+            if self.is_down or incarnation < self._reset_incarnation:
                 raise network.BrokenConnectionError
             self._update()
         running = [self._list_run(run) for run in self._runs.values()]
