--- a/soak/rota/_call_proxy.py
+++ b/soak/rota/_call_proxy.py
@@ -18,7 +18,6 @@
 
 _HOST = "127.0.0.1"
 _BACKLOG = 128
-_LATE_DELAYS_S = (2.0, 12.0)
 # A call that is carried out late gets no answer, or its connection breaks.
 _BROKEN_SHARE = 0.5
 _LENGTH_PATTERN = re.compile(rb"\r\ncontent-length: *(\d+)", re.IGNORECASE)
@@ -34,13 +33,15 @@
     Attributes:
         late_share: Share of the calls that get no answer and are carried out
             seconds later.
+        late_delays_s: Shortest and longest such delay, in seconds.
         delayed_share: Share of the answers that are delayed.
-        answer_delays_s: Shortest and longest such delay, in seconds.
+        answer_delays_s: Shortest and longest delay of these.
         holds_requests: Whether requests are held back for now.
         holds_answers: Whether answers are held back for now.
     """
 
     late_share: float = 0.0
+    late_delays_s: tuple[float, float] = (2.0, 12.0)
     delayed_share: float = 0.0
     answer_delays_s: tuple[float, float] = (0.1, 4.0)
     holds_requests: bool = False
@@ -257,7 +258,7 @@
         return call
 
     def _hold_back(self, message: bytes, call: StartCall | None) -> None:
-        delay_s = self._random.uniform(*_LATE_DELAYS_S)
+        delay_s = self._random.uniform(*self.disturbances.late_delays_s)
         task = self._loop.create_task(self._carry_out(message, call, delay_s))
         self._late_tasks.add(task)
         task.add_done_callback(self._late_tasks.discard)
--- a/soak/tests/faulty.py
+++ b/soak/tests/faulty.py
@@ -8,8 +8,11 @@
 import sys
 import typing
 
+import attrs
+
 from tamarackhatch import cli
 from tamarackhatch import model
+from tamarackhatch.scheduler import _command_fence
 from tamarackhatch.scheduler import _evacuations
 from tamarackhatch.scheduler import _fleet
 from tamarackhatch.scheduler import _runner_reconciler
@@ -43,6 +46,20 @@
         return super().is_lease_expired(now, datetime.timedelta())
 
 
+class _StaleFence(_command_fence.CommandFence):
+    """Keeps the first token of the term."""
+
+    def record_unanswered_command(self) -> None:
+        return
+
+
+@attrs.define(eq=False)
+class _StaleEntry(_fleet.RunnerEntry):
+    """Has all commands carry the first token of the term."""
+
+    fence: _command_fence.CommandFence = attrs.field(factory=_StaleFence)
+
+
 class _ForgetfulTask(_state.TaskEntry):
     """Does not count failed runs."""
 
@@ -60,6 +77,7 @@
     "acknowledge-early": (_runner_reconciler, _EarlyReconciler),
     "ignore-leases": (_fleet, _ImpatientEntry),
     "ignore-kills": (_fleet, _HastyEntry),
+    "old-tokens": (_fleet, _StaleEntry),
     "ignore-failures": (_state, _ForgetfulTask),
     "ignore-evacuations": (_evacuations, _BlindWatcher),
 }
