--- a/soak/_run.py
+++ b/soak/_run.py
@@ -131,9 +131,8 @@
         for violation in self._target.checks.find_violations():
             key = (violation.rule, violation.task, violation.form)
             self._suspected.add(key)
-            if key not in suspected:
-                continue
-            if self.found.setdefault(key, violation) is violation:
+            if key in suspected and key not in self.found:
+                self.found[key] = violation
                 text = f"{violation.task}: {violation.detail}"
                 lines = [f"VIOLATION {get_name(violation)} {text}"]
                 self.write("\n".join([*lines, *self.explain(violation)]))
--- a/soak/rota/_call_proxy.py
+++ b/soak/rota/_call_proxy.py
@@ -111,7 +111,7 @@
         self._runner = ""
         self._generation = 0
         self._changed = asyncio.Event()
-        self._listener: socket.socket | None = None
+        self._listener = _bind(self._port)
         self._fillers: list[socket.socket] = []
         # Connections, with the process that they were opened to.
         self._tasks: dict[asyncio.Task[None], int] = {}
@@ -135,19 +135,12 @@
         for filler in self._fillers:
             filler.close()
         self._fillers.clear()
-        if self._listener is not None:
-            self._loop.remove_reader(self._listener)
+        self._loop.remove_reader(self._listener)
         if port is Port.CLOSED:
-            if self._listener is not None:
-                self._listener.close()
-                self._listener = None
+            # A socket that is bound and does not listen refuses connections.
+            self._listener.close()
+            self._listener = _bind(self._port)
             return
-        if self._listener is None:
-            self._listener = socket.socket()
-            reuse = (socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-            self._listener.setsockopt(*reuse)
-            self._listener.bind((_HOST, self._port))
-            self._listener.setblocking(False)
         if port is Port.OPEN:
             self._listener.listen(_BACKLOG)
             self._loop.add_reader(self._listener, self._accept)
@@ -196,9 +189,9 @@
         for task in tasks:
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
+        self._listener.close()
 
     def _accept(self) -> None:
-        assert self._listener is not None
         with contextlib.suppress(BlockingIOError):
             connection, _ = self._listener.accept()
             task = self._loop.create_task(self._serve(connection))
@@ -289,6 +282,14 @@
         return answer
 
 
+def _bind(port: int) -> socket.socket:
+    listener = socket.socket()
+    listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    listener.bind((_HOST, port))
+    listener.setblocking(False)
+    return listener
+
+
 class _Upstream:
     """A connection to the process of a runner."""
 
--- a/soak/rota/_callers.py
+++ b/soak/rota/_callers.py
@@ -33,6 +33,8 @@
         super().__init__(fleet, checks, seed)
         self.prefixes = [kind.prefix for kind in _traffic.KINDS]
         self._arrivals = arrivals
+        # Jobs in the order of their submissions.
+        self._open: dict[str, None] = {}
         self._cancelled_jobs: set[str] = set()
 
     async def run(self) -> None:
@@ -48,9 +50,9 @@
 
     def cancel_share(self, share: float) -> None:
         """Cancels a share of the open jobs."""
-        for arrival in self._arrivals:
+        for job in self._open:
             if self._random.random() < share:
-                self._cancelled_jobs.add(arrival.job)
+                self._cancelled_jobs.add(job)
 
     async def _repeat(self, arrival: _traffic.Arrival) -> None:
         """Submits an accepted job once more, seconds after the answer."""
@@ -63,6 +65,13 @@
         await self._call("POST", path, orjson.dumps(arrival.document))
 
     async def _follow(self, arrival: _traffic.Arrival) -> None:
+        self._open[arrival.job] = None
+        try:
+            await self._submit_and_ask(arrival)
+        finally:
+            del self._open[arrival.job]
+
+    async def _submit_and_ask(self, arrival: _traffic.Arrival) -> None:
         """Submits a job, and asks for its state until it has ended."""
         job, path = arrival.job, arrival.kind.prefix + arrival.job
         attempts = arrival.kind.max_attempts
--- a/standins/processes.py
+++ b/standins/processes.py
@@ -24,6 +24,7 @@
 # Below the ports that the kernel gives to outgoing connections.
 _SERVER_PORTS = range(20_000, 32_000)
 _random = random.SystemRandom()
+_returned_ports: set[int] = set()
 
 
 class ProcessFleet:
@@ -275,17 +276,24 @@
 
 
 def get_free_ports(count: int) -> list[int]:
-    """Returns free ports that no outgoing connection takes meanwhile."""
+    """Returns free ports that no outgoing connection takes meanwhile.
+
+    No port is returned twice, since processes bind theirs later.
+    """
     sockets: list[socket.socket] = []
     try:
         while len(sockets) < count:
             item = socket.socket()
             sockets.append(item)
+            port = _random.choice(_SERVER_PORTS)
             try:
-                item.bind(("127.0.0.1", _random.choice(_SERVER_PORTS)))
+                item.bind(("127.0.0.1", port))
             except OSError:
+                port = 0
+            if not port or port in _returned_ports:
                 sockets.remove(item)
                 item.close()
+            _returned_ports.add(port)
         return [item.getsockname()[1] for item in sockets]
     finally:
         for item in sockets:
