--- a/soak/_run.py
+++ b/soak/_run.py
@@ -131,13 +131,19 @@
         for violation in self._target.checks.find_violations():
             key = (violation.rule, violation.task, violation.form)
             self._suspected.add(key)
-            if key in suspected and key not in self.found:
+            if key not in suspected or key in self.found:
+                continue
+            if self.is_violation(violation):
                 self.found[key] = violation
                 text = f"{violation.task}: {violation.detail}"
                 lines = [f"VIOLATION {get_name(violation)} {text}"]
                 self.write("\n".join([*lines, *self.explain(violation)]))
         return bool(self.found)
 
+    def is_violation(self, found: history.Violation) -> bool:
+        """Returns whether a finding counts."""
+        return True
+
     def explain(self, violation: history.Violation) -> list[str]:
         """Returns further lines about a violation."""
         return []
--- a/soak/rota/_call_proxy.py
+++ b/soak/rota/_call_proxy.py
@@ -21,6 +21,7 @@
 # A call that is carried out late gets no answer, or its connection breaks.
 _BROKEN_SHARE = 0.5
 _LENGTH_PATTERN = re.compile(rb"\r\ncontent-length: *(\d+)", re.IGNORECASE)
+_TOKEN_PATTERN = re.compile(rb'"fencing_token": *(\d+)')
 _HEAD_END = b"\r\n\r\n"
 
 Port = enum.Enum("Port", "OPEN DARK CLOSED")
@@ -62,6 +63,8 @@
         passed_on: Time at which it was passed on to the runner.
         status: Status that the runner answered; 0 for none.
         is_late: Whether it was held back for seconds.
+        highest_token: Highest fencing token that was passed on to the process
+            before; 0 if no scheduler had reached it.
     """
 
     task: str
@@ -73,12 +76,15 @@
     passed_on: float | None = None
     status: int = 0
     is_late: bool = False
+    highest_token: int = 0
 
     def __str__(self) -> str:
         passed_on = "not passed on"
         if self.passed_on is not None:
             passed_on = f"passed on to {self.runner} at {self.passed_on:.3f} s"
-        late = " LATE" if self.is_late else ""
+        late = ""
+        if self.is_late:
+            late = f" LATE after token {self.highest_token}"
         saved = f" from checkpoint {self.checkpoint}" * bool(self.checkpoint)
         return (
             f"start of run {self.run} with token {self.token}{saved} sent at "
@@ -109,6 +115,7 @@
         self._loop = asyncio.get_running_loop()
         self._target = ("", 0)
         self._runner = ""
+        self._highest_token = 0
         self._generation = 0
         self._changed = asyncio.Event()
         self._listener = _bind(self._port)
@@ -127,6 +134,7 @@
             identifier: Identifier of its runner.
         """
         self._runner = identifier
+        self._highest_token = 0
         host, _, port = target.partition(":")
         self._target = (host, int(port))
 
@@ -276,6 +284,11 @@
     ) -> bytes:
         if call is not None:
             call.passed_on, call.runner = self._loop.time(), self._runner
+            call.highest_token = self._highest_token
+        match = _TOKEN_PATTERN.search(message)
+        if match is not None:
+            token = int(match.group(1))
+            self._highest_token = max(self._highest_token, token)
         answer = await upstream.send(message)
         if call is not None:
             call.status = int(answer.split(b" ", 2)[1])
--- a/soak/rota/_events.py
+++ b/soak/rota/_events.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import Iterator
 import contextlib
+import enum
 import math
 
 import attrs
@@ -103,14 +104,28 @@
     return lines
 
 
+class Cause(enum.Enum):
+    """Whether the runs of a task follow start commands carried out late."""
+
+    NOT_LATE = "without a late start"
+    LATE = "with a late start"
+    LATE_AND_FIRST = "with a late start that was a runner's first command"
+
+
 def find_cause(
     runs: list[history.RunRecord], starts: list[_call_proxy.StartCall]
-) -> str:
-    """Returns whether a start that was carried out late is among the runs."""
+) -> Cause:
+    """Returns whether a start that was carried out late is among the runs.
+
+    Fencing tokens cannot shut out the first command to an incarnation.
+    """
     found = [_find_start(run, starts) for run in runs]
-    if any(start is not None and start.is_late for start in found):
-        return "with a late start"
-    return "without a late start"
+    late = [start for start in found if start is not None and start.is_late]
+    if not late:
+        return Cause.NOT_LATE
+    if all(start.highest_token == 0 for start in late):
+        return Cause.LATE_AND_FIRST
+    return Cause.LATE
 
 
 def _find_start(
--- a/soak/rota/_run.py
+++ b/soak/rota/_run.py
@@ -9,6 +9,7 @@
 import signal
 
 from soak import _run
+from soak.rota import _call_proxy
 from soak.rota import _deployment
 from soak.rota import _events
 from soak.rota import _injection
@@ -34,8 +35,26 @@
         for name, count in sorted(self._causes.items()):
             self.write(f"{count} of {name}")
 
+    def is_violation(self, found: history.Violation) -> bool:
+        # Run numbers show in which order commands were sent. One that is
+        # carried out late is repeated on an incarnation that does not know it.
+        return found.rule != "NUMBER" or (
+            _events.find_cause(*self._list_runs(found.task))
+            is _events.Cause.NOT_LATE
+        )
+
     def explain(self, violation: history.Violation) -> list[str]:
-        task = violation.task
+        runs, starts = self._list_runs(violation.task)
+        cause = _events.find_cause(runs, starts).value
+        self._causes[f"{_run.get_name(violation)} {cause}"] += 1
+        log = self._rota.events
+        lines = _events.describe(violation.task, runs, starts, log)
+        return [f"  {cause}", *lines]
+
+    def _list_runs(
+        self, task: str
+    ) -> tuple[list[history.RunRecord], list[_call_proxy.StartCall]]:
+        """Returns the runs of a task, and the start commands for it."""
         runs = [it for it in self._rota.fleet.history.runs if it.task == task]
         starts = [
             start
@@ -44,10 +63,7 @@
             if start.task == task
         ]
         starts.sort(key=lambda start: start.received)
-        cause = _events.find_cause(runs, starts)
-        self._causes[f"{_run.get_name(violation)} {cause}"] += 1
-        lines = _events.describe(task, runs, starts, self._rota.events)
-        return [f"  {cause}", *lines]
+        return runs, starts
 
 
 async def run_seed(
--- a/soak/tests/test_rota.py
+++ b/soak/tests/test_rota.py
@@ -215,19 +215,23 @@
 
 
 @pytest.mark.parametrize(
-    ("is_late", "passed_on", "cause"),
+    ("is_late", "passed_on", "highest_token", "cause"),
     [
-        (True, 1.0, "with a late start"),
-        (False, 1.0, "without a late start"),
-        (True, 1.5, "without a late start"),
-        (True, None, "without a late start"),
+        (True, 1.0, 5, _events.Cause.LATE),
+        (True, 1.0, 0, _events.Cause.LATE_AND_FIRST),
+        (False, 1.0, 0, _events.Cause.NOT_LATE),
+        (True, 1.5, 0, _events.Cause.NOT_LATE),
+        (True, None, 0, _events.Cause.NOT_LATE),
     ],
 )
 def test_late_starts_are_matched_with_runs(
-    is_late: bool, passed_on: float | None, cause: str
+    is_late: bool,
+    passed_on: float | None,
+    highest_token: int,
+    cause: _events.Cause,
 ) -> None:
     """Guards against violations that are put down to a wrong cause."""
     run = history.RunRecord("r-0", 1, _TASK, 1, 7, 1.2)
     start = _call_proxy.StartCall(_TASK, 1, 7, "", 0.5, "r-0", passed_on)
-    start.is_late = is_late
-    assert _events.find_cause([run], [start]) == cause
+    start.is_late, start.highest_token = is_late, highest_token
+    assert _events.find_cause([run], [start]) is cause
