--- a/soak/rota/_schedule.py
+++ b/soak/rota/_schedule.py
@@ -158,7 +158,7 @@
 
 
 _WEIGHTS: dict[Callable[[random.Random], _Drawn], float] = {
-    _draw_cut: 4,
+    _draw_cut: 6,
     _draw_restart: 4,
     _draw_late_calls: 4,
     _draw_runner_pause: 3,
