--- a/soak/_run.py
+++ b/soak/_run.py
@@ -22,6 +22,9 @@
 from standins import repetitions
 
 _CHECK_INTERVAL_S = 2.0
+# The loop serves stand-ins and callers for this many times as long as a check
+# of many runs takes.
+_PAUSES_PER_CHECK = 20
 # Time in which all accepted jobs must end after the last fault: a takeover
 # beside runners that do not answer takes 10.3 s, and then the work that has
 # waited runs on ejected runners that are probed.
@@ -70,15 +73,15 @@
         self._folder = folder
         self._time = asyncio.get_running_loop().time
         self._start = self._time()
+        self._last_check_s = 0.0
 
     async def play(self, schedule: Sequence[_Planned], is_brief: bool) -> None:
         """Injects the faults, lifts them, and waits until all jobs end."""
         pending = {asyncio.create_task(self._inject(it)) for it in schedule}
         try:
             while pending:
-                done, pending = await asyncio.wait(
-                    pending, timeout=_CHECK_INTERVAL_S
-                )
+                timeout_s = max(_CHECK_INTERVAL_S, self._get_pause_s())
+                done, pending = await asyncio.wait(pending, timeout=timeout_s)
                 for task in done:
                     task.result()
                 if self._check() and is_brief:
@@ -92,7 +95,8 @@
         self._target.callers.stop()
         while self._target.callers.open_jobs:
             self._check()
-            await asyncio.sleep(_CHECK_INTERVAL_S / 4)
+            pause_s = max(_CHECK_INTERVAL_S / 4, self._get_pause_s())
+            await asyncio.sleep(pause_s)
             if self._measure_timely(since) > _RECOVERY_S:
                 break
         await asyncio.sleep(_LAST_CHECKS_S)
@@ -117,12 +121,17 @@
             f"the machine was late for {late_s:.1f} s"
         )
 
+    def _get_pause_s(self) -> float:
+        """Returns how long the loop should serve others after a check."""
+        return _PAUSES_PER_CHECK * self._last_check_s
+
     def _check(self) -> bool:
         """Prints new violations, and returns whether there is any.
 
         Only what is found twice counts, because the observations of runner
         processes may arrive out of order.
         """
+        began = self._time()
         for item in self._target.fleet.runners:
             # Reading the property records the exits of runs that are over.
             _ = item.running
@@ -138,6 +147,7 @@
                 text = f"{violation.task}: {violation.detail}"
                 lines = [f"VIOLATION {get_name(violation)} {text}"]
                 self.write("\n".join([*lines, *self.explain(violation)]))
+        self._last_check_s = self._time() - began
         return bool(self.found)
 
     def is_violation(self, found: history.Violation) -> bool:
--- a/standins/history.py
+++ b/standins/history.py
@@ -294,7 +294,7 @@
                         "REFUSED", task, "ran although its job was refused"
                     )
                 )
-            if job not in self.accepted | self.refused:
+            if job not in self.accepted and job not in self.refused:
                 violations.append(
                     Violation(
                         "UNASKED",
