--- a/soak/rota/_call_proxy.py
+++ b/soak/rota/_call_proxy.py
@@ -11,8 +11,8 @@
 import socket
 
 import attrs
-import orjson
 
+from soak.rota import _calls
 from standins import processes
 from standins import runner
 
@@ -21,8 +21,6 @@
 # A call that is carried out late gets no answer, or its connection breaks.
 _BROKEN_SHARE = 0.5
 _LENGTH_PATTERN = re.compile(rb"\r\ncontent-length: *(\d+)", re.IGNORECASE)
-_TOKEN_PATTERN = re.compile(rb'"fencing_token": *(\d+)')
-_HEAD_END = b"\r\n\r\n"
 
 Port = enum.Enum("Port", "OPEN DARK CLOSED")
 
@@ -49,49 +47,6 @@
     holds_answers: bool = False
 
 
-@attrs.define
-class StartCall:
-    """A start command as the proxy saw it; loop times in seconds.
-
-    Attributes:
-        task: Name of the task.
-        run: Number of the run.
-        token: Its fencing token.
-        checkpoint: Checkpoint that it carries.
-        runner: Identifier of the runner that it was passed on to.
-        received: Time at which it was received.
-        passed_on: Time at which it was passed on to the runner.
-        status: Status that the runner answered; 0 for none.
-        is_late: Whether it was held back for seconds.
-        highest_token: Highest fencing token that was passed on to the process
-            before; 0 if no scheduler had reached it.
-    """
-
-    task: str
-    run: int
-    token: int
-    checkpoint: str
-    received: float
-    runner: str = ""
-    passed_on: float | None = None
-    status: int = 0
-    is_late: bool = False
-    highest_token: int = 0
-
-    def __str__(self) -> str:
-        passed_on = "not passed on"
-        if self.passed_on is not None:
-            passed_on = f"passed on to {self.runner} at {self.passed_on:.3f} s"
-        late = ""
-        if self.is_late:
-            late = f" LATE after token {self.highest_token}"
-        saved = f" from checkpoint {self.checkpoint}" * bool(self.checkpoint)
-        return (
-            f"start of run {self.run} with token {self.token}{saved} sent at "
-            f"{self.received:.3f} s, {passed_on}{late}, status {self.status}"
-        )
-
-
 class CallProxy:
     """Passes calls on to the process that runs behind an address.
 
@@ -99,6 +54,7 @@
         address: Address at which it listens, as ``host:port``.
         disturbances: What happens to the calls.
         starts: Start commands so far.
+        late_calls: Other calls so far that were held back for seconds.
     """
 
     def __init__(self, source: random.Random) -> None:
@@ -110,7 +66,8 @@
         (self._port,) = processes.get_free_ports(1)
         self.address = f"{_HOST}:{self._port}"
         self.disturbances = Disturbances()
-        self.starts: list[StartCall] = []
+        self.starts: list[_calls.Call] = []
+        self.late_calls: list[_calls.Call] = []
         self._random = source
         self._loop = asyncio.get_running_loop()
         self._target = ("", 0)
@@ -214,7 +171,9 @@
             while True:
                 message = await _read_message(reader)
                 late = self._random.random() < self.disturbances.late_share
-                call = self._note_start(message)
+                call = _calls.decode(message, self._loop.time())
+                if call is not None and call.path == runner.START_PATH:
+                    self.starts.append(call)
                 if late:
                     self._hold_back(message, call)
                     if self._random.random() >= _BROKEN_SHARE:
@@ -244,34 +203,22 @@
                 await self._changed.wait()
             writer.transport.abort()
 
-    def _note_start(self, message: bytes) -> StartCall | None:
-        if not message.startswith(b"POST " + runner.START_PATH.encode()):
-            return None
-        body = orjson.loads(message[message.index(_HEAD_END) :])
-        call = StartCall(
-            body["task"],
-            body["run"],
-            body.get("fencing_token", 0),
-            body.get("checkpoint", ""),
-            self._loop.time(),
-        )
-        self.starts.append(call)
-        return call
-
-    def _hold_back(self, message: bytes, call: StartCall | None) -> None:
+    def _hold_back(self, message: bytes, call: _calls.Call | None) -> None:
         delay_s = self._random.uniform(*self.disturbances.late_delays_s)
         task = self._loop.create_task(self._carry_out(message, call, delay_s))
         self._late_tasks.add(task)
         task.add_done_callback(self._late_tasks.discard)
 
     async def _carry_out(
-        self, message: bytes, call: StartCall | None, delay_s: float
+        self, message: bytes, call: _calls.Call | None, delay_s: float
     ) -> None:
         await asyncio.sleep(delay_s)
         while self.disturbances.holds_requests:
             await self._changed.wait()
         if call is not None:
             call.is_late = True
+            if call.path != runner.START_PATH:
+                self.late_calls.append(call)
         with contextlib.suppress(OSError, EOFError):
             upstream = await _Upstream.open(self._target)
             try:
@@ -280,15 +227,12 @@
                 upstream.close()
 
     async def _pass_on(
-        self, upstream: "_Upstream", message: bytes, call: StartCall | None
+        self, upstream: "_Upstream", message: bytes, call: _calls.Call | None
     ) -> bytes:
         if call is not None:
             call.passed_on, call.runner = self._loop.time(), self._runner
             call.highest_token = self._highest_token
-        match = _TOKEN_PATTERN.search(message)
-        if match is not None:
-            token = int(match.group(1))
-            self._highest_token = max(self._highest_token, token)
+            self._highest_token = max(self._highest_token, call.token)
         answer = await upstream.send(message)
         if call is not None:
             call.status = int(answer.split(b" ", 2)[1])
@@ -333,7 +277,7 @@
     Raises:
         EOFError: The connection has ended.
     """
-    head = await reader.readuntil(_HEAD_END)
+    head = await reader.readuntil(_calls.HEAD_END)
     match = _LENGTH_PATTERN.search(head)
     length = int(match.group(1)) if match is not None else 0
     return head + await reader.readexactly(length)
--- a/soak/rota/_events.py
+++ b/soak/rota/_events.py
@@ -8,7 +8,7 @@
 
 import attrs
 
-from soak.rota import _call_proxy
+from soak.rota import _calls
 from standins import history
 
 # Disturbances that ended this long before a run may have to do with it.
@@ -67,7 +67,8 @@
 def describe(
     task: str,
     runs: list[history.RunRecord],
-    starts: list[_call_proxy.StartCall],
+    starts: list[_calls.Call],
+    late_calls: list[_calls.Call],
     log: EventLog,
 ) -> list[str]:
     """Returns lines that tell apart the causes of a violation.
@@ -76,6 +77,7 @@
         task: Name of the task.
         runs: All runs of the task.
         starts: All start commands for it.
+        late_calls: Other calls that were carried out late.
         log: The disturbances.
     """
     lines = [f"  {task}:"]
@@ -99,6 +101,10 @@
         since = min(run.started for run in runs)
         until = max(run.exited or run.started for run in runs)
         runners = {run.runner for run in runs}
+        for call in late_calls:
+            if call.runner in runners and call.passed_on is not None:
+                if since - _RELEVANT_S <= call.passed_on <= until:
+                    lines.append(f"    {call}")
         relevant = log.list_relevant(runners, since, until)
         lines += [f"    {event}" for event in relevant]
     return lines
@@ -113,7 +119,7 @@
 
 
 def find_cause(
-    runs: list[history.RunRecord], starts: list[_call_proxy.StartCall]
+    runs: list[history.RunRecord], starts: list[_calls.Call]
 ) -> Cause:
     """Returns whether a start that was carried out late is among the runs.
 
@@ -129,8 +135,8 @@
 
 
 def _find_start(
-    run: history.RunRecord, starts: list[_call_proxy.StartCall]
-) -> _call_proxy.StartCall | None:
+    run: history.RunRecord, starts: list[_calls.Call]
+) -> _calls.Call | None:
     """Returns the start command that a run follows."""
     earlier = [
         start
@@ -142,5 +148,5 @@
     return max(earlier, key=_get_passed_on, default=None)
 
 
-def _get_passed_on(start: _call_proxy.StartCall) -> float:
+def _get_passed_on(start: _calls.Call) -> float:
     return start.passed_on or 0.0
--- a/soak/rota/_run.py
+++ b/soak/rota/_run.py
@@ -9,7 +9,7 @@
 import signal
 
 from soak import _run
-from soak.rota import _call_proxy
+from soak.rota import _calls
 from soak.rota import _deployment
 from soak.rota import _events
 from soak.rota import _injection
@@ -47,13 +47,19 @@
         runs, starts = self._list_runs(violation.task)
         cause = _events.find_cause(runs, starts).value
         self._causes[f"{_run.get_name(violation)} {cause}"] += 1
-        log = self._rota.events
-        lines = _events.describe(violation.task, runs, starts, log)
+        late_calls = [
+            call
+            for machine in self._rota.machines
+            for call in machine.proxy.late_calls
+        ]
+        lines = _events.describe(
+            violation.task, runs, starts, late_calls, self._rota.events
+        )
         return [f"  {cause}", *lines]
 
     def _list_runs(
         self, task: str
-    ) -> tuple[list[history.RunRecord], list[_call_proxy.StartCall]]:
+    ) -> tuple[list[history.RunRecord], list[_calls.Call]]:
         """Returns the runs of a task, and the start commands for it."""
         runs = [it for it in self._rota.fleet.history.runs if it.task == task]
         starts = [
--- a/soak/tests/test_rota.py
+++ b/soak/tests/test_rota.py
@@ -9,6 +9,7 @@
 import pytest
 
 from soak.rota import _call_proxy
+from soak.rota import _calls
 from soak.rota import _events
 from soak.rota import _schedule
 from soak.rota import _traffic
@@ -135,7 +136,7 @@
         return server
 
 
-async def _play_late_call() -> tuple[list[int], _call_proxy.StartCall]:
+async def _play_late_call() -> tuple[list[int], _calls.Call]:
     trial = _Trial()
     first = await trial.open(1)
     trial.proxy.set_port(_call_proxy.Port.OPEN)
@@ -232,6 +233,8 @@
 ) -> None:
     """Guards against violations that are put down to a wrong cause."""
     run = history.RunRecord("r-0", 1, _TASK, 1, 7, 1.2)
-    start = _call_proxy.StartCall(_TASK, 1, 7, "", 0.5, "r-0", passed_on)
+    start = _calls.Call(
+        runner.START_PATH, _TASK, 1, 7, 0.5, "", "r-0", passed_on
+    )
     start.is_late, start.highest_token = is_late, highest_token
     assert _events.find_cause([run], [start]) is cause
