--- a/soak/rota/_schedule.py
+++ b/soak/rota/_schedule.py
@@ -17,9 +17,11 @@
 _LATE_SHARE = 0.055
 _HIGHEST_LATE_SHARE = 0.5
 _BURST_FACTOR = 2.6
-# Share of the troubles that are followed by a failure of the active scheduler
-# while they last.
-_SERIES_SHARE = 0.3
+# Shares of the troubles that are followed by a failure of the active scheduler
+# while they last. Some faults show only under a scheduler that lasts.
+_SERIES_SHARES = (0.0, 0.3)
+# Each play has its own mixture of troubles.
+_FACTORS = (0.0, 1.0, 1.0, 2.0)
 _Drawn = tuple[_troubles.Trouble, float]
 
 
@@ -34,12 +36,14 @@
     source = random.Random(f"rota {seed}")
     end_s = duration.total_seconds()
     planned: list[_troubles.PlannedTrouble] = []
+    weights = [it * source.choice(_FACTORS) for it in _WEIGHTS.values()]
+    series_share = source.choice(_SERIES_SHARES)
     time_s = source.uniform(2, 4)
     while time_s < end_s - 1:
-        draw = source.choices(list(_WEIGHTS), list(_WEIGHTS.values()))[0]
+        draw = source.choices(list(_WEIGHTS), weights)[0]
         fault, length_s = draw(source)
         planned.append(_plan(time_s, length_s, end_s, fault))
-        if source.random() < _SERIES_SHARE:
+        if source.random() < series_share:
             later_s = time_s + source.uniform(0.1, 0.9) * length_s
             fault, length_s = _draw_scheduler_failure(source)
             if later_s < end_s - 1:
