--- a/soak/_runner_link.py
+++ b/soak/_runner_link.py
@@ -29,6 +29,11 @@
         self._process: asyncio.subprocess.Process | None = None
         self._reader: asyncio.Task[None] | None = None
 
+    @property
+    def exit_code(self) -> int | None:
+        """Exit code of the process; None while it runs."""
+        return None if self._process is None else self._process.returncode
+
     async def open(self, *arguments: str) -> str:
         """Starts the process, and returns its address."""
         self._process = await asyncio.create_subprocess_exec(
--- a/soak/rota/_deployment.py
+++ b/soak/rota/_deployment.py
@@ -131,6 +131,15 @@
         value = base64.b64encode(orjson.dumps(document)).decode()
         self.fleet.store.put("op", "config", value)
 
+    def check_processes(self) -> None:
+        """Reports processes that ended by themselves."""
+        super().check_processes()
+        for machine in self.machines:
+            code = machine.exit_code
+            if code is not None:
+                detail = f"its process ended with code {code}"
+                self.checks.report("HARNESS", machine.identifier, detail)
+
     def pause(self, name: str, is_stopped: bool) -> None:
         """Stops an instance, or continues it unless it is stopped twice."""
         change = 1 if is_stopped else -1
--- a/soak/rota/_machines.py
+++ b/soak/rota/_machines.py
@@ -100,6 +100,11 @@
         await process.close()
         self._observed.record_end(self.identifier, self._incarnation, now)
 
+    @property
+    def exit_code(self) -> int | None:
+        """Exit code of a process that ended by itself; None for none."""
+        return None if self._process is None else self._process.exit_code
+
     def rename(self) -> None:
         """Gives the next process of this machine a new identifier."""
         self._replacements += 1
