--- a/soak/_run.py
+++ b/soak/_run.py
@@ -126,7 +126,7 @@
         return _PAUSES_PER_CHECK * self._last_check_s
 
     def _check(self) -> bool:
-        """Prints new violations, and returns whether there is any.
+        """Prints new violations, and returns whether any is conclusive.
 
         Only what is found twice counts, because the observations of runner
         processes may arrive out of order.
@@ -148,7 +148,11 @@
                 lines = [f"VIOLATION {get_name(violation)} {text}"]
                 self.write("\n".join([*lines, *self.explain(violation)]))
         self._last_check_s = self._time() - began
-        return bool(self.found)
+        return bool(self.list_conclusive())
+
+    def list_conclusive(self) -> list[history.Violation]:
+        """Returns the violations that show a deliberate fault."""
+        return list(self.found.values())
 
     def is_violation(self, found: history.Violation) -> bool:
         """Returns whether a finding counts."""
--- a/soak/rota/_run.py
+++ b/soak/rota/_run.py
@@ -43,6 +43,15 @@
             is _events.Cause.NOT_LATE
         )
 
+    def list_conclusive(self) -> list[history.Violation]:
+        # Late starts that no token could refuse occur without a fault, too.
+        return [
+            found
+            for found in super().list_conclusive()
+            if _events.find_cause(*self._list_runs(found.task))
+            is not _events.Cause.LATE_AND_FIRST
+        ]
+
     def explain(self, violation: history.Violation) -> list[str]:
         runs, starts = self._list_runs(violation.task)
         cause = _events.find_cause(runs, starts).value
@@ -114,6 +123,8 @@
         play = _Play(target, folder)
         await play.play(schedule, deliberate is not None)
         play.summarise()
+        if deliberate is not None:
+            return play.list_conclusive()
         return list(play.found.values())
     finally:
         await target.close()
