--- a/soak/rota/_call_proxy.py
+++ b/soak/rota/_call_proxy.py
@@ -73,6 +73,7 @@
         self._target = ("", 0)
         self._runner = ""
         self._highest_token = 0
+        self._is_reached = False
         self._generation = 0
         self._changed = asyncio.Event()
         self._listener = _bind(self._port)
@@ -92,6 +93,7 @@
         """
         self._runner = identifier
         self._highest_token = 0
+        self._is_reached = False
         host, _, port = target.partition(":")
         self._target = (host, int(port))
 
@@ -232,7 +234,10 @@
         if call is not None:
             call.passed_on, call.runner = self._loop.time(), self._runner
             call.highest_token = self._highest_token
+            call.is_first = not self._is_reached
             self._highest_token = max(self._highest_token, call.token)
+        if call is None or not call.is_late:
+            self._is_reached = True
         answer = await upstream.send(message)
         if call is not None:
             call.status = int(answer.split(b" ", 2)[1])
--- a/soak/rota/_calls.py
+++ b/soak/rota/_calls.py
@@ -24,7 +24,8 @@
         status: Status that the runner answered; 0 for none.
         is_late: Whether it was held back for seconds.
         highest_token: Highest fencing token that was passed on to the process
-            before; 0 if no scheduler had reached it.
+            before; 0 for none.
+        is_first: Whether only late calls were passed on to the process before.
     """
 
     path: str
@@ -38,6 +39,7 @@
     status: int = 0
     is_late: bool = False
     highest_token: int = 0
+    is_first: bool = False
 
     def __str__(self) -> str:
         passed_on = "not passed on"
@@ -46,6 +48,7 @@
         late = ""
         if self.is_late:
             late = f" LATE after token {self.highest_token}"
+            late += ", first" * self.is_first
         subject = f" {self.task} run {self.run}" if self.task else ""
         return (
             f"{self.path}{subject} with token {self.token} "
--- a/soak/rota/_events.py
+++ b/soak/rota/_events.py
@@ -115,7 +115,7 @@
 
     NOT_LATE = "without a late start"
     LATE = "with a late start"
-    LATE_AND_FIRST = "with a late start that was a runner's first command"
+    LATE_AND_FIRST = "with a late start before a scheduler reached the runner"
 
 
 def find_cause(
@@ -123,13 +123,14 @@
 ) -> Cause:
     """Returns whether a start that was carried out late is among the runs.
 
-    Fencing tokens cannot shut out the first command to an incarnation.
+    Fencing tokens cannot shut out a command that overtakes the first one of
+    the scheduler to an incarnation.
     """
     found = [_find_start(run, starts) for run in runs]
     late = [start for start in found if start is not None and start.is_late]
     if not late:
         return Cause.NOT_LATE
-    if all(start.highest_token == 0 for start in late):
+    if all(start.is_first for start in late):
         return Cause.LATE_AND_FIRST
     return Cause.LATE
 
--- a/soak/tests/test_rota.py
+++ b/soak/tests/test_rota.py
@@ -216,19 +216,19 @@
 
 
 @pytest.mark.parametrize(
-    ("is_late", "passed_on", "highest_token", "cause"),
+    ("is_late", "passed_on", "is_first", "cause"),
     [
-        (True, 1.0, 5, _events.Cause.LATE),
-        (True, 1.0, 0, _events.Cause.LATE_AND_FIRST),
-        (False, 1.0, 0, _events.Cause.NOT_LATE),
-        (True, 1.5, 0, _events.Cause.NOT_LATE),
-        (True, None, 0, _events.Cause.NOT_LATE),
+        (True, 1.0, False, _events.Cause.LATE),
+        (True, 1.0, True, _events.Cause.LATE_AND_FIRST),
+        (False, 1.0, True, _events.Cause.NOT_LATE),
+        (True, 1.5, True, _events.Cause.NOT_LATE),
+        (True, None, True, _events.Cause.NOT_LATE),
     ],
 )
 def test_late_starts_are_matched_with_runs(
     is_late: bool,
     passed_on: float | None,
-    highest_token: int,
+    is_first: bool,
     cause: _events.Cause,
 ) -> None:
     """Guards against violations that are put down to a wrong cause."""
@@ -236,5 +236,5 @@
     start = _calls.Call(
         runner.START_PATH, _TASK, 1, 7, 0.5, "", "r-0", passed_on
     )
-    start.is_late, start.highest_token = is_late, highest_token
+    start.is_late, start.is_first = is_late, is_first
     assert _events.find_cause([run], [start]) is cause
