Drop what waits for a dark machine in plays

A start command that waited in the accept queue of a cut machine reached the next incarnation when the cut ended, which looked like a violation without a late command. The test failed before.

--- a/soak/rota/_call_proxy.py
+++ b/soak/rota/_call_proxy.py
@@ -99,9 +99,8 @@
 
     def set_port(self, port: Port) -> None:
         """Accepts connections, ignores them, or refuses them."""
-        for filler in self._fillers:
-            filler.close()
-        self._fillers.clear()
+        if self._fillers:
+            self._drop_waiting()
         self._loop.remove_reader(self._listener)
         if port is Port.CLOSED:
             # A socket that is bound and does not listen refuses connections.
@@ -121,6 +120,16 @@
             with contextlib.suppress(BlockingIOError):
                 filler.connect((_HOST, self._port))
 
+    def _drop_waiting(self) -> None:
+        """Resets the connections that wait in the accept queue."""
+        for filler in self._fillers:
+            filler.close()
+        self._fillers.clear()
+        with contextlib.suppress(BlockingIOError):
+            while True:
+                connection, _ = self._listener.accept()
+                connection.close()
+
     def cut(self, requests: bool, answers: bool) -> None:
         """Holds back requests and answers, or passes them on again."""
         self.disturbances.holds_requests = requests
--- a/soak/tests/test_rota.py
+++ b/soak/tests/test_rota.py
@@ -3,6 +3,7 @@
 import asyncio
 import datetime
 import random
+import socket
 import statistics
 
 import orjson
@@ -98,16 +99,20 @@
     assert specs[0].steps[0].reserved.processors == step["cpu"]
 
 
-async def _call(address: str, timeout_s: float) -> bytes | None:
-    """Sends a start, and returns the status line; None for no answer."""
+def _make_start() -> bytes:
     body = orjson.dumps({"task": _TASK, "run": 1, "fencing_token": 7})
     head = f"POST {runner.START_PATH} HTTP/1.1\r\nHost: a\r\n"
     head += f"Content-Length: {len(body)}\r\n\r\n"
+    return head.encode() + body
+
+
+async def _call(address: str, timeout_s: float) -> bytes | None:
+    """Sends a start, and returns the status line; None for no answer."""
     host, port = address.split(":")
     try:
         async with asyncio.timeout(timeout_s):
             reader, writer = await asyncio.open_connection(host, int(port))
-            writer.write(head.encode() + body)
+            writer.write(_make_start())
             line = await reader.readline()
             writer.close()
     except TimeoutError:
@@ -187,6 +192,28 @@
     assert answers == [answer, b"HTTP/1.1 200 OK\r\n"]
 
 
+async def _play_dark() -> list[int]:
+    trial = _Trial()
+    server = await trial.open(1)
+    trial.proxy.set_port(_call_proxy.Port.OPEN)
+    host, port = trial.proxy.address.split(":")
+    # The loop does not run before the machine is dark.
+    with socket.create_connection((host, int(port))) as connection:
+        connection.sendall(_make_start())
+        trial.proxy.set_port(_call_proxy.Port.DARK)
+        await asyncio.sleep(0.1)
+        trial.proxy.set_port(_call_proxy.Port.OPEN)
+        await asyncio.sleep(0.3)
+    await trial.proxy.close()
+    await server.close()
+    return trial.received
+
+
+def test_calls_to_a_dark_machine_are_not_served_later() -> None:
+    """Guards against commands that a dark machine keeps for its successor."""
+    assert asyncio.run(_play_dark()) == []
+
+
 async def _play_cut(
     requests: bool, answers: bool
 ) -> tuple[bytes | None, list[int], list[int]]:
