--- a/soak/tests/faulty.py
+++ b/soak/tests/faulty.py
@@ -8,10 +8,14 @@
 import sys
 import typing
 
+import attrs
+
 from tamarackhatch import cli
 from tamarackhatch import model
+from tamarackhatch.scheduler import _command_fence
 from tamarackhatch.scheduler import _evacuations
 from tamarackhatch.scheduler import _fleet
+from tamarackhatch.scheduler import _run_proofs
 from tamarackhatch.scheduler import _runner_reconciler
 from tamarackhatch.scheduler import _state
 
@@ -25,22 +29,38 @@
         self._entry.acknowledged_exit = run_exit.number
 
 
-class _ImpatientEntry(_fleet.RunnerEntry):
+def _take_silence_for_proof(
+    entry: _fleet.RunnerEntry,
+    now: datetime.timedelta,
+    stop_timeout: datetime.timedelta,
+) -> _run_proofs.Proof | None:
     """Takes the tasks of a runner that does not answer for lost at once."""
-
-    def is_lease_expired(
-        self, now: datetime.timedelta, kill_time: datetime.timedelta
-    ) -> bool:
-        return True
+    return _run_proofs.Proof.NONE
 
 
-class _HastyEntry(_fleet.RunnerEntry):
+def _take_expiry_for_proof(
+    entry: _fleet.RunnerEntry,
+    now: datetime.timedelta,
+    stop_timeout: datetime.timedelta,
+) -> _run_proofs.Proof | None:
     """Takes the runs of an expired lease for killed at once."""
+    if entry.is_lease_expired(now, datetime.timedelta()):
+        return _run_proofs.Proof.NONE
+    return None
+
+
+class _StaleFence(_command_fence.CommandFence):
+    """Keeps the first token of the term."""
+
+    def require_higher_token(self) -> None:
+        return
+
+
+@attrs.define(eq=False)
+class _StaleEntry(_fleet.RunnerEntry):
+    """Has all commands carry the first token of the term."""
 
-    def is_lease_expired(
-        self, now: datetime.timedelta, kill_time: datetime.timedelta
-    ) -> bool:
-        return super().is_lease_expired(now, datetime.timedelta())
+    fence: _command_fence.CommandFence = attrs.field(factory=_StaleFence)
 
 
 class _ForgetfulTask(_state.TaskEntry):
@@ -56,16 +76,21 @@
         return False
 
 
-FAULTS: dict[str, tuple[typing.Any, type]] = {
-    "acknowledge-early": (_runner_reconciler, _EarlyReconciler),
-    "ignore-leases": (_fleet, _ImpatientEntry),
-    "ignore-kills": (_fleet, _HastyEntry),
-    "ignore-failures": (_state, _ForgetfulTask),
-    "ignore-evacuations": (_evacuations, _BlindWatcher),
+# What each fault replaces: a module, a name there, and the replacement.
+FAULTS: dict[str, tuple[typing.Any, str, typing.Any]] = {
+    "acknowledge-early": (
+        _runner_reconciler,
+        "RunnerReconciler",
+        _EarlyReconciler,
+    ),
+    "ignore-leases": (_run_proofs, "find_proof", _take_silence_for_proof),
+    "ignore-kills": (_run_proofs, "find_proof", _take_expiry_for_proof),
+    "old-tokens": (_fleet, "RunnerEntry", _StaleEntry),
+    "ignore-failures": (_state, "TaskEntry", _ForgetfulTask),
+    "ignore-evacuations": (_evacuations, "EvacuationWatcher", _BlindWatcher),
 }
 
 
 if __name__ == "__main__":
-    module, faulty_class = FAULTS[sys.argv.pop()]
-    setattr(module, faulty_class.__bases__[0].__name__, faulty_class)
+    setattr(*FAULTS[sys.argv.pop()])
     cli.main()
--- a/soak/tests/test_soak.py
+++ b/soak/tests/test_soak.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import datetime
+import inspect
 import pathlib
 import typing
 
@@ -27,12 +28,17 @@
     assert len(runs) > 100
 
 
-@pytest.mark.parametrize(("module", "faulty_class"), faulty.FAULTS.values())
-def test_deliberate_faults_override_methods(
-    module: typing.Any, faulty_class: type
+@pytest.mark.parametrize(
+    ("module", "name", "replacement"), faulty.FAULTS.values()
+)
+def test_deliberate_faults_replace_what_is_used(
+    module: typing.Any, name: str, replacement: typing.Any
 ) -> None:
     """Guards against deliberate faults that no longer have an effect."""
-    replaced = getattr(module, faulty_class.__bases__[0].__name__)
-    assert issubclass(faulty_class, replaced)
-    own = [key for key in vars(faulty_class) if not key.startswith("__")]
+    replaced = getattr(module, name)
+    if not isinstance(replacement, type):
+        assert inspect.signature(replacement) == inspect.signature(replaced)
+        return
+    assert issubclass(replacement, replaced)
+    own = [key for key in vars(replacement) if not key.startswith("__")]
     assert own and all(hasattr(replaced, key) for key in own)
--- a/standins/processes.py
+++ b/standins/processes.py
@@ -24,6 +24,7 @@
 # Below the ports that the kernel gives to outgoing connections.
 _SERVER_PORTS = range(20_000, 32_000)
 _random = random.SystemRandom()
+_returned_ports: set[int] = set()
 
 
 class ProcessFleet:
@@ -94,6 +95,8 @@
         store_address: str | None = None,
         has_internal_address: bool = False,
         bounds: dict[str, int] | None = None,
+        data_centre: str = "here",
+        program: pathlib.Path | None = None,
     ) -> None:
         """Starts a process and waits until it is ready.
 
@@ -105,8 +108,10 @@
                 that of the others.
             has_internal_address: Whether other instances know it.
             bounds: Further bounds of its settings, by key.
+            data_centre: Its data centre.
+            program: Folder whose modules it runs; None for the own ones.
         """
-        caller, readiness, internal, metrics = _get_free_ports(4)
+        caller, readiness, internal, metrics = get_free_ports(4)
         path = self._folder / f"{name}.jsonc"
         self.settings_paths[name] = path
         self.metrics_ports[name] = metrics
@@ -114,7 +119,7 @@
             orjson.dumps(
                 {
                     "instance": name,
-                    "data_centre": "here",
+                    "data_centre": data_centre,
                     "caller_address": f"127.0.0.1:{caller}",
                     "readiness_address": f"127.0.0.1:{readiness}",
                     "metrics_address": f"127.0.0.1:{metrics}",
@@ -141,6 +146,7 @@
                 *arguments,
                 stdout=log,
                 stderr=log,
+                cwd=program,
             )
         self._ports[name] = caller
         await self._wait_until_ready(readiness)
@@ -269,18 +275,25 @@
                         await asyncio.sleep(0.1)
 
 
-def _get_free_ports(count: int) -> list[int]:
-    """Returns free ports that no outgoing connection takes meanwhile."""
+def get_free_ports(count: int) -> list[int]:
+    """Returns free ports that no outgoing connection takes meanwhile.
+
+    No port is returned twice, since processes bind theirs later.
+    """
     sockets: list[socket.socket] = []
     try:
         while len(sockets) < count:
             item = socket.socket()
             sockets.append(item)
+            port = _random.choice(_SERVER_PORTS)
             try:
-                item.bind(("127.0.0.1", _random.choice(_SERVER_PORTS)))
+                item.bind(("127.0.0.1", port))
             except OSError:
+                port = 0
+            if not port or port in _returned_ports:
                 sockets.remove(item)
                 item.close()
+            _returned_ports.add(port)
         return [item.getsockname()[1] for item in sockets]
     finally:
         for item in sockets:
