--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -27,7 +27,8 @@
     The exit code is 1 if any breaks a rule. With ``deliberate``, the name of
     a fault of `soak.tests.faulty`, the first violation ends the command, and
     the exit code is 1 if there is none. The profile "rota" plays deployment
-    brindle-rota; ``program`` is the folder whose modules its instances run.
+    brindle-rota, and "cuts" the same with cuts of runners as the only
+    troubles; ``program`` is the folder whose modules its instances run.
     """
 
     seed: typing.Annotated[int, cappa.Arg(long=True)] = 1
@@ -36,7 +37,7 @@
     regressions: typing.Annotated[bool, cappa.Arg(long=True)] = False
     deliberate: typing.Annotated[str | None, cappa.Arg(long=True)] = None
     profile: typing.Annotated[
-        typing.Literal["soak", "rota"], cappa.Arg(long=True)
+        typing.Literal["soak", "rota", "cuts"], cappa.Arg(long=True)
     ] = "soak"
     program: typing.Annotated[pathlib.Path | None, cappa.Arg(long=True)] = None
 
@@ -57,9 +58,14 @@
         folder = pathlib.Path(tempfile.mkdtemp(prefix=f"soak-{seed}-"))
         duration = datetime.timedelta(seconds=self.seconds)
         print(f"seed {seed}, logs in {folder}")
-        if self.profile == "rota":
+        if self.profile != "soak":
             play = rota.run_seed(
-                seed, duration, folder, self.deliberate, self.program
+                seed,
+                duration,
+                folder,
+                self.deliberate,
+                self.program,
+                only_cuts=self.profile == "cuts",
             )
             violations = asyncio.run(play)
         else:
--- a/soak/rota/_run.py
+++ b/soak/rota/_run.py
@@ -87,6 +87,7 @@
     folder: pathlib.Path,
     deliberate: str | None = None,
     program: pathlib.Path | None = None,
+    only_cuts: bool = False,
 ) -> list[history.Violation]:
     """Plays a seed with real processes, and returns the violations.
 
@@ -97,8 +98,9 @@
         deliberate: Name of a deliberate fault; the first violation then ends
             the play.
         program: Folder whose modules the instances run.
+        only_cuts: Whether the only troubles are cuts of runners.
     """
-    schedule = _schedule.make_schedule(seed, duration)
+    schedule = _schedule.make_schedule(seed, duration, only_cuts)
     print(*schedule, sep="\n")
     bursts = [
         _traffic.Burst(
--- a/soak/rota/_schedule.py
+++ b/soak/rota/_schedule.py
@@ -26,18 +26,27 @@
 
 
 def make_schedule(
-    seed: int, duration: datetime.timedelta
+    seed: int, duration: datetime.timedelta, only_cuts: bool = False
 ) -> tuple[_troubles.PlannedTrouble, ...]:
     """Returns the troubles of a play, ordered by their start.
 
     Troubles of one kind with a common target do not overlap. All have ended
     after ``duration``. Equal arguments give equal schedules.
+
+    Args:
+        seed: Seed of the troubles.
+        duration: How long they last.
+        only_cuts: Whether there are cuts and restarts of runners only, so that
+            many leases expire while one scheduler lasts.
     """
     source = random.Random(f"rota {seed}")
     end_s = duration.total_seconds()
     planned: list[_troubles.PlannedTrouble] = []
     weights = [it * source.choice(_FACTORS) for it in _WEIGHTS.values()]
     series_share = source.choice(_SERIES_SHARES)
+    if only_cuts:
+        weights = [_WEIGHTS[it] * (it is _draw_cut) for it in _WEIGHTS]
+        series_share = 0.0
     time_s = source.uniform(2, 4)
     while time_s < end_s - 1:
         draw = source.choices(list(_WEIGHTS), weights)[0]
