--- a/tamarackhatch/scheduler/_commands.py
+++ b/tamarackhatch/scheduler/_commands.py
@@ -335,7 +335,7 @@
         try:
             await context.client.renew(
                 entry.record,
-                context.get_authority(entry),
+                context.authorise_command(entry),
                 acknowledged_exit=0,
                 lease_end=None,
                 wait=datetime.timedelta(),
@@ -410,7 +410,7 @@
             RunnerOutcomeUnknownError: The command may be carried out later.
         """
         while True:
-            authority = self._context.get_authority(entry)
+            authority = self._context.authorise_command(entry)
             try:
                 outcome = await send(authority)
             except platform.RunnerOutcomeUnknownError:
--- a/tamarackhatch/scheduler/_context.py
+++ b/tamarackhatch/scheduler/_context.py
@@ -89,8 +89,10 @@
         """Returns monotonic time."""
         return self.clock.get_monotonic()
 
-    def get_authority(self, runner: _state.TaskRunner) -> platform.Authority:
-        """Returns the right to send a command to a runner now."""
+    def authorise_command(
+        self, runner: _state.TaskRunner
+    ) -> platform.Authority:
+        """Chooses a fencing token, and returns the right to send a command."""
         return platform.Authority(
             runner.fence.advance(self.leader_lease.confirmed_versions),
             lambda: self.leader_lease.is_valid,
--- a/tamarackhatch/scheduler/_runner_reconciler.py
+++ b/tamarackhatch/scheduler/_runner_reconciler.py
@@ -137,7 +137,7 @@
             lease_end = entry.compute_lease_end(sent, context.settings.lease)
         if lease_end is not None and not entry.pending_acks:
             wait = _renewal_wait.choose_renewal_wait(entry, context.get_now())
-        authority = context.get_authority(entry)
+        authority = context.authorise_command(entry)
         try:
             report = await context.client.renew(
                 entry.record,
--- a/tamarackhatch/scheduler/tests/test_overtaken_speed_limits.py
+++ b/tamarackhatch/scheduler/tests/test_overtaken_speed_limits.py
@@ -51,7 +51,7 @@
         context = types.SimpleNamespace(
             client=client,
             leader_lease=types.SimpleNamespace(is_valid=True),
-            get_authority=lambda entry: platform.Authority(
+            authorise_command=lambda entry: platform.Authority(
                 fence.advance([7]), lambda: True
             ),
             get_now=datetime.timedelta,
