--- /dev/null
+++ b/review/8/run.sh
@@ -0,0 +1,7 @@
+#!/bin/sh
+# Exits with 1 if the rule was broken, 0 if it held, 2 if it could not run.
+here=$(cd "$(dirname "$0")" && pwd) || exit 2
+root=$(cd "$here/../.." && pwd) || exit 2
+cd "$root" || exit 2
+PYTHONPATH="$root/target/deps:$root" PYTHONDONTWRITEBYTECODE=1 \
+    exec python3 "$here/case.py"
