--- a/review/7/run.sh
+++ b/review/7/run.sh
@@ -3,5 +3,6 @@
 here=$(cd "$(dirname "$0")" && pwd) || exit 2
 root=$(cd "$here/../.." && pwd) || exit 2
 cd "$root" || exit 2
-PYTHONPATH="$root/target/deps:$root" PYTHONDONTWRITEBYTECODE=1 \
-    exec python3 "$here/case.py"
+export PYTHONPATH="$root/target/deps:$root" PYTHONDONTWRITEBYTECODE=1
+python3 -c 'import standins.processes' || exit 2
+exec python3 "$here/case.py"
