Checker: excuse late starts from the form with a time bound

A start that a runner carries out late, after its job was shown as completed or over a second after the acknowledgement of its end, counted as TWICE, 'after notice'. The forms without a bound, 'at once' and 'after done', hold for late starts as before, which table entries show.

Trace: test_late_attempt_of_a_start_repeats_no_finished_task[0.0]: run 1 done at 3.3 s and not acknowledged, job shown as completed, the first attempt of the same start carried out at 7.2 s by the restarted runner. Nothing tells the runner that the order is old, and the job's state cannot wait for 12 s.

--- a/soak/_runner_process.py
+++ b/soak/_runner_process.py
@@ -27,7 +27,13 @@
     """Writes observations, with their times, instead of keeping them."""
 
     def record_start(
-        self, runner: str, incarnation: int, task: str, run: int, token: int
+        self,
+        runner: str,
+        incarnation: int,
+        task: str,
+        run: int,
+        token: int,
+        is_late: bool = False,
     ) -> None:
         started = asyncio.get_running_loop().time()
         _write("start", runner, incarnation, task, run, token, started)
--- a/soak/rota/_run.py
+++ b/soak/rota/_run.py
@@ -17,6 +17,7 @@
 from soak.rota import _traffic
 from soak.rota import _troubles
 from standins import history
+from standins import repetitions
 
 
 class _Play(_run.Run[_troubles.PlannedTrouble]):
@@ -38,7 +39,12 @@
     def is_violation(self, found: history.Violation) -> bool:
         # Run numbers show in which order commands were sent. One that is
         # carried out late is repeated on an incarnation that does not know it.
-        return found.rule != "NUMBER" or (
+        # The form with a time bound does not hold for such a start either.
+        is_excused = (
+            found.rule == "NUMBER"
+            or found.form is repetitions.Form.AFTER_NOTICE
+        )
+        return not is_excused or (
             _events.find_cause(*self._list_runs(found.task))
             is _events.Cause.NOT_LATE
         )
--- a/standins/network.py
+++ b/standins/network.py
@@ -23,6 +23,7 @@
     Attributes:
         expected_instance: Identifier of the runner that the call is for;
             empty for any.
+        is_late: Whether it is carried out after its client has given it up.
     """
 
     method: str
@@ -30,6 +31,7 @@
     query: dict[str, str]
     body: Body
     expected_instance: str = ""
+    is_late: bool = False
 
 
 @attrs.frozen
@@ -297,7 +299,7 @@
 ) -> None:
     await asyncio.sleep(delay)
     try:
-        await handler(request)
+        await handler(attrs.evolve(request, is_late=True))
     except (NoResponseError, BrokenConnectionError):
         return
 
--- a/standins/runner.py
+++ b/standins/runner.py
@@ -111,6 +111,7 @@
         self._reset_incarnation = incarnation
         self._registration_number = 0
         self._runs_changed = asyncio.Event()
+        self._is_late_start = False
         self._start_incarnation()
 
     def _start_incarnation(self) -> None:
@@ -246,6 +247,7 @@
         if request.path == RENEWAL_PATH:
             return await self._renew(body)
         if request.path == START_PATH:
+            self._is_late_start = request.is_late
             return self._start(body)
         if request.path == STOP_PATH:
             return self._stop(body)
@@ -360,6 +362,7 @@
             task,
             number,
             body["fencing_token"],
+            self._is_late_start,
         )
         self._wake_renewals()
         if exit_reason == CRASH:
--- a/standins/tests/test_checker.py
+++ b/standins/tests/test_checker.py
@@ -17,6 +17,7 @@
     exit_reason: str = "",
     acknowledged: float | None = None,
     is_expired: bool = False,
+    is_late: bool = False,
 ) -> history.RunRecord:
     return history.RunRecord(
         f"i-{run}",
@@ -30,6 +31,7 @@
         1,
         acknowledged,
         is_expired,
+        is_late,
     )
 
 
@@ -56,6 +58,10 @@
             {"TWICE"},
         ),
         ([_make_run(2, 0, 1, "failed"), _make_run(1, 2, 3)], {"NUMBER"}),
+        (
+            [_make_run(2, 0, 1, "failed"), _make_run(1, 2, 3, is_late=True)],
+            set(),
+        ),
         (
             [
                 _make_run(1, 0, 1, "failed", 1.1),
@@ -115,6 +121,28 @@
             1.5,
             [_AFTER_NOTICE],
         ),
+        # Only the form with a time bound excuses starts carried out late.
+        (
+            [
+                _make_run(1, 0, 1, "done", 5, True),
+                _make_run(2, 2.6, 3, is_late=True),
+            ],
+            1.5,
+            [],
+        ),
+        (
+            [
+                _make_run(1, 0, 1, "done", 1.5),
+                _make_run(2, 2.6, 3, is_late=True),
+            ],
+            1.5,
+            [_AFTER_DONE],
+        ),
+        (
+            [_make_run(1, 0, 2, "done"), _make_run(2, 1, 3, is_late=True)],
+            None,
+            [_AT_ONCE],
+        ),
     ],
 )
 def test_forms_of_repetition_are_told_apart(
