Hold exits and bind tasks while a start command may still arrive

Cause: a start without an answer is sent again; the task ends by one attempt, or elsewhere, its end is acknowledged, and another attempt is carried out up to 12 s later by the runner's next incarnation, which has seen no fencing token and whose clock starts anew.

Change: start commands are recorded until they are answered, shown by a report to be carried out, or too old to arrive. Until then no exit of their task is acknowledged, and the task starts on that runner only. A runner carries out one start of a run, and a restart ends the run and forgets the exits, so that whatever the late start does breaks no rule. A listed run that was given up also keeps its task from starting elsewhere until it is gone.

--- a/tamarackhatch/observability/_metrics.py
+++ b/tamarackhatch/observability/_metrics.py
@@ -217,7 +217,13 @@
         )
         self.paused = prometheus_client.Gauge(
             "tamarackhatch_paused_tasks",
-            "Waiting tasks that may still run under an earlier scheduler.",
+            "Waiting tasks that may run under an earlier scheduler, or on one"
+            " runner only.",
+            registry=self._registry,
+        )
+        self.open_starts = prometheus_client.Gauge(
+            "tamarackhatch_open_starts",
+            "Tasks with a start command that may still be carried out.",
             registry=self._registry,
         )
         self.loop_lateness = prometheus_client.Gauge(
--- a/tamarackhatch/scheduler/_command_fence.py
+++ b/tamarackhatch/scheduler/_command_fence.py
@@ -5,8 +5,11 @@
 
 import attrs
 
-# A command that got no answer is carried out within seconds, if at all.
-_MAX_DELAY = datetime.timedelta(seconds=15)
+# A runner carries out a command without an answer at most 12 s after it was
+# sent, by a clock that may be 2 % slow.
+MAX_DELAY = datetime.timedelta(milliseconds=12_500)
+# A renewal counts as unanswered up to this long after it was sent.
+_MAX_ANSWER_TIME = datetime.timedelta(milliseconds=2_500)
 
 
 @attrs.define
@@ -27,6 +30,12 @@
     _token: int = 0
     _is_outdated: bool = True
     _last_unanswered: datetime.timedelta | None = None
+    _obeyed_token: int = 0
+
+    @property
+    def token(self) -> int:
+        """Token of the latest command."""
+        return self._token
 
     def advance(self, confirmed: Sequence[int]) -> int:
         """Returns the token of a command that is sent now.
@@ -62,7 +71,26 @@
             now: Monotonic time.
         """
         last = self._last_unanswered
-        return last is not None and now - last < _MAX_DELAY
+        return last is not None and now - last < MAX_DELAY + _MAX_ANSWER_TIME
+
+    def record_report(self, token: int, is_new_incarnation: bool) -> None:
+        """Records that the runner has answered a renewal.
+
+        Args:
+            token: Token of the renewal.
+            is_new_incarnation: Whether the answer is the first one of its
+                incarnation, which has seen no other token that is known.
+        """
+        if is_new_incarnation:
+            self._obeyed_token = 0
+        self._obeyed_token = max(self._obeyed_token, token)
+
+    def shuts_out(self, token: int) -> bool:
+        """Returns whether the incarnation that answered last refuses a token.
+
+        Its next incarnation does not.
+        """
+        return token < self._obeyed_token
 
     def is_current(self, token: int) -> bool:
         """Returns whether no command with a higher token was sent.
--- a/tamarackhatch/scheduler/_commands.py
+++ b/tamarackhatch/scheduler/_commands.py
@@ -260,6 +260,8 @@
         context = self._context
         if not context.leader_lease.is_valid:
             return None
+        attempts = context.start_attempts
+        attempt = attempts.begin(task.key, run, entry.identifier)
         try:
             outcome = await self._send_with_token(
                 entry,
@@ -274,14 +276,17 @@
                 ),
             )
         except platform.RunnerUnavailableError as error:
+            attempts.record_answer(attempt)
             self._log_unanswered("start", task, entry, error.message)
             if is_uncertain or not context.leader_lease.is_valid:
                 return None
             outcome = _Outcome.UNHEALTHY
         except platform.RunnerOutcomeUnknownError as error:
+            attempts.record_unanswered(attempt, entry.fence.token)
             self._log_unanswered("start", task, entry, error.message)
             self._count_command("start", "unknown")
             return None
+        attempts.record_answer(attempt)
         self._count_command("start", outcome.value)
         return outcome
 
--- a/tamarackhatch/scheduler/_context.py
+++ b/tamarackhatch/scheduler/_context.py
@@ -19,6 +19,7 @@
 from tamarackhatch.scheduler import _job_tracker
 from tamarackhatch.scheduler import _load_monitor
 from tamarackhatch.scheduler import _repeated_runs
+from tamarackhatch.scheduler import _start_attempts
 from tamarackhatch.scheduler import _state
 from tamarackhatch.scheduler import _tickets
 from tamarackhatch.scheduler import _writer
@@ -36,6 +37,7 @@
         client: Sends commands to runners.
         job_tracker: State of unfinished jobs and tasks.
         fleet: Runners by identifier.
+        start_attempts: Start commands that may still be carried out.
         writer: Writes durable progress.
         log: Log of the scheduler.
         metrics: Measurements of the process.
@@ -63,6 +65,7 @@
     client: platform.RunnerClient
     job_tracker: _job_tracker.JobTracker
     fleet: dict[str, _fleet.RunnerEntry]
+    start_attempts: _start_attempts.StartAttempts
     writer: _writer.ProgressWriter
     log: observability.Log
     metrics: observability.Metrics
--- a/tamarackhatch/scheduler/_dispatcher.py
+++ b/tamarackhatch/scheduler/_dispatcher.py
@@ -5,6 +5,7 @@
 
 from tamarackhatch import model
 from tamarackhatch import placement
+from tamarackhatch.scheduler import _bound_tasks
 from tamarackhatch.scheduler import _candidates
 from tamarackhatch.scheduler import _commands
 from tamarackhatch.scheduler import _context
@@ -43,10 +44,11 @@
         self._context = context
         self._commands = commands
         self._large_tasks = _large_tasks.LargeTaskReserver(context)
-        self.waits = _waits.WaitReporter(context, self.is_paused)
+        self._bound_tasks = _bound_tasks.BoundTasks(context, self._place_task)
+        self.waits = _waits.WaitReporter(context, self.is_withheld)
         self._waiting_work = _waiting_work.WaitingWorkLog(context)
         self._probes = _health.ProbePlacer(
-            context, self.is_paused, self._place_task
+            context, self.is_withheld, self._place_task
         )
         self._chooser = _runner_choice.RunnerChooser(context)
         self._near_places = _near_places.NearPlacer(
@@ -130,7 +132,7 @@
             task
             for group in self._context.job_tracker.waiting.values()
             for task in group.values()
-            if task.runner is None and not self.is_paused(task)
+            if task.runner is None and not self.is_withheld(task)
         ]
         tasks.sort(key=lambda task: not task.step.is_long_running)
         return [task.key for task in tasks]
@@ -160,6 +162,8 @@
         context = self._context
         waiting = context.job_tracker.waiting
         context.metrics.waiting.set(sum(map(len, waiting.values())))
+        context.start_attempts.remove_expired()
+        context.load_monitor.open_starts = context.start_attempts.count
         if self._near_places.is_settled(waiting):
             return
         context.load_monitor.waiting = _load_monitor.WaitingTasks()
@@ -175,9 +179,12 @@
         )
         self._place_suspects(groups, candidates)
         self._large_tasks.begin_pass(waiting, candidates)
-        self._chooser.begin_pass(candidates, ordered, self.is_paused)
+        self._chooser.begin_pass(candidates, ordered, self.is_withheld)
         self._near_places.begin_pass(candidates)
         self._probes.place_probes(groups)
+        context.load_monitor.counters.placed += self._bound_tasks.place_tasks(
+            groups, self.is_paused, self._candidate_cache.get_candidate
+        )
         for order, group in ordered:
             self._run_group(group, order, is_grouping, candidates)
         for report in self._chooser.end_pass():
@@ -209,7 +216,7 @@
         candidates: dict[str, list[placement.CandidateRunner]],
     ) -> None:
         result = self._context.load_monitor.waiting
-        selection = _group_order.select_tasks(group, self.is_paused)
+        selection = _group_order.select_tasks(group, self.is_withheld)
         result.paused += selection.paused
         result.suspects += selection.suspects
         tasks = selection.tasks
@@ -241,7 +248,7 @@
         Removes their runners from the candidates.
         """
         for decision in self._chooser.choose_for_suspects(
-            groups, candidates, self.is_paused
+            groups, candidates, self.is_withheld
         ):
             choices = decision.choices
             self._context.load_monitor.counters.placed += len(choices)
@@ -265,6 +272,10 @@
             self._context.policy.grouping_delay
         )
 
+    def is_withheld(self, task: _state.TaskEntry) -> bool:
+        """Returns whether a task must not start on any runner with room."""
+        return self.is_paused(task) or self._bound_tasks.is_bound(task)
+
     def is_paused(self, task: _state.TaskEntry) -> bool:
         """Returns whether a task must not start yet after a takeover."""
         if not self._has_paused_starts:
--- a/tamarackhatch/scheduler/_dry_run.py
+++ b/tamarackhatch/scheduler/_dry_run.py
@@ -150,7 +150,7 @@
             waiting, self._candidates
         )
         self._chooser.begin_pass(
-            self._candidates, ordered, self._dispatcher.is_paused
+            self._candidates, ordered, self._dispatcher.is_withheld
         )
         own_orders = [
             order
@@ -162,7 +162,7 @@
             if len(answers) == len(own):
                 break
             selection = _group_order.select_tasks(
-                group, self._dispatcher.is_paused
+                group, self._dispatcher.is_withheld
             )
             tasks = selection.tasks
             if not tasks or is_grouping and _group_order.is_new(tasks[0]):
@@ -184,7 +184,7 @@
 
     def _place_suspects(self, groups: list[_group_order.Group]) -> None:
         for decision in self._chooser.choose_for_suspects(
-            groups, self._candidates, self._dispatcher.is_paused
+            groups, self._candidates, self._dispatcher.is_withheld
         ):
             self._earlier.add(
                 decision.task,
--- a/tamarackhatch/scheduler/_fleet.py
+++ b/tamarackhatch/scheduler/_fleet.py
@@ -22,6 +22,9 @@
 # A single failure may be a reset connection, after which the next renewal is
 # answered.
 _CORDON_AFTER_MISSED_RENEWALS = 2
+# A report lists 500 exits. A runner with so many that cannot be acknowledged
+# gets no new tasks; the rest is left for the runs in progress there.
+_MAX_HELD_EXITS = 300
 
 
 @attrs.define(eq=False)
@@ -58,6 +61,8 @@
         ack_evidence: What shows which exits it has forgotten.
         pending_acks: Exits that are not durable yet, by number and in their
             order.
+        has_held_exit: Whether the first of them is durable, and must not be
+            acknowledged yet because its task may still be started.
         unread_exits: Exits of jobs that may be stored and not be read yet, by
             number, with the time at which the runner first listed them.
         unread_running: The same for runs in progress, by task.
@@ -109,6 +114,7 @@
         factory=_ack_evidence.AckEvidence
     )
     pending_acks: dict[int, _state.PendingAck] = attrs.field(factory=dict)
+    has_held_exit: bool = False
     unread_exits: dict[int, tuple[model.RunExit, datetime.timedelta]] = (
         attrs.field(factory=dict)
     )
@@ -272,19 +278,6 @@
         self.clock, self.clock_read = reading, now
         self.ack_evidence.record_report(sent)
 
-    def acknowledge_durable_exits(self, generation: int) -> None:
-        """Advances acknowledged_exit over all exits that are durable.
-
-        Args:
-            generation: The writer's generation up to which all is durable.
-        """
-        for number, pending in list(self.pending_acks.items()):
-            required = pending.generation
-            if required is None or required > generation:
-                return
-            self.acknowledged_exit = number
-            del self.pending_acks[number]
-
     def compute_lease_end(
         self, now: datetime.timedelta, lease: datetime.timedelta
     ) -> datetime.timedelta | None:
@@ -368,6 +361,7 @@
         self.processed_exit = self.acknowledged_exit = 0
         self.ack_evidence = _ack_evidence.AckEvidence()
         self.pending_acks.clear()
+        self.has_held_exit = False
         self.unread_exits.clear()
         self.unread_running.clear()
 
@@ -424,8 +418,14 @@
             and self.missed_renewals == 0
             and now - self.clock_read < MAX_TIME_SINCE_ANSWER
             and now >= self.avoid_until
+            and not self.has_long_exit_list
         )
 
+    @property
+    def has_long_exit_list(self) -> bool:
+        """Whether exits of further runs might not fit into its reports."""
+        return self.has_held_exit and len(self.pending_acks) >= _MAX_HELD_EXITS
+
 
 def make_runner_entry(record: model.Runner) -> RunnerEntry:
     """Returns an entry without tasks for a runner."""
--- a/tamarackhatch/scheduler/_load_monitor.py
+++ b/tamarackhatch/scheduler/_load_monitor.py
@@ -35,7 +35,8 @@
     """Tasks that the last placement pass did not place, by the reason.
 
     Attributes:
-        paused: Starts are paused after a takeover.
+        paused: Starts are paused after a takeover, or until a start command
+            without an answer cannot be carried out elsewhere.
         grouped: Long-running tasks that wait for others of their image.
         reserving: No runner has capacity for them.
         suspects: They may have crashed a runner, and wait to be observed.
@@ -55,6 +56,8 @@
     Attributes:
         counters: Work since the last log line; components add to it.
         waiting: Result of the last placement pass.
+        open_starts: Tasks with a start command without an answer, which may
+            still be carried out.
         awaited_runners: Runners that have to answer before starts that a
             takeover paused go on.
     """
@@ -68,6 +71,7 @@
         self.counters = LoadCounters()
         self.waiting = WaitingTasks()
         self.awaited_runners = 0
+        self.open_starts = 0
         self._clock = time_source
         self._log = log
         self._metrics = metrics
@@ -82,6 +86,7 @@
             counters, self.counters = self.counters, LoadCounters()
             waiting = self.waiting
             self._metrics.paused.set(waiting.paused)
+            self._metrics.open_starts.set(self.open_starts)
             self._log.summary(
                 "scheduler_load",
                 late_ms=lateness // _MILLISECOND,
@@ -92,6 +97,7 @@
                 missed_renewals=counters.missed_renewals,
                 paused=waiting.paused,
                 awaited_runners=self.awaited_runners,
+                open_starts=self.open_starts,
                 grouped=waiting.grouped,
                 suspects=waiting.suspects,
                 reserving=waiting.reserving,
--- a/tamarackhatch/scheduler/_runner_manager.py
+++ b/tamarackhatch/scheduler/_runner_manager.py
@@ -299,6 +299,7 @@
             self._unreconciled.pop(identifier, None)
             self._pause_starts()
         del self._context.fleet[identifier]
+        self._context.start_attempts.discard_runner(identifier)
         _health.forget_runner(self._context, identifier)
         self._write_tracked_runners()
 
--- a/tamarackhatch/scheduler/_runner_reconciler.py
+++ b/tamarackhatch/scheduler/_runner_reconciler.py
@@ -9,6 +9,7 @@
 from tamarackhatch.scheduler import _context
 from tamarackhatch.scheduler import _crash_recorder
 from tamarackhatch.scheduler import _crash_suspects
+from tamarackhatch.scheduler import _exit_acks
 from tamarackhatch.scheduler import _fleet
 from tamarackhatch.scheduler import _health
 from tamarackhatch.scheduler import _renewal_wait
@@ -27,6 +28,9 @@
 _FENCING_PAUSE = datetime.timedelta(milliseconds=50)
 # Between two renewals of a runner; each renewal has a cost.
 _MIN_RENEWAL_INTERVAL = datetime.timedelta(milliseconds=100)
+# The same while exits cannot be acknowledged: the runner answers at once then,
+# because it lists them again.
+_HELD_EXIT_INTERVAL = datetime.timedelta(milliseconds=250)
 # The next renewal waits this long for exits to become durable, so that it can
 # acknowledge them.
 _MAX_DURABILITY_WAIT = datetime.timedelta(milliseconds=300)
@@ -62,6 +66,8 @@
         self._has_reported = False
         self._has_listed_all = False
         self._started = context.get_now()
+        # Fencing token of the latest renewal.
+        self._token = 0
         self._crashes = _crash_recorder.CrashRecorder(context, entry)
         self._silence = _silent_runners.SilentRunnerRecorder(
             context, entry, self._crashes
@@ -138,6 +144,7 @@
         if lease_end is not None and not entry.pending_acks:
             wait = _renewal_wait.choose_renewal_wait(entry, context.get_now())
         authority = context.authorise_command(entry)
+        self._token = authority.token
         try:
             report = await context.client.renew(
                 entry.record,
@@ -188,7 +195,10 @@
             context.log.info("runner_answering_again", runner=entry.identifier)
             entry.answering_again_at = now
         entry.missed_renewals = 0
-        if report.incarnation != entry.incarnation:
+        is_new = report.incarnation != entry.incarnation
+        entry.fence.record_report(self._token, is_new)
+        _runner_reports.record_listed_runs(context, entry, report)
+        if is_new:
             self._apply_new_incarnation(report, sent)
         for task, run in entry.supposed_crashes:
             context.job_tracker.retract_crash(task, run)
@@ -250,6 +260,7 @@
             )
         entry.listed = report.running
         _runner_reports.count_unassigned_runs(context, entry)
+        _runner_reports.record_stray_runs(context, entry)
 
     def evict_from_draining_runner(self) -> None:
         """Evicts tasks that would not end before a draining runner leaves."""
@@ -412,7 +423,10 @@
             await context.writer.wait_until_durable(
                 max(generations), _MAX_DURABILITY_WAIT
             )
-        entry.acknowledge_durable_exits(context.writer.committed_generation)
+        _exit_acks.acknowledge_exits(context, entry)
+        interval = _MIN_RENEWAL_INTERVAL
+        if entry.has_held_exit:
+            interval = _HELD_EXIT_INTERVAL
         elapsed = context.get_now() - sent
-        if elapsed < _MIN_RENEWAL_INTERVAL:
-            await context.clock.sleep(_MIN_RENEWAL_INTERVAL - elapsed)
+        if elapsed < interval:
+            await context.clock.sleep(interval - elapsed)
--- a/tamarackhatch/scheduler/_runner_reports.py
+++ b/tamarackhatch/scheduler/_runner_reports.py
@@ -93,6 +93,49 @@
     entry.load.unassigned = unassigned
 
 
+def record_listed_runs(
+    context: _context.SchedulerContext,
+    entry: _fleet.RunnerEntry,
+    report: model.RunnerReport,
+) -> None:
+    """Records which start commands have been carried out.
+
+    Args:
+        context: Shared components of the scheduler.
+        entry: The runner.
+        report: Its report.
+    """
+    attempts = context.start_attempts
+    # Most reports arrive while all start commands have been answered.
+    if not attempts.count:
+        return
+    for item in report.running:
+        attempts.record_listed_run(item.task, item.run, entry.identifier)
+    for run_exit in report.exits:
+        attempts.record_listed_run(
+            run_exit.task, run_exit.run, entry.identifier
+        )
+
+
+def record_stray_runs(
+    context: _context.SchedulerContext, entry: _fleet.RunnerEntry
+) -> None:
+    """Records which listed runs are not the latest ones of tasks there.
+
+    Their tasks must not start until these runs have been stopped.
+
+    Args:
+        context: Shared components of the scheduler.
+        entry: The runner, after its report was applied.
+    """
+    stray = [
+        item.task
+        for item in entry.listed
+        if (task := entry.tasks.get(item.task)) is None or task.run != item.run
+    ]
+    context.start_attempts.record_stray_runs(entry.identifier, stray)
+
+
 def list_lost_tasks(
     entry: _fleet.RunnerEntry,
     report: model.RunnerReport,
--- a/tamarackhatch/scheduler/_scheduler.py
+++ b/tamarackhatch/scheduler/_scheduler.py
@@ -28,6 +28,7 @@
 from tamarackhatch.scheduler import _near_places
 from tamarackhatch.scheduler import _repeated_runs
 from tamarackhatch.scheduler import _runner_manager
+from tamarackhatch.scheduler import _start_attempts
 from tamarackhatch.scheduler import _state
 from tamarackhatch.scheduler import _stragglers
 from tamarackhatch.scheduler import _tickets
@@ -120,6 +121,7 @@
             client=dependencies.client,
             job_tracker=job_tracker,
             fleet=fleet,
+            start_attempts=_start_attempts.StartAttempts(time_source),
             writer=self._writer,
             log=log,
             metrics=metrics,
--- a/tamarackhatch/scheduler/_silent_runners.py
+++ b/tamarackhatch/scheduler/_silent_runners.py
@@ -79,6 +79,7 @@
                 entry.evidence = _Evidence.REFUSED
         if is_replaced:
             entry.record_replacement()
+            context.start_attempts.discard_runner(entry.identifier)
         has_lost_runs = self.end_runs_if_over()
         if (
             not has_lost_runs
@@ -119,6 +120,9 @@
             return False
         if proof is not _run_proofs.Proof.REPLACED:
             entry.record_lease_end()
+            self._context.start_attempts.record_stray_runs(
+                entry.identifier, ()
+            )
         if entry.tasks:
             self._crashes.record_crash(
                 "replaced" if entry.is_replaced else "lease expired",
--- /dev/null
+++ b/tamarackhatch/scheduler/_start_attempts.py
@@ -0,0 +1,168 @@
+"""Start commands that runners may still carry out.
+
+A start without an answer may be carried out seconds later, also by the next
+incarnation of its runner, which has seen neither the run nor a fencing token.
+Until then, its task must not run elsewhere, nor may the exit of a run of the
+task be acknowledged: a start after an acknowledged exit repeats the task.
+"""
+
+from collections.abc import Collection
+from collections.abc import Iterable
+import datetime
+
+import attrs
+
+from tamarackhatch import clock
+from tamarackhatch import model
+from tamarackhatch.scheduler import _command_fence
+
+
+@attrs.define(eq=False)
+class StartAttempt:
+    """One start command.
+
+    Attributes:
+        task: The task.
+        run: Number of the run.
+        runner: Identifier of the runner.
+        token: Highest fencing token that it may carry.
+        possible_until: Monotonic time until which it may be carried out; None
+            while its answer is awaited.
+        is_only: Whether no other command of unknown outcome was for the same
+            run.
+    """
+
+    task: model.TaskKey
+    run: int
+    runner: str
+    token: int = 0
+    possible_until: datetime.timedelta | None = None
+    is_only: bool = True
+
+
+class StartAttempts:
+    """Start commands whose outcome is not known, by task."""
+
+    def __init__(self, time_source: clock.Clock) -> None:
+        """Creates an empty collection.
+
+        Args:
+            time_source: Source of time.
+        """
+        self._clock = time_source
+        self._open: dict[model.TaskKey, list[StartAttempt]] = {}
+        # Tasks with a listed run that is not their latest one, with the
+        # runners that list one.
+        self._stray_runs: dict[model.TaskKey, set[str]] = {}
+        self._stray_by_runner: dict[str, frozenset[model.TaskKey]] = {}
+
+    @property
+    def count(self) -> int:
+        """Number of tasks with a start command that may be carried out."""
+        return len(self._open)
+
+    def begin(
+        self, task: model.TaskKey, run: int, runner: str
+    ) -> StartAttempt:
+        """Records that a start command is sent now, and returns it."""
+        attempt = StartAttempt(task, run, runner)
+        attempts = self._open.setdefault(task, [])
+        for earlier in _filter_by_run(attempts, run, runner):
+            earlier.is_only = attempt.is_only = False
+        attempts.append(attempt)
+        return attempt
+
+    def record_answer(self, attempt: StartAttempt) -> None:
+        """Records that a command has been answered, or was not sent."""
+        attempts = self._open.get(attempt.task, [])
+        # A report may have shown before that it was carried out.
+        if attempt in attempts:
+            attempts.remove(attempt)
+            if not attempts:
+                del self._open[attempt.task]
+
+    def record_unanswered(self, attempt: StartAttempt, token: int) -> None:
+        """Records that a command got no answer.
+
+        Args:
+            attempt: The command.
+            token: Highest fencing token that it may carry.
+        """
+        attempt.token = token
+        attempt.possible_until = (
+            self._clock.get_monotonic() + _command_fence.MAX_DELAY
+        )
+
+    def record_listed_run(
+        self, task: model.TaskKey, run: int, runner: str
+    ) -> None:
+        """Records that a runner lists a run, or its exit.
+
+        A command is carried out once. If the run had only one, it is over.
+        """
+        attempts = self._open.get(task, ())
+        for attempt in _filter_by_run(attempts, run, runner):
+            if attempt.is_only:
+                self.record_answer(attempt)
+
+    def discard_runner(self, runner: str) -> None:
+        """Forgets the commands to a runner that can carry out none."""
+        for attempts in list(self._open.values()):
+            for attempt in list(attempts):
+                if attempt.runner == runner:
+                    self.record_answer(attempt)
+        self.record_stray_runs(runner, ())
+
+    def record_stray_runs(
+        self, runner: str, tasks: Iterable[model.TaskKey]
+    ) -> None:
+        """Records of which tasks a runner lists runs that are to be stopped.
+
+        Args:
+            runner: Identifier of the runner.
+            tasks: The tasks; they replace those of its last report.
+        """
+        former = self._stray_by_runner.pop(runner, frozenset())
+        present = frozenset(tasks)
+        for task in former - present:
+            runners = self._stray_runs[task]
+            runners.discard(runner)
+            if not runners:
+                del self._stray_runs[task]
+        for task in present - former:
+            self._stray_runs.setdefault(task, set()).add(runner)
+        if present:
+            self._stray_by_runner[runner] = present
+
+    def has_stray_run(self, task: model.TaskKey) -> bool:
+        """Returns whether a run of a task exists that is to be stopped."""
+        return bool(self._stray_runs) and task in self._stray_runs
+
+    def list_open(self, task: model.TaskKey) -> Collection[StartAttempt]:
+        """Returns the commands that may still start a run of a task."""
+        if not self._open:
+            return ()
+        attempts = self._open.get(task)
+        if attempts is None:
+            return ()
+        now = self._clock.get_monotonic()
+        for attempt in list(attempts):
+            until = attempt.possible_until
+            if until is not None and until <= now:
+                self.record_answer(attempt)
+        return tuple(self._open.get(task, ()))
+
+    def may_start(self, task: model.TaskKey) -> bool:
+        """Returns whether a command may still start a run of a task."""
+        return bool(self.list_open(task))
+
+    def remove_expired(self) -> None:
+        """Forgets the commands that are carried out no more."""
+        for task in list(self._open):
+            self.list_open(task)
+
+
+def _filter_by_run(
+    attempts: Iterable[StartAttempt], run: int, runner: str
+) -> list[StartAttempt]:
+    return [it for it in attempts if it.run == run and it.runner == runner]
--- a/tamarackhatch/scheduler/tests/test_straggler_mover.py
+++ b/tamarackhatch/scheduler/tests/test_straggler_mover.py
@@ -16,6 +16,7 @@
 from tamarackhatch.scheduler import _fleet
 from tamarackhatch.scheduler import _job_tracker
 from tamarackhatch.scheduler import _load_monitor
+from tamarackhatch.scheduler import _start_attempts
 from tamarackhatch.scheduler import _state
 from tamarackhatch.scheduler import _stragglers
 from tamarackhatch import stragglers
@@ -91,6 +92,9 @@
                 get_now=lambda: self.now,
                 clock=clock,
                 list_open_runners=lambda: self.runners,
+                start_attempts=_start_attempts.StartAttempts(
+                    typing.cast(typing.Any, clock)
+                ),
                 fleet={entry.identifier: entry for entry in self.runners},
                 health=monitor,
                 job_tracker=self.tracker,
