Write the rows of a rejected transaction without those at fault

Cause: a transaction that the store answered with 400 counted as one that got no answer. The same rows were sent again, with the heartbeat, for ever. A change was durable only once the changes of all jobs before it were.

Change: a rejected transaction names its groups of rows suspects. They are tried in halves, in transactions of their own between others, until the group at fault is found; it is tried again after 2 s to a minute. A heartbeat that is rejected alone is written without the numbers of pending jobs. Durability is tracked for each job.

--- a/tamarackhatch/model/__init__.py
+++ b/tamarackhatch/model/__init__.py
@@ -28,6 +28,7 @@
 from tamarackhatch.model._rows import RowRef
 from tamarackhatch.model._rows import StoreBusyError
 from tamarackhatch.model._rows import StoreOutcomeUnknownError
+from tamarackhatch.model._rows import StoreRejectedError
 from tamarackhatch.model._rows import StoreUnavailableError
 from tamarackhatch.model._rows import TableStore
 from tamarackhatch.model._runners import ExitReason
@@ -81,6 +82,7 @@
     "Step",
     "StoreBusyError",
     "StoreOutcomeUnknownError",
+    "StoreRejectedError",
     "StoreUnavailableError",
     "TableStore",
     "TaskKey",
--- a/tamarackhatch/model/_rows.py
+++ b/tamarackhatch/model/_rows.py
@@ -12,14 +12,25 @@
 class StoreUnavailableError(errors.CodedError):
     """The store did not carry out a request, and will not do so later."""
 
-    def __init__(self, message: str) -> None:
-        super().__init__(errors.ErrorCode.STORE_UNAVAILABLE, message)
+    def __init__(
+        self,
+        message: str,
+        code: errors.ErrorCode = errors.ErrorCode.STORE_UNAVAILABLE,
+    ) -> None:
+        super().__init__(code, message)
 
 
 class StoreBusyError(StoreUnavailableError):
     """The store refused a request because there are too many at present."""
 
 
+class StoreRejectedError(StoreUnavailableError):
+    """The store rejected a request as such, and would do so again."""
+
+    def __init__(self, message: str) -> None:
+        super().__init__(message, errors.ErrorCode.STORE_REJECTED)
+
+
 class StoreOutcomeUnknownError(errors.CodedError):
     """A write got no answer; it may be applied, now or later."""
 
--- a/tamarackhatch/observability/_metrics.py
+++ b/tamarackhatch/observability/_metrics.py
@@ -79,6 +79,11 @@
             buckets=_LATENCY_BUCKETS_S,
             registry=self._registry,
         )
+        self.rejected_rows = prometheus_client.Counter(
+            "tamarackhatch_rejected_rows",
+            "Groups of rows that the store rejected by themselves.",
+            registry=self._registry,
+        )
         self.store_calls = prometheus_client.Counter(
             "tamarackhatch_store_calls",
             "Calls to the store by kind, table and outcome.",
--- a/tamarackhatch/platform/_store.py
+++ b/tamarackhatch/platform/_store.py
@@ -18,6 +18,8 @@
 _CONDITION_FAILED = 412
 _TOO_MANY_REQUESTS = 429
 _MIN_SERVER_ERROR = 500
+# Bad request, and content too large.
+_REJECTIONS = (400, 413)
 # Time beyond the wait of a feed, for network latency and a slow store.
 _FEED_ANSWER_ALLOWANCE = datetime.timedelta(milliseconds=900)
 # A row can have hundreds of kilobytes, and an instance's link 5 Mbit/s.
@@ -230,6 +232,8 @@
     text = f"store answered status {status} to a {kind}"
     if status == _TOO_MANY_REQUESTS:
         return model.StoreBusyError(text)
+    if status in _REJECTIONS:
+        return model.StoreRejectedError(text)
     return model.StoreUnavailableError(text)
 
 
--- a/tamarackhatch/records/__init__.py
+++ b/tamarackhatch/records/__init__.py
@@ -28,6 +28,8 @@
 from tamarackhatch.records._leadership import find_row
 from tamarackhatch.records._leadership import LeaderHeartbeat
 from tamarackhatch.records._leadership import TrackedRunner
+from tamarackhatch.records._limits import compute_stored_size
+from tamarackhatch.records._limits import MAX_VALUE_BYTES
 from tamarackhatch.records._names import CONFIGURATION_TABLE
 from tamarackhatch.records._names import CORDONS
 from tamarackhatch.records._names import FENCE
@@ -85,6 +87,7 @@
     "JobStore",
     "LEADER_HEARTBEAT",
     "LeaderHeartbeat",
+    "MAX_VALUE_BYTES",
     "MalformedRowError",
     "OccurrenceProgress",
     "PROGRESS_TABLE",
@@ -99,6 +102,7 @@
     "TrackedRunner",
     "WAITING_TASKS",
     "WaitingTasks",
+    "compute_stored_size",
     "decode_change",
     "decode_change_part",
     "decode_cordons",
--- /dev/null
+++ b/tamarackhatch/records/_limits.py
@@ -0,0 +1,10 @@
+"""Limits of the store for the rows of this project."""
+
+# Longest value, in bytes before its encoding as base64 text, which the store
+# counts: 65,536 bytes.
+MAX_VALUE_BYTES = 48_000
+
+
+def compute_stored_size(value: bytes) -> int:
+    """Returns the bytes that a value takes in a transaction, as base64."""
+    return -(-len(value) // 3) * 4
--- a/tamarackhatch/scheduler/_exit_acks.py
+++ b/tamarackhatch/scheduler/_exit_acks.py
@@ -17,11 +17,12 @@
         context: Shared components of the scheduler.
         entry: The runner.
     """
-    committed = context.writer.committed_generation
     was_held, entry.has_held_exit = entry.has_held_exit, False
     for number, pending in list(entry.pending_acks.items()):
-        required = pending.generation
-        if required is None or required > committed:
+        generation = pending.generation
+        if generation is None or not context.writer.is_durable(
+            pending.task.job, generation
+        ):
             return
         if context.start_attempts.may_start(pending.task):
             entry.has_held_exit = True
--- a/tamarackhatch/scheduler/_runner_manager.py
+++ b/tamarackhatch/scheduler/_runner_manager.py
@@ -14,8 +14,8 @@
 from tamarackhatch.scheduler import _fleet
 from tamarackhatch.scheduler import _health
 from tamarackhatch.scheduler import _runner_reconciler
+from tamarackhatch.scheduler import _runner_rows
 from tamarackhatch.scheduler import _unusable_entries
-from tamarackhatch.scheduler import _writer
 
 _CHECK_INTERVAL = datetime.timedelta(milliseconds=25)
 # Runners that are up answer within milliseconds.
@@ -377,7 +377,7 @@
             self._list_tracked_runners
         )
 
-    def _list_tracked_runners(self) -> _writer.TrackedRunnersWrite:
+    def _list_tracked_runners(self) -> _runner_rows.TrackedRunnersWrite:
         entries = [
             entry
             for entry in self._context.fleet.values()
@@ -398,7 +398,7 @@
                 entry.is_tracked = True
             self._context.wake.set()
 
-        return _writer.TrackedRunnersWrite(tracked_runners, mark_tracked)
+        return _runner_rows.TrackedRunnersWrite(tracked_runners, mark_tracked)
 
 
 def _make_runner(entry: records.TrackedRunner) -> model.Runner:
--- a/tamarackhatch/scheduler/_runner_reconciler.py
+++ b/tamarackhatch/scheduler/_runner_reconciler.py
@@ -414,14 +414,14 @@
 
     async def _wait_before_renewal(self, sent: datetime.timedelta) -> None:
         context, entry = self._context, self._entry
-        generations = [
-            pending.generation
+        changes = {
+            (pending.task.job, pending.generation)
             for pending in entry.pending_acks.values()
             if pending.generation is not None
-        ]
-        if generations:
+        }
+        if changes:
             await context.writer.wait_until_durable(
-                max(generations), _MAX_DURABILITY_WAIT
+                changes, _MAX_DURABILITY_WAIT
             )
         _exit_acks.acknowledge_exits(context, entry)
         interval = _MIN_RENEWAL_INTERVAL
--- a/tamarackhatch/scheduler/_writer.py
+++ b/tamarackhatch/scheduler/_writer.py
@@ -2,10 +2,11 @@
 
 import asyncio
 from collections.abc import Callable
+from collections.abc import Collection
+from collections.abc import Mapping
 from collections.abc import Sequence
 import datetime
-
-import attrs
+import itertools
 
 from tamarackhatch import clock
 from tamarackhatch import election
@@ -16,12 +17,11 @@
 from tamarackhatch import records
 from tamarackhatch.scheduler import _configuration_publisher
 from tamarackhatch.scheduler import _cordons
+from tamarackhatch.scheduler import _rejected_rows
+from tamarackhatch.scheduler import _runner_rows
 from tamarackhatch.scheduler import _state
+from tamarackhatch.scheduler import _unwritten_jobs
 
-# A transaction holds at most 100 entries. The others are the sequence, the
-# heartbeat, the interference factors, the lists of tracked and of cordoned
-# runners, the waiting tasks and the parts of a configuration change.
-_MAX_JOBS_PER_BATCH = 80
 # Time between two transactions. Calls to the store have a cost, and exits that
 # arrive within this time share one call.
 _BATCH_INTERVAL = datetime.timedelta(milliseconds=70)
@@ -33,6 +33,12 @@
 _MAX_WRITE_TIMEOUT = datetime.timedelta(milliseconds=1800)
 # Refused calls have a cost as well.
 _RETRY_PAUSE = datetime.timedelta(milliseconds=250)
+# Groups of rows that belong to no job. No identifier of a job is like these.
+_RUNNERS = "runners"
+_CONFIGURATION = "configuration"
+_INTERFERENCE = "interference"
+_WAITING_TASKS = "waiting tasks"
+_MAX_LOGGED_ROWS = 5
 
 
 class LeadershipLostError(errors.CodedError):
@@ -42,19 +48,6 @@
         super().__init__(errors.ErrorCode.SCHEDULER_FENCED, message)
 
 
-@attrs.frozen
-class TrackedRunnersWrite:
-    """A list of tracked runners to write.
-
-    Attributes:
-        entries: The runners.
-        on_tracked: Called once this list is durable.
-    """
-
-    entries: tuple[records.TrackedRunner, ...]
-    on_tracked: Callable[[], None]
-
-
 class ProgressWriter:
     """Writes the progress of jobs, heartbeats and the list of tracked runners.
 
@@ -93,7 +86,7 @@
         self._count_pending = count_pending
         self._export_interference = export_interference
         self._configuration = configuration
-        self._cordons = cordons
+        self._runner_rows = _runner_rows.RunnerRows(cordons)
         self._log = log
         self._metrics = metrics
         self._timeout = records.AdaptiveTimeout(
@@ -101,21 +94,15 @@
         )
         self._sequence = leader_lease.term.token
         self._batches = 0
-        self._unwritten_jobs: dict[str, _state.JobEntry] = {}
-        self._list_tracked_runners: (
-            Callable[[], TrackedRunnersWrite] | None
-        ) = None
-        self._generation = 1
-        self._committed_generation = 0
+        self._unwritten_jobs = _unwritten_jobs.UnwrittenJobs()
+        self._rejections = _rejected_rows.RejectionIsolator(time_source)
+        self._is_heartbeat_reduced = False
+        # What the present heartbeat says of the configuration.
+        self._publication: model.Publication | None = None
         self._last_heartbeat: datetime.timedelta | None = None
         self._wake = asyncio.Event()
         self._commit_event = asyncio.Event()
 
-    @property
-    def committed_generation(self) -> int:
-        """Generation up to which all changes are durable."""
-        return self._committed_generation
-
     @property
     def heartbeat(self) -> records.LeaderHeartbeat:
         """The latest heartbeat."""
@@ -127,25 +114,32 @@
         Returns:
             The generation in which it becomes durable.
         """
-        self._unwritten_jobs[job.identifier] = job
         self._wake.set()
-        return self._generation
+        return self._unwritten_jobs.add_change(job)
+
+    def is_durable(self, job: str, generation: int) -> bool:
+        """Returns whether a change of a job is durable.
+
+        Args:
+            job: Identifier of the job.
+            generation: What `request_write` returned; 0 for no change.
+        """
+        return self._unwritten_jobs.is_durable(job, generation)
 
     def request_tracked_runners(
-        self, list_runners: Callable[[], TrackedRunnersWrite]
+        self, list_runners: Callable[[], _runner_rows.TrackedRunnersWrite]
     ) -> None:
         """Requests that the list of tracked runners be written.
 
         Args:
-            list_runners: Returns the list when it is written. Many runners
-                ask for one within a batch interval.
+            list_runners: Returns the list when it is written.
         """
-        self._list_tracked_runners = list_runners
+        self._runner_rows.request_list(list_runners)
         self._wake.set()
 
     def request_cordon_update(self) -> None:
         """Requests that the list of cordoned runners be written."""
-        self._cordons.request_write()
+        self._runner_rows.request_cordon_update()
         self._wake.set()
 
     def request_publication(self) -> None:
@@ -153,11 +147,18 @@
         self._wake.set()
 
     async def wait_until_durable(
-        self, generation: int, timeout: datetime.timedelta
+        self,
+        changes: Collection[tuple[str, int]],
+        timeout: datetime.timedelta,
     ) -> None:
-        """Waits until a generation is durable, or until the timeout."""
+        """Waits until changes are durable, or until the timeout.
+
+        Args:
+            changes: Jobs and generations; see `is_durable`.
+            timeout: Longest time to wait.
+        """
         deadline = self._clock.get_monotonic() + timeout
-        while self._committed_generation < generation:
+        while not all(itertools.starmap(self.is_durable, changes)):
             remaining = deadline - self._clock.get_monotonic()
             if remaining <= datetime.timedelta():
                 return
@@ -200,93 +201,129 @@
         Raises:
             LeadershipLostError: Another scheduler has taken over.
         """
-        jobs = list(self._unwritten_jobs.values())[:_MAX_JOBS_PER_BATCH]
-        for job in jobs:
-            del self._unwritten_jobs[job.identifier]
-        list_tracked_runners = self._list_tracked_runners
-        self._list_tracked_runners = None
-        generation = self._generation
-        if not self._unwritten_jobs:
-            self._generation += 1
-        self._batches += 1
-        puts = [
-            model.Put(
-                records.get_progress_ref(job.identifier),
-                records.encode_progress(job.summarise_progress()),
-            )
-            for job in jobs
-        ]
-        tracked_runners = list_tracked_runners and list_tracked_runners()
-        if tracked_runners is not None:
-            value = records.encode_tracked_runners(tracked_runners.entries)
-            puts.append(model.Put(records.TRACKED_RUNNERS, value))
-        has_heartbeat = (
-            is_release
-            or self._is_heartbeat_due()
-            or self._configuration.is_due
+        rejections = self._rejections
+        is_heartbeat_due = is_release or self._is_heartbeat_due()
+        rejections.begin_transaction(
+            not is_heartbeat_due and not rejections.is_trial
+        )
+        is_publication_due = self._configuration.is_due and (
+            rejections.may_include(_CONFIGURATION)
         )
+        has_heartbeat = is_heartbeat_due or is_publication_due
+        batch = self._unwritten_jobs.take_batch(rejections.may_include)
+        other = self._collect_other_rows(
+            is_release, has_heartbeat, waiting_tasks
+        )
+        groups = [*batch.jobs, *other]
+        puts = batch.puts + [put for rows in other.values() for put in rows]
         if has_heartbeat:
+            puts.append(self._make_heartbeat(is_release))
+        if not puts:
+            # The suspects have nothing to write any more.
+            rejections.record_commit(groups)
+            return True
+        self._batches += 1
+        is_durable = False
+        try:
+            is_durable = await self._commit_transaction(puts, has_heartbeat)
+        except model.StoreRejectedError as error:
+            self._record_rejection(groups, puts, error)
+        finally:
+            if not is_durable:
+                self._unwritten_jobs.record_failure(batch)
+                self._runner_rows.record_failure()
+        if not is_durable:
+            return False
+        self._unwritten_jobs.record_commit(batch)
+        rejections.record_commit(groups)
+        self._record_commit(other, has_heartbeat)
+        return True
+
+    def _collect_other_rows(
+        self,
+        is_release: bool,
+        has_heartbeat: bool,
+        waiting_tasks: Sequence[model.TaskKey],
+    ) -> dict[str, list[model.Put]]:
+        """Returns the rows beside those of jobs and the heartbeat, by group.
+
+        The configuration is prepared here, and the heartbeat names it.
+        """
+        groups: dict[str, list[model.Put]] = {}
+        may_include = self._rejections.may_include
+        if may_include(_RUNNERS):
+            groups[_RUNNERS] = self._runner_rows.prepare(has_heartbeat)
+        self._publication = None
+        if has_heartbeat and may_include(_CONFIGURATION):
             write = self._configuration.prepare_write()
-            puts += write.puts
-            puts.append(self._make_heartbeat(is_release, write.publication))
-            if (
-                is_release
-                or self._heartbeat.count % _HEARTBEATS_PER_INTERFERENCE_WRITE
-                == 0
-            ):
-                puts.append(self._make_interference())
-        cordons = self._cordons.prepare_write(
-            has_heartbeat, tracked_runners is not None
+            self._publication = write.publication
+            groups[_CONFIGURATION] = list(write.puts)
+        is_interference_due = is_release or (
+            has_heartbeat
+            and (self._heartbeat.count + 1)
+            % _HEARTBEATS_PER_INTERFERENCE_WRITE
+            == 0
         )
-        if cordons is not None:
-            puts.append(cordons)
-        if is_release:
+        if is_interference_due and may_include(_INTERFERENCE):
+            groups[_INTERFERENCE] = [self._make_interference()]
+        if is_release and may_include(_WAITING_TASKS):
             value = records.encode_waiting_tasks(
                 self._leader_lease.term.number, waiting_tasks
             )
-            puts.append(model.Put(records.WAITING_TASKS, value))
-        if not await self._commit_transaction(puts, has_heartbeat):
-            for job in jobs:
-                self._unwritten_jobs.setdefault(job.identifier, job)
-            if self._list_tracked_runners is None:
-                self._list_tracked_runners = list_tracked_runners
-            return False
-        self._cordons.record_commit()
-        self._record_commit(generation, is_complete=not self._unwritten_jobs)
+            groups[_WAITING_TASKS] = [model.Put(records.WAITING_TASKS, value)]
+        return {name: rows for name, rows in groups.items() if rows}
+
+    def _record_commit(
+        self, other: Mapping[str, list[model.Put]], has_heartbeat: bool
+    ) -> None:
         if has_heartbeat:
-            self._configuration.record_commit()
+            if self._publication is not None or _CONFIGURATION in other:
+                self._configuration.record_commit()
             self._on_heartbeat(self._heartbeat)
-        if tracked_runners is not None:
-            tracked_runners.on_tracked()
-        return True
-
-    def _record_commit(self, generation: int, is_complete: bool) -> None:
-        # If there are more jobs than one batch holds, the generation is
-        # complete only after the last of its batches.
-        if generation < self._generation:
-            self._committed_generation = max(
-                self._committed_generation, generation
-            )
-        elif is_complete:
-            self._log.debug("generation_continues", generation=generation)
+        if _RUNNERS in other:
+            self._runner_rows.record_commit()
         self._commit_event.set()
         self._commit_event = asyncio.Event()
 
-    def _make_heartbeat(
-        self, is_release: bool, publication: model.Publication | None
-    ) -> model.Put:
+    def _record_rejection(
+        self,
+        groups: Collection[str],
+        puts: Sequence[model.Put],
+        error: model.StoreRejectedError,
+    ) -> None:
+        """Records that the store has rejected a transaction as such."""
+        at_fault = self._rejections.record_rejection(groups)
+        if not groups:
+            at_fault, self._is_heartbeat_reduced = "heartbeat", True
+        self._log.error(
+            "rows_rejected",
+            reason=error.message,
+            at_fault=at_fault,
+            groups=len(groups),
+            longest=sorted(
+                ([len(put.value), put.ref.table, put.ref.key] for put in puts),
+                reverse=True,
+            )[:_MAX_LOGGED_ROWS],
+        )
+        if at_fault is not None:
+            self._metrics.rejected_rows.inc()
+
+    def _make_heartbeat(self, is_release: bool) -> model.Put:
+        publication = self._publication
+        is_reduced = self._is_heartbeat_reduced
         self._heartbeat = records.LeaderHeartbeat(
             self._heartbeat.instance,
             self._heartbeat.incarnation,
             self._heartbeat.term,
             self._heartbeat.count + 1,
             is_release,
-            self._count_pending(),
+            {} if is_reduced else self._count_pending(),
             None if publication is None else publication.version,
             0 if publication is None else publication.position,
+            is_pending_known=not is_reduced,
             metrics_address=self._heartbeat.metrics_address,
             earlier_lease=self._leader_lease.earlier_lease,
-            waits=() if is_release else self._summarise_waits(),
+            waits=() if is_release or is_reduced else self._summarise_waits(),
         )
         return model.Put(
             records.LEADER_HEARTBEAT,
@@ -305,12 +342,15 @@
 
     async def _wait_for_work(self) -> None:
         self._wake.clear()
+        rejections = self._rejections
         if (
-            self._unwritten_jobs
-            or self._list_tracked_runners is not None
+            rejections.has_suspects
+            or self._unwritten_jobs.has_rows_for(rejections.may_be_due)
             or self._is_heartbeat_due()
             or self._configuration.is_due
-            or self._cordons.is_due
+            and rejections.may_be_due(_CONFIGURATION)
+            or self._runner_rows.is_due
+            and rejections.may_be_due(_RUNNERS)
         ):
             return
         assert self._last_heartbeat is not None
@@ -338,6 +378,8 @@
                 [],
                 self._timeout.current,
             )
+        except model.StoreRejectedError:
+            raise
         except (
             model.StoreUnavailableError,
             model.StoreOutcomeUnknownError,
--- a/tamarackhatch/scheduler/tests/test_dry_run.py
+++ b/tamarackhatch/scheduler/tests/test_dry_run.py
@@ -361,7 +361,7 @@
         dict(tickets._requests),
         dict(tickets._tickets),
         context.wake.is_set(),
-        dict(writer._unwritten_jobs),
+        writer._unwritten_jobs.identifiers,
         context.load_monitor.counters,
         context.metrics.render(),
         fleet.history.runs.copy(),
