Divide the progress of a large job among rows

Cause: the progress row holds the history of each unfinished task with a checkpoint, about 34 bytes, without a limit; the store rejects values of more than 65,536 bytes.

Change: progress that does not fit into 48,000 bytes is divided into units of 64 tasks, which are spread over up to 64 rows. Only rows with changes are written, new ones first and the job's own row last, so that what is stored is complete at any time; of two rows with a unit the later one counts. The rows are removed with the job's end.

--- a/standins/runner.py
+++ b/standins/runner.py
@@ -61,6 +61,7 @@
             run has crashed it.
         checkpoint_interval_s: Seconds of work between two checkpoints of a
             run; None for runs without progress and checkpoints.
+        checkpoint_length: Least number of characters of a checkpoint.
         restore_s: Seconds that a run needs to resume from a checkpoint.
         kill_s: Seconds that it takes to kill runs whose lease has expired.
         registered_at: Loop time at which it last registered; minus infinity
@@ -95,6 +96,7 @@
         self.is_down = False
         self.gets_new_identifier = True
         self.checkpoint_interval_s: float | None = None
+        self.checkpoint_length = 0
         self.restore_s = 0.0
         self.kill_s = 0.0
         self.registered_at = -math.inf
@@ -321,7 +323,8 @@
         if self.checkpoint_interval_s is None or not self._saves(run.task):
             return ""
         count = run.compute_work_done(time) // self.checkpoint_interval_s
-        return str(count * self.checkpoint_interval_s) if count else ""
+        saved = str(count * self.checkpoint_interval_s)
+        return saved.zfill(self.checkpoint_length) if count else ""
 
     def _start(self, body: network.Body) -> network.Response:
         task, number = body["task"], body["run"]
--- a/tamarackhatch/platform/tests/test_fuzz.py
+++ b/tamarackhatch/platform/tests/test_fuzz.py
@@ -259,6 +259,18 @@
         records.decode_progress,
         records.MalformedRowError,
     ),
+    (
+        "own row of divided progress",
+        {"parts": 4, "state": "running", "finished": 2, "open": [2, 3]},
+        records.decode_progress_row,
+        records.MalformedRowError,
+    ),
+    (
+        "part of a progress",
+        {"u": [[3, 1, 2, "5", [[5, 7, [7], "0b", [[7, 1]]]]]]},
+        records.decode_part,
+        records.MalformedRowError,
+    ),
     (
         "heartbeat row",
         _HEARTBEAT,
--- a/tamarackhatch/records/__init__.py
+++ b/tamarackhatch/records/__init__.py
@@ -29,6 +29,7 @@
 from tamarackhatch.records._leadership import LeaderHeartbeat
 from tamarackhatch.records._leadership import TrackedRunner
 from tamarackhatch.records._limits import compute_stored_size
+from tamarackhatch.records._limits import MAX_CHECKPOINT_LENGTH
 from tamarackhatch.records._limits import MAX_VALUE_BYTES
 from tamarackhatch.records._names import CONFIGURATION_TABLE
 from tamarackhatch.records._names import CORDONS
@@ -37,6 +38,8 @@
 from tamarackhatch.records._names import get_cancelled_job
 from tamarackhatch.records._names import get_instance_ref
 from tamarackhatch.records._names import get_job_ref
+from tamarackhatch.records._names import get_progress_part
+from tamarackhatch.records._names import get_progress_part_ref
 from tamarackhatch.records._names import get_progress_ref
 from tamarackhatch.records._names import get_refusal_ref
 from tamarackhatch.records._names import get_refused_job
@@ -57,6 +60,18 @@
 from tamarackhatch.records._progress import MalformedRowError
 from tamarackhatch.records._progress import OccurrenceProgress
 from tamarackhatch.records._progress import TaskHistory
+from tamarackhatch.records._progress_parts import decode_part
+from tamarackhatch.records._progress_parts import decode_progress_row
+from tamarackhatch.records._progress_parts import encode_part
+from tamarackhatch.records._progress_parts import encode_split_progress
+from tamarackhatch.records._progress_parts import get_unit
+from tamarackhatch.records._progress_parts import MAX_PARTS
+from tamarackhatch.records._progress_parts import merge_parts
+from tamarackhatch.records._progress_parts import PartMap
+from tamarackhatch.records._progress_parts import split_progress
+from tamarackhatch.records._progress_parts import UNIT_TASKS
+from tamarackhatch.records._progress_parts import UnitName
+from tamarackhatch.records._progress_parts import UnitProgress
 from tamarackhatch.records._refusals import decode_refusal
 from tamarackhatch.records._refusals import encode_refusal
 from tamarackhatch.records._refusals import Refusal
@@ -81,16 +96,19 @@
     "InstanceRecord",
     "JOBS_TABLE",
     "JOB_PARTITIONS",
-    "JobProgress",
     "JobCancelledError",
     "JobPresence",
+    "JobProgress",
     "JobStore",
     "LEADER_HEARTBEAT",
     "LeaderHeartbeat",
+    "MAX_CHECKPOINT_LENGTH",
+    "MAX_PARTS",
     "MAX_VALUE_BYTES",
     "MalformedRowError",
     "OccurrenceProgress",
     "PROGRESS_TABLE",
+    "PartMap",
     "Refusal",
     "RefusalState",
     "SCHEDULER_PARTITION",
@@ -100,6 +118,9 @@
     "TableWatcher",
     "TaskHistory",
     "TrackedRunner",
+    "UNIT_TASKS",
+    "UnitName",
+    "UnitProgress",
     "WAITING_TASKS",
     "WaitingTasks",
     "compute_stored_size",
@@ -110,19 +131,23 @@
     "decode_interference",
     "decode_job",
     "decode_leader_heartbeat",
+    "decode_part",
     "decode_progress",
+    "decode_progress_row",
     "decode_refusal",
     "decode_tracked_runners",
     "decode_waiting_tasks",
     "encode_change",
-    "encode_cordons",
     "encode_copy",
+    "encode_cordons",
     "encode_instance",
     "encode_interference",
     "encode_job",
     "encode_leader_heartbeat",
+    "encode_part",
     "encode_progress",
     "encode_refusal",
+    "encode_split_progress",
     "encode_tracked_runners",
     "encode_waiting_tasks",
     "find_row",
@@ -130,8 +155,13 @@
     "get_cancelled_job",
     "get_instance_ref",
     "get_job_ref",
+    "get_progress_part",
+    "get_progress_part_ref",
     "get_progress_ref",
     "get_refusal_ref",
     "get_refused_job",
+    "get_unit",
     "is_change_ref",
+    "merge_parts",
+    "split_progress",
 ]
--- a/tamarackhatch/records/_job_store.py
+++ b/tamarackhatch/records/_job_store.py
@@ -14,7 +14,7 @@
 from tamarackhatch.records import _jobs
 from tamarackhatch.records import _leadership
 from tamarackhatch.records import _names
-from tamarackhatch.records import _progress
+from tamarackhatch.records import _progress_parts
 from tamarackhatch.records import _refusals
 from tamarackhatch.records import _store_liveness
 
@@ -227,7 +227,8 @@
         )
         for row in rows:
             if row.ref.key == identifier:
-                state = _progress.decode_progress(row.value).state
+                progress = _progress_parts.decode_progress_row(row.value)
+                state = progress.state
                 if state.is_final:
                     self._cache_final_state(identifier, state)
                 return state
--- a/tamarackhatch/records/_limits.py
+++ b/tamarackhatch/records/_limits.py
@@ -4,6 +4,10 @@
 # counts: 65,536 bytes.
 MAX_VALUE_BYTES = 48_000
 
+# Longest checkpoint that is stored, in characters. A task with a longer one
+# begins anew if neither its scheduler nor its runner is there to tell it.
+MAX_CHECKPOINT_LENGTH = 256
+
 
 def compute_stored_size(value: bytes) -> int:
     """Returns the bytes that a value takes in a transaction, as base64."""
--- a/tamarackhatch/records/_names.py
+++ b/tamarackhatch/records/_names.py
@@ -51,6 +51,7 @@
 # handles a limited number of transactions per second.
 JOB_PARTITIONS: typing.Final = tuple("0123456789abcdef")
 _CANCEL_SUFFIX: typing.Final = ".cancel"
+_PART_INFIX: typing.Final = ".part."
 _REFUSED_SUFFIX: typing.Final = ".refused"
 
 
@@ -117,6 +118,27 @@
     return model.RowRef(PROGRESS_TABLE, SCHEDULER_PARTITION, identifier)
 
 
+def get_progress_part_ref(identifier: str, part: int) -> model.RowRef:
+    """Returns the name of the row that holds a part of a job's progress."""
+    return model.RowRef(
+        PROGRESS_TABLE,
+        SCHEDULER_PARTITION,
+        f"{identifier}{_PART_INFIX}{part}",
+    )
+
+
+def get_progress_part(key: str) -> tuple[str, int] | None:
+    """Returns the job and the number of a part; None for a job's own row.
+
+    Args:
+        key: Key of a row in the progress table.
+    """
+    identifier, infix, number = key.rpartition(_PART_INFIX)
+    if not infix or not (number.isascii() and number.isdigit()):
+        return None
+    return identifier, int(number)
+
+
 def get_refused_job(key: str) -> str | None:
     """Returns the job that a refusal row is for; None for other rows.
 
--- a/tamarackhatch/records/_progress.py
+++ b/tamarackhatch/records/_progress.py
@@ -63,11 +63,14 @@
         finished_occurrences: All occurrences with a lower number are finished.
         occurrences: Progress of the other occurrences, by number; those
             without progress are absent.
+        parts: Number of further rows among which it is divided; 0 if it fits
+            into one row.
     """
 
     state: model.JobState
     finished_occurrences: int = 0
     occurrences: dict[int, OccurrenceProgress] = attrs.field(factory=dict)
+    parts: int = 0
 
 
 def encode_progress(progress: JobProgress) -> bytes:
--- a/tamarackhatch/scheduler/_dry_run.py
+++ b/tamarackhatch/scheduler/_dry_run.py
@@ -19,6 +19,7 @@
 from tamarackhatch.scheduler import _group_order
 from tamarackhatch.scheduler import _large_tasks
 from tamarackhatch.scheduler import _prospects
+from tamarackhatch.scheduler import _restored_occurrences
 from tamarackhatch.scheduler import _runner_choice
 from tamarackhatch.scheduler import _state
 from tamarackhatch.scheduler import _tickets
@@ -383,7 +384,7 @@
     """Returns a job as it is when it has just been read from the store."""
     entry = _state.JobEntry(job, 0)
     entry.order = _state.compute_order(job)
-    occurrence = _state.build_occurrence(entry, 0, None)
+    occurrence = _restored_occurrences.build_occurrence(entry, 0, None)
     entry.occurrences[0] = occurrence
     for tasks in occurrence.steps:
         for task in tasks:
--- a/tamarackhatch/scheduler/_garbage_collector.py
+++ b/tamarackhatch/scheduler/_garbage_collector.py
@@ -36,15 +36,21 @@
         self._retention = max(_MIN_RETENTION, retention * _RETENTION_FACTOR)
         self._remove_job = remove_job
         self._log = log
-        self._finished: collections.deque[tuple[datetime.timedelta, str]]
+        self._finished: collections.deque[tuple[datetime.timedelta, str, int]]
         self._finished = collections.deque()
         self._markers = _job_markers.MarkerCollector(
             store, time_source, self._retention, log
         )
 
-    def record_finished(self, identifier: str) -> None:
-        """Starts the retention time of a job that is finished."""
-        self._finished.append((self._clock.get_monotonic(), identifier))
+    def record_finished(self, identifier: str, parts: int = 0) -> None:
+        """Starts the retention time of a job that is finished.
+
+        Args:
+            identifier: Identifier of the job.
+            parts: Number of rows among which its progress was divided.
+        """
+        now = self._clock.get_monotonic()
+        self._finished.append((now, identifier, parts))
 
     def record_marker(self, row: model.Row) -> None:
         """Starts the retention time of a cancel or refusal row.
@@ -62,8 +68,8 @@
             for _ in range(_MAX_JOBS_PER_ROUND):
                 if not self._is_due():
                     break
-                _, identifier = self._finished[0]
-                if not await self._remove_rows(identifier):
+                _, identifier, parts = self._finished[0]
+                if not await self._remove_rows(identifier, parts):
                     break
                 self._finished.popleft()
                 self._remove_job(identifier)
@@ -71,10 +77,10 @@
     def _is_due(self) -> bool:
         if not self._finished:
             return False
-        finished, _ = self._finished[0]
+        finished, _, _ = self._finished[0]
         return self._clock.get_monotonic() - finished >= self._retention
 
-    async def _remove_rows(self, identifier: str) -> bool:
+    async def _remove_rows(self, identifier: str, parts: int) -> bool:
         # The progress row is removed last, because a job that still has a row
         # would run again without its progress.
         transactions = (
@@ -83,7 +89,13 @@
                 records.get_cancel_ref(identifier),
                 records.get_refusal_ref(identifier),
             ],
-            [records.get_progress_ref(identifier)],
+            [
+                records.get_progress_ref(identifier),
+                *(
+                    records.get_progress_part_ref(identifier, part)
+                    for part in range(parts)
+                ),
+            ],
         )
         try:
             for removals in transactions:
--- a/tamarackhatch/scheduler/_job_tracker.py
+++ b/tamarackhatch/scheduler/_job_tracker.py
@@ -21,8 +21,8 @@
 class JobTracker:
     """Tracks all jobs that are not finished.
 
-    All methods are called from one event loop and never wait. They request the
-    commands and writes that follow from a change through callbacks.
+    No method waits. Commands and writes that follow from a change are
+    requested through callbacks.
     """
 
     def __init__(
@@ -67,8 +67,7 @@
             on_finished: Called with each finished job.
         """
         self._on_finished = on_finished
-        self._request_write = request_write
-        self._stop_task = stop_task
+        self._request_write, self._stop_task = request_write, stop_task
         self._phases.set_callback(wake)
         self._occurrences.set_callbacks(request_write, stop_task, on_finished)
 
@@ -119,12 +118,7 @@
         self._synced_until = time
 
     def may_be_unread(self, identifier: str, time: datetime.timedelta) -> bool:
-        """Returns whether an unknown job may have existed at a time.
-
-        Args:
-            identifier: Identifier of the job.
-            time: Monotonic time.
-        """
+        """Returns whether an unknown job may have existed at a time."""
         return identifier not in self._jobs and (
             self._synced_until is None or self._synced_until <= time
         )
@@ -168,6 +162,7 @@
             entry.finished_occurrences = entry.next_occurrence = (
                 progress.finished_occurrences
             )
+            entry.progress_parts = progress.parts
             if entry.state.is_final:
                 self._on_finished(entry)
                 return
@@ -332,7 +327,7 @@
         if not entry.has_started and not entry.state.is_final:
             entry.has_started = True
             entry.state = model.JobState.RUNNING
-        return self._request_write(entry)
+        return self._write_task(task)
 
     def _record_unsuccessful_exit(
         self,
@@ -357,9 +352,8 @@
     ) -> int:
         """Records the exit of an earlier run of a task.
 
-        Such an exit is reported by a runner that did not answer for longer
-        than its lease, or when a scheduler reads the reports of several
-        runners after a takeover. A failure counts as an attempt; a success
+        A runner reports one after it did not answer for longer than its
+        lease, or after a takeover. A failure counts as an attempt; a success
         completes a task that was not started again.
 
         Returns:
@@ -389,7 +383,7 @@
             failures=task.failures,
         )
         self._occurrences.fail_job_at_limit(task)
-        return self._request_write(task.job)
+        return self._write_task(task)
 
     def _record_late_success(
         self,
@@ -399,9 +393,8 @@
     ) -> int:
         """Completes a task whose run was lost after it succeeded.
 
-        A blocked one may have run before, because this term does not know all
-        exits of the steps that it depends on, or because its occurrence is
-        held.
+        A blocked one may have run: its occurrence is held, or this term does
+        not know all exits of the steps that it depends on.
         """
         if task.phase not in (
             _state.TaskPhase.WAITING,
@@ -418,6 +411,11 @@
         task.is_unblocked_in_term = False
         task.waiting_since = None
         self._occurrences.complete_task(task)
+        return self._write_task(task)
+
+    def _write_task(self, task: _state.TaskEntry) -> int:
+        """Requests a write after a change of a task's progress."""
+        task.job.record_change(task)
         return self._request_write(task.job)
 
     def record_crash(
@@ -427,13 +425,13 @@
         if not task.job.state.is_final:
             task.crashes[task.run] = role
             task.crash_addresses[task.run] = address
-            self._request_write(task.job)
+            self._write_task(task)
 
     def retract_crash(self, task: _state.TaskEntry, run: int) -> None:
         """Removes the record of a crash that did not happen."""
         if not task.job.state.is_final and run in task.crashes:
             del task.crashes[run]
-            self._request_write(task.job)
+            self._write_task(task)
 
     def fail_crashing_job(self, task: _state.TaskEntry) -> None:
         """Fails the job of a task that crashes the runners that start it."""
--- a/tamarackhatch/scheduler/_occurrences.py
+++ b/tamarackhatch/scheduler/_occurrences.py
@@ -6,6 +6,7 @@
 from tamarackhatch import model
 from tamarackhatch import observability
 from tamarackhatch import records
+from tamarackhatch.scheduler import _restored_occurrences
 from tamarackhatch.scheduler import _state
 from tamarackhatch.scheduler import _task_phases
 
@@ -97,7 +98,9 @@
             number: Number of the occurrence.
             progress: Its durable progress; None if it has none.
         """
-        occurrence = _state.build_occurrence(entry, number, progress)
+        occurrence = _restored_occurrences.build_occurrence(
+            entry, number, progress
+        )
         occurrence.is_held = True
         entry.occurrences[number] = occurrence
 
--- a/tamarackhatch/scheduler/_scheduler.py
+++ b/tamarackhatch/scheduler/_scheduler.py
@@ -30,6 +30,7 @@
 from tamarackhatch.scheduler import _runner_manager
 from tamarackhatch.scheduler import _start_attempts
 from tamarackhatch.scheduler import _state
+from tamarackhatch.scheduler import _stored_progress
 from tamarackhatch.scheduler import _stragglers
 from tamarackhatch.scheduler import _tickets
 from tamarackhatch.scheduler import _writer
@@ -172,8 +173,9 @@
         self._runner_manager = _runner_manager.RunnerManager(
             self._context, self._commands, self._dispatcher
         )
-        self._progress: dict[str, records.JobProgress] = {}
-        self._jobs_without_progress: set[str] = set()
+        self._progress = _stored_progress.StoredProgress(
+            store, time_source, log
+        )
         self._stop_requested_at: datetime.timedelta | None = None
         self._has_loaded_jobs = False
         self._ready_at: datetime.timedelta | None = None
@@ -275,7 +277,9 @@
     def _record_finished(self, job: _state.JobEntry) -> None:
         self._tickets.discard_job(job.identifier)
         self._context.interference.remove_job(job.identifier)
-        self._garbage_collector.record_finished(job.identifier)
+        self._garbage_collector.record_finished(
+            job.identifier, job.progress_parts
+        )
 
     def _count_pending(self) -> dict[str, int]:
         if not self._has_loaded_jobs:
@@ -290,7 +294,7 @@
         )
 
     async def _start_up(self, claim_time: datetime.timedelta) -> None:
-        await self._load_progress()
+        await self._progress.load()
         reader = _earlier_terms.EarlierTermsReader(
             self._store, self._clock, self._log
         )
@@ -372,29 +376,6 @@
             return
         self._log.summary("term_released", written=is_written)
 
-    async def _load_progress(self) -> None:
-        """Loads the progress of jobs that earlier schedulers stored."""
-        watcher = records.TableWatcher(
-            self._store,
-            self._clock,
-            records.PROGRESS_TABLE,
-            (records.SCHEDULER_PARTITION,),
-            self._apply_progress_row,
-            self._log,
-        )
-        await watcher.load()
-
-    def _apply_progress_row(self, row: model.Row) -> None:
-        try:
-            progress = records.decode_progress(row.value)
-        except records.MalformedRowError as error:
-            self._log.error(
-                "progress_unreadable", job=row.ref.key, reason=error.message
-            )
-            self._jobs_without_progress.add(row.ref.key)
-            return
-        self._progress[row.ref.key] = progress
-
     def _apply_job_row(self, row: model.Row) -> None:
         job_tracker = self._context.job_tracker
         cancelled = records.get_cancelled_job(row.ref.key)
@@ -412,7 +393,7 @@
             return
         if job_tracker.has_job(row.ref.key):
             return
-        if row.ref.key in self._jobs_without_progress:
+        if self._progress.is_unreadable(row.ref.key):
             # Tasks that are done would run again.
             self._log.error("job_not_scheduled", job=row.ref.key)
             return
@@ -431,7 +412,7 @@
             )
             self._leader_lease.revoke()
             return
-        progress = self._progress.pop(row.ref.key, None)
+        progress = self._progress.take(row.ref.key)
         job_tracker.add_job(job, row.version, progress)
         self._runner_manager.apply_unread_runs(job.identifier)
 
--- a/tamarackhatch/scheduler/_state.py
+++ b/tamarackhatch/scheduler/_state.py
@@ -261,6 +261,11 @@
             held ones have higher numbers.
         order: Priority of the queue, and time of acceptance in seconds since
             the epoch; lower values go first.
+        progress_parts: Number of rows among which its progress is divided; 0
+            if it fits into one.
+        changed_units: Units of tasks whose progress has changed since it was
+            last written.
+        is_all_changed: Whether all units count as changed.
     """
 
     job: model.Job
@@ -272,6 +277,9 @@
     finished_occurrences: int = 0
     next_occurrence: int = 0
     order: tuple[float, ...] = ()
+    progress_parts: int = 0
+    changed_units: set[records.UnitName] = attrs.field(factory=set)
+    is_all_changed: bool = False
 
     @property
     def identifier(self) -> str:
@@ -313,6 +321,34 @@
             for count, step in zip(occurrence.remaining, self.job.steps)
         )
 
+    @functools.cached_property
+    def part_map(self) -> records.PartMap:
+        """Assigns its tasks to parts, if its progress is divided."""
+        return records.PartMap(self.job.steps)
+
+    def record_change(self, task: TaskEntry) -> None:
+        """Records that the progress of a task has changed."""
+        if task.step.is_gang:
+            # One exit completes all members.
+            self.is_all_changed = True
+        else:
+            self.changed_units.add(records.get_unit(task.key))
+
+    def summarise_unit(self, name: records.UnitName) -> records.UnitProgress:
+        """Returns the progress of a unit of tasks."""
+        tasks = self.occurrences[name.occurrence].steps[name.step]
+        first = name.block * records.UNIT_TASKS
+        done = 0
+        histories = {}
+        for position, task in enumerate(
+            tasks[first : first + records.UNIT_TASKS]
+        ):
+            if task.phase is TaskPhase.DONE:
+                done |= 1 << position
+            elif (history := _summarise_task(task)) is not None:
+                histories[position] = history
+        return records.UnitProgress(name, done, histories)
+
     def summarise_progress(self) -> records.JobProgress:
         """Returns the progress to be written to the store."""
         if self.state.is_final:
@@ -329,6 +365,18 @@
             },
         )
 
+    def summarise_state(self) -> records.JobProgress:
+        """Returns the progress without that of tasks, of which others tell."""
+        return records.JobProgress(
+            self.state,
+            self.finished_occurrences,
+            {
+                number: _NO_PROGRESS
+                for number, occurrence in self.occurrences.items()
+                if not occurrence.is_held
+            },
+        )
+
 
 _NO_PROGRESS = records.OccurrenceProgress()
 
@@ -339,43 +387,6 @@
     return (job.queue.priority, accepted)
 
 
-def build_occurrence(
-    entry: JobEntry,
-    number: int,
-    progress: records.OccurrenceProgress | None,
-) -> OccurrenceEntry:
-    """Builds the tasks of an occurrence and restores their progress."""
-    job = entry.job
-    steps = []
-    remaining = []
-    for step_index, step in enumerate(job.steps):
-        done = (
-            0 if progress is None else progress.done_tasks.get(step_index, 0)
-        )
-        tasks = []
-        for index in range(step.count):
-            key = model.TaskKey(job.identifier, number, step_index, index)
-            task = TaskEntry(key, step, entry)
-            if done >> index & 1:
-                task.phase = TaskPhase.DONE
-            history = (
-                None
-                if progress is None
-                else progress.tasks.get((step_index, index))
-            )
-            if history is not None:
-                task.run = task.last_exited_run = history.last_exited_run
-                task.failed_runs = frozenset(history.failed_runs)
-                task.checkpoint = history.checkpoint
-                task.crashes = dict(history.crashes)
-            tasks.append(task)
-        steps.append(tasks)
-        remaining.append(
-            sum(1 for task in tasks if task.phase is not TaskPhase.DONE)
-        )
-    return OccurrenceEntry(number, steps, remaining)
-
-
 def _summarise_occurrence(
     occurrence: OccurrenceEntry,
 ) -> records.OccurrenceProgress:
@@ -386,13 +397,23 @@
         for task in tasks:
             if task.phase is TaskPhase.DONE:
                 bits |= 1 << task.key.index
-            elif task.failed_runs or task.checkpoint or task.crashes:
-                histories[(step_index, task.key.index)] = records.TaskHistory(
-                    task.last_exited_run,
-                    tuple(sorted(task.failed_runs)),
-                    task.checkpoint,
-                    dict(task.crashes),
-                )
+            elif (history := _summarise_task(task)) is not None:
+                histories[(step_index, task.key.index)] = history
         if bits:
             done[step_index] = bits
     return records.OccurrenceProgress(done, histories)
+
+
+def _summarise_task(task: TaskEntry) -> records.TaskHistory | None:
+    """Returns the history of an unfinished task; None if there is none."""
+    checkpoint = task.checkpoint
+    if len(checkpoint) > records.MAX_CHECKPOINT_LENGTH:
+        checkpoint = ""
+    if not (task.failed_runs or checkpoint or task.crashes):
+        return None
+    return records.TaskHistory(
+        task.last_exited_run,
+        tuple(sorted(task.failed_runs)),
+        checkpoint,
+        dict(task.crashes),
+    )
--- a/tamarackhatch/scheduler/_unwritten_jobs.py
+++ b/tamarackhatch/scheduler/_unwritten_jobs.py
@@ -5,13 +5,13 @@
 import attrs
 
 from tamarackhatch import model
-from tamarackhatch import records
+from tamarackhatch.scheduler import _progress_rows
 from tamarackhatch.scheduler import _state
 
 # A transaction holds at most 100 entries. The others are the sequence, the
 # heartbeat, the interference factors, the lists of tracked and of cordoned
 # runners, the waiting tasks and the parts of a configuration change.
-_MAX_ROWS = 80
+_MAX_ENTRIES = 80
 # A transaction holds at most 1 MB. One of this size crosses a link of
 # 15 Mbit/s in 140 ms, in which the heartbeats wait.
 _MAX_BYTES = 262_144
@@ -23,10 +23,12 @@
 
     Attributes:
         job: The job.
+        rows: Its rows.
         since: Generation of the first of these changes.
     """
 
     job: _state.JobEntry
+    rows: _progress_rows.ProgressRows
     since: int
 
 
@@ -35,12 +37,22 @@
     """Rows of jobs for one transaction.
 
     Attributes:
-        puts: The rows.
-        jobs: Jobs that the rows belong to, by identifier.
+        jobs: Jobs with their rows, by identifier.
     """
 
-    puts: list[model.Put] = attrs.field(factory=list)
-    jobs: dict[str, _Change] = attrs.field(factory=dict)
+    jobs: dict[str, tuple[_Change, _progress_rows.RowSet]] = attrs.field(
+        factory=dict
+    )
+
+    @property
+    def puts(self) -> list[model.Put]:
+        """Rows to write."""
+        return [put for _, rows in self.jobs.values() for put in rows.puts]
+
+    @property
+    def removals(self) -> list[model.RowRef]:
+        """Rows to remove."""
+        return [ref for _, rows in self.jobs.values() for ref in rows.removals]
 
 
 class UnwrittenJobs:
@@ -52,6 +64,8 @@
 
     def __init__(self) -> None:
         self._changes: dict[str, _Change] = {}
+        # Rows of the jobs that have changed in this term and are not final.
+        self._rows: dict[str, _progress_rows.ProgressRows] = {}
         # Generations of the first changes in the transaction in progress.
         self._in_flight: dict[str, int] = {}
         self._generation = 1
@@ -66,9 +80,14 @@
 
     def add_change(self, job: _state.JobEntry) -> int:
         """Records a change of a job, and returns its generation."""
-        self._changes.setdefault(
-            job.identifier, _Change(job, self._generation)
-        )
+        if job.identifier not in self._changes:
+            rows = self._rows.get(job.identifier)
+            if rows is None:
+                rows = _progress_rows.ProgressRows(job)
+                self._rows[job.identifier] = rows
+            self._changes[job.identifier] = _Change(
+                job, rows, self._generation
+            )
         return self._generation
 
     def is_durable(self, identifier: str, generation: int) -> bool:
@@ -99,33 +118,35 @@
         """
         self._generation += 1
         batch = JobBatch()
-        size = 0
+        budget = _progress_rows.RowBudget(_MAX_ENTRIES, _MAX_BYTES)
         for identifier, change in list(self._changes.items()):
-            if len(batch.puts) == _MAX_ROWS:
+            if not budget.entries:
                 break
             if not may_include(identifier):
                 continue
-            put = model.Put(
-                records.get_progress_ref(identifier),
-                records.encode_progress(change.job.summarise_progress()),
-            )
-            size += records.compute_stored_size(put.value)
-            if batch.puts and size > _MAX_BYTES:
+            rows = change.rows.collect(budget)
+            if not rows.is_complete and not rows.puts:
                 break
-            batch.puts.append(put)
-            batch.jobs[identifier] = change
+            batch.jobs[identifier] = change, rows
             self._in_flight[identifier] = change.since
+            # Jobs with further rows go behind the others.
             del self._changes[identifier]
+            if not rows.is_complete:
+                self._changes[identifier] = change
         return batch
 
     def record_commit(self, batch: JobBatch) -> None:
         """Records that a batch is durable."""
-        for identifier in batch.jobs:
+        for identifier, (change, rows) in batch.jobs.items():
             del self._in_flight[identifier]
+            change.rows.record_commit(rows)
+            if change.job.state.is_final and identifier not in self._changes:
+                del self._rows[identifier]
 
     def record_failure(self, batch: JobBatch) -> None:
         """Records that a batch may not be durable, and has to be repeated."""
-        for identifier, change in batch.jobs.items():
+        for identifier, (change, rows) in batch.jobs.items():
             del self._in_flight[identifier]
+            change.rows.record_failure(rows)
             # Changes since then are written with the earlier ones.
             self._changes[identifier] = change
--- a/tamarackhatch/scheduler/_writer.py
+++ b/tamarackhatch/scheduler/_writer.py
@@ -219,13 +219,16 @@
         if has_heartbeat:
             puts.append(self._make_heartbeat(is_release))
         if not puts:
-            # The suspects have nothing to write any more.
+            # The suspects, and other jobs, have nothing to write any more.
+            self._unwritten_jobs.record_commit(batch)
             rejections.record_commit(groups)
             return True
         self._batches += 1
         is_durable = False
         try:
-            is_durable = await self._commit_transaction(puts, has_heartbeat)
+            is_durable = await self._commit_transaction(
+                puts, batch.removals, has_heartbeat
+            )
         except model.StoreRejectedError as error:
             self._record_rejection(groups, puts, error)
         finally:
@@ -363,7 +366,10 @@
             return
 
     async def _commit_transaction(
-        self, puts: list[model.Put], has_heartbeat: bool
+        self,
+        puts: list[model.Put],
+        removals: list[model.RowRef],
+        has_heartbeat: bool,
     ) -> bool:
         value = f"{self._heartbeat.incarnation} {self._batches}".encode()
         sent = self._clock.get_boot_time()
@@ -375,7 +381,7 @@
                     (records.SEQUENCE, self._sequence),
                 ],
                 [*puts, model.Put(records.SEQUENCE, value)],
-                [],
+                removals,
                 self._timeout.current,
             )
         except model.StoreRejectedError:
--- a/tamarackhatch/scheduler/tests/test_order.py
+++ b/tamarackhatch/scheduler/tests/test_order.py
@@ -14,6 +14,7 @@
 from tamarackhatch import model
 from tamarackhatch import placement
 from tamarackhatch import records
+from tamarackhatch.scheduler import _restored_occurrences
 from tamarackhatch.scheduler import _state
 
 _SECOND = datetime.timedelta(seconds=1)
@@ -273,7 +274,7 @@
     # Of the first occurrence, tasks 0 and 2 of the first step are done.
     done = records.OccurrenceProgress(done_tasks={0: 0b101})
     for number, progress in enumerate((done, None)):
-        entry.occurrences[number] = _state.build_occurrence(
+        entry.occurrences[number] = _restored_occurrences.build_occurrence(
             entry, number, progress
         )
     assert entry.compute_demand() == (2_000 + 1_000) + (6_000 + 1_000)
