Keep rows that grow with the fleet and its images within the store's limit

Evidence: a fleet whose list takes 60,000 bytes loses its term at once (test_long_list_of_tracked_runners_is_stored_and_read failed before).

After: 300 runners with long names get tasks, and a takeover repeats none.

--- a/tamarackhatch/platform/tests/test_fuzz.py
+++ b/tamarackhatch/platform/tests/test_fuzz.py
@@ -280,7 +280,9 @@
     (
         "tracked runners row",
         [["i-1", "10.0.0.9:8080", "office", 17]],
-        records.decode_tracked_runners,
+        lambda value: records.decode_tracked_runners(
+            [model.Row(records.TRACKED_RUNNERS, value, 1)]
+        ),
         records.MalformedRowError,
     ),
     (
--- a/tamarackhatch/records/__init__.py
+++ b/tamarackhatch/records/__init__.py
@@ -19,15 +19,14 @@
 from tamarackhatch.records._job_store import JobCancelledError
 from tamarackhatch.records._job_store import JobPresence
 from tamarackhatch.records._job_store import JobStore
+from tamarackhatch.records._jobs import check_job_size
 from tamarackhatch.records._jobs import decode_job
 from tamarackhatch.records._jobs import encode_job
+from tamarackhatch.records._jobs import JobTooLargeError
 from tamarackhatch.records._leadership import decode_leader_heartbeat
-from tamarackhatch.records._leadership import decode_tracked_runners
 from tamarackhatch.records._leadership import encode_leader_heartbeat
-from tamarackhatch.records._leadership import encode_tracked_runners
 from tamarackhatch.records._leadership import find_row
 from tamarackhatch.records._leadership import LeaderHeartbeat
-from tamarackhatch.records._leadership import TrackedRunner
 from tamarackhatch.records._limits import compute_stored_size
 from tamarackhatch.records._limits import MAX_CHECKPOINT_LENGTH
 from tamarackhatch.records._limits import MAX_VALUE_BYTES
@@ -43,6 +42,7 @@
 from tamarackhatch.records._names import get_progress_ref
 from tamarackhatch.records._names import get_refusal_ref
 from tamarackhatch.records._names import get_refused_job
+from tamarackhatch.records._names import get_tracked_runners_ref
 from tamarackhatch.records._names import INSTANCES_TABLE
 from tamarackhatch.records._names import INTERFERENCE
 from tamarackhatch.records._names import is_change_ref
@@ -77,6 +77,9 @@
 from tamarackhatch.records._refusals import Refusal
 from tamarackhatch.records._refusals import RefusalState
 from tamarackhatch.records._store_liveness import StoreLiveness
+from tamarackhatch.records._tracked_runners import decode_tracked_runners
+from tamarackhatch.records._tracked_runners import encode_tracked_runners
+from tamarackhatch.records._tracked_runners import TrackedRunner
 from tamarackhatch.records._waiting_tasks import decode_waiting_tasks
 from tamarackhatch.records._waiting_tasks import encode_waiting_tasks
 from tamarackhatch.records._waiting_tasks import WaitingTasks
@@ -100,6 +103,7 @@
     "JobPresence",
     "JobProgress",
     "JobStore",
+    "JobTooLargeError",
     "LEADER_HEARTBEAT",
     "LeaderHeartbeat",
     "MAX_CHECKPOINT_LENGTH",
@@ -123,6 +127,7 @@
     "UnitProgress",
     "WAITING_TASKS",
     "WaitingTasks",
+    "check_job_size",
     "compute_stored_size",
     "decode_change",
     "decode_change_part",
@@ -160,6 +165,7 @@
     "get_progress_ref",
     "get_refusal_ref",
     "get_refused_job",
+    "get_tracked_runners_ref",
     "get_unit",
     "is_change_ref",
     "merge_parts",
--- a/tamarackhatch/records/_configuration_changes.py
+++ b/tamarackhatch/records/_configuration_changes.py
@@ -8,13 +8,14 @@
 import orjson
 
 from tamarackhatch import model
+from tamarackhatch.records import _limits
 from tamarackhatch.records import _names
 from tamarackhatch.records import _progress
 from tamarackhatch.records import _types
 
 _MILLISECOND = datetime.timedelta(milliseconds=1)
-# The store accepts values of 64 KiB; the rest is for the line before the data.
-_MAX_DATA_BYTES = 65_000
+# The rest is for the line before the data.
+_MAX_DATA_BYTES = _limits.MAX_VALUE_BYTES - 200
 # Largest change that is decoded. The operator's rows are far smaller.
 _MAX_DOCUMENT_BYTES = 16_777_216
 
--- a/tamarackhatch/records/_jobs.py
+++ b/tamarackhatch/records/_jobs.py
@@ -6,7 +6,9 @@
 import attrs
 import orjson
 
+from tamarackhatch import errors
 from tamarackhatch import model
+from tamarackhatch.records import _limits
 from tamarackhatch.records import _progress
 from tamarackhatch.records import _types
 
@@ -25,6 +27,29 @@
 }
 
 
+class JobTooLargeError(errors.CodedError):
+    """A job cannot be stored."""
+
+    def __init__(self, size: int) -> None:
+        super().__init__(
+            errors.ErrorCode.BAD_JOB,
+            f"the job takes {size} bytes in the store, of which a row holds "
+            f"{_limits.MAX_VALUE_BYTES}: it needs fewer steps, or shorter "
+            "texts in them",
+        )
+
+
+def check_job_size(job: model.Job) -> None:
+    """Checks whether a job can be stored.
+
+    Raises:
+        JobTooLargeError: It cannot.
+    """
+    size = len(encode_job(job))
+    if size > _limits.MAX_VALUE_BYTES:
+        raise JobTooLargeError(size)
+
+
 def encode_job(job: model.Job) -> bytes:
     """Returns the row value of a job."""
     document: dict[str, typing.Any] = {
--- a/tamarackhatch/records/_leadership.py
+++ b/tamarackhatch/records/_leadership.py
@@ -1,4 +1,4 @@
-"""Rows of the leader heartbeat and of the runners that schedulers track."""
+"""Row of the leader heartbeat."""
 
 import datetime
 
@@ -6,14 +6,14 @@
 import orjson
 
 from tamarackhatch import model
+from tamarackhatch.records import _limits
 from tamarackhatch.records import _pending_counts
 from tamarackhatch.records import _progress
 from tamarackhatch.records import _types
 from tamarackhatch.records import _waits
 
-# Rows may have 65,536 bytes. Instances read each heartbeat, so that the
-# numbers of pending jobs are compressed well before that.
-_MAX_ROW_BYTES = 65_536
+# Instances read each heartbeat, so that the numbers of pending jobs are
+# compressed well before the row is as long as it may be.
 _MAX_PLAIN_BYTES = 4_096
 _PACKED_PENDING = "packed_pending"
 _METRICS_ADDRESS = "metrics_address"
@@ -81,25 +81,6 @@
 )
 
 
-@attrs.frozen
-class TrackedRunner:
-    """A runner that may hold runs of earlier terms.
-
-    The row holds the fields by position.
-
-    Attributes:
-        identifier: Identifier of the runner.
-        address: ``host:port`` at which it takes calls.
-        service: Name of the service that it belongs to.
-        incarnation: Start time of its process, in Unix ms; 0 if unknown.
-    """
-
-    identifier: str
-    address: str
-    service: str
-    incarnation: int
-
-
 def encode_leader_heartbeat(heartbeat: LeaderHeartbeat) -> bytes:
     """Returns the row value of a heartbeat.
 
@@ -128,11 +109,11 @@
     document["pending"] = {}
     document[_PACKED_PENDING] = _pending_counts.pack_pending(heartbeat.pending)
     value = orjson.dumps(document)
-    if len(value) <= _MAX_ROW_BYTES:
+    if len(value) <= _limits.MAX_VALUE_BYTES:
         return value
     if document.pop(_WAITS, None) is not None:
         value = orjson.dumps(document)
-        if len(value) <= _MAX_ROW_BYTES:
+        if len(value) <= _limits.MAX_VALUE_BYTES:
             return value
     del document[_PACKED_PENDING]
     document["is_pending_known"] = False
@@ -186,30 +167,6 @@
     return None
 
 
-def encode_tracked_runners(
-    tracked_runners: tuple[TrackedRunner, ...],
-) -> bytes:
-    """Returns the row value of the list of tracked runners."""
-    return orjson.dumps([attrs.astuple(entry) for entry in tracked_runners])
-
-
-def decode_tracked_runners(value: bytes) -> tuple[TrackedRunner, ...]:
-    """Returns the list of tracked runners of a row value.
-
-    Raises:
-        MalformedRowError: The value is malformed.
-    """
-    try:
-        runners = tuple(TrackedRunner(*entry) for entry in orjson.loads(value))
-        for runner in runners:
-            _types.check_types(runner)
-        return runners
-    except (ValueError, TypeError) as error:
-        raise _progress.MalformedRowError(
-            f"malformed tracked runners in row roster: {error!r}"
-        ) from error
-
-
 def find_row(
     rows: tuple[model.Row, ...], ref: model.RowRef
 ) -> model.Row | None:
--- a/tamarackhatch/records/_names.py
+++ b/tamarackhatch/records/_names.py
@@ -118,6 +118,15 @@
     return model.RowRef(PROGRESS_TABLE, SCHEDULER_PARTITION, identifier)
 
 
+def get_tracked_runners_ref(number: int) -> model.RowRef:
+    """Returns the name of a further row of the list of tracked runners."""
+    return model.RowRef(
+        TRACKED_RUNNERS_TABLE,
+        SCHEDULER_PARTITION,
+        f"{TRACKED_RUNNERS.key}.{number}",
+    )
+
+
 def get_progress_part_ref(identifier: str, part: int) -> model.RowRef:
     """Returns the name of the row that holds a part of a job's progress."""
     return model.RowRef(
--- a/tamarackhatch/records/_waiting_tasks.py
+++ b/tamarackhatch/records/_waiting_tasks.py
@@ -6,11 +6,12 @@
 import orjson
 
 from tamarackhatch import model
+from tamarackhatch.records import _limits
 from tamarackhatch.records import _progress
 from tamarackhatch.records import _types
 
-# A row may have 65,536 bytes.
-_MAX_TASKS_BYTES = 60_000
+# The rest is for the term and the names of the fields.
+_MAX_TASKS_BYTES = _limits.MAX_VALUE_BYTES - 100
 
 
 @attrs.frozen
--- a/tamarackhatch/records/tests/test_records.py
+++ b/tamarackhatch/records/tests/test_records.py
@@ -266,5 +266,7 @@
             incarnation=0,
         ),
     )
-    assert records.decode_tracked_runners(row) == tracked_runners
-    assert records.encode_tracked_runners(tracked_runners) == row
+    stored = model.Row(records.TRACKED_RUNNERS, row, 3)
+    assert records.decode_tracked_runners([stored]) == tracked_runners
+    puts = records.encode_tracked_runners(tracked_runners)
+    assert puts == [model.Put(records.TRACKED_RUNNERS, row)]
--- a/tamarackhatch/scheduler/_earlier_terms.py
+++ b/tamarackhatch/scheduler/_earlier_terms.py
@@ -62,7 +62,7 @@
         if row is None:
             return EarlierRuns((), (), frozenset())
         try:
-            tracked_runners = records.decode_tracked_runners(row.value)
+            tracked_runners = records.decode_tracked_runners(rows)
         except records.MalformedRowError as error:
             self._log.error("tracked_runners_unreadable", reason=error.message)
             return EarlierRuns(None, (), frozenset())
--- a/tamarackhatch/scheduler/_runner_rows.py
+++ b/tamarackhatch/scheduler/_runner_rows.py
@@ -64,12 +64,11 @@
         Args:
             has_heartbeat: Whether it also contains a heartbeat.
         """
-        rows = []
+        rows: list[model.Put] = []
         if self._is_list_due and self._list_tracked_runners is not None:
             self._prepared = self._list_tracked_runners()
             self._is_list_due = False
-            value = records.encode_tracked_runners(self._prepared.entries)
-            rows.append(model.Put(records.TRACKED_RUNNERS, value))
+            rows += records.encode_tracked_runners(self._prepared.entries)
         cordons = self._cordons.prepare_write(has_heartbeat, bool(rows))
         if cordons is not None:
             rows.append(cordons)
--- a/tamarackhatch/scheduler/tests/test_tracked_runners.py
+++ b/tamarackhatch/scheduler/tests/test_tracked_runners.py
@@ -20,7 +20,9 @@
     ref = records.TRACKED_RUNNERS
     value = fleet.store.get(ref.table, ref.key, ref.partition)
     assert value is not None
-    tracked_runners = records.decode_tracked_runners(base64.b64decode(value))
+    tracked_runners = records.decode_tracked_runners(
+        [model.Row(ref, base64.b64decode(value), 1)]
+    )
     return {entry.identifier for entry in tracked_runners}
 
 
@@ -121,3 +123,35 @@
         assert fleet.check() == []
 
     virtual_time.run_virtually(simulate())
+
+
+def test_long_list_of_tracked_runners_is_stored_and_read() -> None:
+    """Guards against a list that the store rejects for its length.
+
+    No runner got tasks, and the scheduler lost its term, since each of its
+    transactions contained the list.
+    """
+
+    async def simulate() -> None:
+        fleet = standin_fleet.VirtualFleet(
+            300, lambda task, run: (20.0, "done")
+        )
+        for index, item in enumerate(fleet.runners):
+            item.identifier = f"i-{index}".ljust(190, "x")
+        for name in ("a", "b"):
+            fleet.start_instance(name)
+        await fleet.wait_until(lambda: fleet.get_leader() is not None)
+        await asyncio.sleep(2)
+        await fleet.submit("00", model.Step(300, _TASK))
+        await fleet.wait_until(lambda: len(fleet.history.runs) == 300, 5)
+        leader = fleet.get_leader()
+        assert leader is not None and leader.role.term == 1
+        ref = records.get_tracked_runners_ref(1)
+        assert fleet.store.get(ref.table, ref.key) is not None
+        leader.kill()
+        del fleet.instances[leader.name]
+        await fleet.wait_for_state("00", model.JobState.COMPLETED, 30)
+        assert len(fleet.history.runs) == 300
+        assert fleet.check() == []
+
+    virtual_time.run_virtually(simulate())
