Refuse a job that cannot be stored at once

A job whose row is longer than the store takes (some 400 steps) was answered 504, also when it was sent again: its write was tried until the caller's deadline, and rejected each time.

After: refused without a call to the store.

Tests: test_job_that_cannot_be_stored_is_refused_at_once and those of the two interfaces failed before.

--- a/tamarackhatch/api/_interface.py
+++ b/tamarackhatch/api/_interface.py
@@ -16,6 +16,7 @@
 from tamarackhatch import clock
 from tamarackhatch import errors
 from tamarackhatch import model
+from tamarackhatch import records
 
 _DEFAULT_TIMEOUT = datetime.timedelta(seconds=3)
 _MAX_TIMEOUT = datetime.timedelta(seconds=60)
@@ -67,7 +68,11 @@
             document.steps,
             self._clock.get_utc(),
         )
-        submission = await self._service.submit(job, self._caller_timeout)
+        try:
+            submission = await self._service.submit(job, self._caller_timeout)
+        except records.JobTooLargeError as error:
+            self._write_error(400, error.message)
+            return
         if submission.outcome is model.Outcome.REFUSED:
             seconds = model.count_retry_seconds(submission)
             self.set_header("Retry-After", str(seconds))
--- a/tamarackhatch/api/tests/test_interface.py
+++ b/tamarackhatch/api/tests/test_interface.py
@@ -13,6 +13,7 @@
 from tamarackhatch import api
 from tamarackhatch import clock
 from tamarackhatch import model
+from tamarackhatch import records
 
 _BODY = orjson.dumps(
     {
@@ -35,11 +36,14 @@
     ) -> model.QueueLookup:
         return model.QueueLookup(model.Outcome.DONE, _QUEUE)
 
-    async def submit(self, job: object, timeout: object) -> model.JobLookup:
+    async def submit(self, job: model.Job, timeout: object) -> model.JobLookup:
+        records.check_job_size(job)
         return self._lookup
 
 
-async def _put_job(lookup: model.JobLookup) -> httpclient.HTTPResponse:
+async def _put_job(
+    lookup: model.JobLookup, body: bytes = _BODY
+) -> httpclient.HTTPResponse:
     socket, port = testing.bind_unused_port()
     service = typing.cast(model.JobService, _FixedService(lookup))
     application = api.make_application(service, clock.SystemClock())
@@ -49,7 +53,7 @@
         return await httpclient.AsyncHTTPClient().fetch(
             f"http://127.0.0.1:{port}/v1/jobs/00000000000000aa",
             method="PUT",
-            body=_BODY,
+            body=body,
             raise_error=False,
         )
     finally:
@@ -81,3 +85,13 @@
     assert response.code == status
     assert response.headers.get("Retry-After") == header
     assert orjson.loads(response.body) == {"outcome": outcome.value}
+
+
+def test_job_that_cannot_be_stored_is_rejected_with_its_size() -> None:
+    """Guards against a job that is neither stored nor refused."""
+    step = {"count": 1, "resources": {"processors": 1}, "image": "x" * 40}
+    document = {"queue": "q", "specification": "x", "steps": [step] * 900}
+    lookup = model.JobLookup(model.Outcome.DONE)
+    response = asyncio.run(_put_job(lookup, orjson.dumps(document)))
+    assert response.code == 400
+    assert b"of which a row holds 48000" in response.body
--- a/tamarackhatch/platform/_ingress.py
+++ b/tamarackhatch/platform/_ingress.py
@@ -12,6 +12,7 @@
 from tamarackhatch import model
 from tamarackhatch import observability
 from tamarackhatch.platform import _job_body
+from tamarackhatch import records
 
 _DEFAULT_TIMEOUT = datetime.timedelta(seconds=3)
 _MAX_TIMEOUT = datetime.timedelta(seconds=60)
@@ -172,7 +173,10 @@
             )
         except _job_body.MalformedJobError as error:
             return _make_reply(400, {"error": str(error)})
-        lookup = await self._service.submit(job, _get_timeout(request))
+        try:
+            lookup = await self._service.submit(job, _get_timeout(request))
+        except records.JobTooLargeError as error:
+            return _make_reply(400, {"error": str(error)})
         return _make_submission_reply(lookup)
 
 
--- a/tamarackhatch/platform/tests/test_ingress.py
+++ b/tamarackhatch/platform/tests/test_ingress.py
@@ -13,6 +13,7 @@
 from tamarackhatch import model
 from tamarackhatch import observability
 from tamarackhatch import platform
+from tamarackhatch import records
 
 _NOW = datetime.datetime(2026, 1, 1, tzinfo=datetime.timezone.utc)
 _QUEUE = model.Queue("q", "h.example", "/p/", "office")
@@ -34,7 +35,8 @@
     ) -> model.QueueLookup:
         return self._lookup
 
-    async def submit(self, job: object, timeout: object) -> model.JobLookup:
+    async def submit(self, job: model.Job, timeout: object) -> model.JobLookup:
+        records.check_job_size(job)
         if self._outcome is model.Outcome.REFUSED:
             retry_after = datetime.timedelta(milliseconds=6001)
             return model.JobLookup(self._outcome, retry_after=retry_after)
@@ -183,3 +185,16 @@
     """Guards against a failure of the instance on a malformed job."""
     answer = _send_request("POST", _JOB_PATH, body=b'{"steps": 5}')
     assert answer.status == 400 and b"steps is not a list" in answer.body
+
+
+@pytest.mark.parametrize(("steps", "status"), [(300, 200), (900, 400)])
+def test_job_that_cannot_be_stored_is_rejected_with_its_size(
+    steps: int, status: int
+) -> None:
+    """Guards against a job that is neither stored nor refused."""
+    step = {"count": 1, "cpu": 1, "image": "x" * 40}
+    body = orjson.dumps({"spec": "x", "steps": [step] * steps})
+    answer = _send_request("POST", _JOB_PATH, body=body)
+    assert answer.status == status
+    if status == 400:
+        assert b"of which a row holds 48000" in answer.body
--- a/tamarackhatch/scheduler/tests/test_large_jobs.py
+++ b/tamarackhatch/scheduler/tests/test_large_jobs.py
@@ -218,3 +218,21 @@
         assert len(resumed) >= 0.9 * len(saved)
 
     virtual_time.run_virtually(simulate())
+
+
+@pytest.mark.parametrize("steps", [400, 2_000])
+def test_job_that_cannot_be_stored_is_refused_at_once(steps: int) -> None:
+    """Guards against a caller that waits for a write which never succeeds."""
+
+    async def simulate() -> None:
+        fleet = _open_fleet(2, _plan_batch)
+        await fleet.wait_until(lambda: fleet.get_leader() is not None)
+        observer = _Observer(fleet)
+        step = model.Step(1, model.Resources(50, 10), image="x" * 80)
+        began = asyncio.get_running_loop().time()
+        with pytest.raises(records.JobTooLargeError):
+            await fleet.ask_service(_LARGE, *[step] * steps)
+        assert asyncio.get_running_loop().time() == began
+        assert observer.rejected == 0
+
+    virtual_time.run_virtually(simulate())
--- a/tamarackhatch/service/_jobs.py
+++ b/tamarackhatch/service/_jobs.py
@@ -234,7 +234,11 @@
         Args:
             job: The job.
             timeout: How long the caller waits for the answer.
+
+        Raises:
+            JobTooLargeError: No attempt can store the job.
         """
+        records.check_job_size(job)
         started_at = self._clock.get_monotonic()
         deadline = started_at + timeout - _ANSWER_MARGIN
         # All attempts for this request, here and elsewhere, rely on the same
