Soak: play restarts that are followed by cuts, with longer leases

Late starts that come first are conclusive for deliberate faults, since the scheduler is to bear them.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -27,8 +27,9 @@
     The exit code is 1 if any breaks a rule. With ``deliberate``, the name of
     a fault of `soak.tests.faulty`, the first violation ends the command, and
     the exit code is 1 if there is none. The profile "rota" plays deployment
-    brindle-rota, and "cuts" the same with cuts of runners as the only
-    troubles; ``program`` is the folder whose modules its instances run.
+    brindle-rota, "cuts" the same with cuts of runners as the only troubles,
+    and "recuts" runners that restart and are cut off soon after; ``program``
+    is the folder whose modules its instances run.
     """
 
     seed: typing.Annotated[int, cappa.Arg(long=True)] = 1
@@ -37,7 +38,7 @@
     regressions: typing.Annotated[bool, cappa.Arg(long=True)] = False
     deliberate: typing.Annotated[str | None, cappa.Arg(long=True)] = None
     profile: typing.Annotated[
-        typing.Literal["soak", "rota", "cuts"], cappa.Arg(long=True)
+        typing.Literal["soak", "rota", "cuts", "recuts"], cappa.Arg(long=True)
     ] = "soak"
     program: typing.Annotated[pathlib.Path | None, cappa.Arg(long=True)] = None
 
@@ -65,7 +66,7 @@
                 folder,
                 self.deliberate,
                 self.program,
-                only_cuts=self.profile == "cuts",
+                rota.Profile(self.profile),
             )
             violations = asyncio.run(play)
         else:
--- a/soak/rota/_call_proxy.py
+++ b/soak/rota/_call_proxy.py
@@ -75,6 +75,8 @@
         self._highest_token = 0
         self._is_reached = False
         self._generation = 0
+        # Generations of processes that have ended without a sign of it.
+        self._silent_generations: set[int] = set()
         self._changed = asyncio.Event()
         self._listener = _bind(self._port)
         self._fillers: list[socket.socket] = []
@@ -138,18 +140,26 @@
         self._changed = asyncio.Event()
         self._break_old_connections()
 
-    def break_connections(self) -> None:
+    def break_connections(self, is_silent: bool) -> None:
         """Breaks all connections, as the end of the process does.
 
-        The clients learn of it when the link is not cut.
+        Args:
+            is_silent: Whether the machine has lost its power: clients learn of
+                it when they next send something. Otherwise they do at once,
+                or when the link is no longer cut.
         """
+        if is_silent:
+            self._silent_generations.add(self._generation)
         self._generation += 1
         self._break_old_connections()
 
     def _break_old_connections(self) -> None:
         if not self._is_cut:
             for task, generation in self._tasks.items():
-                if generation != self._generation:
+                if (
+                    generation != self._generation
+                    and generation not in self._silent_generations
+                ):
                     task.cancel()
 
     @property
@@ -193,6 +203,8 @@
                 while self.disturbances.holds_requests:
                     await self._changed.wait()
                 if generation != self._generation:
+                    # The next process knows nothing of the connection.
+                    writer.transport.abort()
                     return
                 if upstream is None:
                     upstream = await _Upstream.open(self._target)
@@ -210,6 +222,9 @@
         finally:
             if upstream is not None:
                 upstream.close()
+            if generation in self._silent_generations:
+                with contextlib.suppress(OSError, asyncio.CancelledError):
+                    await reader.read(1)
             while self._is_cut:
                 await self._changed.wait()
             writer.transport.abort()
--- a/soak/rota/_deployment.py
+++ b/soak/rota/_deployment.py
@@ -14,6 +14,7 @@
 from soak.rota import _callers
 from soak.rota import _events
 from soak.rota import _machines
+from soak.rota import _options
 from soak.rota import _schedule
 from soak.rota import _traffic
 from soak.rota import _troubles
@@ -21,11 +22,7 @@
 from standins import processes
 from standins import servers
 
-_BOUNDS = {
-    "max_lease_ms": 6000,
-    "stop_timeout_ms": 400,
-    "restore_ms": 600,
-}
+_RESTORE_MS = 600
 # Entries of runners are removed after three heartbeats of silence.
 _SILENCE_S = 4.5
 _POLL_S = 0.25
@@ -53,6 +50,7 @@
         deliberate: str | None,
         arrivals: Sequence[_traffic.Arrival],
         program: pathlib.Path | None,
+        bounds: _options.LeaseBounds,
     ) -> None:
         """Creates a deployment that is not started yet.
 
@@ -62,6 +60,7 @@
             deliberate: Name of a deliberate fault of the schedulers.
             arrivals: Jobs that callers submit.
             program: Folder whose modules the instances run.
+            bounds: Bounds of its leases.
         """
         super().__init__(folder, seed, deliberate)
         self.callers: _callers.Callers = _callers.Callers(
@@ -73,6 +72,7 @@
         self.events = _events.EventLog()
         self._seed = seed
         self._program = program
+        self._bounds = bounds
         self._random = random.Random(f"store {seed}")
         self._last_registrations: dict[str, float] = {}
         self._late_writes: set[asyncio.Task[network.Response]] = set()
@@ -90,6 +90,7 @@
                 self._seed,
                 self.fleet.history,
                 server.address,
+                self._bounds,
             )
             self.machines.append(machine)
         await asyncio.gather(*(machine.start() for machine in self.machines))
@@ -179,7 +180,13 @@
                 *self._arguments,
                 store_address=self._store_addresses[name],
                 has_internal_address=True,
-                bounds=_BOUNDS,
+                bounds={
+                    "max_lease_ms": round(1000 * self._bounds.longest_lease_s),
+                    "stop_timeout_ms": round(
+                        1000 * self._bounds.longest_kill_s
+                    ),
+                    "restore_ms": _RESTORE_MS,
+                },
                 data_centre=_machines.DATA_CENTRES[place],
                 program=self._program,
             )
--- a/soak/rota/_machines.py
+++ b/soak/rota/_machines.py
@@ -40,6 +40,7 @@
         seed: int,
         observed: history.History,
         store_address: str,
+        bounds: _options.LeaseBounds,
     ) -> None:
         self.identifier = f"r-{index}"
         source = random.Random(f"calls {index} {seed}")
@@ -50,9 +51,12 @@
         self._index = index
         self._observed = observed
         self._store_address = store_address
+        self._bounds = bounds
         self._replacements = 0
         self._incarnation = 0
         self._cuts = 0
+        self._starts = 0
+        self._random = random.Random(f"machine {index} {seed}")
         self._process: _runner_link.RunnerProcess | None = None
 
     async def start(self) -> None:
@@ -70,6 +74,9 @@
             int(_MEMORY_MB * scale),
             self._incarnation,
             self._store_address,
+            self._draw_registration(),
+            self._bounds.longest_lease_s,
+            self._bounds.longest_kill_s,
         )
         capacity = model.Resources(options.processors, options.memory_mb)
         self._observed.record_capacity(self.identifier, capacity)
@@ -81,6 +88,16 @@
         self.is_up = True
         self._set_port()
 
+    def _draw_registration(self) -> float:
+        """Returns when a runner registers, in seconds after its start.
+
+        After a restart its next heartbeat may be any time away.
+        """
+        self._starts += 1
+        if self._starts == 1:
+            return 0.0
+        return self._random.uniform(0.0, _options.HEARTBEAT_INTERVAL_S)
+
     async def kill(self, is_dark: bool) -> None:
         """Kills the process, and ends its runs at this time.
 
@@ -96,7 +113,7 @@
         port = _call_proxy.Port
         is_closed = not is_dark and not self._cuts
         self.proxy.set_port(port.CLOSED if is_closed else port.DARK)
-        self.proxy.break_connections()
+        self.proxy.break_connections(is_dark)
         await process.close()
         self._observed.record_end(self.identifier, self._incarnation, now)
 
--- a/soak/rota/_options.py
+++ b/soak/rota/_options.py
@@ -2,6 +2,26 @@
 
 import attrs
 
+HEARTBEAT_INTERVAL_S = 1.5
+
+
+@attrs.frozen
+class LeaseBounds:
+    """Bounds of a deployment that runners and schedulers rely on.
+
+    Attributes:
+        longest_lease_s: Longest lease, in seconds.
+        longest_kill_s: Longest time that a stop, or the kill of the runs of an
+            expired lease, takes, in seconds.
+    """
+
+    longest_lease_s: float
+    longest_kill_s: float
+
+
+BRINDLE_ROTA = LeaseBounds(6.0, 0.4)
+BAZAR_ZHOLY = LeaseBounds(10.0, 0.9)
+
 
 @attrs.frozen
 class Options:
@@ -17,6 +37,10 @@
         memory_mb: Its capacity.
         born: Its incarnation, the Unix millisecond of its start.
         store_address: Address of the store.
+        registers_after_s: Seconds from its start to its first registration.
+        longest_lease_s: Longest lease that it grants, in seconds.
+        longest_kill_s: Longest time that it takes to kill the runs of an
+            expired lease, in seconds.
     """
 
     identifier: str
@@ -28,3 +52,6 @@
     memory_mb: int
     born: int
     store_address: str
+    registers_after_s: float
+    longest_lease_s: float
+    longest_kill_s: float
--- a/soak/rota/_run.py
+++ b/soak/rota/_run.py
@@ -13,6 +13,7 @@
 from soak.rota import _deployment
 from soak.rota import _events
 from soak.rota import _injection
+from soak.rota import _options
 from soak.rota import _schedule
 from soak.rota import _traffic
 from soak.rota import _troubles
@@ -49,15 +50,6 @@
             is _events.Cause.NOT_LATE
         )
 
-    def list_conclusive(self) -> list[history.Violation]:
-        # Late starts that no token could refuse occur without a fault, too.
-        return [
-            found
-            for found in super().list_conclusive()
-            if _events.find_cause(*self._list_runs(found.task))
-            is not _events.Cause.LATE_AND_FIRST
-        ]
-
     def explain(self, violation: history.Violation) -> list[str]:
         runs, starts = self._list_runs(violation.task)
         cause = _events.find_cause(runs, starts).value
@@ -93,7 +85,7 @@
     folder: pathlib.Path,
     deliberate: str | None = None,
     program: pathlib.Path | None = None,
-    only_cuts: bool = False,
+    profile: _schedule.Profile = _schedule.Profile.ROTA,
 ) -> list[history.Violation]:
     """Plays a seed with real processes, and returns the violations.
 
@@ -104,9 +96,11 @@
         deliberate: Name of a deliberate fault; the first violation then ends
             the play.
         program: Folder whose modules the instances run.
-        only_cuts: Whether the only troubles are cuts of runners.
+        profile: Kind of the schedule; RECUTS has the lease bounds of
+            bazar-zholy and longer tasks.
     """
-    schedule = _schedule.make_schedule(seed, duration, only_cuts)
+    schedule = _schedule.make_schedule(seed, duration, profile)
+    is_recut = profile is _schedule.Profile.RECUTS
     print(*schedule, sep="\n")
     bursts = [
         _traffic.Burst(
@@ -118,13 +112,23 @@
         for item in schedule
         if isinstance(item.fault, _troubles.Burst)
     ]
-    arrivals = _traffic.draw_arrivals(seed, duration, bursts)
+    arrivals = _traffic.draw_arrivals(
+        seed,
+        duration,
+        bursts,
+        _traffic.LONG_KINDS if is_recut else _traffic.KINDS,
+    )
     task = asyncio.current_task()
     assert task is not None
     # The processes are ended when this one is asked to end.
     asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
     target = _deployment.RotaDeployment(
-        folder, seed, deliberate, arrivals, program
+        folder,
+        seed,
+        deliberate,
+        arrivals,
+        program,
+        _options.BAZAR_ZHOLY if is_recut else _options.BRINDLE_ROTA,
     )
     try:
         await target.open()
--- a/soak/rota/_runner_process.py
+++ b/soak/rota/_runner_process.py
@@ -23,11 +23,8 @@
 from tamarackhatch import transport
 
 _REGISTRATION_TIMEOUT = datetime.timedelta(seconds=1)
-_MAX_LEASE = datetime.timedelta(seconds=6)
 _CHECKPOINT_INTERVAL_S = 2.0
 _RESTORE_S = 0.6
-_LONGEST_KILL_S = 0.4
-_HEARTBEAT_INTERVAL_S = 1.5
 
 
 class _Runner(runner.RunnerStandIn):
@@ -46,7 +43,8 @@
         self.data_centre = options.data_centre
         self.labels = ["a", options.rack]
         self.enforces_capacity = True
-        self.max_lease = _MAX_LEASE
+        self.max_lease = datetime.timedelta(seconds=options.longest_lease_s)
+        self._longest_kill_s = options.longest_kill_s
         self.checkpoint_interval_s = _CHECKPOINT_INTERVAL_S
         self.restore_s = _RESTORE_S
         self._specs_by_job: dict[str, _traffic.Spec] = {}
@@ -74,11 +72,13 @@
         return self._get_spec(task).is_checkpointing
 
     def _get_kill_s(self) -> float:
-        return self._random.uniform(0, _LONGEST_KILL_S)
+        return self._random.uniform(0, self._longest_kill_s)
 
 
-async def _register(registered: _Runner, store_address: str) -> None:
-    """Writes the runner's registry entry at each heartbeat."""
+async def _register(
+    registered: _Runner, store_address: str, after_s: float
+) -> None:
+    """Writes the runner's registry entry at each heartbeat, after a while."""
     client = transport.HttpClient(clock.SystemClock(), 2)
     loop = asyncio.get_running_loop()
     changed = asyncio.Event()
@@ -88,6 +88,7 @@
         changed.set()
 
     loop.add_signal_handler(signal.SIGUSR1, drain)
+    await asyncio.sleep(after_s)
     while True:
         row = {"table": "servers", "part": "", "key": registered.identifier}
         value = registered.encode_registration()
@@ -105,7 +106,7 @@
             # The store does not answer; the next heartbeat is due anyway.
             pass
         try:
-            async with asyncio.timeout(_HEARTBEAT_INTERVAL_S):
+            async with asyncio.timeout(_options.HEARTBEAT_INTERVAL_S):
                 await changed.wait()
         except TimeoutError:
             continue
@@ -115,7 +116,9 @@
     hosted = _Runner(options)
     host = _runner_process.RunnerHost(hosted)
     async with asyncio.TaskGroup() as group:
-        task = group.create_task(_register(hosted, options.store_address))
+        task = group.create_task(
+            _register(hosted, options.store_address, options.registers_after_s)
+        )
         await host.run()
         task.cancel()
 
--- a/soak/rota/_schedule.py
+++ b/soak/rota/_schedule.py
@@ -1,7 +1,9 @@
 """Random schedules of the troubles of brindle-rota; pure code."""
 
 from collections.abc import Callable
+from collections.abc import Iterator
 import datetime
+import enum
 import random
 import signal
 
@@ -14,6 +16,9 @@
 _CUT_S = 5.5
 _CUT_SHARE = 0.17
 _RESTARTED_SHARE = 0.14
+# Durations of the profile with restarts that are followed by cuts.
+_RESTART_S = 0.6
+_RECUT_S = 9.0
 _LATE_SHARE = 0.055
 _HIGHEST_LATE_SHARE = 0.5
 _BURST_FACTOR = 2.6
@@ -25,8 +30,26 @@
 _Drawn = tuple[_troubles.Trouble, float]
 
 
+class Profile(enum.Enum):
+    """What kind of schedule is drawn.
+
+    Attributes:
+        ROTA: All troubles of brindle-rota.
+        CUTS: Cuts and restarts of runners only, so that many leases expire
+            while one scheduler lasts.
+        RECUTS: Runners of a data centre restart, and are cut off soon after,
+            again and again; at times the active scheduler ends in between.
+    """
+
+    ROTA = "rota"
+    CUTS = "cuts"
+    RECUTS = "recuts"
+
+
 def make_schedule(
-    seed: int, duration: datetime.timedelta, only_cuts: bool = False
+    seed: int,
+    duration: datetime.timedelta,
+    profile: Profile = Profile.ROTA,
 ) -> tuple[_troubles.PlannedTrouble, ...]:
     """Returns the troubles of a play, ordered by their start.
 
@@ -36,15 +59,16 @@
     Args:
         seed: Seed of the troubles.
         duration: How long they last.
-        only_cuts: Whether there are cuts and restarts of runners only, so that
-            many leases expire while one scheduler lasts.
+        profile: Kind of the schedule.
     """
     source = random.Random(f"rota {seed}")
     end_s = duration.total_seconds()
+    if profile is Profile.RECUTS:
+        return _remove_overlaps(list(_draw_recuts(source, end_s)))
     planned: list[_troubles.PlannedTrouble] = []
     weights = [it * source.choice(_FACTORS) for it in _WEIGHTS.values()]
     series_share = source.choice(_SERIES_SHARES)
-    if only_cuts:
+    if profile is Profile.CUTS:
         weights = [_WEIGHTS[it] * (it is _draw_cut) for it in _WEIGHTS]
         series_share = 0.0
     time_s = source.uniform(2, 4)
@@ -61,6 +85,33 @@
     return _remove_overlaps(planned)
 
 
+def _draw_recuts(
+    source: random.Random, end_s: float
+) -> Iterator[_troubles.PlannedTrouble]:
+    """Yields restarts of a data centre's runners, each with a cut after it."""
+    time_s = source.uniform(4, 6)
+    runners = MACHINES // len(INSTANCES_BY_DATA_CENTRE)
+    while time_s + _RESTART_S + _RECUT_S < end_s - 1:
+        first = runners * source.randrange(len(INSTANCES_BY_DATA_CENTRE))
+        machines = tuple(range(first, first + runners))
+        restart = _troubles.RunnerRestart(machines, is_dark=True)
+        yield _plan(time_s, _RESTART_S, end_s, restart)
+        time_s += _RESTART_S
+        cut_s = time_s + source.uniform(0.3, 2.3)
+        if source.random() < 0.3:
+            ended = _troubles.InstanceEnd(
+                (_troubles.ACTIVE_SCHEDULER,),
+                signal.SIGKILL,
+                datetime.timedelta(seconds=1),
+            )
+            yield _plan(source.uniform(time_s, cut_s), 2.0, end_s, ended)
+        cut = _troubles.RunnerCut(
+            machines, _troubles.Way.BOTH, source.random() < 0.5, False
+        )
+        yield _plan(cut_s, _RECUT_S, end_s, cut)
+        time_s = cut_s + _RECUT_S + source.uniform(1.0, 3.0)
+
+
 def _plan(
     start_s: float, length_s: float, end_s: float, fault: _troubles.Trouble
 ) -> _troubles.PlannedTrouble:
--- a/soak/rota/_traffic.py
+++ b/soak/rota/_traffic.py
@@ -129,6 +129,18 @@
     is_long_running=True,
 )
 KINDS = (SHIFT_SWAP, ROSTER_BUILD, CREW_WATCH)
+# With tasks that outlast a lease. Jobs have to end within a minute.
+LONG_KINDS = (
+    SHIFT_SWAP,
+    attrs.evolve(
+        ROSTER_BUILD,
+        rate=1.0,
+        processors=Amount(1_500, 0.3, 3_000),
+        steps=Amount(1, 0.2, 2),
+        work_s=Amount(9.0, 0.4, 16.0),
+    ),
+    CREW_WATCH,
+)
 
 
 @attrs.frozen
@@ -164,17 +176,20 @@
 
 
 def draw_arrivals(
-    seed: int, duration: datetime.timedelta, bursts: Sequence[Burst]
+    seed: int,
+    duration: datetime.timedelta,
+    bursts: Sequence[Burst],
+    kinds: Sequence[Kind] = KINDS,
 ) -> tuple[Arrival, ...]:
     """Returns the jobs of a play, ordered by time."""
     arrivals = [
         arrival
-        for kind in KINDS
+        for kind in kinds
         for arrival in _draw_kind(
             kind,
             random.Random(f"{kind.queue} {seed}"),
             duration.total_seconds(),
-            [burst for burst in bursts if burst.kind is kind],
+            [it for it in bursts if it.kind.queue == kind.queue],
         )
     ]
     return tuple(sorted(arrivals, key=lambda arrival: arrival.time))
--- a/soak/tests/test_rota.py
+++ b/soak/tests/test_rota.py
@@ -41,6 +41,25 @@
             ends[target] = end
 
 
+@pytest.mark.parametrize("seed", range(20))
+def test_recuts_cut_runners_off_soon_after_their_restart(seed: int) -> None:
+    """Guards against plays in which runners have time to report."""
+    schedule = _schedule.make_schedule(
+        seed, _DURATION, _schedule.Profile.RECUTS
+    )
+    restarts = [
+        it for it in schedule if isinstance(it.fault, _troubles.RunnerRestart)
+    ]
+    cuts = [it for it in schedule if isinstance(it.fault, _troubles.RunnerCut)]
+    assert len(restarts) == len(cuts) >= 3
+    for restart, cut in zip(restarts, cuts):
+        assert isinstance(restart.fault, _troubles.RunnerRestart)
+        assert isinstance(cut.fault, _troubles.RunnerCut)
+        assert restart.fault.machines == cut.fault.machines
+        gap = cut.start - restart.start - restart.duration
+        assert 0.2 < gap.total_seconds() < 2.4
+
+
 def test_all_kinds_of_troubles_are_drawn() -> None:
     """Guards against a kind of trouble that is never played."""
     drawn = {
@@ -149,7 +168,7 @@
     trial.proxy.disturbances.late_delays_s = (0.3, 0.3)
     assert await _call(trial.proxy.address, 0.1) in (None, b"broken")
     await first.close()
-    trial.proxy.break_connections()
+    trial.proxy.break_connections(is_silent=False)
     second = await trial.open(2)
     await asyncio.sleep(0.6)
     await trial.proxy.close()
@@ -214,6 +233,43 @@
     assert asyncio.run(_play_dark()) == []
 
 
+async def _play_power_loss(is_silent: bool) -> tuple[float, bytes | None]:
+    """Returns when a client learns that a process has ended, and of what."""
+    trial = _Trial()
+    first = await trial.open(1)
+    trial.proxy.set_port(_call_proxy.Port.OPEN)
+    host, port = trial.proxy.address.split(":")
+    reader, writer = await asyncio.open_connection(host, int(port))
+    writer.write(_make_start())
+    await reader.readline()
+    await first.close()
+    trial.proxy.break_connections(is_silent)
+    second = await trial.open(2)
+    loop = asyncio.get_running_loop()
+    began = loop.time()
+    loop.call_later(0.5, writer.write, _make_start())
+    try:
+        while await reader.read(1000):
+            pass
+    except ConnectionError:
+        pass
+    after_s = loop.time() - began
+    answer = await _call(trial.proxy.address, 1.0)
+    await trial.proxy.close()
+    await second.close()
+    return after_s, answer
+
+
+@pytest.mark.parametrize(("is_silent", "least_s"), [(True, 0.5), (False, 0.0)])
+def test_machine_without_power_is_noticed_with_the_next_call(
+    is_silent: bool, least_s: float
+) -> None:
+    """Guards against restarts that instances notice sooner than they can."""
+    after_s, answer = asyncio.run(_play_power_loss(is_silent))
+    assert least_s <= after_s < least_s + 0.4
+    assert answer is not None and b"200" in answer
+
+
 async def _play_cut(
     requests: bool, answers: bool
 ) -> tuple[bytes | None, list[int], list[int]]:
