Wait for the lease that an unreported incarnation of a runner holds

Cause: a start for the former life is answered by the next one. Its lease end comes from the former clock, far ahead of the new one, so that the runner grants its longest lease, 10 s. If the cut begins before the first report, the runs count as over 7.8 s after the last sign of the former life. The renewal in progress hangs until its timeout, up to 2.3 s, which makes that frequent.

Change: the answer to a start has the runner's clock. If it is behind that of the last report, another incarnation has answered: its runs may last for the longest lease from then on, and it gets no tasks until it reports. The hanging renewal is given up when an answer or a newer registry row shows a restart.

Tests: test_restarted_runner.py.

--- a/tamarackhatch/platform/_runner_client.py
+++ b/tamarackhatch/platform/_runner_client.py
@@ -67,6 +67,9 @@
 }
 
 
+ClockObserver = Callable[[datetime.timedelta], None]
+
+
 @attrs.frozen
 class RunCommand:
     """Identifies the run that a command is about.
@@ -193,6 +196,7 @@
         lease_end: datetime.timedelta,
         checkpoint: str,
         ticket: str,
+        on_clock: ClockObserver = lambda reading: None,
     ) -> CommandOutcome:
         """Starts a run.
 
@@ -204,6 +208,8 @@
             lease_end: End of the lease on the runner's clock.
             checkpoint: Checkpoint to resume from; empty for none.
             ticket: Ticket of the placement policy service; empty for none.
+            on_clock: Called with the reading of the runner's clock in the
+                answer, if it has one.
 
         Raises:
             RunnerUnavailableError: The run did not start and will not.
@@ -217,7 +223,7 @@
         if ticket:
             body["ticket"] = ticket
         return await self._send_command(
-            runner, authority, "/-/run-start", body
+            runner, authority, "/-/run-start", body, on_clock
         )
 
     async def stop(
@@ -269,12 +275,16 @@
         authority: Authority,
         path: str,
         body: dict[str, typing.Any],
+        on_clock: ClockObserver = lambda reading: None,
     ) -> CommandOutcome:
         answer = await self._send(
             _make_call(
                 runner, path, body, _COMMAND_TIMEOUT, authority.is_valid
             )
         )
+        reading = _decode_clock(answer.body)
+        if reading is not None:
+            on_clock(reading)
         if answer.status == _OK:
             return CommandOutcome.ACCEPTED
         if answer.status == _CONFLICT:
@@ -336,6 +346,16 @@
     }
 
 
+def _decode_clock(body: bytes) -> datetime.timedelta | None:
+    """Returns the reading of the runner's clock in an answer, if any."""
+    try:
+        document = _decoding.decode_object(body)
+        reading = _decoding.get_duration(document, "clock_ms")
+    except _decoding.MalformedBodyError:
+        return None
+    return reading if reading > datetime.timedelta() else None
+
+
 def _decode_rejection(body: bytes) -> CommandOutcome:
     document = _decoding.decode_object(body)
     reason = _decoding.get_text(document, "reason")
--- a/tamarackhatch/scheduler/_commands.py
+++ b/tamarackhatch/scheduler/_commands.py
@@ -11,6 +11,7 @@
 from tamarackhatch import platform
 from tamarackhatch.scheduler import _context
 from tamarackhatch.scheduler import _fleet
+from tamarackhatch.scheduler import _runner_reports
 from tamarackhatch.scheduler import _start_refusals
 from tamarackhatch.scheduler import _state
 
@@ -26,6 +27,8 @@
 
     def __init__(self, context: _context.SchedulerContext) -> None:
         self._context = context
+        self._on_restart: Callable[[_fleet.RunnerEntry], None]
+        self._on_restart = lambda entry: None
         self._deliveries: set[asyncio.Task[typing.Any]] = set()
 
     @property
@@ -33,6 +36,12 @@
         """Number of commands whose outcome is not known yet."""
         return len(self._deliveries)
 
+    def set_restart_callback(
+        self, on_restart: Callable[[_fleet.RunnerEntry], None]
+    ) -> None:
+        """Sets the function to call if an answer shows a restart."""
+        self._on_restart = on_restart
+
     def start_task(
         self,
         task: _state.TaskEntry,
@@ -78,15 +87,6 @@
         command = platform.RunCommand(listed.task, listed.run)
         self._spawn_delivery(self._send_stop(entry, command))
 
-    def fence_restarted_runner(self, entry: _fleet.RunnerEntry) -> None:
-        """Lets a runner that has restarted refuse all earlier commands.
-
-        The renewal in progress may have been sent to the earlier incarnation,
-        and get no answer for seconds.
-        """
-        entry.fence.require_higher_token()
-        self._spawn_delivery(self._read_report(entry))
-
     def handle_fenced_command(
         self,
         kind: str,
@@ -262,6 +262,19 @@
             return None
         attempts = context.start_attempts
         attempt = attempts.begin(task.key, run, entry.identifier)
+        sent = context.get_now()
+
+        def record_clock(reading: datetime.timedelta) -> None:
+            if _runner_reports.record_start_answer(
+                entry,
+                reading,
+                sent,
+                context.get_now(),
+                lease_end,
+                context.settings.bounds.max_lease,
+            ):
+                self._on_restart(entry)
+
         try:
             outcome = await self._send_with_token(
                 entry,
@@ -273,6 +286,7 @@
                     lease_end,
                     task.checkpoint,
                     task.ticket,
+                    record_clock,
                 ),
             )
         except platform.RunnerUnavailableError as error:
@@ -333,29 +347,6 @@
         self._count_command("stop", outcome.value)
         return outcome in (_Outcome.ACCEPTED, _Outcome.OUTDATED)
 
-    async def _read_report(self, entry: _fleet.RunnerEntry) -> None:
-        context = self._context
-        if not context.leader_lease.is_valid:
-            return
-        try:
-            await context.client.renew(
-                entry.record,
-                context.authorise_command(entry),
-                acknowledged_exit=0,
-                lease_end=None,
-                wait=datetime.timedelta(),
-            )
-        except (
-            platform.FencedError,
-            platform.RunnerUnavailableError,
-            platform.MalformedBodyError,
-        ) as error:
-            context.log.info(
-                "restarted_runner_not_fenced",
-                runner=entry.identifier,
-                reason=error.message,
-            )
-
     async def _deliver_speed_limit(
         self,
         task: _state.TaskEntry,
--- a/tamarackhatch/scheduler/_fleet.py
+++ b/tamarackhatch/scheduler/_fleet.py
@@ -11,11 +11,12 @@
 from tamarackhatch.scheduler import _crash_suspects
 from tamarackhatch.scheduler import _life_signs
 from tamarackhatch.scheduler import _state
+from tamarackhatch.scheduler import _unreported_life
 
 # A runner's monotonic clock may be slower than the scheduler's by this share.
 _MAX_CLOCK_DRIFT_SHARE = 0.02
 # Covers rounding of the runner's clock to milliseconds, and late timers.
-_EXPIRY_MARGIN = datetime.timedelta(milliseconds=50)
+EXPIRY_MARGIN = datetime.timedelta(milliseconds=50)
 # A runner that has not answered for this long gets no new tasks. A renewal may
 # wait up to 1.5 s for an exit.
 MAX_TIME_SINCE_ANSWER = datetime.timedelta(milliseconds=2600)
@@ -73,6 +74,8 @@
             task does not fit; those of one pause count once.
         lost_contact_at: Earliest monotonic time at which the runner may have
             stopped answering; None while it answers.
+        unreported_life: What a later incarnation may hold that has answered
+            a start, and has not reported yet.
         life_signs: What shows that it is alive while it does not answer.
         evidence: Evidence that it has crashed, while it does not answer.
         supposed_crashes: Runs, with their tasks, that are recorded as ended
@@ -128,6 +131,9 @@
     life_signs: _life_signs.LifeSigns = attrs.field(
         factory=_life_signs.LifeSigns
     )
+    unreported_life: _unreported_life.UnreportedLife = attrs.field(
+        factory=_unreported_life.UnreportedLife
+    )
     evidence: _crash_suspects.Evidence = _crash_suspects.Evidence.SILENT
     supposed_crashes: list[tuple[_state.TaskEntry, int]] = attrs.field(
         factory=list
@@ -321,7 +327,7 @@
         """Returns whether the runner's clock is certainly past a reading."""
         if self.clock_read is None:
             return False
-        return self.estimate_clock(now) > reading + _EXPIRY_MARGIN
+        return self.estimate_clock(now) > reading + EXPIRY_MARGIN
 
     def estimate_clock(self, time: datetime.timedelta) -> datetime.timedelta:
         """Returns the least reading of the runner's clock since its answer.
@@ -410,6 +416,7 @@
             and self.is_capacity_known
             and not self.has_unknown_runs
             and self._is_record_current
+            and self.unreported_life.found_at is None
             and self.is_tracked
             and not self.is_untracked
             and not self.is_cordoned
--- a/tamarackhatch/scheduler/_run_proofs.py
+++ b/tamarackhatch/scheduler/_run_proofs.py
@@ -47,6 +47,8 @@
     """
     if entry.is_replaced:
         return Proof.REPLACED
+    if entry.unreported_life.may_hold_runs(now, stop_timeout):
+        return None
     if entry.life_signs.has_killed_runs(entry.lease_end, stop_timeout):
         return Proof.CLOCK
     if (
--- a/tamarackhatch/scheduler/_runner_manager.py
+++ b/tamarackhatch/scheduler/_runner_manager.py
@@ -46,6 +46,7 @@
         self._commands = commands
         self._dispatcher = dispatcher
         self._reconcilers: dict[str, _runner_reconciler.RunnerReconciler] = {}
+        commands.set_restart_callback(self._handle_restart)
         self._reconciler_tasks: dict[str, asyncio.Task[None]] = {}
         # Runners that have not answered in this term, with the only tasks
         # that may run there; None for any task.
@@ -54,6 +55,13 @@
             context.clock, context.log, context.metrics
         )
 
+    def _handle_restart(self, entry: _fleet.RunnerEntry) -> None:
+        """Has a runner report whose next incarnation is up."""
+        entry.fence.require_higher_token()
+        reconciler = self._reconcilers.get(entry.identifier)
+        if reconciler is not None:
+            reconciler.interrupt()
+
     def restore_tracked_runners(
         self,
         tracked_runners: tuple[records.TrackedRunner, ...] | None,
@@ -317,7 +325,10 @@
                 "runner_registered_again", runner=record.identifier
             )
         if entry.names_other_incarnation(record):
-            self._commands.fence_restarted_runner(entry)
+            entry.fence.require_higher_token()
+            # An earlier one may be in a row that was read late.
+            if record.incarnation > entry.incarnation:
+                self._handle_restart(entry)
         age = _MAX_READ_DELAY if entry.is_capacity_known else _MAX_ROW_AGE
         entry.update_record(record, self._context.get_now() - age)
         entry.is_registered = True
--- a/tamarackhatch/scheduler/_runner_reconciler.py
+++ b/tamarackhatch/scheduler/_runner_reconciler.py
@@ -108,7 +108,7 @@
         while not context.leader_lease.is_revoked:
             sent = context.get_now()
             report = await self._silence.end_runs_during(
-                self._renew_lease(sent)
+                self._renew_lease(sent), sent
             )
             if report is None:
                 if self._is_removable():
@@ -133,6 +133,13 @@
             context.wake.set()
             await self._wait_before_renewal(sent)
 
+    def interrupt(self) -> None:
+        """Gives up a renewal to an incarnation that has ended.
+
+        It would get no answer, and the next incarnation has to be asked.
+        """
+        self._silence.interrupt()
+
     async def _renew_lease(
         self, sent: datetime.timedelta
     ) -> model.RunnerReport | None:
@@ -200,6 +207,7 @@
         _runner_reports.record_listed_runs(context, entry, report)
         if is_new:
             self._apply_new_incarnation(report, sent)
+        entry.unreported_life.record_report(sent)
         for task, run in entry.supposed_crashes:
             context.job_tracker.retract_crash(task, run)
         entry.supposed_crashes.clear()
@@ -316,7 +324,6 @@
         self, report: model.RunnerReport, sent: datetime.timedelta
     ) -> None:
         context, entry = self._context, self._entry
-        settings = context.settings
         if entry.incarnation:
             context.log.warning(
                 "runner_restarted",
@@ -329,12 +336,9 @@
             # Idle, it may have been ejected by an earlier scheduler.
             context.health.trust(entry.identifier)
         entry.forget_earlier_incarnation()
-        if entry.incarnation:
-            # Commands whose lease end was computed from the earlier
-            # incarnation's clock grant the longest lease.
-            entry.lease_end = report.clock_reading + settings.bounds.max_lease
-        else:
-            entry.lease_end = report.clock_reading + settings.lease
+        entry.lease_end = _runner_reports.get_new_lease_end(
+            context.settings, entry, report, sent
+        )
         entry.incarnation = report.incarnation
         lost = _runner_reports.list_lost_tasks(entry, report, sent)
         if lost:
--- a/tamarackhatch/scheduler/_runner_reports.py
+++ b/tamarackhatch/scheduler/_runner_reports.py
@@ -40,6 +40,64 @@
     return lease_end
 
 
+def get_new_lease_end(
+    configured: settings.Settings,
+    entry: _fleet.RunnerEntry,
+    report: model.RunnerReport,
+    sent: datetime.timedelta,
+) -> datetime.timedelta:
+    """Returns the latest end of leases that a new incarnation may hold.
+
+    Args:
+        configured: Settings of the instance.
+        entry: The runner.
+        report: The first report of the incarnation.
+        sent: Monotonic time at which the renewal was sent that it answers.
+    """
+    if not entry.incarnation:
+        return report.clock_reading + configured.lease
+    # Commands whose lease end was computed from the earlier incarnation's
+    # clock grant the longest lease.
+    longest = configured.bounds.max_lease
+    if entry.unreported_life.found_at is not None:
+        # It may have taken one after it made the report.
+        longest = max(longest, entry.unreported_life.lease_until - sent)
+    return report.clock_reading + longest
+
+
+def record_start_answer(
+    entry: _fleet.RunnerEntry,
+    reading: datetime.timedelta,
+    sent: datetime.timedelta,
+    now: datetime.timedelta,
+    lease_end: datetime.timedelta,
+    max_lease: datetime.timedelta,
+) -> bool:
+    """Records the clock in the answer to a start, which grants a lease.
+
+    Args:
+        entry: The runner.
+        reading: Reading of the clock of the incarnation that answered.
+        sent: Monotonic time at which the start was sent.
+        now: Monotonic time at which the answer arrived.
+        lease_end: Lease end that the start carried.
+        max_lease: Longest lease that a runner grants.
+
+    Returns:
+        Whether the incarnation has not reported yet, because its clock is
+        behind that of the latest report.
+    """
+    if entry.clock_read is None:
+        return False
+    if reading + _fleet.EXPIRY_MARGIN < entry.estimate_clock(sent):
+        entry.unreported_life.record_command(now, max_lease)
+        return True
+    # The lease end may come from the clock of an earlier incarnation.
+    granted = min(lease_end, reading + max_lease)
+    entry.lease_end = max(entry.lease_end, granted)
+    return False
+
+
 def lists_all_exits(report: model.RunnerReport) -> bool:
     """Returns whether a report lists all exits that are not acknowledged."""
     count = len(report.exits) + len(report.unreadable_exits)
--- a/tamarackhatch/scheduler/_silent_runners.py
+++ b/tamarackhatch/scheduler/_silent_runners.py
@@ -46,6 +46,7 @@
         self._context = context
         self._entry = entry
         self._crashes = crashes
+        self._renewal: asyncio.Timeout | None = None
 
     def record_missed_renewal(
         self,
@@ -88,13 +89,27 @@
         ):
             self._crashes.suppose_crash(list(entry.tasks.values()))
 
+    def interrupt(self) -> None:
+        """Gives up a renewal that waits for its answer, if there is one.
+
+        Those of a runner that does not answer end soon by themselves.
+        """
+        if self._renewal is not None and not self._renewal.expired():
+            self._renewal.reschedule(asyncio.get_running_loop().time())
+
     async def end_runs_during(
         self,
         renewal: Coroutine[typing.Any, typing.Any, model.RunnerReport | None],
+        sent: datetime.timedelta,
     ) -> model.RunnerReport | None:
-        """Returns a renewal's result; ends the runs meanwhile if it is due."""
+        """Returns a renewal's result; ends the runs meanwhile if it is due.
+
+        Args:
+            renewal: The renewal.
+            sent: Monotonic time at which it is sent.
+        """
         if not self._entry.missed_renewals:
-            return await renewal
+            return await self._run_interruptibly(renewal, sent)
         task = asyncio.create_task(renewal)
         try:
             while not task.done():
@@ -106,6 +121,25 @@
         finally:
             task.cancel()
 
+    async def _run_interruptibly(
+        self,
+        renewal: Coroutine[typing.Any, typing.Any, model.RunnerReport | None],
+        sent: datetime.timedelta,
+    ) -> model.RunnerReport | None:
+        try:
+            async with asyncio.timeout(None) as self._renewal:
+                return await renewal
+        except TimeoutError:
+            self.record_missed_renewal(
+                "the runner has restarted",
+                sent,
+                datetime.timedelta(),
+                is_replaced=False,
+            )
+            return None
+        finally:
+            self._renewal = None
+
     def end_runs_if_over(self) -> bool:
         """Records the end of all runs, if the runner is silent and it is due.
 
--- a/tamarackhatch/scheduler/tests/test_restarted_runner.py
+++ b/tamarackhatch/scheduler/tests/test_restarted_runner.py
@@ -148,3 +148,50 @@
         assert fleet.check() == []
 
     virtual_time.run_virtually(simulate())
+
+
+@pytest.mark.parametrize("work_s", [6.5, 8.0, 60.0])
+@pytest.mark.parametrize("registers_after_s", [0.5, 100.0])
+@pytest.mark.parametrize("cut_after_s", [0.3, 1.0, 1.8])
+@pytest.mark.parametrize("offset_s", [0.2, 0.7])
+def test_run_of_an_incarnation_that_has_not_reported_is_waited_for(
+    offset_s: float,
+    cut_after_s: float,
+    registers_after_s: float,
+    work_s: float,
+) -> None:
+    """Guards against a second run beside, or after, one of a new incarnation.
+
+    The runner restarts, takes starts that were meant for its earlier
+    incarnation, and is cut off before its first report. By the earlier clock
+    their lease ends soon; by its own one the longest lease begins.
+    """
+
+    async def simulate() -> None:
+        loop = asyncio.get_running_loop()
+        fleet = standin_fleet.VirtualFleet(
+            2, lambda task, run: (work_s, "done")
+        )
+        for name in ("a", "b"):
+            fleet.start_instance(name)
+        await fleet.wait_until(lambda: fleet.get_leader() is not None)
+        # The renewal in progress gets no answer from then on.
+        await asyncio.sleep(30 + offset_s)
+        item = fleet.runners[0]
+        renewals = _SilentRenewals(fleet, is_executed=False)
+        renewals.is_silent = True
+        item.is_registering = False
+        item.crash()
+        loop.call_later(registers_after_s, item.register, fleet.store)
+        await fleet.submit("00", model.Step(4, _TASK))
+        await asyncio.sleep(cut_after_s)
+        faults = fleet.network.get_faults(item.address)
+        faults.unreachable_from.add("*")
+        await asyncio.sleep(9)
+        faults.unreachable_from.clear()
+        renewals.is_silent = False
+        await asyncio.sleep(30)
+        assert {run.runner for run in fleet.history.runs} == {"i-0", "i-1"}
+        assert fleet.check() == []
+
+    virtual_time.run_virtually(simulate())
