Count leases of late starts after a takeover

A successor took no lease of a runner's former life to begin later than one lease after its restart. A start that is carried out late begins one up to 12 s after it was sent.

Change: the longest delay is added; the lease still cannot have begun after the runner's first report to the successor.

--- a/tamarackhatch/scheduler/_runner_reports.py
+++ b/tamarackhatch/scheduler/_runner_reports.py
@@ -4,6 +4,7 @@
 import datetime
 
 from tamarackhatch import model
+from tamarackhatch.scheduler import _command_fence
 from tamarackhatch.scheduler import _context
 from tamarackhatch.scheduler import _fleet
 from tamarackhatch.scheduler import _state
@@ -34,8 +35,10 @@
         # A scheduler that did not know yet that the runner had restarted
         # computed lease ends from the earlier incarnation's clock, which
         # grant the longest lease. It sent none later than one lease after
-        # the restart, when the clock began at 0.
-        longest = min(clock, configured.lease) + configured.bounds.max_lease
+        # the restart, when the clock began at 0, and none arrived later than
+        # the longest delay after that.
+        latest = min(clock, configured.lease + _command_fence.MAX_DELAY)
+        longest = latest + configured.bounds.max_lease
         lease_end = max(lease_end, longest)
     return lease_end
 
--- a/tamarackhatch/scheduler/tests/test_restarted_runner.py
+++ b/tamarackhatch/scheduler/tests/test_restarted_runner.py
@@ -195,3 +195,42 @@
         assert fleet.check() == []
 
     virtual_time.run_virtually(simulate())
+
+
+@pytest.mark.parametrize("delay_s", [4.0, 8.0, 11.0])
+def test_successor_waits_for_the_lease_of_a_late_start(delay_s: float) -> None:
+    """Guards against a second run beside one that began before the takeover.
+
+    The predecessor's start is carried out late by the runner's next
+    incarnation. The runner reports it once to the successor, and is cut off.
+    """
+
+    async def simulate() -> None:
+        fleet = standin_fleet.VirtualFleet(2, lambda task, run: (60.0, "done"))
+        for name in ("a", "b"):
+            fleet.start_instance(name)
+        await fleet.wait_until(lambda: fleet.get_leader() is not None)
+        await asyncio.sleep(30)
+        item = fleet.runners[0]
+        faults = fleet.network.get_faults(item.address)
+        faults.late_delay_range_s = (delay_s, delay_s)
+        leader = fleet.get_leader()
+        assert leader is not None
+        faults.late_clients.add(leader.name)
+        await fleet.submit("00", model.Step(4, _TASK))
+        await asyncio.sleep(0.1)
+        item.crash(resets_connections=True)
+        leader.kill()
+        del fleet.instances[leader.name]
+        other = next(iter(fleet.instances))
+        faults.unreachable_from.add(other)
+        await asyncio.sleep(delay_s)
+        assert len(item.running) == 2
+        renewals = _SilentRenewals(fleet, is_executed=False)
+        faults.unreachable_from.clear()
+        await fleet.wait_until(lambda: renewals.answers > 0)
+        faults.unreachable_from.add("*")
+        await asyncio.sleep(30)
+        assert fleet.check() == []
+
+    virtual_time.run_virtually(simulate())
