Let tasks know those of their step

Cause: the first exit of a gang completes it, and with it the job, which forgets the occurrence. The other members stay with their runners until these report. A placement pass for tasks that wait for the rack looked their siblings up in the occurrence, and the KeyError ended the term, every two seconds. Each term began the wait for the lost runner anew.

Change: a task has the list of its step's tasks; the two functions that looked it up are gone.

--- a/tamarackhatch/scheduler/_dispatcher.py
+++ b/tamarackhatch/scheduler/_dispatcher.py
@@ -352,7 +352,7 @@
         candidates: list[placement.CandidateRunner],
     ) -> int:
         """Starts a gang if all its tasks have places; returns their number."""
-        members = _runner_choice.list_members(tasks[0])
+        members = tasks[0].siblings
         if len(tasks) < len(members):
             return 0
         allowed = self.filter_by_ticket(members[0], candidates)
--- a/tamarackhatch/scheduler/_racks.py
+++ b/tamarackhatch/scheduler/_racks.py
@@ -4,7 +4,6 @@
 
 from tamarackhatch import model
 from tamarackhatch import placement
-from tamarackhatch.scheduler import _run_times
 from tamarackhatch.scheduler import _state
 
 # Racks on which a gang is tried in one pass, because each try costs a search.
@@ -66,7 +65,7 @@
         """
         racks = collections.Counter(
             other.runner.load.rack
-            for other in _run_times.list_siblings(tasks[0])
+            for other in tasks[0].siblings
             if other.runner is not None
         )
         if racks:
--- a/tamarackhatch/scheduler/_restored_occurrences.py
+++ b/tamarackhatch/scheduler/_restored_occurrences.py
@@ -18,10 +18,10 @@
         done = (
             0 if progress is None else progress.done_tasks.get(step_index, 0)
         )
-        tasks = []
+        tasks: list[_state.TaskEntry] = []
         for index in range(step.count):
             key = model.TaskKey(job.identifier, number, step_index, index)
-            task = _state.TaskEntry(key, step, entry)
+            task = _state.TaskEntry(key, step, entry, siblings=tasks)
             if done >> index & 1:
                 task.phase = _state.TaskPhase.DONE
             history = (
--- a/tamarackhatch/scheduler/_run_times.py
+++ b/tamarackhatch/scheduler/_run_times.py
@@ -63,15 +63,10 @@
     rack = runner.load.rack
     return all(
         other.runner is None or other.runner.load.rack == rack
-        for other in list_siblings(task)
+        for other in task.siblings
     )
 
 
-def list_siblings(task: _state.TaskEntry) -> list[_state.TaskEntry]:
-    """Returns all tasks of a task's step, with itself."""
-    return task.job.occurrences[task.key.occurrence].steps[task.key.step]
-
-
 def record_exit(
     context: _context.SchedulerContext,
     entry: _fleet.RunnerEntry,
@@ -108,7 +103,7 @@
     slowdown = context.settings.bounds.remote_slowdown or 1.0
     projections = []
     if not task.step.is_long_running:
-        for other in list_siblings(task):
+        for other in task.siblings:
             if (
                 other.runner is None
                 or other.progress_reported_at is None
--- a/tamarackhatch/scheduler/_runner_choice.py
+++ b/tamarackhatch/scheduler/_runner_choice.py
@@ -126,7 +126,7 @@
         """
         first = tasks[0]
         if first.step.is_gang:
-            members = list_members(first)
+            members = first.siblings
             if len(tasks) < len(members):
                 return []
             allowed = filter_by_ticket(self._context, members[0], candidates)
@@ -279,11 +279,6 @@
     ]
 
 
-def list_members(task: _state.TaskEntry) -> list[_state.TaskEntry]:
-    """Returns all tasks of a task's step."""
-    return task.job.occurrences[task.key.occurrence].steps[task.key.step]
-
-
 def get_step_name(task: _state.TaskEntry) -> tuple[str, int, int]:
     """Returns job, occurrence and step of a task."""
     return (task.key.job, task.key.occurrence, task.key.step)
--- a/tamarackhatch/scheduler/_state.py
+++ b/tamarackhatch/scheduler/_state.py
@@ -155,6 +155,8 @@
         is_unblocked_in_term: Whether the task waits because of an exit that
             no earlier scheduler has received, so that none of them can have
             started the task again.
+        siblings: All tasks of its step, with itself. The job forgets a
+            finished occurrence while runners still list members of its gangs.
     """
 
     key: model.TaskKey
@@ -182,6 +184,7 @@
     is_adopted: bool = False
     ready_since: datetime.timedelta | None = None
     is_unblocked_in_term: bool = False
+    siblings: list["TaskEntry"] = attrs.field(factory=list, repr=False)
 
     @property
     def failures(self) -> int:
