Keep no runner for suspects of crashes while long-running tasks lack room

Cause: runners of a data centre restart three times, so that tasks which were lost each time count as suspects.

Change: while a long-running task has waited for 2 s, a suspect is observed alone only until it is settled, and none starts in a pass in which such a task fits on a runner.

Tests: 3 of 3 cases of test_observed_suspects_keep_no_room_from_long_running_tasks failed before.

--- a/tamarackhatch/scheduler/_candidates.py
+++ b/tamarackhatch/scheduler/_candidates.py
@@ -8,6 +8,11 @@
 from tamarackhatch.scheduler import _fleet
 from tamarackhatch.scheduler import _health
 from tamarackhatch.scheduler import _isolation
+from tamarackhatch.scheduler import _state
+
+# Long-running tasks have to run again nine seconds after their last run. Some
+# of that has passed when the end of the run is known.
+_MAX_LONG_RUNNING_WAIT = datetime.timedelta(seconds=2)
 
 Candidates = dict[str, list[placement.CandidateRunner]]
 MakeCandidate = Callable[
@@ -43,7 +48,10 @@
         )
     ]
     candidates: Candidates = {}
-    for entry in _isolation.list_unclosed(entries, now):
+    urgent = {
+        task.job.job.queue.service for task in list_urgent_tasks(context, now)
+    }
+    for entry in _isolation.list_unclosed(entries, urgent, now):
         candidate = make_candidate(entry.load, now)
         _health.restrict_candidate(context, candidate, entry, now)
         candidates.setdefault(entry.record.service, []).append(candidate)
@@ -52,6 +60,22 @@
     return candidates
 
 
+def list_urgent_tasks(
+    context: _context.SchedulerContext, now: datetime.timedelta
+) -> list[_state.TaskEntry]:
+    """Returns long-running tasks that have waited long, one of each step."""
+    firsts = (
+        next(iter(group.values()))
+        for group in context.job_tracker.waiting.values()
+    )
+    return [
+        task
+        for task in firsts
+        if task.step.is_long_running
+        and task.compute_wait(now) >= _MAX_LONG_RUNNING_WAIT
+    ]
+
+
 def is_available(
     context: _context.SchedulerContext,
     entry: _fleet.RunnerEntry,
--- a/tamarackhatch/scheduler/_isolation.py
+++ b/tamarackhatch/scheduler/_isolation.py
@@ -1,6 +1,7 @@
 """Chooses runners on which suspects of crashes are observed."""
 
 import collections
+from collections.abc import Container
 from collections.abc import Iterable
 from collections.abc import Mapping
 from collections.abc import Sequence
@@ -44,17 +45,20 @@
 
 
 def list_unclosed(
-    entries: Sequence[_fleet.RunnerEntry], now: datetime.timedelta
+    entries: Sequence[_fleet.RunnerEntry],
+    urgent: Container[str],
+    now: datetime.timedelta,
 ) -> list[_fleet.RunnerEntry]:
     """Returns the runners that are not closed to tasks beside a suspect.
 
     A task that may crash its runner late is observed as long as it runs. If
     all runners of a service were closed for that, nothing else of the service
     would start meanwhile. The suspect is then observed alone only until it is
-    settled.
+    settled, and so it is while long-running tasks lack room.
 
     Args:
         entries: All runners on which tasks could start otherwise.
+        urgent: Services with long-running tasks that have waited for long.
         now: Monotonic time.
     """
     closed = [
@@ -67,7 +71,10 @@
     unclosed += (
         entry
         for entry in closed
-        if entry.record.service not in services
+        if (
+            entry.record.service not in services
+            or entry.record.service in urgent
+        )
         and not entry.has_starting_run(now)
     )
     return unclosed
--- a/tamarackhatch/scheduler/_runner_choice.py
+++ b/tamarackhatch/scheduler/_runner_choice.py
@@ -164,6 +164,13 @@
         allowances = _isolation.count_allowances(
             context.list_open_runners(), now
         )
+        for task in _candidates.list_urgent_tasks(context, now):
+            service = task.job.job.queue.service
+            if not is_paused(task) and self._has_place(
+                task, candidates.get(service, [])
+            ):
+                # It goes first, and would find the runner closed.
+                allowances[service] = 0
         for task in _isolation.order_suspects(suspects):
             service = task.job.job.queue.service
             group = candidates.get(service, [])
@@ -187,6 +194,15 @@
                 allowances[service] -= 1
                 group.remove(candidate)
 
+    def _has_place(self, task: _state.TaskEntry, candidates: Runners) -> bool:
+        label = task.step.required_label
+        return any(
+            candidate.load.has_capacity(task.step)
+            and (not label or label in candidate.load.labels)
+            and placement.is_allowed(candidate.load, task.key, task.step)
+            for candidate in filter_by_ticket(self._context, task, candidates)
+        )
+
     def choose(
         self,
         tasks: list[_state.TaskEntry],
--- a/tamarackhatch/scheduler/tests/test_crash_suspects.py
+++ b/tamarackhatch/scheduler/tests/test_crash_suspects.py
@@ -228,3 +228,59 @@
         await fleet.wait_until(lambda: len(fleet.runners[0].running) > 1, 20)
 
     virtual_time.run_virtually(simulate())
+
+
+@pytest.mark.parametrize(
+    ("suspects", "crashes", "suspect_s", "firsts"),
+    [(1, 3, 20.0, 4), (1, 3, 60.0, 4), (60, 2, 60.0, 5)],
+)
+def test_observed_suspects_keep_no_room_from_long_running_tasks(
+    suspects: int, crashes: int, suspect_s: float, firsts: int
+) -> None:
+    """Guards against a long-running task that waits beside an empty runner.
+
+    Batch tasks were lost in crashes. They are observed one after the other on
+    a runner of their own, after three crashes each as long as it runs. The
+    other runners are full.
+    """
+
+    def plan(task: str, run: int) -> tuple[float, str]:
+        return (suspect_s if task.startswith("suspect") else 1000.0), "done"
+
+    async def simulate() -> None:
+        fleet = standin_fleet.VirtualFleet(runners=1, plan=plan)
+        fleet.start_instance("a")
+        await fleet.wait_until(lambda: fleet.get_leader() is not None)
+        await asyncio.sleep(1)
+        small = model.Resources(processors=100, memory_mb=100)
+        await fleet.submit("suspect", model.Step(suspects, small))
+        for _ in range(crashes):
+            await fleet.wait_until(lambda: fleet.runners[0].running != [])
+            await asyncio.sleep(1.0)
+            fleet.runners[0].crash(resets_connections=True)
+        await fleet.wait_until(lambda: fleet.runners[0].running != [])
+        for index in (1, 2):
+            fleet.add_runner(plan, index)
+        await asyncio.sleep(2)
+        # Two fit on a runner, beside the suspects.
+        half = model.Step(
+            1,
+            model.Resources(processors=7_000, memory_mb=100),
+            is_long_running=True,
+        )
+        for number in range(firsts):
+            await fleet.submit(f"first{number}", half)
+        await asyncio.sleep(4)
+        await fleet.submit("second", half)
+        # The rule on long-running tasks gives them nine seconds.
+        await fleet.wait_until(
+            lambda: any("second.0.0.0" in it.running for it in fleet.runners),
+            9.0,
+        )
+        # The suspects wait no longer for that than they must.
+        count = len(fleet.history.runs)
+        await asyncio.sleep(5)
+        assert suspects == 1 or len(fleet.history.runs) > count
+        assert fleet.check() == []
+
+    virtual_time.run_virtually(simulate())
