--- a/tamarackhatch/scheduler/_candidates.py
+++ b/tamarackhatch/scheduler/_candidates.py
@@ -5,6 +5,7 @@
 
 from tamarackhatch import placement
 from tamarackhatch.scheduler import _context
+from tamarackhatch.scheduler import _crash_suspects
 from tamarackhatch.scheduler import _fleet
 from tamarackhatch.scheduler import _health
 from tamarackhatch.scheduler import _isolation
@@ -63,17 +64,22 @@
 def list_urgent_tasks(
     context: _context.SchedulerContext, now: datetime.timedelta
 ) -> list[_state.TaskEntry]:
-    """Returns long-running tasks that have waited long, one of each step."""
-    firsts = (
-        next(iter(group.values()))
-        for group in context.job_tracker.waiting.values()
-    )
-    return [
-        task
-        for task in firsts
-        if task.step.is_long_running
-        and task.compute_wait(now) >= _MAX_LONG_RUNNING_WAIT
-    ]
+    """Returns long-running tasks that have waited long, one of each step.
+
+    Those that are suspects of crashes themselves are left out.
+    """
+    urgent = []
+    for group in context.job_tracker.waiting.values():
+        if not next(iter(group.values())).step.is_long_running:
+            continue
+        for task in group.values():
+            waited = task.compute_wait(now)
+            if waited < _MAX_LONG_RUNNING_WAIT:
+                continue
+            if not _crash_suspects.is_suspect(task):
+                urgent.append(task)
+                break
+    return urgent
 
 
 def is_available(
