Tell the successor of start commands without an answer

Change: a row names the commands that may still be carried out, with the time left. It is written with a heartbeat when they change, and with the release; the successor treats them as its own.

--- a/tamarackhatch/platform/tests/test_fuzz.py
+++ b/tamarackhatch/platform/tests/test_fuzz.py
@@ -285,6 +285,12 @@
         ),
         records.MalformedRowError,
     ),
+    (
+        "open starts row",
+        {"starts": [["00", 0, 1, 2, 1003, "i-1", 8500]]},
+        records.decode_open_starts,
+        records.MalformedRowError,
+    ),
     (
         "interference row",
         {
--- a/tamarackhatch/records/__init__.py
+++ b/tamarackhatch/records/__init__.py
@@ -49,11 +49,15 @@
 from tamarackhatch.records._names import JOB_PARTITIONS
 from tamarackhatch.records._names import JOBS_TABLE
 from tamarackhatch.records._names import LEADER_HEARTBEAT
+from tamarackhatch.records._names import OPEN_STARTS
 from tamarackhatch.records._names import PROGRESS_TABLE
 from tamarackhatch.records._names import SCHEDULER_PARTITION
 from tamarackhatch.records._names import SEQUENCE
 from tamarackhatch.records._names import TRACKED_RUNNERS
 from tamarackhatch.records._names import WAITING_TASKS
+from tamarackhatch.records._open_starts import decode_open_starts
+from tamarackhatch.records._open_starts import encode_open_starts
+from tamarackhatch.records._open_starts import OpenStart
 from tamarackhatch.records._progress import decode_progress
 from tamarackhatch.records._progress import encode_progress
 from tamarackhatch.records._progress import JobProgress
@@ -110,7 +114,9 @@
     "MAX_PARTS",
     "MAX_VALUE_BYTES",
     "MalformedRowError",
+    "OPEN_STARTS",
     "OccurrenceProgress",
+    "OpenStart",
     "PROGRESS_TABLE",
     "PartMap",
     "Refusal",
@@ -136,6 +142,7 @@
     "decode_interference",
     "decode_job",
     "decode_leader_heartbeat",
+    "decode_open_starts",
     "decode_part",
     "decode_progress",
     "decode_progress_row",
@@ -149,6 +156,7 @@
     "encode_interference",
     "encode_job",
     "encode_leader_heartbeat",
+    "encode_open_starts",
     "encode_part",
     "encode_progress",
     "encode_refusal",
--- a/tamarackhatch/records/_names.py
+++ b/tamarackhatch/records/_names.py
@@ -39,6 +39,9 @@
 CORDONS: typing.Final = model.RowRef(
     TRACKED_RUNNERS_TABLE, SCHEDULER_PARTITION, "cordons"
 )
+OPEN_STARTS: typing.Final = model.RowRef(
+    TRACKED_RUNNERS_TABLE, SCHEDULER_PARTITION, "starts"
+)
 WAITING_TASKS: typing.Final = model.RowRef(
     TRACKED_RUNNERS_TABLE, SCHEDULER_PARTITION, "waiting"
 )
--- a/tamarackhatch/records/tests/test_limits.py
+++ b/tamarackhatch/records/tests/test_limits.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 from collections.abc import Sequence
+import datetime
 
 import attrs
 import pytest
@@ -39,6 +40,14 @@
     return [records.encode_cordons(tuple(cordoned))]
 
 
+def _encode_open_starts(count: int) -> list[bytes]:
+    starts = (
+        records.OpenStart(task, 1003, "i-0123abcd", datetime.timedelta(0, 9))
+        for task in _make_tasks(count)
+    )
+    return [records.encode_open_starts(starts)]
+
+
 def _encode_waiting_tasks(count: int) -> list[bytes]:
     return [records.encode_waiting_tasks(7, _make_tasks(count))]
 
@@ -96,6 +105,7 @@
     [
         _encode_runners,
         _encode_cordons,
+        _encode_open_starts,
         _encode_waiting_tasks,
         _encode_heartbeat,
         _encode_interference,
@@ -159,3 +169,16 @@
         records.decode_interference(records.encode_interference(table))
         == table
     )
+
+
+def test_row_of_open_starts_keeps_its_form() -> None:
+    """Guards against open starts misread by other releases in an upgrade."""
+    row = b'{"starts":[["00",1,2,3,1003,"i-7",8500]]}'
+    start = records.OpenStart(
+        model.TaskKey("00", 1, 2, 3),
+        1003,
+        "i-7",
+        datetime.timedelta(milliseconds=8500),
+    )
+    assert records.decode_open_starts(row) == (start,)
+    assert records.encode_open_starts([start]) == row
--- a/tamarackhatch/scheduler/_earlier_terms.py
+++ b/tamarackhatch/scheduler/_earlier_terms.py
@@ -24,11 +24,13 @@
         cordoned_runners: Those of them that are cordoned.
         waiting_tasks: Tasks that the previous scheduler could have started
             when it handed over, so that they run nowhere.
+        open_starts: Start commands that may still be carried out.
     """
 
     tracked_runners: tuple[records.TrackedRunner, ...] | None
     cordoned_runners: tuple[records.CordonedRunner, ...]
     waiting_tasks: frozenset[model.TaskKey]
+    open_starts: tuple[records.OpenStart, ...] = ()
 
 
 class EarlierTermsReader:
@@ -61,11 +63,14 @@
         row = records.find_row(rows, records.TRACKED_RUNNERS)
         if row is None:
             return EarlierRuns((), (), frozenset())
+        starts = self._decode_open_starts(
+            records.find_row(rows, records.OPEN_STARTS)
+        )
         try:
             tracked_runners = records.decode_tracked_runners(rows)
         except records.MalformedRowError as error:
             self._log.error("tracked_runners_unreadable", reason=error.message)
-            return EarlierRuns(None, (), frozenset())
+            return EarlierRuns(None, (), frozenset(), starts)
         return EarlierRuns(
             tracked_runners,
             self._decode_cordons(
@@ -74,6 +79,7 @@
             self._decode_waiting_tasks(
                 records.find_row(rows, records.WAITING_TASKS), term
             ),
+            starts,
         )
 
     async def read_interference(self) -> placement.InterferenceTable | None:
@@ -101,6 +107,17 @@
             self._log.warning("cordons_unreadable", reason=error.message)
             return ()
 
+    def _decode_open_starts(
+        self, row: model.Row | None
+    ) -> tuple[records.OpenStart, ...]:
+        if row is None:
+            return ()
+        try:
+            return records.decode_open_starts(row.value)
+        except records.MalformedRowError as error:
+            self._log.warning("open_starts_unreadable", reason=error.message)
+            return ()
+
     def _decode_waiting_tasks(
         self, row: model.Row | None, term: int
     ) -> frozenset[model.TaskKey]:
--- a/tamarackhatch/scheduler/_runner_rows.py
+++ b/tamarackhatch/scheduler/_runner_rows.py
@@ -7,6 +7,7 @@
 from tamarackhatch import model
 from tamarackhatch import records
 from tamarackhatch.scheduler import _cordons
+from tamarackhatch.scheduler import _start_attempts
 
 
 @attrs.frozen
@@ -23,14 +24,24 @@
 
 
 class RunnerRows:
-    """Prepares the rows of tracked and of cordoned runners.
+    """Prepares the rows of tracked and cordoned runners, and of open starts.
 
     The list of cordoned runners counts only if it is not older than that of
     tracked ones, so that a transaction contains both or only the former.
     """
 
-    def __init__(self, cordons: _cordons.CordonList) -> None:
+    def __init__(
+        self,
+        cordons: _cordons.CordonList,
+        start_attempts: _start_attempts.StartAttempts,
+    ) -> None:
         self._cordons = cordons
+        self._start_attempts = start_attempts
+        self._is_enabled = False
+        # Commands, without the time left, in the stored row and in that of the
+        # transaction in progress; None if that is not known.
+        self._stored_starts: frozenset[object] | None = frozenset()
+        self._written_starts: frozenset[object] | None = None
         self._list_tracked_runners: (
             Callable[[], TrackedRunnersWrite] | None
         ) = None
@@ -54,6 +65,12 @@
         self._list_tracked_runners = list_runners
         self._is_list_due = True
 
+    def enable(self) -> None:
+        """Allows writes of what this term knows from its predecessor."""
+        self._is_enabled = True
+        self._stored_starts = None
+        self._cordons.enable()
+
     def request_cordon_update(self) -> None:
         """Requests that the list of cordoned runners be written."""
         self._cordons.request_write()
@@ -72,17 +89,35 @@
         cordons = self._cordons.prepare_write(has_heartbeat, bool(rows))
         if cordons is not None:
             rows.append(cordons)
+        if has_heartbeat and self._is_enabled:
+            rows += self._prepare_starts()
         return rows
 
+    def _prepare_starts(self) -> list[model.Put]:
+        """Returns the row of open starts if it has changed."""
+        starts = self._start_attempts.list_unanswered()
+        self._written_starts = frozenset(
+            (start.task, start.run, start.runner) for start in starts
+        )
+        if self._written_starts == self._stored_starts:
+            return []
+        self._stored_starts = None
+        value = records.encode_open_starts(starts)
+        return [model.Put(records.OPEN_STARTS, value)]
+
     def record_commit(self) -> None:
         """Records that the prepared rows are durable."""
         self._cordons.record_commit()
+        if self._written_starts is not None:
+            self._stored_starts = self._written_starts
+            self._written_starts = None
         prepared, self._prepared = self._prepared, None
         if prepared is not None:
             prepared.on_tracked()
 
     def record_failure(self) -> None:
         """Records that the prepared rows may not be durable."""
+        self._written_starts = None
         if self._prepared is not None:
             self._prepared = None
             self._is_list_due = True
--- a/tamarackhatch/scheduler/_scheduler.py
+++ b/tamarackhatch/scheduler/_scheduler.py
@@ -28,6 +28,7 @@
 from tamarackhatch.scheduler import _near_places
 from tamarackhatch.scheduler import _repeated_runs
 from tamarackhatch.scheduler import _runner_manager
+from tamarackhatch.scheduler import _runner_rows
 from tamarackhatch.scheduler import _start_attempts
 from tamarackhatch.scheduler import _state
 from tamarackhatch.scheduler import _stored_progress
@@ -80,7 +81,12 @@
         )
         interference = placement.InterferenceModel()
         fleet: dict[str, _fleet.RunnerEntry] = {}
-        self._cordons = _cordons.CordonList(fleet)
+        start_attempts = _start_attempts.StartAttempts(
+            time_source, configured.longest_run
+        )
+        self._runner_rows = _runner_rows.RunnerRows(
+            _cordons.CordonList(fleet), start_attempts
+        )
         self._writer = _writer.ProgressWriter(
             store,
             time_source,
@@ -97,7 +103,7 @@
             _configuration_publisher.ConfigurationPublisher(
                 dependencies.configuration, time_source
             ),
-            self._cordons,
+            self._runner_rows,
             log,
             metrics,
             self._summarise_waits,
@@ -122,9 +128,7 @@
             client=dependencies.client,
             job_tracker=job_tracker,
             fleet=fleet,
-            start_attempts=_start_attempts.StartAttempts(
-                time_source, configured.longest_run
-            ),
+            start_attempts=start_attempts,
             writer=self._writer,
             log=log,
             metrics=metrics,
@@ -314,7 +318,8 @@
         self._runner_manager.restore_tracked_runners(
             tracked_runners, earlier.cordoned_runners
         )
-        self._cordons.enable()
+        self._context.start_attempts.restore(earlier.open_starts)
+        self._runner_rows.enable()
         await self._runner_watcher.load()
         self._ready_at = self._clock.get_monotonic()
         self._log.summary(
--- a/tamarackhatch/scheduler/_start_attempts.py
+++ b/tamarackhatch/scheduler/_start_attempts.py
@@ -14,8 +14,12 @@
 
 from tamarackhatch import clock
 from tamarackhatch import model
+from tamarackhatch import records
 from tamarackhatch.scheduler import _command_fence
 
+# Runners answer starts within milliseconds.
+_MAX_USUAL_ANSWER_TIME = datetime.timedelta(milliseconds=150)
+
 
 @attrs.define(eq=False)
 class StartAttempt:
@@ -25,6 +29,7 @@
         task: The task.
         run: Number of the run.
         runner: Identifier of the runner.
+        sent: Monotonic time at which it was sent.
         token: Highest fencing token that it may carry.
         possible_until: Monotonic time until which it may be carried out; None
             while its answer is awaited.
@@ -37,6 +42,7 @@
     task: model.TaskKey
     run: int
     runner: str
+    sent: datetime.timedelta = datetime.timedelta()
     token: int = 0
     possible_until: datetime.timedelta | None = None
     may_run_until: datetime.timedelta | None = None
@@ -73,7 +79,8 @@
         self, task: model.TaskKey, run: int, runner: str
     ) -> StartAttempt:
         """Records that a start command is sent now, and returns it."""
-        attempt = StartAttempt(task, run, runner)
+        now = self._clock.get_monotonic()
+        attempt = StartAttempt(task, run, runner, now)
         attempts = self._open.setdefault(task, [])
         for earlier in _filter_by_run(attempts, run, runner):
             earlier.is_only = attempt.is_only = False
@@ -114,6 +121,48 @@
             if attempt.is_only:
                 self.record_answer(attempt)
 
+    def restore(self, starts: Iterable[records.OpenStart]) -> None:
+        """Adds commands of an earlier scheduler.
+
+        Every token of this term shuts them out. Further commands of the same
+        runs may have been answered.
+        """
+        now = self._clock.get_monotonic()
+        for start in starts:
+            until = now + start.remaining
+            attempt = StartAttempt(
+                start.task,
+                start.run,
+                start.runner,
+                now,
+                possible_until=until,
+                may_run_until=until + self._longest_run,
+                is_only=False,
+            )
+            self._open.setdefault(start.task, []).append(attempt)
+
+    def list_unanswered(self) -> list[records.OpenStart]:
+        """Returns the commands that a successor has to know, latest first.
+
+        Those that were sent just now will mostly be answered.
+        """
+        now = self._clock.get_monotonic()
+        found = []
+        for attempts in self._open.values():
+            for it in attempts:
+                until = it.possible_until
+                if until is None:
+                    if now - it.sent < _MAX_USUAL_ANSWER_TIME:
+                        continue
+                    until = it.sent + _command_fence.MAX_DELAY
+                if until > now:
+                    found.append(
+                        records.OpenStart(
+                            it.task, it.run, it.runner, until - now
+                        )
+                    )
+        return sorted(found, key=lambda start: start.remaining, reverse=True)
+
     def discard_runner(self, runner: str) -> None:
         """Forgets the commands to a runner that can carry out none."""
         for attempts in list(self._open.values()):
--- a/tamarackhatch/scheduler/_writer.py
+++ b/tamarackhatch/scheduler/_writer.py
@@ -16,7 +16,6 @@
 from tamarackhatch import placement
 from tamarackhatch import records
 from tamarackhatch.scheduler import _configuration_publisher
-from tamarackhatch.scheduler import _cordons
 from tamarackhatch.scheduler import _rejected_rows
 from tamarackhatch.scheduler import _runner_rows
 from tamarackhatch.scheduler import _state
@@ -66,7 +65,7 @@
         count_pending: Callable[[], dict[str, int]],
         export_interference: Callable[[], placement.InterferenceTable],
         configuration: _configuration_publisher.ConfigurationPublisher,
-        cordons: _cordons.CordonList,
+        runner_rows: _runner_rows.RunnerRows,
         log: observability.Log,
         metrics: observability.Metrics,
         summarise_waits: Callable[
@@ -86,7 +85,7 @@
         self._count_pending = count_pending
         self._export_interference = export_interference
         self._configuration = configuration
-        self._runner_rows = _runner_rows.RunnerRows(cordons)
+        self._runner_rows = runner_rows
         self._log = log
         self._metrics = metrics
         self._timeout = records.AdaptiveTimeout(
--- a/tamarackhatch/scheduler/tests/test_late_attempts.py
+++ b/tamarackhatch/scheduler/tests/test_late_attempts.py
@@ -286,3 +286,45 @@
         assert sorted(running) == [f"0{number}.0.0.0" for number in range(4)]
 
     virtual_time.run_virtually(simulate())
+
+
+@pytest.mark.parametrize("is_killed", [False, True])
+@pytest.mark.parametrize("takeovers", [1, 2])
+def test_successor_knows_the_attempts_of_its_predecessor(
+    takeovers: int, is_killed: bool
+) -> None:
+    """Guards against an end that a successor acknowledges too soon.
+
+    The first attempt gets no answer, a later one succeeds, and the scheduler
+    ends before the first one arrives at the runner's next incarnation.
+    """
+
+    async def simulate() -> None:
+        fleet = standin_fleet.VirtualFleet(1, lambda task, run: (0.3, "done"))
+        for name in ("a", "b", "c"):
+            fleet.start_instance(name)
+        await fleet.wait_until(lambda: fleet.get_leader() is not None)
+        await asyncio.sleep(2)
+        late = _LateStarts(fleet, 0, 11.0)
+        await fleet.submit("00", _STEP)
+        await asyncio.sleep(0.1)
+        late.is_late = False
+        await asyncio.sleep(2.5)
+        for _ in range(takeovers):
+            leader = fleet.get_leader()
+            assert leader is not None
+            del fleet.instances[leader.name]
+            if is_killed:
+                leader.kill()
+            else:
+                await leader.stop()
+            await fleet.wait_until(
+                lambda: fleet.get_leader() not in (None, leader)
+            )
+            await asyncio.sleep(1.5)
+        await _restart(fleet, 0, late.pending[0])
+        await asyncio.sleep(3)
+        assert any(run.is_late for run in fleet.history.runs)
+        assert fleet.check() == []
+
+    virtual_time.run_virtually(simulate())
--- a/tamarackhatch/scheduler/tests/test_start_attempts.py
+++ b/tamarackhatch/scheduler/tests/test_start_attempts.py
@@ -122,3 +122,25 @@
     for token, is_new in reports:
         fence.record_report(token, is_new)
     assert [fence.shuts_out(token) for token in (7, 9)] == shut_out
+
+
+@pytest.mark.parametrize(
+    ("after", "remaining"),
+    [(0.0, []), (0.1, []), (0.2, [12.3]), (12.0, [0.5]), (13.0, [])],
+)
+def test_attempt_without_an_answer_is_handed_on(
+    after: float, remaining: list[float]
+) -> None:
+    """Guards against a successor that takes an attempt for carried out."""
+    time_source = clock.ManualClock()
+    attempts = _start_attempts.StartAttempts(time_source, 5 * _SECOND)
+    attempts.begin(_TASK, 3, "i-0")
+    asyncio.run(time_source.advance(after * _SECOND))
+    handed_on = attempts.list_unanswered()
+    assert [it.remaining / _SECOND for it in handed_on] == remaining
+    successor = _start_attempts.StartAttempts(time_source, 5 * _SECOND)
+    successor.restore(handed_on)
+    assert successor.may_start(_TASK) is bool(remaining)
+    # Another attempt may have been the one that the report shows.
+    successor.record_listed_run(_TASK, 3, "i-0")
+    assert successor.may_start(_TASK) is bool(remaining)
