Send each run one speed limit at a time

Seen: test_overtaken_speed_limits, 3 of 3 cases (known red): a run stays at 30 % though full speed was sent last, and the scheduler believes the latter.

Cause: two speed limits of one run are on two connections at the same time and carry the same token; the earlier one arrives last. Class: a command that replaces another is sent before the other's outcome is known.

A limit that is chosen while another is on its way follows it. After one without an answer the token rises, so the next one shuts it out. A limit waits for the outcome of the one before it, at most the command's timeout; only runs with a command in progress wait at all.

All tests: 3,535 pass, 2 known red.

--- a/tamarackhatch/scheduler/_commands.py
+++ b/tamarackhatch/scheduler/_commands.py
@@ -12,11 +12,11 @@
 from tamarackhatch.scheduler import _context
 from tamarackhatch.scheduler import _fleet
 from tamarackhatch.scheduler import _runner_reports
+from tamarackhatch.scheduler import _speed_limit_sender
 from tamarackhatch.scheduler import _start_refusals
 from tamarackhatch.scheduler import _state
 
 _RETRY_PAUSE = datetime.timedelta(milliseconds=60)
-_MAX_SPEED_LIMIT_ATTEMPTS = 2
 _FULL_SPEED_PERCENT = 100
 
 _Outcome = platform.CommandOutcome
@@ -30,6 +30,9 @@
         self._on_restart: Callable[[_fleet.RunnerEntry], None]
         self._on_restart = lambda entry: None
         self._deliveries: set[asyncio.Task[typing.Any]] = set()
+        self._speed_limits = _speed_limit_sender.SpeedLimitSender(
+            context, self._send_with_token
+        )
 
     @property
     def in_progress(self) -> int:
@@ -115,9 +118,9 @@
         """Sets the speed limit of a task's run, in per cent of full speed."""
         if task.runner is not None:
             task.speed_limit_percent = percent
-            self._spawn_delivery(
-                self._deliver_speed_limit(task, task.runner, task.run, percent)
-            )
+            delivery = self._speed_limits.begin_delivery(task)
+            if delivery is not None:
+                self._spawn_delivery(delivery)
 
     def close(self) -> None:
         """Cancels all commands that are in progress."""
@@ -347,47 +350,6 @@
         self._count_command("stop", outcome.value)
         return outcome in (_Outcome.ACCEPTED, _Outcome.OUTDATED)
 
-    async def _deliver_speed_limit(
-        self,
-        task: _state.TaskEntry,
-        entry: _state.TaskRunner,
-        run: int,
-        percent: int,
-    ) -> None:
-        context = self._context
-        for _ in range(_MAX_SPEED_LIMIT_ATTEMPTS):
-            if task.run != run or task.runner is not entry:
-                return
-            if (
-                task.speed_limit_percent != percent
-                or not context.leader_lease.is_valid
-            ):
-                return
-            command = platform.RunCommand(task.key, run)
-            try:
-                outcome = await self._send_with_token(
-                    entry,
-                    lambda authority: context.client.set_speed_limit(
-                        entry.record, authority, command, percent
-                    ),
-                )
-            except (
-                platform.RunnerUnavailableError,
-                platform.RunnerOutcomeUnknownError,
-            ) as error:
-                self._log_unanswered("pace", task, entry, error.message)
-                self._count_command("pace", "unknown")
-                continue
-            self._count_command("pace", outcome.value)
-            if outcome is _Outcome.ACCEPTED:
-                now = context.get_now()
-                entry.load.best_effort_usage.set_speed_limit(
-                    task.key, percent / 100, now
-                )
-            return
-        if task.run == run and task.speed_limit_percent == percent:
-            task.speed_limit_percent = None
-
     async def _send_with_token(
         self,
         entry: _state.TaskRunner,
