Bind batch tasks to the runner of an unanswered start, also if it leaves

A batch task went elsewhere as soon as the runner of an unanswered start had refused it by a higher token, if the runner was leaving or the task was a suspect of its crash. The runner's next incarnation refuses nothing: it carried the start out beside the run elsewhere.

A suspect is observed on the runner of the start, which is empty after its crash. A long-running task goes elsewhere as before, since it has to run again within 9 s (LOST).

Cost not measured yet.

--- a/tamarackhatch/scheduler/_bound_tasks.py
+++ b/tamarackhatch/scheduler/_bound_tasks.py
@@ -53,6 +53,26 @@
             for attempt in attempts.list_open(task.key)
         )
 
+    def list_allowed(
+        self, task: _state.TaskEntry, candidates: Candidates
+    ) -> Candidates:
+        """Returns those of some runners on which a waiting task may start.
+
+        Args:
+            task: The task.
+            candidates: The runners.
+        """
+        if not self.is_bound(task):
+            return candidates
+        entry = self._find_runner(task)
+        if entry is None:
+            return []
+        return [
+            candidate
+            for candidate in candidates
+            if candidate.load.identifier == entry.identifier
+        ]
+
     def place_tasks(
         self,
         groups: Iterable[_group_order.Group],
@@ -124,9 +144,8 @@
         """Returns whether a task may start in spite of an attempt.
 
         A runner that has answered a higher token refuses the attempt; only
-        its next incarnation could carry it out. A wait for that to become
-        impossible is kept to tasks that can wait, and to runners that can
-        take them meanwhile.
+        its next incarnation could carry it out. Tasks that have to run again
+        within seconds do not wait until that is impossible.
         """
         entry = self._context.fleet.get(attempt.runner)
         if entry is None:
@@ -140,21 +159,12 @@
                 or not entry.missed_renewals
                 or not entry.names_other_incarnation(entry.record)
             )
-        is_shut_out = entry.fence.shuts_out(attempt.token)
-        if task.step.is_long_running:
-            # A silent runner has been given up for these by now, because they
-            # have to run again within seconds.
-            if entry.missed_renewals:
-                return True
-            waited = self._context.get_now() - task.phase_since
-            return is_shut_out and (
-                waited >= _MAX_LONG_RUNNING_WAIT or self._is_leaving(entry)
-            )
-        if _crash_suspects.is_suspect(task):
-            # It may crash the runner each time.
-            return is_shut_out
-        return (
-            is_shut_out
-            and entry.missed_renewals == 0
-            and self._is_leaving(entry)
+        if not task.step.is_long_running:
+            return False
+        # A silent runner has been given up for these by now.
+        if entry.missed_renewals:
+            return True
+        waited = self._context.get_now() - task.phase_since
+        return entry.fence.shuts_out(attempt.token) and (
+            waited >= _MAX_LONG_RUNNING_WAIT or self._is_leaving(entry)
         )
--- a/tamarackhatch/scheduler/_dispatcher.py
+++ b/tamarackhatch/scheduler/_dispatcher.py
@@ -248,7 +248,7 @@
         Removes their runners from the candidates.
         """
         for decision in self._chooser.choose_for_suspects(
-            groups, candidates, self.is_withheld
+            groups, candidates, self.is_paused, self.list_allowed
         ):
             choices = decision.choices
             self._context.load_monitor.counters.placed += len(choices)
@@ -276,6 +276,12 @@
         """Returns whether a task must not start on any runner with room."""
         return self.is_paused(task) or self._bound_tasks.is_bound(task)
 
+    def list_allowed(
+        self, task: _state.TaskEntry, candidates: _runner_choice.Runners
+    ) -> _runner_choice.Runners:
+        """Returns the runners to which no unanswered start binds a task."""
+        return self._bound_tasks.list_allowed(task, candidates)
+
     def is_paused(self, task: _state.TaskEntry) -> bool:
         """Returns whether a task must not start yet after a takeover."""
         if not self._has_paused_starts:
--- a/tamarackhatch/scheduler/_dry_run.py
+++ b/tamarackhatch/scheduler/_dry_run.py
@@ -185,7 +185,10 @@
 
     def _place_suspects(self, groups: list[_group_order.Group]) -> None:
         for decision in self._chooser.choose_for_suspects(
-            groups, self._candidates, self._dispatcher.is_withheld
+            groups,
+            self._candidates,
+            self._dispatcher.is_paused,
+            self._dispatcher.list_allowed,
         ):
             self._earlier.add(
                 decision.task,
--- a/tamarackhatch/scheduler/_runner_choice.py
+++ b/tamarackhatch/scheduler/_runner_choice.py
@@ -5,6 +5,7 @@
 candidates; nothing else changes.
 """
 
+from collections.abc import Callable
 from collections.abc import Iterable
 from collections.abc import Iterator
 from collections.abc import Sequence
@@ -22,6 +23,7 @@
 from tamarackhatch.scheduler import _state
 
 Runners = list[placement.CandidateRunner]
+ListAllowed = Callable[[_state.TaskEntry, Runners], Runners]
 _ANYWHERE: list[frozenset[str]] = [frozenset()]
 
 
@@ -139,6 +141,7 @@
         groups: Iterable[_group_order.Group],
         candidates: _candidates.Candidates,
         is_paused: _group_order.IsPaused,
+        list_allowed: ListAllowed,
     ) -> Iterator[SuspectChoice]:
         """Yields decisions on suspects of crashes, one task for each runner.
 
@@ -150,6 +153,8 @@
             groups: The waiting tasks.
             candidates: Runners that may get tasks, by service.
             is_paused: Returns whether a task must not start yet.
+            list_allowed: Returns those of some runners on which a task may
+                start in spite of start commands without an answer.
         """
         context = self._context
         suspects = [
@@ -167,7 +172,7 @@
         for task in _candidates.list_urgent_tasks(context, now):
             service = task.job.job.queue.service
             if not is_paused(task) and self._has_place(
-                task, candidates.get(service, [])
+                task, list_allowed(task, candidates.get(service, []))
             ):
                 # It goes first, and would find the runner closed.
                 allowances[service] = 0
@@ -176,7 +181,9 @@
             group = candidates.get(service, [])
             if allowances[service] <= 0:
                 continue
-            allowed = filter_by_ticket(context, task, group)
+            allowed = list_allowed(
+                task, filter_by_ticket(context, task, group)
+            )
             choices = self.choose(
                 [task],
                 _isolation.list_isolation_candidates(
