Blame no task for crashes that runners have by themselves

Cause: a task that was lost in several crashes counted as their cause without regard to how often runners crash. A sound task of 12 s is lost in 40 % of its runs where an eighth of the runners crash every three seconds.

Change: a job fails only if a sound task would hardly be lost as often: Poisson, with the rate of the crashes that the task did not cause, and the ages of its runs.

--- a/tamarackhatch/records/_progress.py
+++ b/tamarackhatch/records/_progress.py
@@ -32,12 +32,16 @@
         checkpoint: Latest checkpoint; empty for none.
         crashes: For each run whose runner crashed, by number, what the run
             may have had to do with it.
+        expected_crashes: How many crashes of its runner were to be expected
+            while each of these runs lasted, in millionths. Unknown for runs
+            that an earlier release recorded.
     """
 
     last_exited_run: int
     failed_runs: tuple[int, ...]
     checkpoint: str
     crashes: dict[int, model.CrashRole] = attrs.field(factory=dict)
+    expected_crashes: dict[int, int] = attrs.field(factory=dict)
 
 
 @attrs.frozen
@@ -151,6 +155,13 @@
     ]
     if crashes:
         document["c"] = crashes
+    expected = [
+        [step, index, list(history.expected_crashes.items())]
+        for (step, index), history in occurrence.tasks.items()
+        if history.expected_crashes
+    ]
+    if expected:
+        document["e"] = expected
     return document
 
 
@@ -159,11 +170,19 @@
         (step, index): {run: model.CrashRole(role) for run, role in roles}
         for step, index, roles in document.get("c", [])
     }
+    expected = {
+        (step, index): dict(counts)
+        for step, index, counts in document.get("e", [])
+    }
     return OccurrenceProgress(
         {int(step): int(bits, 16) for step, bits in document["d"].items()},
         {
             (step, index): TaskHistory(
-                run, tuple(failed), checkpoint, crashes.get((step, index), {})
+                run,
+                tuple(failed),
+                checkpoint,
+                crashes.get((step, index), {}),
+                expected.get((step, index), {}),
             )
             for step, index, run, failed, checkpoint in document["t"]
         },
--- a/tamarackhatch/records/_progress_parts.py
+++ b/tamarackhatch/records/_progress_parts.py
@@ -261,6 +261,11 @@
                 history.failed_runs,
                 history.checkpoint,
                 [[run, int(role)] for run, role in history.crashes.items()],
+                *(
+                    [list(history.expected_crashes.items())]
+                    if history.expected_crashes
+                    else []
+                ),
             ]
             for position, history in unit.tasks.items()
         ],
@@ -278,7 +283,8 @@
                 tuple(failed),
                 checkpoint,
                 {number: model.CrashRole(role) for number, role in crashes},
+                dict(*expected),
             )
-            for position, run, failed, checkpoint, crashes in tasks
+            for position, run, failed, checkpoint, crashes, *expected in tasks
         },
     )
--- a/tamarackhatch/records/tests/test_progress_parts.py
+++ b/tamarackhatch/records/tests/test_progress_parts.py
@@ -3,6 +3,7 @@
 import itertools
 import random
 
+import attrs
 import pytest
 
 from tamarackhatch import model
@@ -49,10 +50,21 @@
     ]
 
 
-def test_part_keeps_its_form() -> None:
+@pytest.mark.parametrize(
+    ("row", "expected_crashes"),
+    [
+        (b'{"u":[[3,1,2,"5",[[5,7,[7],"0b",[[7,1]]]]]]}', {}),
+        (b'{"u":[[3,1,2,"5",[[5,7,[7],"0b",[[7,1]],[[7,500]]]]]]}', {7: 500}),
+    ],
+)
+def test_part_keeps_its_form(
+    row: bytes, expected_crashes: dict[int, int]
+) -> None:
     """Guards against parts misread by other releases in an upgrade."""
-    row = b'{"u":[[3,1,2,"5",[[5,7,[7],"0b",[[7,1]]]]]]}'
     unit = _make_unit(records.UnitName(3, 1, 2), 5, 7)
+    unit.tasks[5] = attrs.evolve(
+        unit.tasks[5], expected_crashes=expected_crashes
+    )
     assert records.decode_part(row) == (unit,)
     assert records.encode_part([unit]) == row
 
--- a/tamarackhatch/records/tests/test_records.py
+++ b/tamarackhatch/records/tests/test_records.py
@@ -61,7 +61,13 @@
 ) -> None:
     """Guards against finished tasks or failures lost by a takeover."""
     crashes = {run: model.CrashRole.SUSPECT for run in failed}
-    history = records.TaskHistory(7, tuple(sorted(failed)), "0b", crashes)
+    history = records.TaskHistory(
+        7,
+        tuple(sorted(failed)),
+        "0b",
+        crashes,
+        {run: 10 * run for run in failed},
+    )
     progress = records.JobProgress(
         model.JobState.RUNNING,
         2,
@@ -72,27 +78,38 @@
 
 
 @pytest.mark.parametrize(
-    ("row", "crashes"),
+    ("row", "crashes", "expected_crashes"),
     [
         (
             b'{"s":"running","o":{"0":{"d":{"1":"5"},"t":[[0,2,7,[3],""]]}}}',
             {},
+            {},
         ),
         (
             b'{"s":"running","o":{"0":{"d":{"1":"5"},"t":[[0,2,7,[3],""]],'
             b'"c":[[0,2,[[6,0],[7,2]]]]}}}',
             {6: model.CrashRole.BYSTANDER, 7: model.CrashRole.SOLE_SUSPECT},
+            {},
+        ),
+        (
+            b'{"s":"running","o":{"0":{"d":{"1":"5"},"t":[[0,2,7,[3],""]],'
+            b'"c":[[0,2,[[6,0]]]],"e":[[0,2,[[6,1500]]]]}}}',
+            {6: model.CrashRole.BYSTANDER},
+            {6: 1500},
         ),
     ],
 )
 def test_progress_row_keeps_its_form(
-    row: bytes, crashes: dict[int, model.CrashRole]
+    row: bytes,
+    crashes: dict[int, model.CrashRole],
+    expected_crashes: dict[int, int],
 ) -> None:
     """Guards against progress misread by other releases in an upgrade.
 
-    The first row is one of releases that did not record crashes.
+    The first row is one of releases that did not record crashes, the second
+    one of those that did not record how many were to be expected.
     """
-    history = records.TaskHistory(7, (3,), "", crashes)
+    history = records.TaskHistory(7, (3,), "", crashes, expected_crashes)
     progress = records.JobProgress(
         model.JobState.RUNNING,
         0,
--- a/tamarackhatch/scheduler/_context.py
+++ b/tamarackhatch/scheduler/_context.py
@@ -14,6 +14,7 @@
 from tamarackhatch import observability
 from tamarackhatch import placement
 from tamarackhatch import platform
+from tamarackhatch.scheduler import _crash_rates
 from tamarackhatch.scheduler import _evacuations
 from tamarackhatch.scheduler import _fleet
 from tamarackhatch.scheduler import _job_tracker
@@ -38,6 +39,7 @@
         job_tracker: State of unfinished jobs and tasks.
         fleet: Runners by identifier.
         start_attempts: Start commands that may still be carried out.
+        crash_rates: Knows how often runners crash.
         writer: Writes durable progress.
         log: Log of the scheduler.
         metrics: Measurements of the process.
@@ -66,6 +68,7 @@
     job_tracker: _job_tracker.JobTracker
     fleet: dict[str, _fleet.RunnerEntry]
     start_attempts: _start_attempts.StartAttempts
+    crash_rates: _crash_rates.CrashRates
     writer: _writer.ProgressWriter
     log: observability.Log
     metrics: observability.Metrics
--- a/tamarackhatch/scheduler/_crash_recorder.py
+++ b/tamarackhatch/scheduler/_crash_recorder.py
@@ -2,6 +2,7 @@
 
 import datetime
 
+from tamarackhatch import model
 from tamarackhatch.scheduler import _context
 from tamarackhatch.scheduler import _crash_suspects
 from tamarackhatch.scheduler import _fleet
@@ -10,6 +11,10 @@
 
 _MAX_LOGGED_RUNS = 12
 _MILLISECOND = datetime.timedelta(milliseconds=1)
+# The crashes of a task that probably causes them do not make those of another
+# one look usual.
+_MIN_CRASHES_OF_CAUSE = 3
+_MAX_CHANCE_OF_CAUSE = 1e-3
 
 
 class CrashRecorder:
@@ -50,9 +55,12 @@
                 job_tracker.evict_task(task, reason)
             else:
                 job_tracker.record_lost_run(task, reason)
+        if entry.record.is_draining:
+            return
+        self._record_rate(tasks)
         for task in involved:
             if _crash_suspects.is_proven_cause(task, entry.evidence):
-                job_tracker.fail_crashing_job(task)
+                self._give_up(task)
 
     def suppose_crash(
         self, tasks: list[_state.TaskEntry]
@@ -71,11 +79,47 @@
         )
         roles = _crash_suspects.assign_roles(tasks, crash)
         for task, role in roles:
+            rate = self._context.crash_rates.estimate_rate(
+                entry.record.service, task.key
+            )
+            _crash_suspects.record_expectation(task, crash, rate)
             job_tracker.record_crash(task, role, entry.record.address)
         if entry.evidence is not _crash_suspects.Evidence.ENDED:
             entry.supposed_crashes += [(task, task.run) for task, _ in roles]
         return [task for task, _ in roles]
 
+    def _record_rate(self, tasks: list[_state.TaskEntry]) -> None:
+        """Records the crash in the rate at which runners crash."""
+        suspects = [
+            task
+            for task in tasks
+            if task.crashes.get(task.run) is model.CrashRole.SOLE_SUSPECT
+        ]
+        cause = None
+        if len(suspects) == 1:
+            (suspect,) = suspects
+            if (
+                len(suspect.crashes) >= _MIN_CRASHES_OF_CAUSE
+                and _crash_suspects.compute_chance(suspect)
+                < _MAX_CHANCE_OF_CAUSE
+            ):
+                cause = suspect.key
+        self._context.crash_rates.record_crash(
+            self._entry.record.service, (task.key for task in tasks), cause
+        )
+
+    def _give_up(self, task: _state.TaskEntry) -> None:
+        """Fails a task's job, unless it may have been lost by chance."""
+        if _crash_suspects.may_be_chance(task):
+            self._context.log.warning(
+                "crashes_may_be_chance",
+                task=str(task.key),
+                crashes=sorted(task.crashes),
+                chance=_crash_suspects.compute_chance(task),
+            )
+            return
+        self._context.job_tracker.fail_crashing_job(task)
+
     def _log_lost_runner(self, reason: str, proof: _run_proofs.Proof) -> None:
         """Logs the runs on a lost runner, the latest first."""
         context, entry = self._context, self._entry
--- a/tamarackhatch/scheduler/_crash_suspects.py
+++ b/tamarackhatch/scheduler/_crash_suspects.py
@@ -11,6 +11,7 @@
 from collections.abc import Collection
 import datetime
 import enum
+import math
 
 import attrs
 
@@ -38,6 +39,16 @@
 _MIN_CRASHES_AT_ONE_ADDRESS = 3
 # The members of a gang start together and cannot be observed one by one.
 _MAX_GANG_CRASHES = 4
+# A task is given up if a sound one is lost as often with these probabilities
+# at most, after crashes at the same age of its runs or at different ones.
+_MAX_REGULAR_CHANCE = 1e-4
+_MAX_CHANCE = 1e-6
+# The last answer of a runner is up to so much earlier than its crash.
+_MAX_AGE_DIFFERENCE = datetime.timedelta(milliseconds=1600)
+# In millionths; for five seconds and a crash per 100 seconds.
+_UNKNOWN_EXPECTATION = 50_000
+# Least age of a run at a crash, whose time is not known exactly.
+_MIN_AGE = datetime.timedelta(milliseconds=100)
 
 _Role = model.CrashRole
 
@@ -168,6 +179,63 @@
     )
 
 
+def record_expectation(
+    task: _state.TaskEntry, crash: Crash, crash_rate: float
+) -> None:
+    """Records how many crashes were to be expected while a task ran.
+
+    Args:
+        task: A task whose latest run was lost in a crash.
+        crash: The crash.
+        crash_rate: Crashes per runner and second that it did not cause.
+    """
+    age = max(crash.time - task.placed_at, _MIN_AGE)
+    task.crash_ages[task.run] = age
+    task.expected_crashes[task.run] = round(
+        crash_rate * age.total_seconds() * 1_000_000
+    )
+
+
+def may_be_chance(task: _state.TaskEntry) -> bool:
+    """Returns whether a sound task may be lost as often as a task was.
+
+    A task that crashes its runners mostly does so at the same point of its
+    run. If it has survived that point, more evidence is needed.
+    """
+    ages = [task.crash_ages.get(run) for run in task.crashes]
+    known = [age for age in ages if age is not None]
+    is_regular = (
+        len(known) == len(ages)
+        and max(known) - min(known) <= _MAX_AGE_DIFFERENCE
+    )
+    limit = _MAX_REGULAR_CHANCE if is_regular else _MAX_CHANCE
+    return compute_chance(task) > limit
+
+
+def compute_chance(task: _state.TaskEntry) -> float:
+    """Returns how probably a sound task is lost as often as a task was.
+
+    Where runners crash often, so that each second of a run has its risk, many
+    crashes prove little, unless they came soon after the starts.
+
+    Args:
+        task: A task that was in crashes.
+    """
+    expected = (
+        sum(
+            task.expected_crashes.get(run, _UNKNOWN_EXPECTATION)
+            for run in task.crashes
+        )
+        / 1_000_000
+    )
+    # Of a Poisson distribution.
+    fewer = sum(
+        expected**count / math.factorial(count)
+        for count in range(len(task.crashes))
+    )
+    return 1 - math.exp(-expected) * fewer
+
+
 def _has_one_address(task: _state.TaskEntry) -> bool:
     """Returns whether all crashes are known to be at one address."""
     addresses = {task.crash_addresses.get(run) for run in task.crashes}
--- a/tamarackhatch/scheduler/_restored_occurrences.py
+++ b/tamarackhatch/scheduler/_restored_occurrences.py
@@ -34,6 +34,7 @@
                 task.failed_runs = frozenset(history.failed_runs)
                 task.checkpoint = history.checkpoint
                 task.crashes = dict(history.crashes)
+                task.expected_crashes = dict(history.expected_crashes)
             tasks.append(task)
         steps.append(tasks)
         remaining.append(
--- a/tamarackhatch/scheduler/_scheduler.py
+++ b/tamarackhatch/scheduler/_scheduler.py
@@ -15,6 +15,7 @@
 from tamarackhatch.scheduler import _configuration_publisher
 from tamarackhatch.scheduler import _context
 from tamarackhatch.scheduler import _cordons
+from tamarackhatch.scheduler import _crash_rates
 from tamarackhatch.scheduler import _dependencies
 from tamarackhatch.scheduler import _dispatcher
 from tamarackhatch.scheduler import _dry_run
@@ -129,6 +130,7 @@
             job_tracker=job_tracker,
             fleet=fleet,
             start_attempts=start_attempts,
+            crash_rates=_crash_rates.CrashRates(time_source, fleet),
             writer=self._writer,
             log=log,
             metrics=metrics,
--- a/tamarackhatch/scheduler/_state.py
+++ b/tamarackhatch/scheduler/_state.py
@@ -128,6 +128,11 @@
             may have had to do with it.
         crash_addresses: Addresses of these runners, by run; those of earlier
             terms are not known.
+        crash_ages: Times from the start of these runs to the crash, by run;
+            those of earlier terms are not known.
+        expected_crashes: How many crashes of their runners were to be
+            expected while these runs lasted, by run, in millionths; not known
+            of runs that an earlier release recorded.
         checkpoint: Latest checkpoint; empty for none.
         progress_percent: Progress in the runner's last report, in per cent.
         progress_reported_at: Monotonic time of that report; None if the
@@ -169,6 +174,8 @@
     failed_runs: frozenset[int] = frozenset()
     crashes: dict[int, model.CrashRole] = attrs.field(factory=dict)
     crash_addresses: dict[int, str] = attrs.field(factory=dict)
+    crash_ages: dict[int, datetime.timedelta] = attrs.field(factory=dict)
+    expected_crashes: dict[int, int] = attrs.field(factory=dict)
     checkpoint: str = ""
     progress_percent: int = 0
     progress_reported_at: datetime.timedelta | None = None
@@ -419,4 +426,9 @@
         tuple(sorted(task.failed_runs)),
         checkpoint,
         dict(task.crashes),
+        {
+            run: count
+            for run, count in task.expected_crashes.items()
+            if run in task.crashes
+        },
     )
--- a/tamarackhatch/scheduler/tests/test_crash_suspects.py
+++ b/tamarackhatch/scheduler/tests/test_crash_suspects.py
@@ -1,7 +1,11 @@
 """Tests of tasks that crash the runners that start them."""
 
 import asyncio
+from collections.abc import Callable
+from collections.abc import Coroutine
 import datetime
+import random
+from typing import Any
 
 import pytest
 
@@ -107,6 +111,121 @@
     virtual_time.run_virtually(simulate())
 
 
+async def _crash_at_random(
+    fleet: standin_fleet.VirtualFleet, seed: int, share: float
+) -> None:
+    """Crashes a share of the runners every three seconds."""
+    chosen = random.Random(seed)
+    count = round(len(fleet.runners) * share)
+    while True:
+        await asyncio.sleep(3)
+        for stand_in in chosen.sample(fleet.runners, count):
+            stand_in.crash(resets_connections=True)
+
+
+async def _crash_in_storms(
+    fleet: standin_fleet.VirtualFleet, seed: int, share: float
+) -> None:
+    """Crashes the same share of the runners every 14 seconds."""
+    count = round(len(fleet.runners) * share)
+    while True:
+        await asyncio.sleep(14)
+        for stand_in in fleet.runners[:count]:
+            stand_in.crash(resets_connections=False)
+
+
+@pytest.mark.parametrize("seed", range(3))
+@pytest.mark.parametrize(
+    "kill_times_s", [(), (16.0, 34.0)], ids=["no-kills", "kills"]
+)
+@pytest.mark.parametrize(
+    ("crash", "share"),
+    [
+        pytest.param(_crash_at_random, 1 / 8, id="eighth"),
+        pytest.param(_crash_at_random, 1 / 12, id="twelfth"),
+        pytest.param(_crash_in_storms, 1 / 3, id="storms"),
+    ],
+)
+def test_crashes_of_many_runners_fail_no_sound_job(
+    crash: Callable[
+        [standin_fleet.VirtualFleet, int, float], Coroutine[Any, Any, None]
+    ],
+    share: float,
+    kill_times_s: tuple[float, ...],
+    seed: int,
+) -> None:
+    """Guards against blame for runners that crash all the time.
+
+    The tasks last as long as several crashes are apart.
+    """
+
+    async def simulate() -> None:
+        fleet = standin_fleet.VirtualFleet(
+            24, lambda task, run: (12.0, "done")
+        )
+        for name in ("a", "b", "c"):
+            fleet.start_instance(name)
+        await fleet.wait_until(lambda: fleet.get_leader() is not None)
+        await asyncio.sleep(1)
+        jobs = [f"sound{number}" for number in range(40)]
+        for name in jobs:
+            await fleet.submit(name, _make_step(8))
+        began = asyncio.get_running_loop().time()
+        crashing = asyncio.create_task(crash(fleet, seed, share))
+        for time in kill_times_s:
+            await asyncio.sleep(
+                began + time - asyncio.get_running_loop().time()
+            )
+            await _kill_leader(fleet)
+        await asyncio.sleep(began + 66 - asyncio.get_running_loop().time())
+        crashing.cancel()
+        await asyncio.sleep(300)
+        states = [await fleet.read_state(name) for name in jobs]
+        assert states == [model.JobState.COMPLETED] * len(jobs)
+        assert fleet.check() == []
+
+    virtual_time.run_virtually(simulate())
+
+
+@pytest.mark.parametrize("crash_delay_s", [0.0, 0.2, 2.0])
+@pytest.mark.parametrize("seed", range(3))
+def test_task_that_crashes_its_runners_is_found_among_other_crashes(
+    seed: int, crash_delay_s: float
+) -> None:
+    """Guards against starts without limit where runners crash by themselves.
+
+    One of 24 runners crashes every three seconds.
+    """
+
+    def plan(task: str, run: int) -> tuple[float, str]:
+        if task.startswith(_CRASHING):
+            return crash_delay_s, runner.CRASH
+        return 3.0, "done"
+
+    async def simulate() -> None:
+        fleet = standin_fleet.VirtualFleet(24, plan)
+        fleet.start_instance("a")
+        await fleet.wait_until(lambda: fleet.get_leader() is not None)
+        await asyncio.sleep(1)
+        crashing = asyncio.create_task(_crash_at_random(fleet, seed, 1 / 24))
+        for number in range(3):
+            await fleet.submit(f"{_CRASHING}{number}", _make_step(1))
+        for number in range(30):
+            await fleet.submit(f"sound{number}", _make_step(4))
+            await asyncio.sleep(2)
+        await asyncio.sleep(20)
+        crashing.cancel()
+        assert fleet.check() == []
+        for number in range(3):
+            state = await fleet.read_state(f"{_CRASHING}{number}")
+            assert state is model.JobState.FAILED
+        for number in range(30):
+            state = await fleet.read_state(f"sound{number}")
+            assert state is model.JobState.COMPLETED
+
+    virtual_time.run_virtually(simulate())
+
+
 _QUEUE = standin_fleet.QUEUE
 _SECOND = datetime.timedelta(seconds=1)
 _Evidence = _crash_suspects.Evidence
@@ -187,6 +306,38 @@
     assert _crash_suspects.is_proven_cause(task, evidence) == is_proven_cause
 
 
+@pytest.mark.parametrize(
+    ("ages_s", "crash_rate", "is_likely"),
+    [
+        # Right after its starts, and hardly a runner crashes besides.
+        ([0.02, 0.02], 0.0005, False),
+        # Seconds after its starts, on quiet runners and on failing ones.
+        ([2.0, 2.0, 2.0, 2.0], 0.005, False),
+        ([6.0, 6.0, 6.0, 6.0], 0.04, True),
+        ([6.0, 6.0, 6.0, 6.0], 0.001, False),
+        # It has survived what it was lost after before.
+        ([1.0, 3.0, 1.0, 3.0], 0.01, True),
+        ([1.0, 3.0, 1.0, 3.0], 0.001, False),
+        # Even there, nothing crashes so soon so often.
+        ([0.02, 0.02, 0.02], 0.04, False),
+    ],
+)
+def test_chance_that_a_sound_task_is_lost_as_often(
+    ages_s: list[float], crash_rate: float, is_likely: bool
+) -> None:
+    """Guards against blame without, and doubts about, a cause."""
+    task = _make_task(0, 0.0)
+    for run, age_s in enumerate(ages_s, 1):
+        task.run = run
+        task.crashes[run] = _Role.SOLE_SUSPECT
+        _crash_suspects.record_expectation(
+            task,
+            _crash_suspects.Crash((100 + age_s) * _SECOND, _Evidence.ENDED),
+            crash_rate,
+        )
+    assert _crash_suspects.may_be_chance(task) == is_likely
+
+
 async def _crash_while_running(
     fleet: standin_fleet.VirtualFleet, delays_s: list[float]
 ) -> None:
