--- a/standins/processes.py
+++ b/standins/processes.py
@@ -67,8 +67,19 @@
         self.runners.append(added)
         self._runner_servers.append(server)
 
-    def publish_configuration(self, version: int, prefixes: list[str]) -> None:
-        """Writes a configuration with a queue for each path prefix."""
+    def publish_configuration(
+        self,
+        version: int,
+        prefixes: list[str],
+        limits: dict[str, int] | None = None,
+    ) -> None:
+        """Writes a configuration with a queue for each path prefix.
+
+        Args:
+            version: Number of the version.
+            prefixes: The path prefixes.
+            limits: Limits of requests from callers, by key.
+        """
         routes = [
             {
                 "name": f"queue-{prefix.strip('/')}",
@@ -83,6 +94,7 @@
             "version": version,
             "routes": routes,
             "services": [{"name": SERVICE, "enforces_capacity": True}],
+            "limits": limits or {},
         }
         value = base64.b64encode(orjson.dumps(document)).decode()
         self.store.put("op", "config", value)
@@ -94,6 +106,7 @@
         *arguments: str,
         store_address: str | None = None,
         has_internal_address: bool = False,
+        has_interface: bool = False,
         bounds: dict[str, int] | None = None,
         data_centre: str = "here",
         program: pathlib.Path | None = None,
@@ -107,11 +120,12 @@
             store_address: Address at which it reaches the store; None for
                 that of the others.
             has_internal_address: Whether other instances know it.
+            has_interface: Whether it serves the project's own interface.
             bounds: Further bounds of its settings, by key.
             data_centre: Its data centre.
             program: Folder whose modules it runs; None for the own ones.
         """
-        caller, readiness, internal, metrics = get_free_ports(4)
+        caller, readiness, internal, metrics, interface = get_free_ports(5)
         path = self._folder / f"{name}.jsonc"
         self.settings_paths[name] = path
         self.metrics_ports[name] = metrics
@@ -131,6 +145,9 @@
                         if has_internal_address
                         else None
                     ),
+                    "interface_address": (
+                        f"127.0.0.1:{interface}" if has_interface else None
+                    ),
                     "bounds": bounds or {},
                 }
             )
