Keep what clients send within a budget for the process

Seen: clients that send large bodies and stop just short of their end, bodies far over the limit, or many small chunks made a process grow to 168 to 272 MB, on machines with 160, until it was killed; unused connections took its descriptors; beside bodies in chunks of 16 bytes an ordinary caller had no answer for a minute.

Cause: a body counts as received only when it is complete, and until then it had no owner that knows of the others. Each server took 100 MB for each body, nothing bounded their sum, the number of connections, or the time for a request, and the limits in the operator's configuration were read and not used. Class: a limit for each request where the resource belongs to the process.

Change: all servers of a process share a guard. Streams count what arrives; beyond 16 MiB the largest incomplete requests are closed, beyond 1,200 connections unused ones of the server that has most. What a closed connection has sent is forgotten at once: its reader runs only after all other ready sockets. Limits of header, body and times from the configuration are enforced: 413, 400 and 503 with Connection: close, before the body is read where its size is announced.

--- a/tamarackhatch/observability/_metrics.py
+++ b/tamarackhatch/observability/_metrics.py
@@ -37,6 +37,28 @@
             buckets=_LATENCY_BUCKETS_S,
             registry=self._registry,
         )
+        self.client_connections = prometheus_client.Gauge(
+            "tamarackhatch_client_connections",
+            "Open connections to all servers of the process.",
+            registry=self._registry,
+        )
+        self.receive_buffer_bytes = prometheus_client.Gauge(
+            "tamarackhatch_receive_buffer_bytes",
+            "What the requests of these connections count for in the budget.",
+            registry=self._registry,
+        )
+        self.dropped_connections = prometheus_client.Counter(
+            "tamarackhatch_dropped_connections",
+            "Connections closed before their request was complete, by reason.",
+            ["reason"],
+            registry=self._registry,
+        )
+        self.refused_requests = prometheus_client.Counter(
+            "tamarackhatch_refused_requests",
+            "Requests refused for their size or lack of memory, by status.",
+            ["status"],
+            registry=self._registry,
+        )
         self.commands = prometheus_client.Counter(
             "tamarackhatch_orders",
             "Orders to runners by kind and outcome.",
--- a/tamarackhatch/server/_instance.py
+++ b/tamarackhatch/server/_instance.py
@@ -5,19 +5,19 @@
 import pathlib
 import secrets
 import signal
-import typing
 
-from tornado import httpserver
 from tornado import httputil
 
 from tamarackhatch import admission
 from tamarackhatch import clock
+from tamarackhatch import connections
 from tamarackhatch import entry
 from tamarackhatch import errors
 from tamarackhatch import observability
 from tamarackhatch import platform
 from tamarackhatch import records
 from tamarackhatch import scheduler
+from tamarackhatch.server import _listeners
 from tamarackhatch.server import _role
 from tamarackhatch.server import _supervision
 from tamarackhatch.server import _where
@@ -41,9 +41,6 @@
 _STOP_POLL_INTERVAL = datetime.timedelta(milliseconds=50)
 # An instance without an answer from the store for this time is not ready.
 _MAX_TIME_SINCE_STORE_ANSWER = datetime.timedelta(milliseconds=2500)
-_MAX_HEADER_BYTES = 65536
-# Somewhat longer bodies than accepted ones are answered with an error.
-_MAX_OPERATOR_BODY_BYTES = 4 * where.MAX_BODY_BYTES
 
 
 class Instance:
@@ -162,7 +159,12 @@
             time_source.get_utc,
             self._log.for_component("ingress"),
         )
-        self._servers: list[httpserver.HTTPServer] = []
+        self._listeners = _listeners.Listeners(
+            initial_settings.limits,
+            time_source,
+            self._log.for_component("connections"),
+            self._metrics,
+        )
 
     @property
     def is_ready(self) -> bool:
@@ -200,6 +202,7 @@
                 ("configuration", self._configuration_watcher.run),
                 ("role", self._role.run),
                 ("settings", self._watch_settings),
+                ("connections", self._listeners.run),
                 ("store traffic", self._store_traffic.run),
                 *([("entry", self._entry.run)] if self._entry else []),
             )
@@ -264,43 +267,50 @@
         return configuration is None or configuration.names_service(name)
 
     def _start_servers(self) -> None:
-        initial_settings = self._initial_settings
-        bindings: list[tuple[settings.Address, typing.Any]] = [
-            (initial_settings.caller_address, self._ingress.handle_request),
-            (initial_settings.readiness_address, self._serve_readiness),
-        ]
+        initial_settings, listen = (
+            self._initial_settings,
+            self._listeners.listen,
+        )
+        listen(
+            "callers",
+            initial_settings.caller_address,
+            self._ingress.handle_request,
+            self._get_caller_limits,
+        )
+        listen(
+            "readiness",
+            initial_settings.readiness_address,
+            self._serve_readiness,
+            lambda: _listeners.PROBE_LIMITS,
+        )
         if initial_settings.metrics_address is not None:
-            bindings.append(
-                (initial_settings.metrics_address, self._serve_metrics)
+            listen(
+                "metrics",
+                initial_settings.metrics_address,
+                self._serve_metrics,
+                lambda: _listeners.OPERATOR_LIMITS,
             )
         if self._receiver is not None:
-            address = initial_settings.internal_address
-            assert address is not None
-            server = httpserver.HTTPServer(
+            assert initial_settings.internal_address is not None
+            listen(
+                "instances",
+                initial_settings.internal_address,
                 self._receiver.handle_request,
-                max_header_size=_MAX_HEADER_BYTES,
-                max_body_size=entry.MAX_BODY_BYTES,
+                lambda: _listeners.PEER_LIMITS,
             )
-            server.listen(address.port, address.host)
-            self._servers.append(server)
         if initial_settings.interface_address is not None:
             # Imported only if it is served, since memory has a price.
             from tamarackhatch import api
 
-            application = api.make_application(self._job_service, self._clock)
-            bindings.append((initial_settings.interface_address, application))
-        for address, handler in bindings:
-            server = httpserver.HTTPServer(
-                handler,
-                max_header_size=_MAX_HEADER_BYTES,
-                max_body_size=(
-                    _MAX_OPERATOR_BODY_BYTES
-                    if address is initial_settings.metrics_address
-                    else None
-                ),
+            listen(
+                "interface",
+                initial_settings.interface_address,
+                api.make_application(self._job_service, self._clock),
+                self._get_caller_limits,
             )
-            server.listen(address.port, address.host)
-            self._servers.append(server)
+
+    def _get_caller_limits(self) -> connections.ServerLimits:
+        return _listeners.make_caller_limits(self._job_service.limits)
 
     async def _shut_down(self, tasks: list[asyncio.Task[None]]) -> None:
         self._log.info("stopping", in_flight=self._ingress.in_flight)
@@ -322,13 +332,11 @@
             ):
                 break
             await self._clock.sleep(_STOP_POLL_INTERVAL)
-        for server in self._servers:
-            server.stop()
+        self._listeners.stop()
         for task in tasks:
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
-        for server in self._servers:
-            await server.close_all_connections()
+        await self._listeners.close()
         self._store_client.close()
         self._runner_client.close()
         if self._peer_client is not None:
--- a/tamarackhatch/settings/__init__.py
+++ b/tamarackhatch/settings/__init__.py
@@ -2,6 +2,7 @@
 
 from tamarackhatch.settings._kinds import Address
 from tamarackhatch.settings._settings import Bounds
+from tamarackhatch.settings._settings import Limits
 from tamarackhatch.settings._settings import load_settings
 from tamarackhatch.settings._settings import Logging
 from tamarackhatch.settings._settings import read_settings
@@ -12,6 +13,7 @@
 __all__ = [
     "Address",
     "Bounds",
+    "Limits",
     "Logging",
     "SETTINGS_KEYS",
     "Scheduling",
--- a/tamarackhatch/settings/_settings.py
+++ b/tamarackhatch/settings/_settings.py
@@ -72,6 +72,20 @@
     leader_lease: datetime.timedelta = 5 * _SECOND
 
 
+@attrs.frozen
+class Limits:
+    """What the clients of all servers of the process may use together.
+
+    Attributes:
+        connections: Number of open connections.
+        receive_buffer_mb: Memory for requests that are being received or
+            handled, in MiB.
+    """
+
+    connections: int = 1200
+    receive_buffer_mb: int = 16
+
+
 @attrs.frozen
 class Logging:
     """Volume of the log.
@@ -108,6 +122,7 @@
             this one; None turns forwarding off in both directions.
         bounds: Time bounds of the deployment.
         scheduling: Leases and intervals of the scheduler.
+        limits: What clients may use together.
         logging: Volume of the log.
     """
 
@@ -124,6 +139,7 @@
     internal_address: _kinds.Address | None = None
     bounds: Bounds = Bounds()
     scheduling: Scheduling = Scheduling()
+    limits: Limits = Limits()
     logging: Logging = Logging()
 
     @property
@@ -238,6 +254,10 @@
     ),
     _make_duration("authority", _MILLISECOND, 500, 600_000, "leader_lease"),
 )
+_LIMITS_KEYS: typing.Final = (
+    documents.Key("connections", documents.Integer(1, 1_000_000)),
+    documents.Key("receive_buffer_mb", documents.Integer(1, 1_000_000)),
+)
 _LOGGING_KEYS: typing.Final = (
     documents.Key("level", _LEVEL),
     documents.Key("lines_per_s", documents.Integer(1, 100_000)),
@@ -270,6 +290,7 @@
     documents.Key(
         "scheduling", documents.Nested(_make_scheduling, _SCHEDULING_KEYS)
     ),
+    documents.Key("limits", documents.Nested(Limits, _LIMITS_KEYS)),
     documents.Key("logging", documents.Nested(Logging, _LOGGING_KEYS)),
 )
 
