Read jobs of the own interface beside other work

Seen: four jobs of 60 KB with errors, within the limits, kept the event loop for 0.9 s each; bodies of 262 KB are legal. Nothing else is served meanwhile, and the scheduler of the process renews no lease.

Guard: test_long_document_does_not_stop_the_process (failed before: the reader waits for the loop in vain).

--- a/tamarackhatch/api/_interface.py
+++ b/tamarackhatch/api/_interface.py
@@ -5,6 +5,7 @@
 long the caller waits for the answer.
 """
 
+import asyncio
 import datetime
 import re
 import typing
@@ -41,17 +42,25 @@
     """Serves the requests about one job."""
 
     def initialize(
-        self, service: model.JobService, time_source: clock.Clock
+        self,
+        service: model.JobService,
+        time_source: clock.Clock,
+        reading: asyncio.Lock,
     ) -> None:
         self._service = service
         self._clock = time_source
+        self._reading = reading
 
     async def put(self, identifier: str) -> None:
         """Submits the job; a repeated submission changes nothing."""
         if not self._validate_identifier(identifier):
             return
         try:
-            document = _job_document.read_job(self.request.body)
+            # A long document takes seconds, in which the scheduler goes on.
+            async with self._reading:
+                document = await asyncio.to_thread(
+                    _job_document.read_job, self.request.body
+                )
         except errors.FindingsError as error:
             self._write_error(400, error.message)
             return
@@ -135,7 +144,11 @@
     service: model.JobService, time_source: clock.Clock
 ) -> web.Application:
     """Returns the Tornado application of the project's own interface."""
-    handler_arguments = {"service": service, "time_source": time_source}
+    handler_arguments = {
+        "service": service,
+        "time_source": time_source,
+        "reading": asyncio.Lock(),
+    }
     return web.Application(
         [(r"/v1/jobs/([^/]+)", _JobHandler, handler_arguments)],
         log_function=lambda handler: None,
--- a/tamarackhatch/api/tests/test_interface.py
+++ b/tamarackhatch/api/tests/test_interface.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import datetime
+import threading
 import typing
 
 import orjson
@@ -11,6 +12,7 @@
 from tornado import testing
 
 from tamarackhatch import api
+from tamarackhatch.api import _job_document
 from tamarackhatch import clock
 from tamarackhatch import model
 from tamarackhatch import records
@@ -95,3 +97,28 @@
     response = asyncio.run(_put_job(lookup, orjson.dumps(document)))
     assert response.code == 400
     assert b"of which a row holds 48000" in response.body
+
+
+def test_long_document_does_not_stop_the_process(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against a scheduler that waits until a document is read."""
+    began, has_turned = threading.Event(), threading.Event()
+    read_job = _job_document.read_job
+
+    def read_slowly(body: bytes) -> api.JobDocument:
+        began.set()
+        assert has_turned.wait(10)
+        return read_job(body)
+
+    async def put_job() -> httpclient.HTTPResponse:
+        asking = asyncio.create_task(
+            _put_job(model.JobLookup(model.Outcome.DONE))
+        )
+        while not began.is_set():
+            await asyncio.sleep(0.01)
+        has_turned.set()
+        return await asking
+
+    monkeypatch.setattr(_job_document, "read_job", read_slowly)
+    assert asyncio.run(put_job()).code == 200
