Reject jobs of too many steps before these are read

Seen: a job of 252 KB with 21,000 steps, within the limit of a body, takes 0.11 s of the event loop to be read, before it is refused. A crowd of them leaves no time for anything else.

Change: a list of more than 1,600 steps is refused with 400 before its items are read. The row of a job has 48,000 bytes, and a step without any field takes 32.

Guard: test_job_of_too_many_steps_is_rejected_before_they_are_read (failed before: the answer named an error of the first step).

--- a/tamarackhatch/platform/_job_body.py
+++ b/tamarackhatch/platform/_job_body.py
@@ -10,6 +10,8 @@
 
 _MAX_SPECIFICATION_BYTES = 4000
 _MAX_TASKS = 20_000
+# The row of a job has room for fewer.
+_MAX_STEPS = 1600
 _UNIX_EPOCH = datetime.datetime(1970, 1, 1, tzinfo=datetime.timezone.utc)
 
 
@@ -42,6 +44,8 @@
                 f"spec is longer than {_MAX_SPECIFICATION_BYTES} bytes"
             )
         items = _decoding.get_list(document, "steps")
+        if len(items) > _MAX_STEPS:
+            raise MalformedJobError(f"a job has more than {_MAX_STEPS} steps")
         steps = tuple(
             _decode_step(_decoding.get_object(item, f"steps[{index}]"), index)
             for index, item in enumerate(items)
--- a/tamarackhatch/platform/tests/test_ingress.py
+++ b/tamarackhatch/platform/tests/test_ingress.py
@@ -181,6 +181,14 @@
     assert answer.status == status and text in answer.body
 
 
+def test_job_of_too_many_steps_is_rejected_before_they_are_read() -> None:
+    """Guards against bodies that take a tenth of a second to read."""
+    body = orjson.dumps({"spec": "x", "steps": [{"count": 0}] * 1601})
+    answer = _send_request("POST", _JOB_PATH, body=body)
+    assert answer.status == 400
+    assert b"a job has more than 1600 steps" in answer.body
+
+
 def test_malformed_job_is_rejected_with_a_reason() -> None:
     """Guards against a failure of the instance on a malformed job."""
     answer = _send_request("POST", _JOB_PATH, body=b'{"steps": 5}')
