Move long-running tasks to make room for urgent batch tasks

Cause: what long-running tasks leave free lies in pieces. Class: a greedy layout that nothing corrects once the situation has changed.

Change: where an urgent batch task fits nowhere, the fewest long-running tasks that make room for it move into pieces on other runners, in order: the run is stopped, its place held, and it starts there once its exit is known.

--- a/tamarackhatch/observability/_metrics.py
+++ b/tamarackhatch/observability/_metrics.py
@@ -197,6 +197,12 @@
             ["outcome"],
             registry=self._registry,
         )
+        self.consolidation_moves = prometheus_client.Counter(
+            "tamarackhatch_consolidation_moves",
+            "Moves of long-running tasks that make room, by outcome.",
+            ["outcome"],
+            registry=self._registry,
+        )
         self.withheld_moves = prometheus_client.Counter(
             "tamarackhatch_straggler_moves_withheld",
             "Slow runs that were not moved in a pass, by the reason.",
--- a/tamarackhatch/placement/__init__.py
+++ b/tamarackhatch/placement/__init__.py
@@ -9,6 +9,10 @@
 from tamarackhatch.placement._choice import rate_if_possible
 from tamarackhatch.placement._choice import release_choices
 from tamarackhatch.placement._choice import RunnerRating
+from tamarackhatch.placement._consolidation import ConsolidationPlanner
+from tamarackhatch.placement._consolidation import MovableTask
+from tamarackhatch.placement._consolidation import MoveSource
+from tamarackhatch.placement._consolidation import PlannedMove
 from tamarackhatch.placement._filling import fill_runners
 from tamarackhatch.placement._filling import FillingStep
 from tamarackhatch.placement._infeasible_demands import InfeasibleDemands
@@ -59,6 +63,7 @@
     "CandidateCache",
     "CandidateRunner",
     "Choice",
+    "ConsolidationPlanner",
     "ESTIMATE_ERROR",
     "FillingStep",
     "FreeRoom",
@@ -69,10 +74,13 @@
     "JobSample",
     "MAX_LATENESS",
     "MAX_NEAR_WAIT",
+    "MovableTask",
+    "MoveSource",
     "NearOption",
     "OrderKey",
     "PlaceDecision",
     "PlacementPolicy",
+    "PlannedMove",
     "Prospect",
     "Rank",
     "RemoteReason",
--- a/tamarackhatch/placement/_choice.py
+++ b/tamarackhatch/placement/_choice.py
@@ -202,7 +202,7 @@
     )
     if step.is_serving:
         score += policy.packing * reserved_share
-        score -= policy.image_mixing_weight * _compute_image_mixing(step, load)
+        score -= policy.image_mixing_weight * compute_image_mixing(step, load)
         return RunnerRating(score - _forecast_utilisation(step, candidate))
     if candidate.headrooms:
         cpu_share = _compute_cpu_share(step, candidate)
@@ -223,7 +223,7 @@
     )
 
 
-def _compute_image_mixing(step: model.Step, load: _load.RunnerLoad) -> float:
+def compute_image_mixing(step: model.Step, load: _load.RunnerLoad) -> float:
     """Returns a measure of the other images among the serving tasks there.
 
     0 for only the same image, 0.5 for no serving tasks, above 1 otherwise.
--- a/tamarackhatch/scheduler/_dispatcher.py
+++ b/tamarackhatch/scheduler/_dispatcher.py
@@ -8,6 +8,7 @@
 from tamarackhatch.scheduler import _bound_tasks
 from tamarackhatch.scheduler import _candidates
 from tamarackhatch.scheduler import _commands
+from tamarackhatch.scheduler import _consolidation
 from tamarackhatch.scheduler import _context
 from tamarackhatch.scheduler import _filling
 from tamarackhatch.scheduler import _fleet
@@ -54,6 +55,9 @@
         self._near_places = _near_places.NearPlacer(
             context, self._choose_near, self._start_chosen_tasks
         )
+        self._consolidator = _consolidation.Consolidator(
+            context, self.is_withheld, self._place_task
+        )
         self._candidate_cache = placement.CandidateCache(
             context.interference, context.policy
         )
@@ -177,6 +181,7 @@
         self._large_tasks.is_long_running_waiting = any(
             next(iter(group.values())).step.is_long_running for group in groups
         )
+        self._consolidator.begin_pass(candidates)
         self._place_suspects(groups, candidates)
         self._large_tasks.begin_pass(waiting, candidates)
         self._chooser.begin_pass(candidates, ordered, self.is_withheld)
@@ -188,7 +193,8 @@
         for order, group in ordered:
             self._run_group(group, order, is_grouping, candidates)
         for report in self._chooser.end_pass():
-            self._record_filling(report)
+            _filling.record_report(context, report)
+        self._consolidator.end_pass(ordered, candidates)
         counters = context.load_monitor.counters
         counters.passes += 1
         counters.pass_time += context.get_now() - began
@@ -197,17 +203,6 @@
             ordered, candidates, self._large_tasks.list_kept()
         )
 
-    def _record_filling(self, report: _filling.FillReport) -> None:
-        self._context.metrics.filled_runners.inc(report.runners)
-        self._context.log.info(
-            "runners_filled",
-            service=report.service,
-            tasks=report.tasks,
-            runners=report.runners,
-            left=report.left,
-            remaining_percent=round(report.remaining_share * 100),
-        )
-
     def _run_group(
         self,
         group: Group,
--- a/tamarackhatch/scheduler/_filling.py
+++ b/tamarackhatch/scheduler/_filling.py
@@ -157,6 +157,21 @@
         )
 
 
+def record_report(
+    context: _context.SchedulerContext, report: FillReport
+) -> None:
+    """Counts and logs how new serving tasks were combined."""
+    context.metrics.filled_runners.inc(report.runners)
+    context.log.info(
+        "runners_filled",
+        service=report.service,
+        tasks=report.tasks,
+        runners=report.runners,
+        left=report.left,
+        remaining_percent=round(report.remaining_share * 100),
+    )
+
+
 def _may_fill(task: _state.TaskEntry, order: placement.OrderKey) -> bool:
     """Returns whether tasks of a new step may be combined with others."""
     step = task.step
