Pass on no request of a connection that was closed for its size or time

A connection that the guard closes forgets its body at once, but its reader may still have the end of the request in its buffer. It passed the request on with what was left of the body: without any, since parts that arrive later are discarded.

Change: a request is passed on only while its connection is open.

Guard: test_request_that_the_guard_has_forgotten_is_not_passed_on (failed before).

--- a/tamarackhatch/connections/__init__.py
+++ b/tamarackhatch/connections/__init__.py
@@ -5,9 +5,11 @@
 from tamarackhatch.connections._connection import Connection
 from tamarackhatch.connections._connection import Phase
 from tamarackhatch.connections._connection import ServerLimits
+from tamarackhatch.connections._delegate import RequestReceiver
 from tamarackhatch.connections._guard import ConnectionGuard
 from tamarackhatch.connections._server import GuardedServer
 from tamarackhatch.connections._server import Handler
+from tamarackhatch.connections._stream import MeteredStream
 
 __all__ = [
     "Connection",
@@ -16,6 +18,8 @@
     "DropReason",
     "GuardedServer",
     "Handler",
+    "MeteredStream",
     "Phase",
+    "RequestReceiver",
     "ServerLimits",
 ]
--- a/tamarackhatch/connections/_delegate.py
+++ b/tamarackhatch/connections/_delegate.py
@@ -86,6 +86,10 @@
             self._finish_refusal()
             return
         connection = self._stream.connection
+        if not self._guard.is_open(connection):
+            # Closed by the guard, which has forgotten parts of the request.
+            self._inner.on_connection_close()
+            return
         self._guard.record_request(connection)
         body = connection.body.join()
         if body:
--- a/tamarackhatch/connections/_guard.py
+++ b/tamarackhatch/connections/_guard.py
@@ -48,6 +48,11 @@
         self._charged = 0
         self._dropped: collections.Counter[str] = collections.Counter()
 
+    @property
+    def charged(self) -> int:
+        """What the requests of all connections count for, in bytes."""
+        return self._charged
+
     def add_server(self, name: str, get_limits: GetLimits) -> None:
         """Registers a server before it accepts connections.
 
@@ -79,10 +84,19 @@
         stream.connection.begin_request(self._clock.get_monotonic())
         self._streams[stream.connection] = stream
 
+    def is_open(self, connection: _connection.Connection) -> bool:
+        """Returns whether a connection was added and not removed."""
+        return connection in self._streams
+
     def remove(self, connection: _connection.Connection) -> None:
-        """Removes a connection that is closed."""
-        if self._streams.pop(connection, None) is not None:
-            self._charged -= connection.charge
+        """Removes a connection that is closed, and what it has sent."""
+        if self._streams.pop(connection, None) is None:
+            return
+        self._charged -= connection.charge
+        connection.enter_phase(
+            _connection.Phase.DISCARDING, self._clock.get_monotonic()
+        )
+        connection.body.clear()
 
     def begin_request(self, connection: _connection.Connection) -> None:
         """Records that the last answer is sent and the next may arrive."""
@@ -207,10 +221,6 @@
         """
         stream = self._streams[connection]
         self.remove(connection)
-        connection.enter_phase(
-            _connection.Phase.DISCARDING, self._clock.get_monotonic()
-        )
-        connection.body.clear()
         self._count_drop(reason)
         stream.close()
 
--- a/tamarackhatch/connections/tests/test_server.py
+++ b/tamarackhatch/connections/tests/test_server.py
@@ -5,6 +5,8 @@
 from collections.abc import Callable
 import datetime
 import os
+import socket
+import typing
 
 import attrs
 import pytest
@@ -284,3 +286,45 @@
             writer.close()
 
     _run(play)
+
+
+def test_request_that_the_guard_has_forgotten_is_not_passed_on() -> None:
+    """Guards against a request that runs without a part of its body."""
+
+    class Inner(httputil.HTTPMessageDelegate):
+        is_finished = is_closed = False
+
+        def finish(self) -> None:
+            self.is_finished = True
+
+        def on_connection_close(self) -> None:
+            self.is_closed = True
+
+    async def play(trial: _Trial) -> None:
+        ours, theirs = socket.socketpair()
+        connection = connections.Connection("callers")
+        stream = connections.MeteredStream(
+            ours, connection, trial.guard.record_read
+        )
+        trial.guard.add(stream)
+        inner = Inner()
+        receiver = connections.RequestReceiver(
+            inner,
+            typing.cast(httputil.HTTPConnection, None),
+            stream,
+            trial.guard,
+        )
+        receiver.headers_received(
+            httputil.RequestStartLine("POST", "/a", "HTTP/1.1"),
+            httputil.HTTPHeaders({"Content-Length": "6"}),
+        )
+        receiver.data_received(b"abc")
+        await trial.clock.advance(60 * _SECOND)
+        trial.guard.close_overdue()
+        # What the stream had read before it was closed.
+        receiver.data_received(b"def")
+        receiver.finish()
+        assert inner.is_closed and not inner.is_finished
+        theirs.close()
+
+    _run(play)
