Count a connection that its client closes by what it counted for before

Cause: the reader of a closed connection cleared the body before the guard took the connection from the sum. Without the body all of it counts as framing, which has a higher price, so that the sum fell below zero with each client that left in the middle of a chunked body, and the budget grew.

Change: the guard alone removes connections and what they have sent.

Guard: test_client_that_leaves_takes_nothing_from_the_budget (failed before: -262,144 bytes were left of the sum by one client).

--- a/tamarackhatch/connections/_delegate.py
+++ b/tamarackhatch/connections/_delegate.py
@@ -99,7 +99,7 @@
 
     def on_connection_close(self) -> None:
         """Forgets the request; the client has gone."""
-        self._stream.connection.body.clear()
+        self._guard.remove(self._stream.connection)
         if self._refusal is None:
             self._inner.on_connection_close()
 
--- a/tamarackhatch/connections/tests/test_server.py
+++ b/tamarackhatch/connections/tests/test_server.py
@@ -83,6 +83,7 @@
         """Closes the server and its connections."""
         self._server.stop()
         await self._server.close_all_connections()
+        assert not self.guard.charged
 
     def _handle(self, request: httputil.HTTPServerRequest) -> None:
         self.handled += 1
@@ -328,3 +329,19 @@
         theirs.close()
 
     _run(play)
+
+
+def test_client_that_leaves_takes_nothing_from_the_budget() -> None:
+    """Guards against a budget that grows or shrinks with each client."""
+
+    async def play(trial: _Trial) -> None:
+        _, writer = await trial.connect()
+        writer.write(_send_chunked(40_000, 1).removesuffix(b"0\r\n\r\n"))
+        await writer.drain()
+        while trial.guard.charged < 200_000:
+            await asyncio.sleep(0.01)
+        writer.close()
+        while trial.guard.charged > 0:
+            await asyncio.sleep(0.01)
+
+    _run(play)
