Plan moves for all queues of a service together

Queues of different priorities had a planner each, so that the same task could be planned for both: the second stop is void, but a second place was held for up to 2.5 s, and the moves counted twice against their limit. Found in reading; the test with two queues passes with and without it.

The planner now knows the priority of each task, and leaves out those of more urgent queues itself (tasks-of-a-more-urgent-queue-stay). Long functions are split; for one queue nothing is decided differently.

--- a/tamarackhatch/placement/_consolidation.py
+++ b/tamarackhatch/placement/_consolidation.py
@@ -33,10 +33,12 @@
     Attributes:
         key: The task.
         step: Its step.
+        priority: Priority of its queue.
     """
 
     key: model.TaskKey
     step: model.Step
+    priority: float = 0.0
 
     @property
     def processors(self) -> int:
@@ -124,14 +126,22 @@
         self._failed: list[model.Resources] = []
 
     def plan(
-        self, key: model.TaskKey, step: model.Step, most: int
+        self,
+        key: model.TaskKey,
+        step: model.Step,
+        most: int,
+        priority: float = 0.0,
     ) -> list[PlannedMove]:
         """Returns the moves after which a waiting task fits on a runner.
 
+        Must be called for the most urgent tasks first.
+
         Args:
             key: The waiting task.
             step: Its step.
             most: Largest number of moves.
+            priority: Priority of its queue. Tasks of more urgent queues are
+                not moved for it.
 
         Returns:
             The fewest moves that suffice, of few processors; nothing if no
@@ -143,7 +153,7 @@
         ):
             return []
         for count in range(1, min(most, _MAX_MOVES) + 1):
-            options = list(self._iterate_options(key, step, count))
+            options = list(self._iterate_options(key, step, count, priority))
             options.sort(key=lambda option: option.processors)
             for option in options[:_MAX_OPTIONS]:
                 moves = self._find_targets(option)
@@ -161,45 +171,51 @@
         self._planned.clear()
 
     def _iterate_options(
-        self, key: model.TaskKey, step: model.Step, count: int
+        self, key: model.TaskKey, step: model.Step, count: int, priority: float
     ) -> Iterator[_Option]:
         """Yields the smallest combination of so many tasks of each runner."""
-        largest_piece = self._pieces[-1][0]
         for source in self._sources:
             candidate = source.candidate
-            load = candidate.load
             if (
-                load.transient_count >= candidate.start_limit
-                or not _choice.is_allowed(load, key, step)
+                candidate.load.transient_count < candidate.start_limit
+                and _choice.is_allowed(candidate.load, key, step)
             ):
-                continue
-            movable = sorted(
-                (
-                    task
-                    for task in source.tasks
-                    if task.processors <= largest_piece
-                    and task.step_name not in self._moved_steps
-                ),
-                key=lambda task: -task.processors,
-            )
-            free = load.compute_free()
-            missing = step.reserved.processors - free.processors
-            if (
-                len(movable) < count
-                or sum(task.processors for task in movable[:count]) < missing
-            ):
-                continue
-            options = (
-                _Option(sum(task.processors for task in tasks), source, tasks)
-                for tasks in itertools.combinations(movable, count)
-                if len({task.step_name for task in tasks}) == count
-                and _fits_without(step, free, tasks)
-            )
-            smallest = min(
-                options, key=lambda option: option.processors, default=None
-            )
-            if smallest is not None:
-                yield smallest
+                option = self._find_option(source, step, count, priority)
+                if option is not None:
+                    yield option
+
+    def _find_option(
+        self, source: MoveSource, step: model.Step, count: int, priority: float
+    ) -> _Option | None:
+        """Returns the smallest combination of a runner's tasks, if any.
+
+        Args:
+            source: The runner.
+            step: Step of the waiting task.
+            count: Number of tasks.
+            priority: Priority of its queue.
+        """
+        largest_piece = self._pieces[-1][0]
+        movable = [
+            task
+            for task in source.tasks
+            if task.priority >= priority
+            and task.processors <= largest_piece
+            and task.step_name not in self._moved_steps
+        ]
+        movable.sort(key=lambda task: -task.processors)
+        free = source.candidate.load.compute_free()
+        missing = step.reserved.processors - free.processors
+        most = sum(task.processors for task in movable[:count])
+        if len(movable) < count or most < missing:
+            return None
+        options = (
+            _Option(sum(task.processors for task in tasks), source, tasks)
+            for tasks in itertools.combinations(movable, count)
+            if len({task.step_name for task in tasks}) == count
+            and _fits_without(step, free, tasks)
+        )
+        return min(options, key=lambda option: option.processors, default=None)
 
     def _find_targets(self, option: _Option) -> list[PlannedMove]:
         """Returns a place for each task; nothing if one has none."""
--- a/tamarackhatch/placement/tests/test_consolidation.py
+++ b/tamarackhatch/placement/tests/test_consolidation.py
@@ -26,6 +26,7 @@
             a runner gets one task.
         of_one_step: Whether all tasks are of one step.
         failing: Numbers of runners on which runs fail.
+        urgent: Numbers of runners with tasks of a more urgent queue.
     """
 
     runners: tuple[tuple[int, ...], ...]
@@ -36,6 +37,7 @@
     limited: tuple[int, ...] = ()
     of_one_step: bool = False
     failing: tuple[int, ...] = ()
+    urgent: tuple[int, ...] = ()
 
 
 def _make_step(cores: int, limit: int = 0) -> model.Step:
@@ -62,7 +64,8 @@
                 job = "watch"
             key = model.TaskKey(job, 0, 0, 100 * number + index)
             load.add_task(key, step)
-            tasks.append(placement.MovableTask(key, step))
+            priority = -1.0 if number in case.urgent else 0.0
+            tasks.append(placement.MovableTask(key, step, priority))
         candidate = placement.CandidateRunner(
             load,
             placement.InterferenceModel(),
@@ -124,6 +127,10 @@
             ),
             id="no-move-to-a-runner-on-which-runs-fail",
         ),
+        pytest.param(
+            Case(((12, 12, 12), (12, 12, 12)), 24, ((12, 1, 0),), urgent=(0,)),
+            id="tasks-of-a-more-urgent-queue-stay",
+        ),
     ],
 )
 def test_fewest_moves_that_make_room_are_planned(case: Case) -> None:
--- a/tamarackhatch/scheduler/_consolidation.py
+++ b/tamarackhatch/scheduler/_consolidation.py
@@ -33,8 +33,6 @@
 _MILLISECOND = datetime.timedelta(milliseconds=1)
 
 _Phase = _state.TaskPhase
-# Service, and priority of the waiting tasks.
-_Pool = tuple[str, float]
 
 
 @attrs.frozen(eq=False)
@@ -178,27 +176,30 @@
         now: datetime.timedelta,
     ) -> None:
         self._log.retain_steps(self._is_known)
-        planners: dict[_Pool, placement.ConsolidationPlanner] = {}
-        allowed: dict[_Pool, int] = {}
+        planners: dict[str, placement.ConsolidationPlanner] = {}
+        allowed: dict[str, int] = {}
         planned: list[tuple[_state.TaskEntry, placement.PlannedMove]] = []
         searches = 0
         for order, tasks in waiting:
-            pool = (tasks[0].job.job.queue.service, order.priority)
-            if pool not in planners:
-                group = candidates.get(pool[0], [])
-                sources = self._list_sources(group, order.priority, now)
-                planners[pool] = placement.ConsolidationPlanner(sources, group)
-                allowed[pool] = self._log.count_allowed(
+            service = tasks[0].job.job.queue.service
+            if service not in planners:
+                group = candidates.get(service, [])
+                planners[service] = placement.ConsolidationPlanner(
+                    self._list_sources(group, now), group
+                )
+                allowed[service] = self._log.count_allowed(
                     self._count_long_running(group), now
                 )
             for task in tasks:
-                if searches >= _MAX_SEARCHES or not allowed[pool]:
+                if searches >= _MAX_SEARCHES or not allowed[service]:
                     break
                 searches += 1
-                moves = planners[pool].plan(task.key, task.step, allowed[pool])
+                moves = planners[service].plan(
+                    task.key, task.step, allowed[service], order.priority
+                )
                 if not moves:
                     break
-                allowed[pool] -= len(moves)
+                allowed[service] -= len(moves)
                 planned += [(task, move) for move in moves]
         for planner in planners.values():
             planner.release()
@@ -208,15 +209,12 @@
     def _list_sources(
         self,
         candidates: list[placement.CandidateRunner],
-        priority: float,
         now: datetime.timedelta,
     ) -> list[placement.MoveSource]:
         """Returns the runners with tasks that may be moved.
 
         Args:
             candidates: Runners that any task may use.
-            priority: Priority of the waiting tasks; tasks of more urgent
-                queues are not moved for them.
             now: Monotonic time.
         """
         sources = []
@@ -225,18 +223,17 @@
             entry = self._context.fleet[candidate.load.identifier]
             tasks = []
             for task in entry.tasks.values():
-                if (
-                    not task.step.is_long_running
-                    or task.job.job.queue.priority < priority
-                    or not self._is_movable(task, now)
-                ):
+                if not self._is_movable(task, now):
                     continue
                 key = task.key
                 name = (key.job, key.occurrence, key.step)
                 if name not in are_complete:
                     are_complete[name] = _is_complete(task)
                 if are_complete[name]:
-                    tasks.append(placement.MovableTask(key, task.step))
+                    priority = task.job.job.queue.priority
+                    tasks.append(
+                        placement.MovableTask(key, task.step, priority)
+                    )
             if tasks:
                 sources.append(placement.MoveSource(candidate, tasks))
         return sources
@@ -245,7 +242,8 @@
         self, task: _state.TaskEntry, now: datetime.timedelta
     ) -> bool:
         if (
-            task.step.is_gang
+            not task.step.is_long_running
+            or task.step.is_gang
             or task.step.preferred_rack
             or task.job.job.queue.advice is not None
             or _crash_suspects.is_suspect(task)
--- a/tamarackhatch/scheduler/tests/test_consolidation.py
+++ b/tamarackhatch/scheduler/tests/test_consolidation.py
@@ -89,15 +89,28 @@
 
 
 async def _submit_checks(
-    fleet: standin_fleet.VirtualFleet, count: int, tasks: int = 1
+    fleet: standin_fleet.VirtualFleet,
+    count: int,
+    tasks: int = 1,
+    priorities: tuple[int, ...] = (0,),
 ) -> float:
-    """Submits a check each half a second; returns the share in time."""
+    """Submits a check each half a second; returns the share in time.
+
+    Args:
+        fleet: The fleet.
+        count: Number of checks.
+        tasks: Number of tasks of each.
+        priorities: Priorities of their queues, in turn.
+    """
     loop = asyncio.get_running_loop()
     submitted = {}
     for number in range(count):
         submitted[f"check-{number}"] = loop.time()
+        priority = priorities[number % len(priorities)]
         await fleet.submit(
-            f"check-{number}", _make_urgent_step(tasks), queue=_URGENT
+            f"check-{number}",
+            _make_urgent_step(tasks),
+            queue=attrs.evolve(_URGENT, priority=priority),
         )
         await asyncio.sleep(0.5)
     await asyncio.sleep(_OBJECTIVE_S)
@@ -149,9 +162,9 @@
     assert not fleet.check()
 
 
-async def _keep_most_of_a_service() -> None:
-    fleet = await _make_fragmented_fleet()
-    task = asyncio.create_task(_submit_checks(fleet, 4, tasks=12))
+async def _keep_most_of_a_service(priorities: tuple[int, ...] = (0,)) -> None:
+    fleet = await _make_fragmented_fleet(priority=max(priorities))
+    task = asyncio.create_task(_submit_checks(fleet, 4, 12, priorities))
     while not task.done():
         running = {
             name
@@ -169,6 +182,10 @@
     assert not fleet.check()
 
 
+async def _keep_most_of_a_service_for_two_queues() -> None:
+    await _keep_most_of_a_service((0, 1))
+
+
 async def _lose_the_target() -> None:
     fleet = await _make_fragmented_fleet()
     task = asyncio.create_task(_submit_checks(fleet, 8))
@@ -212,6 +229,10 @@
         pytest.param(_serve_checks, id="checks-are-served-in-time"),
         pytest.param(_keep_more_urgent_tasks, id="more-urgent-tasks-stay"),
         pytest.param(_keep_most_of_a_service, id="one-task-of-a-step-is-away"),
+        pytest.param(
+            _keep_most_of_a_service_for_two_queues,
+            id="one-task-of-a-step-is-away-for-two-queues",
+        ),
         pytest.param(_lose_the_target, id="targets-drain"),
         pytest.param(_end_the_scheduler, id="the-scheduler-is-killed"),
     ],
