Docs: what is not proved of moves and of clients that keep to no limits

Three comments said more than was measured or something else than their code does: which tasks are moved for, which runners leave in a test, and what the bound of memory leaves. No bound, check or decision changes.

--- a/tamarackhatch/scheduler/_consolidation.py
+++ b/tamarackhatch/scheduler/_consolidation.py
@@ -148,7 +148,7 @@
         """Returns the tasks that moves may help, by step.
 
         These are tasks of jobs that can still be served in time. Moves for
-        others would take pieces from the small tasks that can.
+        others interrupt more tasks, and serve no more jobs in time.
         """
         found = []
         for order, group in ordered:
--- a/tamarackhatch/scheduler/tests/test_consolidation.py
+++ b/tamarackhatch/scheduler/tests/test_consolidation.py
@@ -189,7 +189,7 @@
 async def _lose_the_target() -> None:
     fleet = await _make_fragmented_fleet()
     task = asyncio.create_task(_submit_checks(fleet, 8))
-    # All runners but four leave the network as the first moves begin.
+    # Four runners, some of them targets, leave as the first moves begin.
     await fleet.wait_until(lambda: bool(_list_stopped(fleet)))
     for item in fleet.runners[4:8]:
         item.state = "draining"
--- a/tamarackhatch/server/tests/test_hostile_clients.py
+++ b/tamarackhatch/server/tests/test_hostile_clients.py
@@ -18,8 +18,8 @@
 _PREFIX = "/renewals/"
 _INSTANCE = "entry-1"
 _MEBIBYTE = 1024 * 1024
-# The smallest machines of the deployments have 160 MB, of which an active
-# scheduler of a large fleet needs a fifth beyond what a process has at rest.
+# The smallest machines of the deployments have 160 MB, of which a fifth is
+# left for the state of a scheduler.
 _MAX_RESIDENT_BYTES = 128 * _MEBIBYTE
 # They have 4,100 descriptors. 200 are for files, 2,500 for runners, and 16
 # for the store.
