--- a/review/stand_ins_3/runner.py
+++ b/review/stand_ins_3/runner.py
@@ -113,6 +113,8 @@
         self.capacity = capacity
         self.zone = zone
         self.state = "ready"
+        # Tail of its serving tasks, as a share of their target.
+        self.tail_share = 0.2
         self.is_up = True
         self.born = time.time_ns() // 1_000_000
         self.seq = 0
@@ -247,7 +249,7 @@
             percent = min(99, int(100 * elapsed / max(run.work_s, 0.001)))
         sample = run.step.get("cpu", 0)
         if run.step.get("target_ms"):
-            sample = run.step["target_ms"] // 5
+            sample = int(run.step["target_ms"] * self.tail_share)
         return [run.task, run.number, "", percent, sample]
 
     def _start(self, body: network.Body) -> network.Response:
