--- a/review/13/case.py
+++ b/review/13/case.py
@@ -1,177 +1,261 @@
-"""The only runners with a label fail for some seconds as traffic ends.
+"""Shows whether a late order of a killed scheduler repeats finished tasks.
 
-Looks for accepted jobs that do not go on once these runners are sound again.
+Three real processes, 24 stand-in runners and a stand-in store on loopback
+addresses; clients hand in small jobs all the time. Then, not with TROUBLE=0,
+half of the starts of 0.4 s get no answer and are carried out 6 s later. The
+active scheduler is killed at the end of that, and its process starts again. When its
+last orders are carried out, runners have just crashed, one after the other,
+and are back. No task may be started after it has ended `done`.
 """
 
 import asyncio
+import os
 import pathlib
+import random
+import signal
 import sys
 import tempfile
-import typing
-
-from review.stand_ins_3 import deployment
-from review.stand_ins_3 import runner
-
-_FOLDER = pathlib.Path(__file__).resolve().parent
-_PREFIX = "/lohu930/"
-_JOB_INTERVAL_S = 0.2
-_TRAFFIC_S = 12.0
-# Two of 24 runners fail all that they start; the pages' largest dose for such
-# a site is a share of 0.085 for 6.5 s.
-_FAILING_FROM_S = 8.0
-_FAILING_FOR_S = 6.0
-_LABELLED_AT_S = 8.5
-_LABELLED_JOBS = 6
-# The rule asks for 3 s.
-_WINDOW_S = 8.0
-
-
-class _Plan:
-    """Runs of the labelled runners fail while these are failing."""
-
-    def __init__(self) -> None:
-        self.is_failing = False
-
-    def __call__(
-        self, task: str, number: int, where: runner.Runner
-    ) -> tuple[float, str]:
-        if self.is_failing and "b" in where.labels:
-            return 0.2, "failed"
-        return 0.64, "done"
-
-
-def _make_job(count: int, label: str = "") -> dict[str, typing.Any]:
-    step: dict[str, typing.Any] = {
-        "count": count,
-        "cpu": 2300,
-        "mem_mb": 4600,
-        "est_runtime_ms": 640,
-    }
-    if label:
-        step["requires"] = label
-    return {"spec": "swap", "steps": [step]}
-
-
-async def _send_traffic(fleet: deployment.Deployment, plan: _Plan) -> None:
-    loop = asyncio.get_running_loop()
-    begin = loop.time()
-    number = 0
-    tasks = []
-    is_labelled_sent = False
-    is_trouble_begun = False
-    while loop.time() < begin + _TRAFFIC_S:
-        elapsed = loop.time() - begin
-        if elapsed >= _FAILING_FROM_S and not is_trouble_begun:
-            is_trouble_begun = True
-            if deployment.is_troubled():
-                plan.is_failing = True
-                fleet.record("failing", runners=["i-b1", "i-b2"])
-                loop.call_later(_FAILING_FOR_S, _recover, fleet, plan)
-        if elapsed >= _LABELLED_AT_S and not is_labelled_sent:
-            is_labelled_sent = True
-            tasks += [
-                asyncio.create_task(
-                    fleet.submit(
-                        f"{0xB000 + index:016x}", _PREFIX, _make_job(2, "b")
-                    )
-                )
-                for index in range(_LABELLED_JOBS)
-            ]
-        number += 1
-        tasks.append(
-            asyncio.create_task(
-                fleet.submit(f"{number:016x}", _PREFIX, _make_job(6))
+import time
+
+import orjson
+from tornado import httpclient
+
+from standins import network
+from standins import processes
+from standins import runner
+from tamarackhatch import model
+
+TROUBLE = os.environ.get("TROUBLE", "1") != "0"
+SEED = 1
+RECORD = pathlib.Path(__file__).with_name("record.txt")
+PREFIX = "/rota/"
+# Bounds of a small deployment (brindle-rota).
+BOUNDS = {
+    "apply_configuration_ms": 2500,
+    "contact_ms": 4000,
+    "max_lease_ms": 6000,
+    "grace_s": 6,
+    "status_retention_s": 120,
+    "remote_slowdown": 2,
+    "stop_timeout_ms": 400,
+    "restore_ms": 600,
+    "checkpoint_interval_s": 2,
+}
+RUNNERS = 24
+# Three of 24 runners at a time.
+GROUP = 3
+WORK_S = 0.3
+LATE_SHARE = 0.5
+LATE_FOR_S = 0.4
+DELAY_S = 6.0
+CRASH_S = 0.06
+CLIENTS = 2
+ROUNDS = 6
+RESTART_S = 1.3
+_random = random.Random(SEED)
+_began = time.monotonic()
+_record = RECORD.open("w")
+
+
+def note(text: str) -> None:
+    _record.write(f"{time.monotonic() - _began:8.3f} s  {text}\n")
+    _record.flush()
+
+
+class Runner(runner.RunnerStandIn):
+    """Runner that leaves starts unanswered and carries them out late."""
+
+    is_late = False
+
+    async def handle(self, request):
+        if (
+            self.is_late
+            and request.path == runner.START_PATH
+            and _random.random() < LATE_SHARE
+        ):
+            asyncio.get_running_loop().call_later(
+                DELAY_S, lambda: asyncio.ensure_future(self._obey(request))
             )
+            raise network.NoResponseError
+        return await super().handle(request)
+
+    async def _obey(self, request) -> None:
+        task, run = request.body["task"], request.body["run"]
+        try:
+            response = await super().handle(request)
+        except network.BrokenConnectionError:
+            return
+        if response.status == 200:
+            note(f"{self.identifier} carries out late: {task} run {run}")
+
+    def _start(self, body):
+        response = super()._start(body)
+        note(
+            f"{self.identifier} start {body['task']} run {body['run']}:"
+            f" {response.status} {response.body.get('reason', '')}"
         )
-        await asyncio.sleep(_JOB_INTERVAL_S)
-    await asyncio.gather(*tasks)
+        return response
 
+    def go_down(self) -> None:
+        note(f"{self.identifier} crashes")
+        self.crash(resets_connections=True)
+        self.is_down = True
+        self._wake_renewals()
 
-def _recover(fleet: deployment.Deployment, plan: _Plan) -> None:
-    plan.is_failing = False
-    fleet.record("sound again", runners=["i-b1", "i-b2"])
+    def go_up(self, store) -> None:
+        self._incarnation = int(time.time() * 1000)
+        self._reset_incarnation = self._incarnation
+        self._restart()
+        self.register(store)
+        note(f"{self.identifier} is up again")
 
 
-async def _list_unfinished(fleet: deployment.Deployment) -> list[str]:
-    found = []
-    for job in fleet.accepted:
-        state = await fleet.get_state(job, _PREFIX)
-        if state not in ("completed", "failed"):
-            found.append(job)
-    return found
+def plan(task: str, run: int) -> tuple[float, str]:
+    return WORK_S, "done"
 
 
-async def _find_stuck_jobs(fleet: deployment.Deployment) -> list[str]:
-    """Returns the jobs of which nothing runs for the whole window."""
-    stuck = set(await _list_unfinished(fleet))
-    loop = asyncio.get_running_loop()
-    end = loop.time() + _WINDOW_S
-    while loop.time() < end and stuck:
-        for job in list(stuck):
-            step = fleet.jobs[job]["steps"][0]
-            places = fleet.count_places(step, fleet.runners)
-            if (
-                fleet.list_running(job)
-                or places < 2 * step["count"] * _LABELLED_JOBS
-                or fleet.compute_use() >= 0.5
-            ):
-                stuck.discard(job)
-        await asyncio.sleep(0.05)
-    return sorted(stuck)
-
-
-async def _run(fleet: deployment.Deployment) -> int:
-    plan = _Plan()
-    fleet.put_configuration(
-        1, [{"name": "r-swap", "path_prefix": _PREFIX, "max_attempts": 2}]
+class Clients:
+    def __init__(self, fleet: processes.ProcessFleet) -> None:
+        self._fleet = fleet
+        self._http = httpclient.AsyncHTTPClient(max_clients=100)
+        self._count = 0
+
+    async def submit(self) -> None:
+        self._count += 1
+        identifier = f"{self._count:015x}1"
+        step = {"count": 10, "cpu": 500, "mem_mb": 100}
+        step["est_runtime_ms"] = 300
+        body = orjson.dumps({"spec": "work", "steps": [step]})
+        self._fleet.history.accepted.add(identifier)
+        for name in sorted(self._fleet.processes) * 2:
+            address = self._fleet.get_address(name)
+            try:
+                answer = await self._http.fetch(
+                    f"http://{address}{PREFIX}{identifier}",
+                    method="POST",
+                    body=body,
+                    headers={"Host": processes.HOST, "X-Deadline-Ms": "3000"},
+                    request_timeout=3.0,
+                    raise_error=False,
+                )
+            except Exception as error:
+                note(f"POST {identifier} at {name}: {error!r}")
+                continue
+            note(f"POST {identifier} at {name}: {answer.code}")
+            if answer.code in (200, 429, 503):
+                return
+
+    async def work(self) -> None:
+        while True:
+            await self.submit()
+            await asyncio.sleep(0.05)
+
+
+async def run_case(folder: pathlib.Path) -> int:
+    fleet = processes.ProcessFleet(folder, max_attempts=2)
+    fleet.store.latency_s = 0.004
+    fleet.publish_configuration(1, [PREFIX])
+    for index in range(RUNNERS):
+        item = Runner(
+            f"r{index:03}",
+            "",
+            processes.SERVICE,
+            plan,
+            fleet.history,
+            capacity=model.Resources(32_000, 128_000),
+            incarnation=int(time.time() * 1000),
+        )
+        item.labels = ["a", "r1-0"]
+        item.gets_new_identifier = False
+        fleet.add_runner(item)
+    try:
+        await asyncio.gather(
+            *(
+                fleet.start_instance(
+                    f"edge-{number}", has_internal_address=True, bounds=BOUNDS
+                )
+                for number in range(1, 4)
+            )
+        )
+        note("three processes are ready")
+        return await play(fleet, Clients(fleet))
+    finally:
+        await fleet.close()
+
+
+async def kill_scheduler(fleet) -> None:
+    """Kills the active scheduler; its process starts again."""
+    name = await fleet.find_scheduler()
+    note(f"{name}, the active scheduler, is killed")
+    process = fleet.remove_instance(name)
+    process.kill()
+    await process.wait()
+    await asyncio.sleep(RESTART_S)
+    await fleet.start_instance(
+        name, has_internal_address=True, bounds=BOUNDS
     )
-    for number in range(24):
-        kind = "b" if number % 12 == 0 else "a"
-        name = f"i-b{number // 12 + 1}" if kind == "b" else f"i-a{number}"
-        fleet.add_runner(name, [kind, f"r{number // 8 + 1}-1"], plan)
-    await fleet.start_instances(3)
+    note(f"{name} is ready again")
+
+
+async def play_once(fleet, clients) -> None:
+    """Plays the disruptions once."""
+    loop = asyncio.get_running_loop()
+    traffic = [asyncio.create_task(clients.work()) for _ in range(CLIENTS)]
+    await asyncio.sleep(2)
+    if TROUBLE:
+        note("starts are late from now on")
+        for item in fleet.runners:
+            item.is_late = True
+    await asyncio.sleep(LATE_FOR_S)
+    killed = loop.time()
+    restart = None
+    if TROUBLE:
+        restart = asyncio.create_task(kill_scheduler(fleet))
+    # Nothing more is handed in, so that runners get few other commands.
+    for task in traffic:
+        task.cancel()
+    for item in fleet.runners:
+        item.is_late = False
+    # Orders of the last moments before the kill are carried out from now on.
+    await asyncio.sleep(killed + DELAY_S - 0.45 - loop.time())
+    for first in range(0, RUNNERS, GROUP):
+        group = fleet.runners[first : first + GROUP]
+        if TROUBLE:
+            for item in group:
+                item.go_down()
+        await asyncio.sleep(CRASH_S)
+        if TROUBLE:
+            for item in group:
+                item.go_up(fleet.store)
+    await asyncio.sleep(2)
+    if restart is not None:
+        await restart
+
+
+async def play(fleet, clients) -> int:
     await asyncio.sleep(3)
-    await _send_traffic(fleet, plan)
-    await asyncio.sleep(deployment.FINISH_S)
-    stuck = await _find_stuck_jobs(fleet)
-    fleet.record(
-        "result",
-        accepted=len(fleet.accepted),
-        stuck=stuck,
-        use=round(fleet.compute_use(), 3),
-    )
-    print(f"{len(fleet.accepted)} jobs accepted, stuck: {stuck}")
-    if stuck:
-        begin = fleet.now
-        while fleet.now - begin < 30 and await _list_unfinished(fleet):
-            await asyncio.sleep(1)
-        fleet.record("later", unfinished=await _list_unfinished(fleet))
-    return 1 if stuck else 0
+    for _ in range(ROUNDS):
+        await play_once(fleet, clients)
+    await asyncio.sleep(14)
+    found = [item for item in fleet.check() if item.rule == "TWICE"]
+    for item in found:
+        note(f"TWICE: {item.task}: {item.detail}")
+    return 1 if found else 0
 
 
-async def _main() -> int:
+def main() -> int:
+    # A run that is ended from outside ends its processes.
+    signal.signal(signal.SIGTERM, signal.default_int_handler)
+    note(f"trouble: {TROUBLE}")
     with tempfile.TemporaryDirectory() as folder:
-        fleet = deployment.Deployment(
-            pathlib.Path(folder), _FOLDER / "record.txt"
-        )
         try:
-            async with asyncio.timeout(105):
-                return await _run(fleet)
-        except TimeoutError:
-            return 2
-        finally:
-            await fleet.close()
-            if len(sys.argv) > 1:
-                for path in pathlib.Path(folder).iterdir():
-                    pathlib.Path(sys.argv[1], path.name).write_bytes(
-                        path.read_bytes()
-                    )
+            result = asyncio.run(run_case(pathlib.Path(folder)))
+        except Exception as error:
+            note(f"the case could not run: {error!r}")
+            result = 2
+    note("the rule is broken" if result == 1 else f"result {result}")
+    return result
 
 
 if __name__ == "__main__":
-    try:
-        code = asyncio.run(_main())
-    except Exception as error:
-        print(f"could not run: {error!r}")
-        code = 2
-    sys.exit(code)
+    sys.exit(main())
--- a/review/stand_ins_3/runner.py
+++ b/review/stand_ins_3/runner.py
@@ -153,6 +153,10 @@
                 self._gangs.leave(run, "crashed")
         await self._server.close()
 
+    def get_step(self, task: str) -> dict[str, typing.Any]:
+        """Returns the step of a task that a client has sent."""
+        return self._steps(task) or {}
+
     def encode_entry(self) -> dict[str, typing.Any]:
         """Returns its next entry in the store."""
         self.seq += 1
