--- a/review/12/case.py
+++ b/review/12/case.py
@@ -25,9 +25,7 @@
 _CRASHED = ("i-b1", "i-a1")
 
 
-def _plan(
-    task: str, number: int, where: runner.Runner
-) -> tuple[float, str]:
+def _plan(task: str, number: int, where: runner.Runner) -> tuple[float, str]:
     return 0.64, "done"
 
 
@@ -78,8 +76,7 @@
     stuck = {
         job
         for job in fleet.accepted
-        if job != _GANG
-        and await fleet.get_state(job, _PREFIX) != "completed"
+        if job != _GANG and await fleet.get_state(job, _PREFIX) != "completed"
     }
     fleet.record("unfinished", jobs=sorted(stuck))
     loop = asyncio.get_running_loop()
--- a/review/13/case.py
+++ b/review/13/case.py
@@ -1,11 +1,11 @@
 """Shows whether a late order of a killed scheduler repeats finished tasks.
 
 Three real processes, 24 stand-in runners and a stand-in store on loopback
-addresses; clients hand in small jobs all the time. Then, not with TROUBLE=0,
-half of the starts of 0.4 s get no answer and are carried out 6 s later. The
-active scheduler is killed at the end of that, and its process starts again. When its
-last orders are carried out, runners have just crashed, one after the other,
-and are back. No task may be started after it has ended `done`.
+addresses; clients hand in small jobs. Then, not with TROUBLE=0, half of the
+starts of 0.4 s get no answer and are carried out 6 s later. The active
+scheduler is killed at the end of that, and its process starts again. When its
+last orders are carried out, runners have just crashed, one group after the
+other, and are back. No task may be started after it has ended `done`.
 """
 
 import asyncio
@@ -191,9 +191,7 @@
     process.kill()
     await process.wait()
     await asyncio.sleep(RESTART_S)
-    await fleet.start_instance(
-        name, has_internal_address=True, bounds=BOUNDS
-    )
+    await fleet.start_instance(name, has_internal_address=True, bounds=BOUNDS)
     note(f"{name} is ready again")
 
 
--- a/review/stand_ins_3/deployment.py
+++ b/review/stand_ins_3/deployment.py
@@ -148,7 +148,10 @@
     async def start_instances(self, count: int) -> None:
         """Starts the program with the command of the deploy file."""
         await asyncio.gather(
-            *(self._start_instance(f"edge-here-{n + 1}", n) for n in range(count))
+            *(
+                self._start_instance(f"edge-here-{n + 1}", n)
+                for n in range(count)
+            )
         )
 
     async def _start_instance(self, name: str, number: int) -> None:
@@ -289,9 +292,7 @@
             free = [
                 (
                     limit
-                    - sum(
-                        run.step.get(name, 0) for run in item.runs.values()
-                    )
+                    - sum(run.step.get(name, 0) for run in item.runs.values())
                 )
                 // step[name]
                 for name, limit in item.capacity.items()
@@ -365,7 +366,10 @@
         return match[2].replace("{{.|json}}", json.dumps(value))
 
     text = re.sub(
-        r"\{\{#([\w.]+)\}\}(.*?)\{\{/\1\}\}", fill_section, template, flags=re.S
+        r"\{\{#([\w.]+)\}\}(.*?)\{\{/\1\}\}",
+        fill_section,
+        template,
+        flags=re.S,
     )
 
     def fill(match: re.Match[str]) -> str:
--- a/review/stand_ins_3/runner.py
+++ b/review/stand_ins_3/runner.py
@@ -311,9 +311,7 @@
         if run.timer is not None:
             run.timer.cancel()
         del self.runs[run.task]
-        self._closed[run.task] = max(
-            self._closed.get(run.task, 0), run.number
-        )
+        self._closed[run.task] = max(self._closed.get(run.task, 0), run.number)
         self._count += 1
         self._ended.append([self._count, run.task, run.number, how, ""])
         self._record(
