--- a/review/15/case.py
+++ b/review/15/case.py
@@ -4,6 +4,7 @@
 """
 
 import asyncio
+import os
 import pathlib
 import sys
 import tempfile
@@ -13,6 +14,8 @@
 from review.stand_ins_3 import runner
 
 _FOLDER = pathlib.Path(__file__).resolve().parent
+# TROUBLE=0 leaves the disruption out.
+_TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 _PREFIX = "/lohu930/"
 _JOB_INTERVAL_S = 0.2
 _TRAFFIC_S = 12.0
@@ -63,7 +66,7 @@
         elapsed = loop.time() - begin
         if elapsed >= _FAILING_FROM_S and not is_trouble_begun:
             is_trouble_begun = True
-            if deployment.is_troubled():
+            if _TROUBLE:
                 plan.is_failing = True
                 fleet.record("failing", runners=["i-b1", "i-b2"])
                 loop.call_later(_FAILING_FOR_S, _recover, fleet, plan)
--- a/review/stand_ins_3/deployment.py
+++ b/review/stand_ins_3/deployment.py
@@ -389,8 +389,3 @@
     for item in sockets:
         item.close()
     return ports
-
-
-def is_troubled() -> bool:
-    """Returns whether the disruption takes place."""
-    return os.environ.get("TROUBLE", "1") != "0"
