--- a/review/13/case.py
+++ b/review/13/case.py
@@ -1,11 +1,11 @@
 """Shows whether a late order of a killed scheduler repeats finished tasks.
 
 Three real processes, 24 stand-in runners and a stand-in store on loopback
-addresses; clients hand in small jobs. Then, not with TROUBLE=0, half of the
+addresses; clients hand in small jobs. Then, not with TROUBLE=0, 6 % of the
 starts of 0.4 s get no answer and are carried out 6 s later. The active
 scheduler is killed at the end of that, and its process starts again. When its
-last orders are carried out, runners have just crashed, one group after the
-other, and are back. No task may be started after it has ended `done`.
+last orders are carried out, three runners have just crashed and are back. No
+task may be started after it has ended `done`.
 """
 
 import asyncio
@@ -42,10 +42,11 @@
     "checkpoint_interval_s": 2,
 }
 RUNNERS = 24
-# Three of 24 runners at a time.
+# Three of 24 runners crash in each round; the site's largest share is 0.14.
 GROUP = 3
 WORK_S = 0.3
-LATE_SHARE = 0.5
+# The site's largest dose is 0.063, for 5.2 s.
+LATE_SHARE = 0.06
 LATE_FOR_S = 0.4
 DELAY_S = 6.0
 CRASH_S = 0.06
@@ -195,7 +196,7 @@
     note(f"{name} is ready again")
 
 
-async def play_once(fleet, clients) -> None:
+async def play_once(fleet, clients, number: int) -> None:
     """Plays the disruptions once."""
     loop = asyncio.get_running_loop()
     traffic = [asyncio.create_task(clients.work()) for _ in range(CLIENTS)]
@@ -216,15 +217,15 @@
         item.is_late = False
     # Orders of the last moments before the kill are carried out from now on.
     await asyncio.sleep(killed + DELAY_S - 0.45 - loop.time())
-    for first in range(0, RUNNERS, GROUP):
-        group = fleet.runners[first : first + GROUP]
-        if TROUBLE:
-            for item in group:
-                item.go_down()
-        await asyncio.sleep(CRASH_S)
-        if TROUBLE:
-            for item in group:
-                item.go_up(fleet.store)
+    first = number * GROUP
+    group = fleet.runners[first : first + GROUP]
+    if TROUBLE:
+        for item in group:
+            item.go_down()
+    await asyncio.sleep(CRASH_S)
+    if TROUBLE:
+        for item in group:
+            item.go_up(fleet.store)
     await asyncio.sleep(2)
     if restart is not None:
         await restart
@@ -232,8 +233,8 @@
 
 async def play(fleet, clients) -> int:
     await asyncio.sleep(3)
-    for _ in range(ROUNDS):
-        await play_once(fleet, clients)
+    for number in range(ROUNDS):
+        await play_once(fleet, clients, number)
     await asyncio.sleep(14)
     found = [item for item in fleet.check() if item.rule == "TWICE"]
     for item in found:
