Plan moves when they are due, not a placement pass later

A waiting task that moves of long-running tasks could serve waited up to 0.25 s longer than meant. Moves are planned every 0.25 s, by a placement pass. A pass that an arriving task caused just before that postponed the next one by a full pause.

The pause before the next pass now ends when moves are due. The new test test_placement_pass_puts_no_move_off failed before: the check started after 0.88 s, and starts after 0.64 s now (virtual time).

--- a/tamarackhatch/scheduler/_consolidation.py
+++ b/tamarackhatch/scheduler/_consolidation.py
@@ -81,6 +81,23 @@
             tuple[placement.CandidateRunner, _state.TaskEntry]
         ] = []
         self._next_pass = datetime.timedelta()
+        # Whether the latest placement pass came before moves were due.
+        self._is_plan_pending = False
+
+    def limit_pause(self, pause: datetime.timedelta) -> datetime.timedelta:
+        """Returns the pause before the next placement pass.
+
+        A pass shortly before moves are due would otherwise put them off for a
+        whole pause.
+
+        Args:
+            pause: Longest pause.
+        """
+        if not self._is_plan_pending:
+            return pause
+        self._is_plan_pending = False
+        remaining = self._next_pass - self._context.get_now()
+        return min(pause, max(datetime.timedelta(), remaining))
 
     def begin_pass(self, candidates: _candidates.Candidates) -> None:
         """Begins a placement pass: starts moved tasks on their targets.
@@ -131,7 +148,8 @@
             candidates: Runners that any task may use, by service.
         """
         now = self._context.get_now()
-        if now >= self._next_pass:
+        self._is_plan_pending = now < self._next_pass
+        if not self._is_plan_pending:
             self._next_pass = now + _PASS_INTERVAL
             waiting = self._list_waiting(ordered, now)
             if waiting:
--- a/tamarackhatch/scheduler/_dispatcher.py
+++ b/tamarackhatch/scheduler/_dispatcher.py
@@ -151,7 +151,9 @@
         context = self._context
         while True:
             try:
-                pause = self._near_places.limit_pause(_MAX_PASS_INTERVAL)
+                pause = self._consolidator.limit_pause(
+                    self._near_places.limit_pause(_MAX_PASS_INTERVAL)
+                )
                 async with asyncio.timeout(pause.total_seconds()):
                     await context.wake.wait()
             except TimeoutError:
--- a/tamarackhatch/scheduler/tests/test_consolidation.py
+++ b/tamarackhatch/scheduler/tests/test_consolidation.py
@@ -23,6 +23,8 @@
     target_latency=0.4 * _SECOND,
 )
 _OBJECTIVE_S = 1.9
+# Stand-in runners stop a run within this time.
+_STOP_S = 0.1
 # Users expect a long-running task back within this time.
 _MAX_INTERRUPTION_S = 3.0
 
@@ -223,6 +225,27 @@
     assert not fleet.check()
 
 
+def test_placement_pass_puts_no_move_off() -> None:
+    """Guards against moves that wait because a pass came before they were due.
+
+    A check waits for 0.3 s, up to 0.25 s for the search, and for a run to
+    stop. Another one is submitted meanwhile.
+    """
+
+    async def run() -> None:
+        fleet = await _make_fragmented_fleet()
+        begin = asyncio.get_running_loop().time()
+        await _submit_checks(fleet, 2)
+        started = [
+            run.started - begin
+            for run in fleet.history.runs
+            if run.task.startswith("check-0")
+        ]
+        assert started and started[0] <= 0.3 + 0.25 + _STOP_S + 0.05
+
+    virtual_time.run_virtually(run())
+
+
 @pytest.mark.parametrize(
     "play",
     [
