Record each start before it is sent

Cause: a start without an answer was written down with the next heartbeat, up to 0.7 s later, and not if it was younger than 0.15 s. The successor of a scheduler that was killed in that time did not know it. It started the task as a run of its own, on any runner, and acknowledged its end. The command then reached the next incarnation of its runner, which had seen no fencing token. In the record of the case the two runs are on different runners, so that keeping ends back would not have helped.

Change: a start is recorded in a transaction before it is sent, and so is its repetition. The record says whether there may be more than one command; if not, a report that lists the run closes it, so that few ends are held back after a takeover. The transaction does not wait for the batch interval, unless three were early lately. If the store confirms nothing for a second, starts go on unrecorded (metric tamarackhatch_unrecorded_starts_total).

--- a/tamarackhatch/election/_leader_lease.py
+++ b/tamarackhatch/election/_leader_lease.py
@@ -119,9 +119,12 @@
         """Whether commands may be sent now."""
         if self._is_revoked:
             return False
-        return (
-            self._clock.get_boot_time() - self._confirmed_at < self._duration
-        )
+        return self.confirmation_age < self._duration
+
+    @property
+    def confirmation_age(self) -> datetime.timedelta:
+        """Boot time since the store last confirmed the term."""
+        return self._clock.get_boot_time() - self._confirmed_at
 
     @property
     def is_sole(self) -> bool:
--- a/tamarackhatch/observability/_metrics.py
+++ b/tamarackhatch/observability/_metrics.py
@@ -77,6 +77,11 @@
             ["form"],
             registry=self._registry,
         )
+        self.unrecorded_starts = prometheus_client.Counter(
+            "tamarackhatch_unrecorded_starts",
+            "Starts sent before the store had confirmed their record.",
+            registry=self._registry,
+        )
         self.lost_runners = prometheus_client.Counter(
             "tamarackhatch_lost_runners",
             "Runners lost with runs on them, by the reason and its proof.",
--- a/tamarackhatch/records/__init__.py
+++ b/tamarackhatch/records/__init__.py
@@ -58,6 +58,7 @@
 from tamarackhatch.records._open_starts import decode_open_starts
 from tamarackhatch.records._open_starts import encode_open_starts
 from tamarackhatch.records._open_starts import OpenStart
+from tamarackhatch.records._open_starts import select_fitting_starts
 from tamarackhatch.records._progress import decode_progress
 from tamarackhatch.records._progress import encode_progress
 from tamarackhatch.records._progress import JobProgress
@@ -177,5 +178,6 @@
     "get_unit",
     "is_change_ref",
     "merge_parts",
+    "select_fitting_starts",
     "split_progress",
 ]
--- a/tamarackhatch/records/_open_starts.py
+++ b/tamarackhatch/records/_open_starts.py
@@ -1,4 +1,4 @@
-"""Row of the start commands that a scheduler has got no answer to."""
+"""Row of the start commands that runners may still carry out."""
 
 from collections.abc import Iterable
 import datetime
@@ -12,8 +12,10 @@
 from tamarackhatch.records import _types
 
 _MILLISECOND = datetime.timedelta(milliseconds=1)
-# The rest is for the name of the field.
+# The rest is for the names of the fields.
 _MAX_STARTS_BYTES = _limits.MAX_VALUE_BYTES - 100
+# Position in the list of single starts, with its comma.
+_POSITION_BYTES = 5
 
 
 @attrs.frozen
@@ -26,35 +28,65 @@
         runner: Identifier of the runner.
         remaining: Longest time from the write of the row after which it may
             be carried out.
+        is_repeated: Whether other commands may have been sent for the same
+            run.
     """
 
     task: model.TaskKey
     run: int
     runner: str
     remaining: datetime.timedelta
+    is_repeated: bool = True
 
 
-def encode_open_starts(starts: Iterable[OpenStart]) -> bytes:
-    """Returns the row value of open starts.
+def select_fitting_starts(starts: Iterable[OpenStart]) -> list[OpenStart]:
+    """Returns the first starts, as many as fit into the row.
 
     Args:
-        starts: The commands, the latest first; the last ones, which are
-            nearly over, are left out if they do not fit.
+        starts: The commands, the latest first, since the last ones are nearly
+            over.
     """
-    rows = []
+    selected = []
     size = 0
     for start in starts:
-        row = [
-            *attrs.astuple(start.task),
-            start.run,
-            start.runner,
-            -(-start.remaining // _MILLISECOND),
-        ]
-        size += len(orjson.dumps(row)) + 1
+        size += len(orjson.dumps(_encode_start(start))) + 1 + _POSITION_BYTES
         if size > _MAX_STARTS_BYTES:
             break
-        rows.append(row)
-    return orjson.dumps({"starts": rows})
+        selected.append(start)
+    return selected
+
+
+def encode_open_starts(starts: Iterable[OpenStart]) -> bytes:
+    """Returns the row value of open starts.
+
+    Earlier builds do not know the list of single starts, and take each start
+    for a repeated one.
+
+    Args:
+        starts: The commands, the latest first; those that do not fit are
+            left out.
+    """
+    selected = select_fitting_starts(starts)
+    document: dict[str, object] = {
+        "starts": [_encode_start(start) for start in selected]
+    }
+    single = [
+        position
+        for position, start in enumerate(selected)
+        if not start.is_repeated
+    ]
+    if single:
+        document["single"] = single
+    return orjson.dumps(document)
+
+
+def _encode_start(start: OpenStart) -> list[object]:
+    return [
+        *attrs.astuple(start.task),
+        start.run,
+        start.runner,
+        -(-start.remaining // _MILLISECOND),
+    ]
 
 
 def decode_open_starts(value: bytes) -> tuple[OpenStart, ...]:
@@ -64,21 +96,36 @@
         MalformedRowError: The value is malformed.
     """
     try:
+        document = orjson.loads(value)
+        single = frozenset(document.get("single", ()))
         starts = tuple(
             OpenStart(
                 model.TaskKey(job, occurrence, step, index),
                 run,
                 runner,
                 remaining * _MILLISECOND,
+                is_repeated=position not in single,
             )
-            for job, occurrence, step, index, run, runner, remaining in (
-                orjson.loads(value)["starts"]
-            )
+            for position, (
+                job,
+                occurrence,
+                step,
+                index,
+                run,
+                runner,
+                remaining,
+            ) in enumerate(document["starts"])
         )
         for start in starts:
             _types.check_types(start)
         return starts
-    except (ValueError, KeyError, TypeError, ArithmeticError) as error:
+    except (
+        ValueError,
+        KeyError,
+        TypeError,
+        AttributeError,
+        ArithmeticError,
+    ) as error:
         raise _progress.MalformedRowError(
             f"malformed open starts in row starts: {error!r}"
         ) from error
--- a/tamarackhatch/scheduler/_commands.py
+++ b/tamarackhatch/scheduler/_commands.py
@@ -13,6 +13,7 @@
 from tamarackhatch.scheduler import _fleet
 from tamarackhatch.scheduler import _runner_reports
 from tamarackhatch.scheduler import _speed_limit_sender
+from tamarackhatch.scheduler import _start_attempts
 from tamarackhatch.scheduler import _start_refusals
 from tamarackhatch.scheduler import _state
 
@@ -151,18 +152,48 @@
         run: int,
         speed_limit_percent: int,
     ) -> None:
-        context = self._context
+        start_records = self._context.start_records
+        delivery = start_records.begin(task.key, run, entry.identifier)
+        try:
+            await self._repeat_start(
+                task, entry, delivery, speed_limit_percent
+            )
+        finally:
+            start_records.end(delivery)
+
+    async def _may_send_start(
+        self,
+        task: _state.TaskEntry,
+        entry: _fleet.RunnerEntry,
+        delivery: _start_attempts.StartDelivery,
+    ) -> bool:
+        """Waits for the record of a start; returns whether it is still due."""
+        await self._context.start_records.wait_until_recorded(delivery)
+        return (
+            task.run == delivery.run
+            and task.runner is entry
+            and task.phase is _state.TaskPhase.STARTING
+        )
+
+    async def _repeat_start(
+        self,
+        task: _state.TaskEntry,
+        entry: _fleet.RunnerEntry,
+        delivery: _start_attempts.StartDelivery,
+        speed_limit_percent: int,
+    ) -> None:
+        context, run = self._context, delivery.run
+        if not await self._may_send_start(task, entry, delivery):
+            return
         is_uncertain = False
         attempt_ended = context.get_now()
         lease_end = self._grant_lease(entry)
-        if lease_end is None:
+        if lease_end is None or context.start_records.is_closed:
             context.job_tracker.undo_start(task)
             return
-        while (
-            task.run == run
-            and task.runner is entry
-            and task.phase is _state.TaskPhase.STARTING
-        ):
+        while await self._may_send_start(task, entry, delivery):
+            if context.start_records.is_closed:
+                return
             outcome = None
             is_closed = (
                 entry.record.is_draining
@@ -211,6 +242,7 @@
                 return
             if outcome is None:
                 is_uncertain = True
+                context.start_records.repeat(delivery)
                 if entry.has_clock_passed(lease_end, context.get_now()):
                     # No attempt can start the run any more. Reports to later
                     # renewals list the run only if one has started it.
--- a/tamarackhatch/scheduler/_context.py
+++ b/tamarackhatch/scheduler/_context.py
@@ -21,6 +21,7 @@
 from tamarackhatch.scheduler import _load_monitor
 from tamarackhatch.scheduler import _repeated_runs
 from tamarackhatch.scheduler import _start_attempts
+from tamarackhatch.scheduler import _start_records
 from tamarackhatch.scheduler import _state
 from tamarackhatch.scheduler import _tickets
 from tamarackhatch.scheduler import _writer
@@ -39,6 +40,7 @@
         job_tracker: State of unfinished jobs and tasks.
         fleet: Runners by identifier.
         start_attempts: Start commands that may still be carried out.
+        start_records: Records starts in the store before they are sent.
         crash_rates: Knows how often runners crash.
         writer: Writes durable progress.
         log: Log of the scheduler.
@@ -68,6 +70,7 @@
     job_tracker: _job_tracker.JobTracker
     fleet: dict[str, _fleet.RunnerEntry]
     start_attempts: _start_attempts.StartAttempts
+    start_records: _start_records.StartRecords
     crash_rates: _crash_rates.CrashRates
     writer: _writer.ProgressWriter
     log: observability.Log
--- a/tamarackhatch/scheduler/_runner_rows.py
+++ b/tamarackhatch/scheduler/_runner_rows.py
@@ -7,7 +7,7 @@
 from tamarackhatch import model
 from tamarackhatch import records
 from tamarackhatch.scheduler import _cordons
-from tamarackhatch.scheduler import _start_attempts
+from tamarackhatch.scheduler import _start_records
 
 
 @attrs.frozen
@@ -33,15 +33,10 @@
     def __init__(
         self,
         cordons: _cordons.CordonList,
-        start_attempts: _start_attempts.StartAttempts,
+        start_records: _start_records.StartRecords,
     ) -> None:
         self._cordons = cordons
-        self._start_attempts = start_attempts
-        self._is_enabled = False
-        # Commands, without the time left, in the stored row and in that of the
-        # transaction in progress; None if that is not known.
-        self._stored_starts: frozenset[object] | None = frozenset()
-        self._written_starts: frozenset[object] | None = None
+        self._start_records = start_records
         self._list_tracked_runners: (
             Callable[[], TrackedRunnersWrite] | None
         ) = None
@@ -51,7 +46,16 @@
     @property
     def is_due(self) -> bool:
         """Whether a write was requested."""
-        return self._is_list_due or self._cordons.is_due
+        return (
+            self._is_list_due
+            or self._cordons.is_due
+            or self._start_records.is_due
+        )
+
+    @property
+    def has_waiting_starts(self) -> bool:
+        """Whether starts wait for a write of their row."""
+        return self._start_records.is_due
 
     def request_list(
         self, list_runners: Callable[[], TrackedRunnersWrite]
@@ -67,8 +71,7 @@
 
     def enable(self) -> None:
         """Allows writes of what this term knows from its predecessor."""
-        self._is_enabled = True
-        self._stored_starts = None
+        self._start_records.enable()
         self._cordons.enable()
 
     def request_cordon_update(self) -> None:
@@ -89,35 +92,19 @@
         cordons = self._cordons.prepare_write(has_heartbeat, bool(rows))
         if cordons is not None:
             rows.append(cordons)
-        if has_heartbeat and self._is_enabled:
-            rows += self._prepare_starts()
-        return rows
-
-    def _prepare_starts(self) -> list[model.Put]:
-        """Returns the row of open starts if it has changed."""
-        starts = self._start_attempts.list_unanswered()
-        self._written_starts = frozenset(
-            (start.task, start.run, start.runner) for start in starts
-        )
-        if self._written_starts == self._stored_starts:
-            return []
-        self._stored_starts = None
-        value = records.encode_open_starts(starts)
-        return [model.Put(records.OPEN_STARTS, value)]
+        return rows + self._start_records.prepare(has_heartbeat)
 
     def record_commit(self) -> None:
         """Records that the prepared rows are durable."""
         self._cordons.record_commit()
-        if self._written_starts is not None:
-            self._stored_starts = self._written_starts
-            self._written_starts = None
+        self._start_records.record_commit()
         prepared, self._prepared = self._prepared, None
         if prepared is not None:
             prepared.on_tracked()
 
     def record_failure(self) -> None:
         """Records that the prepared rows may not be durable."""
-        self._written_starts = None
+        self._start_records.record_failure()
         if self._prepared is not None:
             self._prepared = None
             self._is_list_due = True
--- a/tamarackhatch/scheduler/_scheduler.py
+++ b/tamarackhatch/scheduler/_scheduler.py
@@ -31,6 +31,7 @@
 from tamarackhatch.scheduler import _runner_manager
 from tamarackhatch.scheduler import _runner_rows
 from tamarackhatch.scheduler import _start_attempts
+from tamarackhatch.scheduler import _start_records
 from tamarackhatch.scheduler import _state
 from tamarackhatch.scheduler import _stored_progress
 from tamarackhatch.scheduler import _stragglers
@@ -85,8 +86,11 @@
         start_attempts = _start_attempts.StartAttempts(
             time_source, configured.longest_run
         )
+        self._start_records = _start_records.StartRecords(
+            time_source, start_attempts, self._leader_lease, log, metrics
+        )
         self._runner_rows = _runner_rows.RunnerRows(
-            _cordons.CordonList(fleet), start_attempts
+            _cordons.CordonList(fleet), self._start_records
         )
         self._writer = _writer.ProgressWriter(
             store,
@@ -110,6 +114,7 @@
             self._summarise_waits,
             dependencies.on_heartbeat,
         )
+        self._start_records.set_callback(self._writer.request_start_records)
         wake = asyncio.Event()
         self._tickets = _tickets.TicketCache(
             dependencies.advice_client, time_source, wake.set, log
@@ -130,6 +135,7 @@
             job_tracker=job_tracker,
             fleet=fleet,
             start_attempts=start_attempts,
+            start_records=self._start_records,
             crash_rates=_crash_rates.CrashRates(time_source, fleet),
             writer=self._writer,
             log=log,
@@ -330,6 +336,7 @@
             token=self._term.token,
             tracked_runners=tracked_runners and len(tracked_runners),
             runners=len(self._context.fleet),
+            open_starts=len(earlier.open_starts),
         )
         async with asyncio.TaskGroup() as group:
             group.create_task(self._runner_watcher.follow())
@@ -360,6 +367,8 @@
         for task in tasks:
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
+        # The writer has ended, so that no further start can be recorded.
+        self._start_records.close()
         deadline = self._clock.get_monotonic() + _MAX_HANDOVER_WAIT
         while self._commands.in_progress:
             if self._clock.get_monotonic() >= deadline:
--- a/tamarackhatch/scheduler/_start_attempts.py
+++ b/tamarackhatch/scheduler/_start_attempts.py
@@ -9,6 +9,7 @@
 from collections.abc import Collection
 from collections.abc import Iterable
 import datetime
+import itertools
 
 import attrs
 
@@ -17,8 +18,27 @@
 from tamarackhatch import records
 from tamarackhatch.scheduler import _command_fence
 
-# Runners answer starts within milliseconds.
-_MAX_USUAL_ANSWER_TIME = datetime.timedelta(milliseconds=150)
+
+@attrs.define(eq=False)
+class StartDelivery:
+    """The start commands of one run, from before the first one is sent.
+
+    Attributes:
+        task: The task.
+        run: Number of the run.
+        runner: Identifier of the runner.
+        requested: Monotonic time since which it is to be recorded.
+        is_repeated: Whether more than one command may be sent.
+        is_recorded: Whether a successor would know of it, and of the
+            repetition.
+    """
+
+    task: model.TaskKey
+    run: int
+    runner: str
+    requested: datetime.timedelta
+    is_repeated: bool = False
+    is_recorded: bool = False
 
 
 @attrs.define(eq=False)
@@ -65,6 +85,8 @@
         self._clock = time_source
         self._longest_run = longest_run
         self._open: dict[model.TaskKey, list[StartAttempt]] = {}
+        # In the order of their beginnings.
+        self._deliveries: dict[StartDelivery, None] = {}
         # Tasks with a listed run that is not their latest one, with the
         # runners that list one.
         self._stray_runs: dict[model.TaskKey, set[str]] = {}
@@ -75,6 +97,24 @@
         """Number of tasks with a start command that may be carried out."""
         return len(self._open)
 
+    def begin_delivery(
+        self, task: model.TaskKey, run: int, runner: str
+    ) -> StartDelivery:
+        """Records that start commands of a run will be sent."""
+        delivery = StartDelivery(
+            task, run, runner, self._clock.get_monotonic()
+        )
+        self._deliveries[delivery] = None
+        return delivery
+
+    def end_delivery(self, delivery: StartDelivery) -> None:
+        """Records that no further command of a run will be sent."""
+        del self._deliveries[delivery]
+
+    def list_deliveries(self) -> list[StartDelivery]:
+        """Returns the deliveries that have not ended."""
+        return list(self._deliveries)
+
     def begin(
         self, task: model.TaskKey, run: int, runner: str
     ) -> StartAttempt:
@@ -124,8 +164,8 @@
     def restore(self, starts: Iterable[records.OpenStart]) -> None:
         """Adds commands of an earlier scheduler.
 
-        Every token of this term shuts them out. Further commands of the same
-        runs may have been answered.
+        Every token of this term shuts them out. Further commands of a
+        repeated run may have been answered.
         """
         now = self._clock.get_monotonic()
         for start in starts:
@@ -137,31 +177,38 @@
                 now,
                 possible_until=until,
                 may_run_until=until + self._longest_run,
-                is_only=False,
+                is_only=not start.is_repeated,
             )
             self._open.setdefault(start.task, []).append(attempt)
 
-    def list_unanswered(self) -> list[records.OpenStart]:
-        """Returns the commands that a successor has to know, latest first.
+    def list_open_starts(self) -> list[records.OpenStart]:
+        """Returns what a successor has to know of runs, latest first.
 
-        Those that were sent just now will mostly be answered.
+        While commands of a run may still be sent, the row of this list tells
+        nothing of the time left, since it need not be written again for each
+        of them.
         """
         now = self._clock.get_monotonic()
-        found = []
-        for attempts in self._open.values():
-            for it in attempts:
-                until = it.possible_until
-                if until is None:
-                    if now - it.sent < _MAX_USUAL_ANSWER_TIME:
-                        continue
-                    until = it.sent + _command_fence.MAX_DELAY
-                if until > now:
-                    found.append(
-                        records.OpenStart(
-                            it.task, it.run, it.runner, until - now
-                        )
-                    )
-        return sorted(found, key=lambda start: start.remaining, reverse=True)
+        found: dict[tuple[model.TaskKey, int, str], records.OpenStart] = {}
+        for delivery in self._deliveries:
+            key = (delivery.task, delivery.run, delivery.runner)
+            found[key] = records.OpenStart(
+                *key, _command_fence.MAX_DELAY, delivery.is_repeated
+            )
+        for attempt in itertools.chain.from_iterable(self._open.values()):
+            key = (attempt.task, attempt.run, attempt.runner)
+            until = attempt.possible_until
+            if until is None:
+                until = attempt.sent + _command_fence.MAX_DELAY
+            known = found.get(key)
+            if until <= now or known and known.remaining >= until - now:
+                continue
+            found[key] = records.OpenStart(
+                *key, until - now, not attempt.is_only
+            )
+        return sorted(
+            found.values(), key=lambda start: start.remaining, reverse=True
+        )
 
     def discard_runner(self, runner: str) -> None:
         """Forgets the commands to a runner that can carry out none."""
--- /dev/null
+++ b/tamarackhatch/scheduler/_start_records.py
@@ -0,0 +1,188 @@
+"""Records starts in the store before they are sent.
+
+A killed scheduler may leave a start command that its runner carries out
+seconds later. Its successor must know that command: it must not start the task
+on another runner, nor acknowledge the exit of its own run, until the command
+is too old to arrive.
+"""
+
+import asyncio
+from collections.abc import Callable
+import datetime
+
+from tamarackhatch import clock
+from tamarackhatch import election
+from tamarackhatch import model
+from tamarackhatch import observability
+from tamarackhatch import records
+from tamarackhatch.scheduler import _start_attempts
+
+# Longer than writes take while the store is slow. If it confirms nothing for
+# so long, tasks start unrecorded rather than wait for the end of an outage.
+_MAX_WAIT = datetime.timedelta(seconds=1)
+
+
+class StartRecords:
+    """Prepares the row of open starts, and lets starts wait for it."""
+
+    def __init__(
+        self,
+        time_source: clock.Clock,
+        start_attempts: _start_attempts.StartAttempts,
+        leader_lease: election.LeaderLease,
+        log: observability.Log,
+        metrics: observability.Metrics,
+    ) -> None:
+        self._clock = time_source
+        self._start_attempts = start_attempts
+        self._leader_lease = leader_lease
+        self._log = log
+        self._metrics = metrics
+        self._request_write: Callable[[], None] = lambda: None
+        self._is_enabled = False
+        self._is_closed = False
+        # Starts, without the time left, in the stored row and in that of the
+        # transaction in progress; None if that is not known.
+        self._stored: frozenset[object] | None = frozenset()
+        self._written: frozenset[object] | None = None
+        self._written_deliveries: list[_start_attempts.StartDelivery] = []
+        self._has_unrecorded = False
+        self._changed = asyncio.Event()
+
+    @property
+    def is_closed(self) -> bool:
+        """Whether nothing more is recorded, so that nothing may be sent."""
+        return self._is_closed
+
+    @property
+    def is_due(self) -> bool:
+        """Whether a start waits to be recorded."""
+        return self._is_enabled and self._has_unrecorded
+
+    def set_callback(self, request_write: Callable[[], None]) -> None:
+        """Sets the function that requests a write of the row."""
+        self._request_write = request_write
+
+    def enable(self) -> None:
+        """Allows writes, which replace what earlier terms recorded."""
+        self._is_enabled = True
+        self._stored = None
+
+    def close(self) -> None:
+        """Ends all waits, because the term ends."""
+        self._is_closed = True
+        self._notify()
+
+    def begin(
+        self, task: model.TaskKey, run: int, runner: str
+    ) -> _start_attempts.StartDelivery:
+        """Requests that the start of a run be recorded."""
+        delivery = self._start_attempts.begin_delivery(task, run, runner)
+        self._request_record()
+        return delivery
+
+    def repeat(self, delivery: _start_attempts.StartDelivery) -> None:
+        """Requests that the repetition of a start command be recorded."""
+        if not delivery.is_repeated:
+            delivery.is_repeated = True
+            delivery.is_recorded = False
+            delivery.requested = self._clock.get_monotonic()
+            self._request_record()
+
+    def end(self, delivery: _start_attempts.StartDelivery) -> None:
+        """Records that no further command of a run will be sent."""
+        self._start_attempts.end_delivery(delivery)
+
+    async def wait_until_recorded(
+        self, delivery: _start_attempts.StartDelivery
+    ) -> None:
+        """Waits until a successor would know of a start.
+
+        Returns early if the store does not confirm it in time, or if the term
+        ends.
+        """
+        while not delivery.is_recorded and not self._is_closed:
+            remaining = _MAX_WAIT - max(
+                self._leader_lease.confirmation_age,
+                self._clock.get_monotonic() - delivery.requested,
+            )
+            if remaining <= datetime.timedelta():
+                self._metrics.unrecorded_starts.inc()
+                self._log.info(
+                    "start_unrecorded",
+                    task=str(delivery.task),
+                    run=delivery.run,
+                    runner=delivery.runner,
+                )
+                return
+            try:
+                async with asyncio.timeout(remaining.total_seconds()):
+                    await self._changed.wait()
+            except TimeoutError:
+                pass
+
+    def prepare(self, has_heartbeat: bool) -> list[model.Put]:
+        """Returns the row of open starts if it has to be written.
+
+        Args:
+            has_heartbeat: Whether the transaction contains a heartbeat. With
+                it, starts that are no longer open are removed from the row.
+        """
+        if not self._is_enabled or not (self.is_due or has_heartbeat):
+            return []
+        starts = records.select_fitting_starts(
+            self._start_attempts.list_open_starts()
+        )
+        self._written = frozenset(
+            (start.task, start.run, start.runner, start.is_repeated)
+            for start in starts
+        )
+        self._written_deliveries = [
+            delivery
+            for delivery in self._start_attempts.list_deliveries()
+            if _get_key(delivery) in self._written
+        ]
+        if self._written == self._stored:
+            self.record_commit()
+            return []
+        self._stored = None
+        value = records.encode_open_starts(starts)
+        return [model.Put(records.OPEN_STARTS, value)]
+
+    def record_commit(self) -> None:
+        """Records that the prepared row is durable."""
+        if self._written is None:
+            return
+        self._stored, self._written = self._written, None
+        for delivery in self._written_deliveries:
+            # The start may have been repeated since.
+            if _get_key(delivery) in self._stored:
+                delivery.is_recorded = True
+        self._written_deliveries = []
+        self._has_unrecorded = any(
+            not delivery.is_recorded
+            for delivery in self._start_attempts.list_deliveries()
+        )
+        self._notify()
+
+    def record_failure(self) -> None:
+        """Records that the prepared row may not be durable."""
+        self._written = None
+        self._written_deliveries = []
+
+    def _request_record(self) -> None:
+        self._has_unrecorded = True
+        self._request_write()
+
+    def _notify(self) -> None:
+        self._changed.set()
+        self._changed = asyncio.Event()
+
+
+def _get_key(delivery: _start_attempts.StartDelivery) -> object:
+    return (
+        delivery.task,
+        delivery.run,
+        delivery.runner,
+        delivery.is_repeated,
+    )
--- a/tamarackhatch/scheduler/_writer.py
+++ b/tamarackhatch/scheduler/_writer.py
@@ -24,6 +24,9 @@
 # Time between two transactions. Calls to the store have a cost, and exits that
 # arrive within this time share one call.
 _BATCH_INTERVAL = datetime.timedelta(milliseconds=70)
+# Starts wait for their record, so that it is written at once while so many
+# transactions more than one in each interval were not sent lately.
+_MAX_EARLY_BATCHES = 3
 # Learned interference factors change slowly, so not every heartbeat
 # includes them.
 _HEARTBEATS_PER_INTERFERENCE_WRITE = 3
@@ -100,6 +103,8 @@
         self._publication: model.Publication | None = None
         self._last_heartbeat: datetime.timedelta | None = None
         self._wake = asyncio.Event()
+        self._start_event = asyncio.Event()
+        self._used_until = datetime.timedelta()
         self._commit_event = asyncio.Event()
 
     @property
@@ -141,6 +146,11 @@
         self._runner_rows.request_cordon_update()
         self._wake.set()
 
+    def request_start_records(self) -> None:
+        """Requests that the row of open starts be written."""
+        self._wake.set()
+        self._start_event.set()
+
     def request_publication(self) -> None:
         """Requests that a new configuration be published."""
         self._wake.set()
@@ -177,11 +187,30 @@
             await self._wait_for_work()
             began = self._clock.get_monotonic()
             if await self.write_batch():
-                elapsed = self._clock.get_monotonic() - began
-                await self._clock.sleep(_BATCH_INTERVAL - elapsed)
+                await self._pause(began)
             else:
                 await self._clock.sleep(_RETRY_PAUSE)
 
+    async def _pause(self, began: datetime.timedelta) -> None:
+        """Waits until the next transaction may be sent.
+
+        Args:
+            began: Monotonic time at which the latest one was sent.
+        """
+        self._start_event.clear()
+        # Each transaction uses up an interval, in advance if it is early.
+        self._used_until = max(self._used_until, began) + _BATCH_INTERVAL
+        early = self._used_until - _MAX_EARLY_BATCHES * _BATCH_INTERVAL
+        await self._clock.sleep(early - self._clock.get_monotonic())
+        if self._runner_rows.has_waiting_starts:
+            return
+        remaining = began + _BATCH_INTERVAL - self._clock.get_monotonic()
+        try:
+            async with asyncio.timeout(max(0.0, remaining.total_seconds())):
+                await self._start_event.wait()
+        except TimeoutError:
+            return
+
     async def write_batch(
         self,
         is_release: bool = False,
--- a/tamarackhatch/scheduler/tests/test_late_attempts.py
+++ b/tamarackhatch/scheduler/tests/test_late_attempts.py
@@ -366,6 +366,51 @@
     virtual_time.run_virtually(simulate())
 
 
+@pytest.mark.parametrize("takeovers", [1, 2])
+@pytest.mark.parametrize("run_s", [0.1, 2.6])
+@pytest.mark.parametrize("kill_s", [0.0, 0.05, 0.15, 0.5])
+def test_successor_of_a_killed_scheduler_repeats_no_start_elsewhere(
+    kill_s: float, run_s: float, takeovers: int
+) -> None:
+    """Guards against a finished task that a killed scheduler had sent.
+
+    No attempt gets an answer, and none is carried out before the successor
+    has finished the task. Then one is, on the runner that it was sent to.
+    """
+
+    async def simulate() -> None:
+        fleet = standin_fleet.VirtualFleet(
+            2, lambda task, run: (run_s, "done")
+        )
+        for name in ("a", "b", "c"):
+            fleet.start_instance(name)
+        await fleet.wait_until(lambda: fleet.get_leader() is not None)
+        await asyncio.sleep(2)
+        late = [_LateStarts(fleet, index, 11.0) for index in range(2)]
+        await fleet.submit("00", _STEP)
+        await fleet.wait_until(lambda: any(it.pending for it in late))
+        await asyncio.sleep(kill_s)
+        for it in late:
+            it.is_late = False
+        for _ in range(takeovers):
+            leader = fleet.get_leader()
+            assert leader is not None
+            del fleet.instances[leader.name]
+            leader.kill()
+            await fleet.wait_until(
+                lambda: fleet.get_leader() not in (None, leader)
+            )
+            await asyncio.sleep(0.5)
+        (index,) = (index for index in range(2) if late[index].pending)
+        await _restart(fleet, index, late[index].pending[0])
+        await asyncio.sleep(3)
+        assert any(run.is_late for run in fleet.history.runs)
+        assert fleet.check() == []
+        await fleet.wait_for_state("00", model.JobState.COMPLETED, 15)
+
+    virtual_time.run_virtually(simulate())
+
+
 def _crash(fleet: standin_fleet.VirtualFleet) -> None:
     """Makes the task a suspect, which is not observed where it crashed."""
     fleet.runners[0].crash(resets_connections=True)
