Let no unplaceable task keep suspects of crashes waiting

Cause: no suspect of a crash starts in a pass in which a long-running task that has waited for 2 s has a place. A member of a gang had one as soon as it fitted by itself, though the gang as a whole could not be placed. Such a gang waits for good, and so did the suspects.

Change: a task has a place if the choice that would start it finds places for all of its gang, with tickets, limits, speed and open start commands. And it goes first for a second at most: what has a place starts in that pass.

--- a/tamarackhatch/scheduler/_dispatcher.py
+++ b/tamarackhatch/scheduler/_dispatcher.py
@@ -17,6 +17,7 @@
 from tamarackhatch.scheduler import _large_tasks
 from tamarackhatch.scheduler import _load_monitor
 from tamarackhatch.scheduler import _near_places
+from tamarackhatch.scheduler import _precedence
 from tamarackhatch.scheduler import _runner_choice
 from tamarackhatch.scheduler import _state
 from tamarackhatch.scheduler import _waiting_work
@@ -37,6 +38,7 @@
 
     Attributes:
         waits: Reports the work that the passes leave waiting.
+        precedence: How long tasks have gone before suspects of crashes.
     """
 
     def __init__(
@@ -48,12 +50,13 @@
         self._commands = commands
         self._large_tasks = _large_tasks.LargeTaskReserver(context)
         self._bound_tasks = _bound_tasks.BoundTasks(context, self._place_task)
+        self.precedence = _precedence.Precedence()
         self.waits = _waits.WaitReporter(context, self.is_withheld)
         self._waiting_work = _waiting_work.WaitingWorkLog(context)
         self._probes = _health.ProbePlacer(
             context, self.is_withheld, self._place_task
         )
-        self._chooser = _runner_choice.RunnerChooser(context)
+        self._chooser = _runner_choice.RunnerChooser(context, self.precedence)
         self._near_places = _near_places.NearPlacer(
             context, self._choose_near, self._start_chosen_tasks
         )
@@ -220,8 +223,7 @@
         selection = _group_order.select_tasks(group, self.is_withheld)
         result.paused += selection.paused
         result.suspects += selection.suspects
-        tasks = selection.tasks
-        if not tasks:
+        if not (tasks := selection.tasks):
             return
         if is_grouping and _group_order.is_new(tasks[0]):
             result.grouped += len(tasks)
--- a/tamarackhatch/scheduler/_dry_run.py
+++ b/tamarackhatch/scheduler/_dry_run.py
@@ -84,7 +84,9 @@
         self._now = context.get_now()
         self._service = job.queue.service
         self._entry = _make_entry(job, self._now)
-        self._chooser = _runner_choice.RunnerChooser(context)
+        self._chooser = _runner_choice.RunnerChooser(
+            context, dispatcher.precedence.copy()
+        )
         self._earlier = _EarlierWork()
         self._candidates = _candidates.list_candidates(
             context,
--- a/tamarackhatch/scheduler/_runner_choice.py
+++ b/tamarackhatch/scheduler/_runner_choice.py
@@ -20,6 +20,7 @@
 from tamarackhatch.scheduler import _filling
 from tamarackhatch.scheduler import _group_order
 from tamarackhatch.scheduler import _isolation
+from tamarackhatch.scheduler import _precedence
 from tamarackhatch.scheduler import _state
 
 Runners = list[placement.CandidateRunner]
@@ -45,8 +46,19 @@
 class RunnerChooser:
     """Chooses runners for the groups of one placement pass after another."""
 
-    def __init__(self, context: _context.SchedulerContext) -> None:
+    def __init__(
+        self,
+        context: _context.SchedulerContext,
+        precedence: _precedence.Precedence,
+    ) -> None:
+        """Creates the chooser of a dispatcher or of a dry run.
+
+        Args:
+            context: Shared components of the scheduler.
+            precedence: How long tasks have gone before suspects of crashes.
+        """
         self._context = context
+        self._precedence = precedence
         # Policies, candidates and demands of the present placement pass.
         self._policies: dict[str, placement.PlacementPolicy] = {}
         self._candidates: _candidates.Candidates = {}
@@ -169,12 +181,20 @@
         allowances = _isolation.count_allowances(
             context.list_open_runners(), now
         )
-        for task in _candidates.list_urgent_tasks(context, now):
+        urgent = _candidates.list_urgent_tasks(context, now)
+        self._precedence.retain(urgent)
+        for task in urgent:
             service = task.job.job.queue.service
-            if not is_paused(task) and self._has_place(
-                task, list_allowed(task, candidates.get(service, []))
+            if (
+                allowances[service] > 0
+                and self._precedence.may_claim(task, now)
+                and not is_paused(task)
+                and self._has_place(
+                    task, candidates.get(service, []), list_allowed
+                )
             ):
                 # It goes first, and would find the runner closed.
+                self._precedence.claim(task, now)
                 allowances[service] = 0
         for task in _isolation.order_suspects(suspects):
             service = task.job.job.queue.service
@@ -201,14 +221,22 @@
                 allowances[service] -= 1
                 group.remove(candidate)
 
-    def _has_place(self, task: _state.TaskEntry, candidates: Runners) -> bool:
-        label = task.step.required_label
-        return any(
-            candidate.load.has_capacity(task.step)
-            and (not label or label in candidate.load.labels)
-            and placement.is_allowed(candidate.load, task.key, task.step)
-            for candidate in filter_by_ticket(self._context, task, candidates)
-        )
+    def _has_place(
+        self,
+        task: _state.TaskEntry,
+        candidates: Runners,
+        list_allowed: ListAllowed,
+    ) -> bool:
+        """Returns whether a task, and all of its gang, could start now."""
+        tasks = task.siblings if task.step.is_gang else [task]
+        if any(it.phase is not _state.TaskPhase.WAITING for it in tasks):
+            return False
+        allowed = filter_by_ticket(self._context, task, candidates)
+        for member in tasks:
+            allowed = list_allowed(member, allowed)
+        choices = self.choose(tasks, allowed)
+        placement.release_choices(choices, task.step)
+        return len(choices) == len(tasks)
 
     def choose(
         self,
