Rate runners for tasks that ask for no processors

Cause: the rating divides the headroom of a runner by the share of the processors that a best-effort task asks for. For a task that asks for none, and without headroom, that is a division by zero. It ended the term of each scheduler that came to place the task. choose_runners leaves such runners out before they are rated; can_start, used for near places, does not.

Change: such a task slows down nothing, so that it runs at full speed on any runner with its memory, by both ways.

--- a/tamarackhatch/placement/_choice.py
+++ b/tamarackhatch/placement/_choice.py
@@ -130,10 +130,10 @@
     When more best-effort tasks wait than fit, this leaves out most runners at
     a small part of the cost of their ratings.
     """
-    if not step.is_best_effort or not min_speed:
+    needed = step.resources.processors * min_speed - _ROUNDING_ERROR
+    if not step.is_best_effort or needed < 0:
         return candidates
     image = step.image
-    needed = step.resources.processors * min_speed - _ROUNDING_ERROR
     return [
         candidate
         for candidate in candidates
@@ -276,7 +276,9 @@
     requested_share = step.resources.processors / candidate.processors
     limit = candidate.get_best_effort_limit(step.image)
     speed_limit = 1.0
-    if requested_share > limit.max_share:
+    # A task that asks for no processors slows down nothing, even where there
+    # is no headroom.
+    if requested_share and requested_share > limit.max_share:
         speed_limit = max(0.0, limit.max_share / requested_share)
     added_utilisation = limit.utilisation_per_share * requested_share
     cpu_share = _compute_cpu_share(step, candidate)
--- a/tamarackhatch/placement/tests/test_choice.py
+++ b/tamarackhatch/placement/tests/test_choice.py
@@ -111,7 +111,8 @@
 
 @pytest.mark.parametrize("image", ["heavy", "light", "unknown"])
 @pytest.mark.parametrize("processors", [0, 1, 64_000])
-@pytest.mark.parametrize("own_load", [0.3, 0.95])
+# With 0.78 to 0.9 there is no headroom; 0.95 is taken for a faulty sample.
+@pytest.mark.parametrize("own_load", [0.3, 0.78, 0.9, 0.95])
 @pytest.mark.parametrize("requested", [0, 1, 90_000])
 def test_best_effort_task_is_rated_on_any_runner(
     image: str, processors: int, own_load: float, requested: int
@@ -127,6 +128,22 @@
     assert 0 <= rating.speed_limit <= 1
 
 
+@pytest.mark.parametrize("image", ["heavy", "light", "unknown"])
+@pytest.mark.parametrize("own_load", [0.3, 0.78, 0.9])
+def test_task_without_processors_needs_no_headroom(
+    own_load: float, image: str
+) -> None:
+    """Guards against a task that one rule would start, and another not."""
+    step = model.Step(
+        1, model.Resources(0, 1), is_best_effort=True, image=image
+    )
+    candidate = _make_candidate(
+        _make_serving_load(), _make_interference(own_load)
+    )
+    assert _choice.can_start(_KEY, step, candidate, _POLICY)
+    assert _choose_identifiers(step, candidate) == ["busy"]
+
+
 @pytest.mark.parametrize(
     ("own_load", "image", "min_speed", "chosen"),
     [
