Place withheld tasks as soon as their start command cannot arrive

Callers: a task whose start got no answer waits until the command is too old to arrive, and then for the next placement pass, up to 0.25 s. test_task_starts_elsewhere_if_its_runner_takes_it_no_more[silent] asks for 15 s.

Change: the pause before a pass ends with the first such command.

--- a/tamarackhatch/scheduler/_dispatcher.py
+++ b/tamarackhatch/scheduler/_dispatcher.py
@@ -11,7 +11,6 @@
 from tamarackhatch.scheduler import _consolidation
 from tamarackhatch.scheduler import _context
 from tamarackhatch.scheduler import _filling
-from tamarackhatch.scheduler import _fleet
 from tamarackhatch.scheduler import _group_order
 from tamarackhatch.scheduler import _health
 from tamarackhatch.scheduler import _large_tasks
@@ -156,9 +155,9 @@
         context = self._context
         while True:
             try:
-                pause = self._consolidator.limit_pause(
-                    self._near_places.limit_pause(_MAX_PASS_INTERVAL)
-                )
+                pause = self._near_places.limit_pause(_MAX_PASS_INTERVAL)
+                pause = self._consolidator.limit_pause(pause)
+                pause = context.start_attempts.limit_pause(pause)
                 async with asyncio.timeout(pause.total_seconds()):
                     await context.wake.wait()
             except TimeoutError:
@@ -229,8 +228,7 @@
             result.grouped += len(tasks)
             return
         first = tasks[0]
-        service = first.job.job.queue.service
-        remaining = candidates.get(service, [])
+        remaining = candidates.get(first.job.job.queue.service, [])
         placed = self._place_group(
             tasks, self._large_tasks.add_reserved(first, order, remaining)
         )
@@ -422,7 +420,7 @@
         speed_limit: float,
     ) -> None:
         context = self._context
-        entry: _fleet.RunnerEntry = context.fleet[chosen.load.identifier]
+        entry = context.fleet[chosen.load.identifier]
         waited = task.compute_wait(context.get_now())
         task.ticket = (
             context.tickets.get_ticket(
--- a/tamarackhatch/scheduler/_start_attempts.py
+++ b/tamarackhatch/scheduler/_start_attempts.py
@@ -264,6 +264,25 @@
             for attempt in self._open.get(task, ())
         )
 
+    def limit_pause(self, pause: datetime.timedelta) -> datetime.timedelta:
+        """Returns the pause before the next placement pass.
+
+        Tasks that a command withholds can start once it cannot arrive.
+
+        Args:
+            pause: Longest pause.
+        """
+        if not self._open:
+            return pause
+        now = self._clock.get_monotonic()
+        ends = (
+            attempt.possible_until - now
+            for attempt in itertools.chain.from_iterable(self._open.values())
+            if attempt.possible_until is not None
+            and attempt.possible_until > now
+        )
+        return min(pause, min(ends, default=pause))
+
     def remove_expired(self) -> None:
         """Forgets the commands that can have no run any more."""
         for task in list(self._open):
--- a/tamarackhatch/scheduler/tests/test_start_attempts.py
+++ b/tamarackhatch/scheduler/tests/test_start_attempts.py
@@ -177,3 +177,28 @@
     assert start.remaining == _command_fence.MAX_DELAY
     attempts.end_delivery(delivery)
     assert len(attempts.list_open_starts()) == min(before, 1)
+
+
+@pytest.mark.parametrize(
+    ("answer", "after", "pause"),
+    [
+        pytest.param("200", 0.0, 0.25, id="answered"),
+        pytest.param("", 0.0, 0.25, id="awaits-its-answer"),
+        pytest.param("none", 0.0, 0.25, id="may-come-for-long"),
+        pytest.param("none", 12.4, 0.1, id="may-come-for-a-moment"),
+        pytest.param("none", 12.5, 0.25, id="cannot-come"),
+    ],
+)
+def test_placement_pass_follows_the_end_of_an_attempt(
+    answer: str, after: float, pause: float
+) -> None:
+    """Guards against a task that waits for the next pass without a reason."""
+    time_source = clock.ManualClock()
+    attempts = _start_attempts.StartAttempts(time_source, 5 * _SECOND)
+    attempt = attempts.begin(_TASK, 1, "i-0")
+    if answer == "200":
+        attempts.record_answer(attempt)
+    elif answer == "none":
+        attempts.record_unanswered(attempt, 7)
+    asyncio.run(time_source.advance(after * _SECOND))
+    assert attempts.limit_pause(0.25 * _SECOND) == pause * _SECOND
