Encode open starts without a generic conversion

The row of open starts is now written with each start, and its entries are encoded twice for their size. attrs.astuple walks each key for that; the fields are listed instead. Found in review; the format is unchanged (test_row_of_open_starts_keeps_its_form). The time was not measured.

--- a/tamarackhatch/records/_open_starts.py
+++ b/tamarackhatch/records/_open_starts.py
@@ -81,8 +81,12 @@
 
 
 def _encode_start(start: OpenStart) -> list[object]:
+    task = start.task
     return [
-        *attrs.astuple(start.task),
+        task.job,
+        task.occurrence,
+        task.step,
+        task.index,
         start.run,
         start.runner,
         -(-start.remaining // _MILLISECOND),
