Search for stranded tasks only where an ejected runner has room

Found in review: the search looked at all sound runners for each waiting task that fits nowhere, such as one that is too large for any runner, every 50 ms while a runner is ejected. It now begins with the ejected runners, which are few, and ends with 16 tasks. The tests of stranded tasks are unchanged and hold; the time of a pass on a large fleet was not measured.

--- a/tamarackhatch/scheduler/_health.py
+++ b/tamarackhatch/scheduler/_health.py
@@ -204,7 +204,11 @@
         stranded: list[_state.TaskEntry] = []
         if overdue:
             stranded = _stranded_tasks.list_stranded_tasks(
-                context, groups, self._is_paused, now
+                context,
+                groups,
+                self._is_paused,
+                [context.fleet[it] for it in overdue if it in context.fleet],
+                now,
             )
         for runner in dict.fromkeys([*due, *overdue]):
             entry = context.fleet.get(runner)
@@ -212,7 +216,11 @@
                 continue
             needing: list[_state.TaskEntry] = []
             if runner in overdue:
-                needing = self._list_needing(entry, stranded)
+                needing = [
+                    task
+                    for task in stranded
+                    if _stranded_tasks.has_place(context, entry, task)
+                ]
             if not needing and runner not in due:
                 continue
             task = self._start_probe(entry, tasks, needing, now)
@@ -227,19 +235,6 @@
                 context.health.defer_probe(runner, now)
         report_events(context)
 
-    def _list_needing(
-        self, entry: _fleet.RunnerEntry, stranded: list[_state.TaskEntry]
-    ) -> list[_state.TaskEntry]:
-        """Returns the tasks without another runner that one has room for."""
-        return [
-            task
-            for task in stranded
-            if task.job.job.queue.service == entry.record.service
-            and _stranded_tasks.count_places(
-                self._context, entry, task, is_empty=False
-            )
-        ]
-
     def _start_probe(
         self,
         entry: _fleet.RunnerEntry,
--- a/tamarackhatch/scheduler/_stranded_tasks.py
+++ b/tamarackhatch/scheduler/_stranded_tasks.py
@@ -15,15 +15,18 @@
 
 # Capacity beside which a task waits for 3 s is a fault.
 _MIN_WAIT = datetime.timedelta(milliseconds=2500)
+# One task is enough to probe a runner; a search looks at all runners.
+_MAX_TASKS = 16
 
 
 def list_stranded_tasks(
     context: _context.SchedulerContext,
     groups: Iterable[_group_order.Group],
     is_paused: _group_order.IsPaused,
+    ejected: Sequence[_fleet.RunnerEntry],
     now: datetime.timedelta,
 ) -> list[_state.TaskEntry]:
-    """Returns tasks that wait only because runners are ejected.
+    """Returns tasks that wait only because some runners are ejected.
 
     They have waited for a while. Where half of a service is in use or more,
     a task that would fit on some empty runner waits for room instead.
@@ -32,10 +35,11 @@
         context: Shared components of the scheduler.
         groups: The waiting tasks, by step.
         is_paused: Returns whether a task must not start yet.
+        ejected: The ejected runners.
         now: Monotonic time.
 
     Returns:
-        One task of each step.
+        One task of each step, not more than are needed.
     """
     sound: dict[str, list[_fleet.RunnerEntry]] = {}
     for entry in context.list_open_runners():
@@ -54,20 +58,41 @@
             ),
             None,
         )
-        if task is None:
+        if task is None or not any(
+            has_place(context, entry, task) for entry in ejected
+        ):
             continue
         service = task.job.job.queue.service
         needed = _count_needed_places(task, group)
         for entry in sound.get(service, ()):
-            needed -= count_places(context, entry, task, service in busy)
+            needed -= _count_places(context, entry, task, service in busy)
             if needed <= 0:
                 break
         else:
             stranded.append(task)
+            if len(stranded) == _MAX_TASKS:
+                break
     return stranded
 
 
-def count_places(
+def has_place(
+    context: _context.SchedulerContext,
+    entry: _fleet.RunnerEntry,
+    task: _state.TaskEntry,
+) -> bool:
+    """Returns whether a runner has room for a task now, were it not ejected.
+
+    Args:
+        context: Shared components of the scheduler.
+        entry: A runner.
+        task: A waiting task.
+    """
+    return task.job.job.queue.service == entry.record.service and bool(
+        _count_places(context, entry, task, is_empty=False)
+    )
+
+
+def _count_places(
     context: _context.SchedulerContext,
     entry: _fleet.RunnerEntry,
     task: _state.TaskEntry,
