--- a/tamarackhatch/records/tests/test_limits.py
+++ b/tamarackhatch/records/tests/test_limits.py
@@ -182,3 +182,27 @@
     )
     assert records.decode_open_starts(row) == (start,)
     assert records.encode_open_starts([start]) == row
+
+
+def test_row_of_open_starts_tells_which_were_sent_once() -> None:
+    """Guards against a repeated start that a successor takes for a single."""
+    row = (
+        b'{"starts":[["00",0,0,1,7,"i-1",12500],["00",0,0,2,7,"i-2",12500],'
+        b'["00",0,0,3,7,"i-3",8500]],"single":[0,2]}'
+    )
+    starts = tuple(
+        records.OpenStart(
+            model.TaskKey("00", 0, 0, index),
+            7,
+            f"i-{index}",
+            datetime.timedelta(milliseconds=remaining),
+            is_repeated,
+        )
+        for index, remaining, is_repeated in (
+            (1, 12_500, False),
+            (2, 12_500, True),
+            (3, 8_500, False),
+        )
+    )
+    assert records.decode_open_starts(row) == starts
+    assert records.encode_open_starts(starts) == row
