Give a task precedence anew after each of its runs

Found in review: the time for which a task went before suspects of crashes was forgotten only in a pass with suspects. A task that ran meanwhile and waited again had none left.

--- a/tamarackhatch/scheduler/_precedence.py
+++ b/tamarackhatch/scheduler/_precedence.py
@@ -21,7 +21,8 @@
     """
 
     def __init__(self) -> None:
-        self._since: dict[model.TaskKey, datetime.timedelta] = {}
+        # By task and its latest run, since it may wait anew after that.
+        self._since: dict[tuple[model.TaskKey, int], datetime.timedelta] = {}
 
     def copy(self) -> "Precedence":
         """Returns a copy, for a dry run."""
@@ -32,7 +33,7 @@
     def retain(self, tasks: Iterable[_state.TaskEntry]) -> None:
         """Forgets all tasks but those that still wait."""
         if self._since:
-            keys = {task.key for task in tasks}
+            keys = {(task.key, task.run) for task in tasks}
             self._since = {
                 key: since for key, since in self._since.items() if key in keys
             }
@@ -41,9 +42,9 @@
         self, task: _state.TaskEntry, now: datetime.timedelta
     ) -> bool:
         """Returns whether a task may still go first."""
-        since = self._since.get(task.key)
+        since = self._since.get((task.key, task.run))
         return since is None or now - since < _MAX_DURATION
 
     def claim(self, task: _state.TaskEntry, now: datetime.timedelta) -> None:
         """Records that a task goes first in the present pass."""
-        self._since.setdefault(task.key, now)
+        self._since.setdefault((task.key, task.run), now)
--- a/tamarackhatch/scheduler/tests/test_waits_of_suspects.py
+++ b/tamarackhatch/scheduler/tests/test_waits_of_suspects.py
@@ -129,6 +129,10 @@
     copied = precedence.copy()
     assert precedence.may_claim(first, now * _SECOND) is may_claim
     assert precedence.may_claim(second, now * _SECOND)
+    # It has run again meanwhile.
+    first.run += 1
+    assert precedence.may_claim(first, now * _SECOND)
+    first.run -= 1
     # It has started meanwhile.
     precedence.retain([second])
     assert precedence.may_claim(first, now * _SECOND)
