--- a/tamarackhatch/scheduler/tests/test_waits_of_suspects.py
+++ b/tamarackhatch/scheduler/tests/test_waits_of_suspects.py
@@ -93,6 +93,39 @@
     virtual_time.run_virtually(simulate())
 
 
+@pytest.mark.parametrize("is_long_running", [False, True])
+def test_suspect_under_long_observation_keeps_no_other_waiting(
+    is_long_running: bool,
+) -> None:
+    """Guards against suspects that wait as long as another one runs.
+
+    A task that was lost in three crashes is observed as long as it runs. Two
+    of three runners are empty meanwhile.
+    """
+
+    def plan(task: str, run: int) -> tuple[float, str]:
+        if task.startswith("observed"):
+            return (1.0, runner.CRASH) if run <= 3 else (60.0, "done")
+        return _plan(task, run)
+
+    async def simulate() -> None:
+        fleet = standin_fleet.VirtualFleet(3, plan)
+        fleet.start_instance("a")
+        await fleet.wait_until(lambda: fleet.get_leader() is not None)
+        await asyncio.sleep(1)
+        await fleet.submit("observed", model.Step(1, _SMALL))
+        await fleet.wait_until(lambda: len(fleet.history.runs) == 4, 60.0)
+        await asyncio.sleep(4)
+        suspect = model.Step(1, _SMALL, is_long_running=is_long_running)
+        await fleet.submit("suspect", suspect)
+        await fleet.wait_until(
+            lambda: len(fleet.history.runs) == 6, _MAX_WAIT_S
+        )
+        assert fleet.check() == []
+
+    virtual_time.run_virtually(simulate())
+
+
 @pytest.mark.parametrize(
     ("claims", "now", "may_claim"),
     [
