--- a/tamarackhatch/scheduler/_writer.py
+++ b/tamarackhatch/scheduler/_writer.py
@@ -24,8 +24,8 @@
 # Time between two transactions. Calls to the store have a cost, and exits that
 # arrive within this time share one call.
 _BATCH_INTERVAL = datetime.timedelta(milliseconds=70)
-# Starts wait for their record, so that it is written at once while so many
-# transactions more than one in each interval were not sent lately.
+# Starts wait for their record. So many transactions in a row may be sent for
+# them before their interval is over; later ones keep to the average rate.
 _MAX_EARLY_BATCHES = 3
 # Learned interference factors change slowly, so not every heartbeat
 # includes them.
@@ -104,6 +104,7 @@
         self._last_heartbeat: datetime.timedelta | None = None
         self._wake = asyncio.Event()
         self._start_event = asyncio.Event()
+        # Until when the transactions so far use up the average rate.
         self._used_until = datetime.timedelta()
         self._commit_event = asyncio.Event()
 
