--- a/tamarackhatch/scheduler/tests/test_late_attempts.py
+++ b/tamarackhatch/scheduler/tests/test_late_attempts.py
@@ -411,6 +411,40 @@
     virtual_time.run_virtually(simulate())
 
 
+def test_start_during_an_outage_is_known_to_a_successor() -> None:
+    """Guards against a start that was sent while the store was away.
+
+    The scheduler is killed before it can record it.
+    """
+
+    async def simulate() -> None:
+        fleet = standin_fleet.VirtualFleet(2, lambda task, run: (0.5, "done"))
+        for name in ("a", "b"):
+            fleet.start_instance(name)
+        await fleet.wait_until(lambda: fleet.get_leader() is not None)
+        await asyncio.sleep(2)
+        second = model.Step(1, _TASK, after=(0,))
+        await fleet.submit("00", _STEP, second)
+        await fleet.wait_until(lambda: len(fleet.history.runs) == 1)
+        late = [_LateStarts(fleet, index, 11.0) for index in range(2)]
+        fleet.store.is_down = True
+        await fleet.wait_until(lambda: any(it.pending for it in late), 4)
+        for it in late:
+            it.is_late = False
+        leader = fleet.get_leader()
+        assert leader is not None
+        del fleet.instances[leader.name]
+        leader.kill()
+        fleet.store.is_down = False
+        (index,) = (index for index in range(2) if late[index].pending)
+        await _restart(fleet, index, late[index].pending[0])
+        await asyncio.sleep(3)
+        assert any(run.is_late for run in fleet.history.runs)
+        assert fleet.check() == []
+
+    virtual_time.run_virtually(simulate())
+
+
 def _crash(fleet: standin_fleet.VirtualFleet) -> None:
     """Makes the task a suspect, which is not observed where it crashed."""
     fleet.runners[0].crash(resets_connections=True)
