Log what keeps tasks from large free pieces, and waits for records

It now names the processors in pieces of 16 cores and more on closed runners by the reason, and the memory that is free, and taken by best-effort tasks, beside the others. scheduler_load tells for how long starts wait for their record. No decision is changed.

--- a/tamarackhatch/scheduler/_candidates.py
+++ b/tamarackhatch/scheduler/_candidates.py
@@ -100,3 +100,30 @@
     return entry.is_schedulable(now) and not context.health.is_ejected(
         entry.identifier
     )
+
+
+def describe_closure(
+    context: _context.SchedulerContext,
+    entry: _fleet.RunnerEntry,
+    now: datetime.timedelta,
+) -> str:
+    """Returns why usual tasks cannot start on a runner; empty if they can.
+
+    Args:
+        context: Shared components of the scheduler.
+        entry: The runner.
+        now: Monotonic time.
+    """
+    if not entry.is_registered:
+        return "unregistered"
+    if entry.record.is_draining:
+        return "draining"
+    if not entry.is_answering(now):
+        return "not answering"
+    if not entry.is_schedulable(now):
+        return "not reconciled"
+    if context.health.is_ejected(entry.identifier):
+        return "ejected"
+    if entry.suspects and entry.is_isolated(now):
+        return "isolated"
+    return ""
--- a/tamarackhatch/scheduler/_commands.py
+++ b/tamarackhatch/scheduler/_commands.py
@@ -183,7 +183,11 @@
         speed_limit_percent: int,
     ) -> None:
         context, run = self._context, delivery.run
-        if not await self._may_send_start(task, entry, delivery):
+        is_due = await self._may_send_start(task, entry, delivery)
+        context.load_monitor.counters.add_record(
+            context.get_now() - delivery.requested
+        )
+        if not is_due:
             return
         is_uncertain = False
         attempt_ended = context.get_now()
--- a/tamarackhatch/scheduler/_load_monitor.py
+++ b/tamarackhatch/scheduler/_load_monitor.py
@@ -21,6 +21,9 @@
         placed: Number of tasks that they placed.
         renewals: Number of answered renewals.
         missed_renewals: Number of renewals without an answer.
+        recorded: Number of starts that were recorded before they were sent.
+        record_time: Time for which they waited for that.
+        longest_record: Longest such time.
     """
 
     passes: int = 0
@@ -28,6 +31,15 @@
     placed: int = 0
     renewals: int = 0
     missed_renewals: int = 0
+    recorded: int = 0
+    record_time: datetime.timedelta = datetime.timedelta()
+    longest_record: datetime.timedelta = datetime.timedelta()
+
+    def add_record(self, waited: datetime.timedelta) -> None:
+        """Counts a start that has waited for its record."""
+        self.recorded += 1
+        self.record_time += waited
+        self.longest_record = max(self.longest_record, waited)
 
 
 @attrs.define
@@ -95,6 +107,10 @@
                 placed=counters.placed,
                 renewals=counters.renewals,
                 missed_renewals=counters.missed_renewals,
+                record_ms=counters.record_time
+                / max(1, counters.recorded)
+                // _MILLISECOND,
+                longest_record_ms=counters.longest_record // _MILLISECOND,
                 paused=waiting.paused,
                 awaited_runners=self.awaited_runners,
                 open_starts=self.open_starts,
--- a/tamarackhatch/scheduler/_waiting_work.py
+++ b/tamarackhatch/scheduler/_waiting_work.py
@@ -8,7 +8,9 @@
 import attrs
 
 from tamarackhatch import placement
+from tamarackhatch.scheduler import _candidates
 from tamarackhatch.scheduler import _context
+from tamarackhatch.scheduler import _fleet
 from tamarackhatch.scheduler import _group_order
 from tamarackhatch.scheduler import _state
 
@@ -18,6 +20,9 @@
 _MAX_EXAMINED_STEPS = 32
 # Queues that wait most; the others are counted together.
 _MAX_QUEUES = 8
+# In thousandths of a core. Tasks that wait beside much free room are usually
+# larger than the smaller pieces.
+_LARGE_PIECE_CPU = 16_000
 
 # Service, queue, and whether the tasks are long-running.
 _Kind = tuple[str, str, bool]
@@ -61,6 +66,24 @@
         self.lacking[lacking] = self.lacking.get(lacking, 0) + len(tasks)
 
 
+@attrs.define
+class _LargePieces:
+    """Free processors in large pieces, and what keeps tasks from them.
+
+    Attributes:
+        large_cpu: Those on runners that may get tasks, in thousandths of a
+            core.
+        large_memory_mb: Memory that is free on these runners.
+        best_effort_memory_mb: Memory that best-effort tasks reserve there.
+        closed_cpu: Those on other runners, by the reason why they are closed.
+    """
+
+    large_cpu: int = 0
+    large_memory_mb: int = 0
+    best_effort_memory_mb: int = 0
+    closed_cpu: dict[str, int] = attrs.field(factory=dict)
+
+
 class WaitingWorkLog:
     """Logs once a second what the placement passes leave waiting."""
 
@@ -149,11 +172,15 @@
             kept_cpu[load.service] = kept_cpu.get(load.service, 0) + max(
                 0, load.compute_free().processors
             )
+        now = self._context.get_now()
         for service in services:
-            room = placement.describe_free_room(
-                entry.load
+            entries = [
+                entry
                 for entry in self._context.list_open_runners()
                 if entry.record.service == service
+            ]
+            room = placement.describe_free_room(
+                entry.load for entry in entries
             )
             self._context.log.summary(
                 "free_room",
@@ -164,4 +191,28 @@
                 cpu_in_pieces=room.pieces,
                 batch_cpu=room.batch_cpu,
                 kept_cpu=kept_cpu.get(service, 0),
+                **attrs.asdict(self._describe_large_pieces(entries, now)),
+            )
+
+    def _describe_large_pieces(
+        self, entries: Iterable[_fleet.RunnerEntry], now: datetime.timedelta
+    ) -> _LargePieces:
+        pieces = _LargePieces()
+        for entry in entries:
+            free = entry.load.compute_free()
+            if free.processors < _LARGE_PIECE_CPU:
+                continue
+            reason = _candidates.describe_closure(self._context, entry, now)
+            if reason:
+                pieces.closed_cpu[reason] = (
+                    pieces.closed_cpu.get(reason, 0) + free.processors
+                )
+                continue
+            pieces.large_cpu += free.processors
+            pieces.large_memory_mb += free.memory_mb
+            pieces.best_effort_memory_mb += sum(
+                task.step.reserved.memory_mb
+                for task in entry.tasks.values()
+                if task.step.is_best_effort
             )
+        return pieces
