Record the moment of the number of waiting jobs, and log each answer

No line told which number of waiting jobs an answer gave, who had counted it, or when. A count now has the moment of the store, by its version and its own clock, up to which jobs are counted; the heartbeat carries it, and each answer logs it with the age (pending_counted). Instances have no clock in common but that of the store, so that ages are told by its readings. The answers are unchanged; a row without the field is read as before.

--- a/standins/store.py
+++ b/standins/store.py
@@ -8,6 +8,8 @@
 
 Key = tuple[str, str, str]
 _MAX_WAIT_S = 30.0
+# Unlike the clocks of its clients, so that nobody can take one for another.
+_CLOCK_START_MS = 5_000_000
 # Usual time of a read and of a transaction, in seconds.
 _USUAL_LATENCY_S = 0.004
 _USUAL_WRITE_LATENCY_S = 0.0066
@@ -99,6 +101,12 @@
             return await self._wait_for_changes(request.query)
         return network.Response(404)
 
+    def _read_clock(self) -> int:
+        """Returns a steady clock of the store's own, in milliseconds."""
+        return _CLOCK_START_MS + round(
+            asyncio.get_running_loop().time() * 1000
+        )
+
     def _admit_write(self) -> bool:
         """Counts a transaction, and returns whether the rate permits it."""
         if self.max_writes_per_s is None:
@@ -129,7 +137,9 @@
             return network.Response(400, {"error": "several partitions"})
         version = self._apply(puts, removals)
         self.writes += 1
-        return network.Response(200, {"schema_version": version, "now_ms": 0})
+        return network.Response(
+            200, {"schema_version": version, "now_ms": self._read_clock()}
+        )
 
     def _apply(self, puts: list[tuple[Key, str]], removals: list[Key]) -> int:
         self._version += 1
@@ -161,7 +171,7 @@
                 "rows": [self._make_row(key) for key in keys[:limit]],
                 "has_more": len(keys) > limit,
                 "schema_version": self._version,
-                "now_ms": 0,
+                "now_ms": self._read_clock(),
             },
         )
 
@@ -180,7 +190,11 @@
             if rows or remaining_s <= 0:
                 return network.Response(
                     200,
-                    {"rows": rows, "schema_version": self._version},
+                    {
+                        "rows": rows,
+                        "schema_version": self._version,
+                        "now_ms": self._read_clock(),
+                    },
                 )
             try:
                 async with asyncio.timeout(remaining_s):
--- a/standins/virtual_instance.py
+++ b/standins/virtual_instance.py
@@ -48,10 +48,12 @@
             sink, fleet.clock, observability.LevelFilter(), name
         )
         liveness = records.StoreLiveness(fleet.clock)
+        store_clock = records.StoreClock(fleet.clock)
         table_store = platform.PlatformStore(
             typing.cast(typing.Any, client),
             STORE_ADDRESS,
             on_answer=liveness.record_answer,
+            on_time=store_clock.record_reading,
         )
         self.jobs = records.JobStore(
             table_store,
@@ -119,7 +121,7 @@
             or service.ConfigurationWatcher(
                 table_store, fleet.clock, log, fleet.apply_time, 0.0
             ),
-            self.role,
+            service.PendingCounter(self.role, store_clock, log, self.metrics),
             fleet.clock,
             log,
             self.metrics,
--- a/tamarackhatch/election/_election.py
+++ b/tamarackhatch/election/_election.py
@@ -329,7 +329,10 @@
                         row.version, holder.term + 1, started_at
                     )
                 return _leader_lease.Term(
-                    holder.term, row.version, started_at, holder.pending
+                    holder.term,
+                    row.version,
+                    started_at,
+                    _get_reported(holder),
                 )
             if self._heartbeat is None or holder.term != self._heartbeat.term:
                 # Another candidate has won since the heartbeat was read.
@@ -414,7 +417,7 @@
         # Callers get the previous scheduler's numbers until this scheduler
         # has read the jobs.
         previous = self._heartbeat
-        pending = {} if previous is None else previous.pending
+        pending = _get_reported(previous)
         earlier_lease = _leader_lease.get_earlier_lease(
             previous, self._candidate.instance
         )
@@ -422,9 +425,10 @@
             self._candidate.instance,
             self._candidate.incarnation,
             number,
-            pending=pending,
+            pending=pending.by_queue,
             is_pending_known=previous is None or previous.is_pending_known,
             earlier_lease=earlier_lease,
+            pending_moment=pending.moment,
         )
         value = records.encode_leader_heartbeat(heartbeat)
         result = await self._store.write(
@@ -444,3 +448,12 @@
         return _leader_lease.Term(
             number, result.version, started_at, pending, earlier_lease
         )
+
+
+def _get_reported(
+    heartbeat: records.LeaderHeartbeat | None,
+) -> model.PendingCount:
+    """Returns the numbers of pending jobs in a heartbeat."""
+    if heartbeat is None:
+        return model.PendingCount({})
+    return model.PendingCount(heartbeat.pending, heartbeat.pending_moment)
--- a/tamarackhatch/election/_leader_lease.py
+++ b/tamarackhatch/election/_leader_lease.py
@@ -7,6 +7,7 @@
 import attrs
 
 from tamarackhatch import clock
+from tamarackhatch import model
 from tamarackhatch import records
 
 # Leases are waited for on clocks that may be slower by 3%.
@@ -24,8 +25,8 @@
         number: Number of the term, from 1.
         token: Fencing token of the commands sent in this term.
         sent_at: Boot time before the write that won the term was sent.
-        pending: For each queue, the number of jobs of which no task has
-            started yet, as the previous scheduler reported it.
+        pending: Numbers of jobs of which no task has started yet, as the
+            previous scheduler reported them.
         earlier_lease: Longest time for which a scheduler of an earlier term
             may still send commands when the term begins; None for that of a
             leader lease.
@@ -34,7 +35,7 @@
     number: int
     token: int
     sent_at: datetime.timedelta
-    pending: dict[str, int] = attrs.field(factory=dict)
+    pending: model.PendingCount = model.PendingCount({})
     earlier_lease: datetime.timedelta | None = None
 
 
--- a/tamarackhatch/model/__init__.py
+++ b/tamarackhatch/model/__init__.py
@@ -17,6 +17,7 @@
 from tamarackhatch.model._jobs import Schedule
 from tamarackhatch.model._jobs import Step
 from tamarackhatch.model._jobs import TaskKey
+from tamarackhatch.model._pending import PendingCount
 from tamarackhatch.model._resources import Resources
 from tamarackhatch.model._rows import Committed
 from tamarackhatch.model._rows import Conflict
@@ -27,6 +28,7 @@
 from tamarackhatch.model._rows import RowPage
 from tamarackhatch.model._rows import RowRef
 from tamarackhatch.model._rows import StoreBusyError
+from tamarackhatch.model._rows import StoreMoment
 from tamarackhatch.model._rows import StoreOutcomeUnknownError
 from tamarackhatch.model._rows import StoreRejectedError
 from tamarackhatch.model._rows import StoreUnavailableError
@@ -64,6 +66,7 @@
     "JobService",
     "JobState",
     "Outcome",
+    "PendingCount",
     "Publication",
     "Put",
     "Queue",
@@ -81,6 +84,7 @@
     "Service",
     "Step",
     "StoreBusyError",
+    "StoreMoment",
     "StoreOutcomeUnknownError",
     "StoreRejectedError",
     "StoreUnavailableError",
--- a/tamarackhatch/model/_rows.py
+++ b/tamarackhatch/model/_rows.py
@@ -102,6 +102,22 @@
     rows: tuple[Row, ...]
 
 
+@attrs.frozen
+class StoreMoment:
+    """A moment in the history of the store.
+
+    Instances have no clock in common. They compare moments, and tell how old
+    one is, by the store's own clock.
+
+    Attributes:
+        version: Newest version of the store at that moment.
+        time: Reading of the store's clock.
+    """
+
+    version: int
+    time: datetime.timedelta
+
+
 @attrs.frozen
 class RowPage:
     """Part of a table, as it was at one moment.
@@ -110,11 +126,13 @@
         rows: Rows in ascending order of keys.
         has_more: Whether the range that was read has further rows.
         version: Newest version of the store at that moment.
+        time: Reading of the store's clock then; None if it gave none.
     """
 
     rows: tuple[Row, ...]
     has_more: bool
     version: int
+    time: datetime.timedelta | None = None
 
 
 @attrs.frozen
@@ -126,11 +144,14 @@
         version: Version after which the next request continues.
         receive_time: Time for which they occupied the network, from the first
             byte to the last one.
+        time: Reading of the store's clock when the changes were read; None if
+            it gave none.
     """
 
     rows: tuple[Row, ...]
     version: int
     receive_time: datetime.timedelta = datetime.timedelta()
+    time: datetime.timedelta | None = None
 
 
 class TableStore(typing.Protocol):
--- a/tamarackhatch/observability/_metrics.py
+++ b/tamarackhatch/observability/_metrics.py
@@ -37,6 +37,18 @@
             buckets=_LATENCY_BUCKETS_S,
             registry=self._registry,
         )
+        self.pending_answers = prometheus_client.Counter(
+            "tamarackhatch_pending_answers",
+            "Answers with a number of pending jobs, by its origin.",
+            ["origin"],
+            registry=self._registry,
+        )
+        self.pending_count_age = prometheus_client.Histogram(
+            "tamarackhatch_pending_count_age_seconds",
+            "Age of these numbers, as far as it is known.",
+            buckets=_LATENCY_BUCKETS_S,
+            registry=self._registry,
+        )
         self.client_connections = prometheus_client.Gauge(
             "tamarackhatch_client_connections",
             "Open connections to all servers of the process.",
--- a/tamarackhatch/platform/_store.py
+++ b/tamarackhatch/platform/_store.py
@@ -25,6 +25,10 @@
 # A row can have hundreds of kilobytes, and an instance's link 5 Mbit/s.
 _READ_TRANSFER_TIME = datetime.timedelta(seconds=8)
 
+_MILLISECOND = datetime.timedelta(milliseconds=1)
+# A larger reading of the store's clock is malformed: three hundred years.
+_MAX_CLOCK_MS = 10**13
+
 CallRecorder = Callable[[str, str, int | None], None]
 
 
@@ -41,6 +45,7 @@
         address: str,
         record_call: CallRecorder = lambda kind, table, answer_bytes: None,
         on_answer: Callable[[], None] = lambda: None,
+        on_time: Callable[[datetime.timedelta], None] = lambda reading: None,
     ) -> None:
         """Creates a client of the store.
 
@@ -51,7 +56,9 @@
                 the size of the answer in bytes; None for no answer.
             on_answer: Called after each call that the store has answered
                 without refusing it.
+            on_time: Called with each reading of the store's clock.
         """
+        self._on_time = on_time
         self._client = client
         self._address = address
         self._record_call = record_call
@@ -150,6 +157,7 @@
                 self._record_version(
                     _decoding.get_integer(document, "schema_version")
                 ),
+                self._read_clock(document),
             )
         except _decoding.MalformedBodyError as error:
             raise model.StoreUnavailableError(error.message) from error
@@ -171,11 +179,32 @@
                 _decoding.get_integer(document, "schema_version")
             )
             return model.FeedPage(
-                _decode_rows(document), max(version, after), receive_time
+                _decode_rows(document),
+                max(version, after),
+                receive_time,
+                self._read_clock(document),
             )
         except _decoding.MalformedBodyError as error:
             raise model.StoreUnavailableError(error.message) from error
 
+    def _read_clock(
+        self, document: dict[str, typing.Any]
+    ) -> datetime.timedelta | None:
+        """Returns the reading of the store's clock; None if it is malformed.
+
+        Rows are of use without it.
+        """
+        value = document.get("now_ms")
+        if (
+            isinstance(value, bool)
+            or not isinstance(value, (int, float))
+            or not 0 <= value <= _MAX_CLOCK_MS
+        ):
+            return None
+        reading = value * _MILLISECOND
+        self._on_time(reading)
+        return reading
+
     async def _get(
         self,
         kind: str,
--- a/tamarackhatch/records/__init__.py
+++ b/tamarackhatch/records/__init__.py
@@ -81,6 +81,7 @@
 from tamarackhatch.records._refusals import encode_refusal
 from tamarackhatch.records._refusals import Refusal
 from tamarackhatch.records._refusals import RefusalState
+from tamarackhatch.records._store_clock import StoreClock
 from tamarackhatch.records._store_liveness import StoreLiveness
 from tamarackhatch.records._tracked_runners import decode_tracked_runners
 from tamarackhatch.records._tracked_runners import encode_tracked_runners
@@ -124,6 +125,7 @@
     "RefusalState",
     "SCHEDULER_PARTITION",
     "SEQUENCE",
+    "StoreClock",
     "StoreLiveness",
     "TRACKED_RUNNERS",
     "TableWatcher",
--- a/tamarackhatch/records/_leadership.py
+++ b/tamarackhatch/records/_leadership.py
@@ -21,7 +21,10 @@
 _EARLIER_LEASE = "earlier_lease_ms"
 # A longer one is unreadable, and so unknown.
 _MAX_LEASE_MS = 600_000
+_PENDING_MOMENT = "pending_at"
 _MILLISECOND = datetime.timedelta(milliseconds=1)
+# Readings of the store's clock are below that of three hundred years.
+_MAX_CLOCK_MS = 10**13
 
 
 @attrs.frozen
@@ -51,6 +54,9 @@
             unknown, as in rows of earlier builds.
         waits: Waiting batch work; empty if no new work has to wait, or if
             nothing is known of it.
+        pending_moment: Moment for which ``pending`` holds, which may be long
+            before the heartbeat; None if unknown, as in rows of earlier
+            builds.
     """
 
     instance: str
@@ -65,6 +71,14 @@
     metrics_address: str = ""
     earlier_lease: datetime.timedelta | None = None
     waits: tuple[model.WaitSummary, ...] = ()
+    pending_moment: model.StoreMoment | None = None
+
+    @property
+    def pending_count(self) -> model.PendingCount | None:
+        """The numbers of pending jobs with their moment; None if not known."""
+        if not self.is_pending_known:
+            return None
+        return model.PendingCount(self.pending, self.pending_moment)
 
     @property
     def publication(self) -> model.Publication | None:
@@ -77,7 +91,7 @@
 _HEARTBEAT_FIELDS = tuple(
     field.name
     for field in attrs.fields(LeaderHeartbeat)
-    if field.name != "earlier_lease"
+    if field.name not in ("earlier_lease", "pending_moment")
 )
 
 
@@ -89,7 +103,7 @@
     because without a heartbeat the scheduler would lose its term.
     """
     document = attrs.asdict(heartbeat, recurse=False)
-    del document[_WAITS]
+    del document[_WAITS], document["pending_moment"]
     if heartbeat.waits:
         document[_WAITS] = _waits.encode_waits(heartbeat.waits)
     if heartbeat.configuration is None:
@@ -101,6 +115,12 @@
         document[_EARLIER_LEASE] = heartbeat.earlier_lease // _MILLISECOND
     if not heartbeat.metrics_address:
         del document[_METRICS_ADDRESS]
+    moment = heartbeat.pending_moment
+    if moment is not None and heartbeat.is_pending_known:
+        document[_PENDING_MOMENT] = [
+            moment.version,
+            moment.time // _MILLISECOND,
+        ]
     value = orjson.dumps(document)
     if len(value) <= _MAX_PLAIN_BYTES:
         return value
@@ -116,6 +136,7 @@
         if len(value) <= _limits.MAX_VALUE_BYTES:
             return value
     del document[_PACKED_PENDING]
+    document.pop(_PENDING_MOMENT, None)
     document["is_pending_known"] = False
     return orjson.dumps(document)
 
@@ -148,6 +169,7 @@
                 if name in document
             },
             earlier_lease=_decode_earlier_lease(document),
+            pending_moment=_decode_pending_moment(document),
         )
         _types.check_types(heartbeat)
         return heartbeat
@@ -167,6 +189,24 @@
     return None
 
 
+def _decode_pending_moment(document: object) -> model.StoreMoment | None:
+    """Returns the field of a heartbeat row; None if absent or malformed."""
+    if not isinstance(document, dict):
+        return None
+    fields = document.get(_PENDING_MOMENT)
+    if not isinstance(fields, list) or len(fields) != 2:
+        return None
+    version, time_ms = fields
+    if (
+        type(version) is int
+        and type(time_ms) is int
+        and version >= 0
+        and 0 <= time_ms <= _MAX_CLOCK_MS
+    ):
+        return model.StoreMoment(version, time_ms * _MILLISECOND)
+    return None
+
+
 def find_row(
     rows: tuple[model.Row, ...], ref: model.RowRef
 ) -> model.Row | None:
--- a/tamarackhatch/records/_watcher.py
+++ b/tamarackhatch/records/_watcher.py
@@ -59,6 +59,7 @@
         self._on_reload = on_reload
         self._on_synced = on_synced
         self._version = 0
+        self._moment: model.StoreMoment | None = None
         self._is_feed_lost = False
         self._last_answer = time_source.get_monotonic()
 
@@ -72,6 +73,11 @@
         """Version of the store up to which all changes were passed on."""
         return self._version
 
+    @property
+    def moment(self) -> model.StoreMoment | None:
+        """Moment up to which all changes were passed on; None if unknown."""
+        return self._moment
+
     def skip_to(self, version: int) -> None:
         """Continues after a version up to which no change is missing.
 
@@ -98,7 +104,9 @@
             break
         self._is_feed_lost = False
         self._last_answer = self._clock.get_monotonic()
-        self._version = min(version for _, version in pages)
+        first = min((page for _, page in pages), key=lambda page: page.version)
+        self._version = first.version
+        self._moment = _make_moment(first)
         rows = [row for rows, _ in pages for row in rows]
         for row in rows:
             self._on_row(row)
@@ -175,7 +183,9 @@
     def _apply_page(self, page: model.FeedPage) -> None:
         self._last_answer = self._clock.get_monotonic()
         # A poll beside the feed may already have passed on later changes.
-        self._version = max(self._version, page.version)
+        if page.version >= self._version:
+            self._version = page.version
+            self._moment = _make_moment(page)
         # The feed has the changes of all partitions of a table.
         for row in page.rows:
             if row.ref.partition in self._partitions:
@@ -183,23 +193,34 @@
 
     async def _read_partition(
         self, partition: str
-    ) -> tuple[list[model.Row], int]:
+    ) -> tuple[list[model.Row], model.RowPage]:
+        """Returns the rows of a partition, and the first page of them.
+
+        Later pages may lack changes made after the first page was read, so
+        the feed has to continue from the first page's version.
+        """
         rows: list[model.Row] = []
         start_key = ""
-        version: int | None = None
+        first: model.RowPage | None = None
         while True:
             page = await self._store.read(
                 self._table, partition, _READ_TIMEOUT, start_key
             )
             rows += page.rows
-            # Later pages may lack changes made after the first page was read,
-            # so the feed has to continue from the first page's version.
-            version = page.version if version is None else version
+            first = first or page
             if not page.has_more or not page.rows:
-                return rows, version
+                return rows, first
             start_key = page.rows[-1].ref.key + "\0"
 
     def _record_feed_loss(self, reason: str) -> None:
         if not self._is_feed_lost:
             self._is_feed_lost = True
             self._log.warning("feed_lost", table=self._table, reason=reason)
+
+
+def _make_moment(
+    page: model.RowPage | model.FeedPage,
+) -> model.StoreMoment | None:
+    if page.time is None:
+        return None
+    return model.StoreMoment(page.version, page.time)
--- a/tamarackhatch/scheduler/_scheduler.py
+++ b/tamarackhatch/scheduler/_scheduler.py
@@ -221,8 +221,8 @@
         return self._term.number
 
     @property
-    def pending(self) -> dict[str, int]:
-        """Number of unfinished jobs without a started task, by queue."""
+    def pending(self) -> model.PendingCount:
+        """Numbers of unfinished jobs without a started task."""
         return self._count_pending()
 
     @property
@@ -295,10 +295,12 @@
             job.identifier, job.progress_parts
         )
 
-    def _count_pending(self) -> dict[str, int]:
+    def _count_pending(self) -> model.PendingCount:
         if not self._has_loaded_jobs:
             return self._term.pending
-        return self._context.job_tracker.count_pending()
+        return model.PendingCount(
+            self._context.job_tracker.count_pending(), self._job_watcher.moment
+        )
 
     def _summarise_waits(self) -> tuple[model.WaitSummary, ...]:
         return (
--- a/tamarackhatch/scheduler/_writer.py
+++ b/tamarackhatch/scheduler/_writer.py
@@ -65,7 +65,7 @@
         leader_lease: election.LeaderLease,
         heartbeat: records.LeaderHeartbeat,
         heartbeat_interval: datetime.timedelta,
-        count_pending: Callable[[], dict[str, int]],
+        count_pending: Callable[[], model.PendingCount],
         export_interference: Callable[[], placement.InterferenceTable],
         configuration: _configuration_publisher.ConfigurationPublisher,
         runner_rows: _runner_rows.RunnerRows,
@@ -343,19 +343,21 @@
     def _make_heartbeat(self, is_release: bool) -> model.Put:
         publication = self._publication
         is_reduced = self._is_heartbeat_reduced
+        pending = self._count_pending()
         self._heartbeat = records.LeaderHeartbeat(
             self._heartbeat.instance,
             self._heartbeat.incarnation,
             self._heartbeat.term,
             self._heartbeat.count + 1,
             is_release,
-            {} if is_reduced else self._count_pending(),
+            {} if is_reduced else pending.by_queue,
             None if publication is None else publication.version,
             0 if publication is None else publication.position,
             is_pending_known=not is_reduced,
             metrics_address=self._heartbeat.metrics_address,
             earlier_lease=self._leader_lease.earlier_lease,
             waits=() if is_release or is_reduced else self._summarise_waits(),
+            pending_moment=None if is_reduced else pending.moment,
         )
         return model.Put(
             records.LEADER_HEARTBEAT,
--- a/tamarackhatch/scheduler/tests/test_takeover.py
+++ b/tamarackhatch/scheduler/tests/test_takeover.py
@@ -274,9 +274,11 @@
         for _ in range(500):
             await asyncio.sleep(0.01)
             for instance in fleet.instances.values():
-                pending = instance.role.get_pending_jobs()
+                pending = instance.role.get_pending_count()
                 if pending is not None:
-                    counts.add(pending.get(standin_fleet.QUEUE.name, 0))
+                    counts.add(
+                        pending.by_queue.get(standin_fleet.QUEUE.name, 0)
+                    )
         assert counts == {5}
         assert fleet.get_leader() is not None
 
--- a/tamarackhatch/server/_instance.py
+++ b/tamarackhatch/server/_instance.py
@@ -85,11 +85,13 @@
             time_source, self._log.for_component("store"), self._metrics
         )
         self._store_liveness = records.StoreLiveness(time_source)
+        self._store_clock = records.StoreClock(time_source)
         self._store = platform.PlatformStore(
             self._store_client,
             str(initial_settings.store_address),
             self._record_store_call,
             self._record_store_answer,
+            self._store_clock.record_reading,
         )
         self._configuration_watcher = service.ConfigurationWatcher(
             self._store,
@@ -133,7 +135,12 @@
                 ).record,
             ),
             self._configuration_watcher,
-            self._role,
+            service.PendingCounter(
+                self._role,
+                self._store_clock,
+                self._log.for_component("service"),
+                self._metrics,
+            ),
             time_source,
             self._log.for_component("service"),
             self._metrics,
--- a/tamarackhatch/server/_role.py
+++ b/tamarackhatch/server/_role.py
@@ -135,8 +135,8 @@
         if self._scheduler is not None:
             self._scheduler.request_publication()
 
-    def get_pending_jobs(self) -> dict[str, int] | None:
-        """Returns the number of pending jobs by queue; None if not known.
+    def get_pending_count(self) -> model.PendingCount | None:
+        """Returns the numbers of pending jobs; None if not known.
 
         A job is pending until one of its tasks has started.
         """
@@ -149,7 +149,7 @@
             or self._election.heartbeat_age > _MAX_PENDING_COUNT_AGE
         ):
             return None
-        return heartbeat.pending
+        return heartbeat.pending_count
 
     async def run(self) -> None:
         """Stands for election until cancelled."""
--- a/tamarackhatch/service/__init__.py
+++ b/tamarackhatch/service/__init__.py
@@ -2,6 +2,12 @@
 
 from tamarackhatch.service._configuration import ConfigurationWatcher
 from tamarackhatch.service._jobs import JobService
-from tamarackhatch.service._jobs import PendingJobsSource
+from tamarackhatch.service._pending import PendingCounter
+from tamarackhatch.service._pending import PendingCountSource
 
-__all__ = ["ConfigurationWatcher", "JobService", "PendingJobsSource"]
+__all__ = [
+    "ConfigurationWatcher",
+    "JobService",
+    "PendingCountSource",
+    "PendingCounter",
+]
--- a/tamarackhatch/service/_jobs.py
+++ b/tamarackhatch/service/_jobs.py
@@ -13,6 +13,7 @@
 from tamarackhatch import records
 from tamarackhatch.service import _cancellation
 from tamarackhatch.service import _configuration
+from tamarackhatch.service import _pending
 from tamarackhatch.service import _submission
 
 # Time between the answer to a caller and the end of the caller's wait.
@@ -22,17 +23,6 @@
 _MAX_CONFIGURATION_AGE = datetime.timedelta(milliseconds=300)
 
 
-class PendingJobsSource(typing.Protocol):
-    """Source of the number of pending jobs."""
-
-    def get_pending_jobs(self) -> dict[str, int] | None:
-        """Returns the number of jobs without a started task, by queue name.
-
-        Returns None while the numbers are not known.
-        """
-        ...
-
-
 RunHere = Callable[[], Awaitable[model.JobLookup]]
 
 
@@ -115,7 +105,7 @@
         self,
         store: records.JobStore,
         configuration: _configuration.ConfigurationWatcher,
-        pending: PendingJobsSource,
+        pending: _pending.PendingCounter,
         time_source: clock.Clock,
         log: observability.Log,
         metrics: observability.Metrics,
@@ -128,7 +118,7 @@
         Args:
             store: Stores and reads jobs.
             configuration: Source of the queues and of the request limits.
-            pending: Source of the number of pending jobs.
+            pending: Counts pending jobs.
             time_source: Source of time.
             log: Logger of the service.
             metrics: Metrics of the instance.
@@ -223,8 +213,7 @@
 
         Returns None while the number is not known.
         """
-        pending = self._pending.get_pending_jobs()
-        return None if pending is None else pending.get(queue.name, 0)
+        return await self._pending.count(queue.name)
 
     async def submit(
         self, job: model.Job, timeout: datetime.timedelta
