Count waiting jobs anew where the reported number is old

Cause: the number had no moment of its own, and the age of the heartbeat that carried it was taken for its age. A claim repeated the previous scheduler's number as if it were new, and so did each claim after it; a scheduler whose feed of the jobs stood still repeated its last one; a new process, or one after a gap of the store's answers, began to count the age when it read the row. A number that a reduced heartbeat had left out, and that of the first term, were handed on as 'none'.

Change: a number is used while its moment is at most 2 s old by the store's clock. After that the instance adds the jobs that were stored since, from the feed of their table, or counts all rows if the history is gone or the number is unknown. Callers that ask at once share a read, and reads of all rows pause. Without a store, a number of up to 4 s is given, which still counts all jobs that callers may expect, and none after that. Claims hand on the number with its moment, or that it is unknown.

--- a/standins/virtual_instance.py
+++ b/standins/virtual_instance.py
@@ -121,7 +121,14 @@
             or service.ConfigurationWatcher(
                 table_store, fleet.clock, log, fleet.apply_time, 0.0
             ),
-            service.PendingCounter(self.role, store_clock, log, self.metrics),
+            service.PendingCounter(
+                self.role,
+                records.PendingReader(table_store, fleet.clock, log),
+                store_clock,
+                fleet.clock,
+                log,
+                self.metrics,
+            ),
             fleet.clock,
             log,
             self.metrics,
--- a/tamarackhatch/election/_election.py
+++ b/tamarackhatch/election/_election.py
@@ -332,7 +332,7 @@
                     holder.term,
                     row.version,
                     started_at,
-                    _get_reported(holder),
+                    holder.pending_count,
                 )
             if self._heartbeat is None or holder.term != self._heartbeat.term:
                 # Another candidate has won since the heartbeat was read.
@@ -414,10 +414,10 @@
     async def _claim_term(
         self, version: int, number: int, started_at: datetime.timedelta
     ) -> _leader_lease.Term | None:
-        # Callers get the previous scheduler's numbers until this scheduler
-        # has read the jobs.
         previous = self._heartbeat
-        pending = _get_reported(previous)
+        # Their moment stays that of the count, however many terms hand them
+        # on before one has read the jobs.
+        pending = None if previous is None else previous.pending_count
         earlier_lease = _leader_lease.get_earlier_lease(
             previous, self._candidate.instance
         )
@@ -425,11 +425,8 @@
             self._candidate.instance,
             self._candidate.incarnation,
             number,
-            pending=pending.by_queue,
-            is_pending_known=previous is None or previous.is_pending_known,
             earlier_lease=earlier_lease,
-            pending_moment=pending.moment,
-        )
+        ).with_pending(pending)
         value = records.encode_leader_heartbeat(heartbeat)
         result = await self._store.write(
             [(records.FENCE, version)],
@@ -448,12 +445,3 @@
         return _leader_lease.Term(
             number, result.version, started_at, pending, earlier_lease
         )
-
-
-def _get_reported(
-    heartbeat: records.LeaderHeartbeat | None,
-) -> model.PendingCount:
-    """Returns the numbers of pending jobs in a heartbeat."""
-    if heartbeat is None:
-        return model.PendingCount({})
-    return model.PendingCount(heartbeat.pending, heartbeat.pending_moment)
--- a/tamarackhatch/election/_leader_lease.py
+++ b/tamarackhatch/election/_leader_lease.py
@@ -25,8 +25,8 @@
         number: Number of the term, from 1.
         token: Fencing token of the commands sent in this term.
         sent_at: Boot time before the write that won the term was sent.
-        pending: Numbers of jobs of which no task has started yet, as the
-            previous scheduler reported them.
+        pending: Numbers of jobs of which no task has started yet, as an
+            earlier scheduler counted them; None if they are not known.
         earlier_lease: Longest time for which a scheduler of an earlier term
             may still send commands when the term begins; None for that of a
             leader lease.
@@ -35,7 +35,7 @@
     number: int
     token: int
     sent_at: datetime.timedelta
-    pending: model.PendingCount = model.PendingCount({})
+    pending: model.PendingCount | None = None
     earlier_lease: datetime.timedelta | None = None
 
 
--- a/tamarackhatch/model/_rows.py
+++ b/tamarackhatch/model/_rows.py
@@ -134,6 +134,11 @@
     version: int
     time: datetime.timedelta | None = None
 
+    @property
+    def moment(self) -> StoreMoment | None:
+        """The moment at which the page was read; None if not known."""
+        return _make_moment(self.version, self.time)
+
 
 @attrs.frozen
 class FeedPage:
@@ -153,6 +158,17 @@
     receive_time: datetime.timedelta = datetime.timedelta()
     time: datetime.timedelta | None = None
 
+    @property
+    def moment(self) -> StoreMoment | None:
+        """The moment up to which changes are known; None if not known."""
+        return _make_moment(self.version, self.time)
+
+
+def _make_moment(
+    version: int, time: datetime.timedelta | None
+) -> StoreMoment | None:
+    return None if time is None else StoreMoment(version, time)
+
 
 class TableStore(typing.Protocol):
     """The transactional table store."""
--- a/tamarackhatch/records/__init__.py
+++ b/tamarackhatch/records/__init__.py
@@ -59,6 +59,7 @@
 from tamarackhatch.records._open_starts import encode_open_starts
 from tamarackhatch.records._open_starts import OpenStart
 from tamarackhatch.records._open_starts import select_fitting_starts
+from tamarackhatch.records._pending_reader import PendingReader
 from tamarackhatch.records._progress import decode_progress
 from tamarackhatch.records._progress import encode_progress
 from tamarackhatch.records._progress import JobProgress
@@ -121,6 +122,7 @@
     "OpenStart",
     "PROGRESS_TABLE",
     "PartMap",
+    "PendingReader",
     "Refusal",
     "RefusalState",
     "SCHEDULER_PARTITION",
--- a/tamarackhatch/records/_jobs.py
+++ b/tamarackhatch/records/_jobs.py
@@ -101,6 +101,25 @@
         ) from error
 
 
+def decode_queue_name(identifier: str, value: bytes) -> str:
+    """Returns the name of the queue of a job's row value.
+
+    Raises:
+        MalformedRowError: The value is malformed.
+    """
+    try:
+        name = orjson.loads(value)["queue"][0]
+    except (IndexError, KeyError, TypeError, ValueError) as error:
+        raise _progress.MalformedRowError(
+            f"malformed job row {identifier}: {error!r}"
+        ) from error
+    if not isinstance(name, str):
+        raise _progress.MalformedRowError(
+            f"malformed job row {identifier}: the queue's name is not text"
+        )
+    return name
+
+
 def _check_steps(steps: tuple[model.Step, ...]) -> None:
     """Checks what a scheduler relies on.
 
--- a/tamarackhatch/records/_leadership.py
+++ b/tamarackhatch/records/_leadership.py
@@ -80,6 +80,21 @@
             return None
         return model.PendingCount(self.pending, self.pending_moment)
 
+    def with_pending(
+        self, count: model.PendingCount | None
+    ) -> "LeaderHeartbeat":
+        """Returns a heartbeat with these numbers of pending jobs.
+
+        Args:
+            count: The numbers; None if they are not known.
+        """
+        return attrs.evolve(
+            self,
+            pending={} if count is None else count.by_queue,
+            is_pending_known=count is not None,
+            pending_moment=None if count is None else count.moment,
+        )
+
     @property
     def publication(self) -> model.Publication | None:
         """The configuration that all changes lead to; None if not known."""
--- a/tamarackhatch/records/_watcher.py
+++ b/tamarackhatch/records/_watcher.py
@@ -106,7 +106,7 @@
         self._last_answer = self._clock.get_monotonic()
         first = min((page for _, page in pages), key=lambda page: page.version)
         self._version = first.version
-        self._moment = _make_moment(first)
+        self._moment = first.moment
         rows = [row for rows, _ in pages for row in rows]
         for row in rows:
             self._on_row(row)
@@ -185,7 +185,7 @@
         # A poll beside the feed may already have passed on later changes.
         if page.version >= self._version:
             self._version = page.version
-            self._moment = _make_moment(page)
+            self._moment = page.moment
         # The feed has the changes of all partitions of a table.
         for row in page.rows:
             if row.ref.partition in self._partitions:
@@ -216,11 +216,3 @@
         if not self._is_feed_lost:
             self._is_feed_lost = True
             self._log.warning("feed_lost", table=self._table, reason=reason)
-
-
-def _make_moment(
-    page: model.RowPage | model.FeedPage,
-) -> model.StoreMoment | None:
-    if page.time is None:
-        return None
-    return model.StoreMoment(page.version, page.time)
--- a/tamarackhatch/scheduler/_scheduler.py
+++ b/tamarackhatch/scheduler/_scheduler.py
@@ -221,8 +221,12 @@
         return self._term.number
 
     @property
-    def pending(self) -> model.PendingCount:
-        """Numbers of unfinished jobs without a started task."""
+    def pending(self) -> model.PendingCount | None:
+        """Numbers of jobs without a started task; None if not known.
+
+        Until the jobs are read, these are the previous scheduler's numbers,
+        with the moment for which it counted them.
+        """
         return self._count_pending()
 
     @property
@@ -295,7 +299,7 @@
             job.identifier, job.progress_parts
         )
 
-    def _count_pending(self) -> model.PendingCount:
+    def _count_pending(self) -> model.PendingCount | None:
         if not self._has_loaded_jobs:
             return self._term.pending
         return model.PendingCount(
--- a/tamarackhatch/scheduler/_writer.py
+++ b/tamarackhatch/scheduler/_writer.py
@@ -65,7 +65,7 @@
         leader_lease: election.LeaderLease,
         heartbeat: records.LeaderHeartbeat,
         heartbeat_interval: datetime.timedelta,
-        count_pending: Callable[[], model.PendingCount],
+        count_pending: Callable[[], model.PendingCount | None],
         export_interference: Callable[[], placement.InterferenceTable],
         configuration: _configuration_publisher.ConfigurationPublisher,
         runner_rows: _runner_rows.RunnerRows,
@@ -343,22 +343,20 @@
     def _make_heartbeat(self, is_release: bool) -> model.Put:
         publication = self._publication
         is_reduced = self._is_heartbeat_reduced
-        pending = self._count_pending()
         self._heartbeat = records.LeaderHeartbeat(
             self._heartbeat.instance,
             self._heartbeat.incarnation,
             self._heartbeat.term,
             self._heartbeat.count + 1,
             is_release,
-            {} if is_reduced else pending.by_queue,
-            None if publication is None else publication.version,
-            0 if publication is None else publication.position,
-            is_pending_known=not is_reduced,
+            configuration=(
+                None if publication is None else publication.version
+            ),
+            position=0 if publication is None else publication.position,
             metrics_address=self._heartbeat.metrics_address,
             earlier_lease=self._leader_lease.earlier_lease,
             waits=() if is_release or is_reduced else self._summarise_waits(),
-            pending_moment=None if is_reduced else pending.moment,
-        )
+        ).with_pending(None if is_reduced else self._count_pending())
         return model.Put(
             records.LEADER_HEARTBEAT,
             records.encode_leader_heartbeat(self._heartbeat),
--- a/tamarackhatch/server/_instance.py
+++ b/tamarackhatch/server/_instance.py
@@ -137,7 +137,13 @@
             self._configuration_watcher,
             service.PendingCounter(
                 self._role,
+                records.PendingReader(
+                    self._store,
+                    time_source,
+                    self._log.for_component("service"),
+                ),
                 self._store_clock,
+                time_source,
                 self._log.for_component("service"),
                 self._metrics,
             ),
--- a/tamarackhatch/server/_role.py
+++ b/tamarackhatch/server/_role.py
@@ -11,9 +11,6 @@
 from tamarackhatch import scheduler
 from tamarackhatch import where
 
-# The number of pending jobs may be two seconds old. A takeover takes longer,
-# so an older number is used meanwhile.
-_MAX_PENDING_COUNT_AGE = datetime.timedelta(seconds=5)
 # Two intervals of the heartbeat, and a slow answer of the store.
 _MAX_PUBLICATION_AGE = datetime.timedelta(milliseconds=1600)
 
@@ -136,20 +133,16 @@
             self._scheduler.request_publication()
 
     def get_pending_count(self) -> model.PendingCount | None:
-        """Returns the numbers of pending jobs; None if not known.
+        """Returns the latest numbers of pending jobs; None if not known.
 
-        A job is pending until one of its tasks has started.
+        A job is pending until one of its tasks has started. Only the moment
+        of the numbers tells how old they are: a young heartbeat may repeat
+        old ones.
         """
         if self._scheduler is not None:
             return self._scheduler.pending
         heartbeat = self._election.heartbeat
-        if (
-            heartbeat is None
-            or not heartbeat.is_pending_known
-            or self._election.heartbeat_age > _MAX_PENDING_COUNT_AGE
-        ):
-            return None
-        return heartbeat.pending_count
+        return None if heartbeat is None else heartbeat.pending_count
 
     async def run(self) -> None:
         """Stands for election until cancelled."""
--- a/tamarackhatch/service/_pending.py
+++ b/tamarackhatch/service/_pending.py
@@ -1,11 +1,25 @@
 """Answers how many jobs of a queue wait."""
 
+import asyncio
+import datetime
 import typing
 
+from tamarackhatch import clock
 from tamarackhatch import model
 from tamarackhatch import observability
 from tamarackhatch import records
 
+# The platform's callers allow for a number that is two seconds old.
+_MAX_AGE = datetime.timedelta(seconds=2)
+# They also allow three seconds until a job is visible. A number within both is
+# right for them, so that it is used while the store cannot be read.
+_MAX_AGE_WITHOUT_STORE = datetime.timedelta(seconds=4)
+# Callers wait for 3 s unless they say otherwise.
+_MAX_WAIT = datetime.timedelta(milliseconds=1500)
+# A full read transfers all jobs, so that it leaves most of the link to others.
+_MIN_FULL_READ_PAUSE = datetime.timedelta(seconds=2)
+_REST_PER_READ_TIME = 5
+
 
 class PendingCountSource(typing.Protocol):
     """Source of the numbers of pending jobs."""
@@ -26,27 +40,40 @@
 
 
 class PendingCounter:
-    """Counts the pending jobs of a queue for callers."""
+    """Counts the pending jobs of a queue for callers.
+
+    Uses the scheduler's count while it is young. If it is not, as in a series
+    of takeovers, the jobs that were stored since are counted from their rows.
+    """
 
     def __init__(
         self,
         source: PendingCountSource,
+        reader: records.PendingReader,
         store_clock: records.StoreClock,
+        time_source: clock.Clock,
         log: observability.Log,
         metrics: observability.Metrics,
     ) -> None:
         """Creates the counter of one instance.
 
         Args:
-            source: Source of the numbers.
-            store_clock: Tells how old they are.
+            source: Source of the scheduler's count.
+            reader: Counts from the rows of jobs.
+            store_clock: Tells how old a count is.
+            time_source: Source of time.
             log: Logger of the service.
             metrics: Metrics of the instance.
         """
         self._source = source
+        self._reader = reader
         self._store_clock = store_clock
+        self._clock = time_source
         self._log = log
         self._metrics = metrics
+        self._own: model.PendingCount | None = None
+        self._reading: asyncio.Task[None] | None = None
+        self._next_full_read: datetime.timedelta | None = None
 
     async def count(self, queue: str) -> int | None:
         """Returns how many jobs of a queue have no started task yet.
@@ -56,23 +83,77 @@
         Args:
             queue: Name of the queue.
         """
-        count = self._source.get_pending_count()
+        count = self._find_count(_MAX_AGE)
+        if count is None:
+            await self._read()
+            count = self._find_count(_MAX_AGE) or self._find_count(
+                _MAX_AGE_WITHOUT_STORE
+            )
         number = None if count is None else count.by_queue.get(queue, 0)
-        origin = "scheduler" if self._source.is_active else "heartbeat"
-        self._record(queue, number, count, origin)
+        self._record(queue, number, count)
         return number
 
+    def _find_count(
+        self, max_age: datetime.timedelta
+    ) -> model.PendingCount | None:
+        """Returns a count that is certainly this young, if there is one."""
+        for count in (self._source.get_pending_count(), self._own):
+            if count is None:
+                continue
+            age = self._store_clock.compute_age(count.moment)
+            if age is not None and age <= max_age:
+                return count
+        return None
+
+    async def _read(self) -> None:
+        """Counts from the rows; callers that arrive meanwhile share it."""
+        if self._reading is None:
+            self._reading = asyncio.create_task(self._read_rows())
+            self._reading.add_done_callback(self._end_reading)
+        # One caller that leaves must not end it for the others.
+        await asyncio.wait([self._reading], timeout=_MAX_WAIT.total_seconds())
+
+    def _end_reading(self, task: asyncio.Task[None]) -> None:
+        self._reading = None
+        if not task.cancelled() and task.exception() is not None:
+            self._log.error(
+                "pending_read_failed", reason=repr(task.exception())
+            )
+
+    async def _read_rows(self) -> None:
+        reported = self._source.get_pending_count()
+        try:
+            if reported is not None and reported.moment is not None:
+                self._own = await self._reader.add_changes(reported)
+                return
+        except model.HistoryLostError:
+            pass
+        except model.StoreUnavailableError as error:
+            self._log.info("pending_read_failed", reason=error.message)
+            return
+        now = self._clock.get_monotonic()
+        if self._next_full_read is not None and now < self._next_full_read:
+            return
+        self._own = await self._reader.count_all()
+        ended = self._clock.get_monotonic()
+        self._next_full_read = ended + max(
+            _MIN_FULL_READ_PAUSE, (ended - now) * _REST_PER_READ_TIME
+        )
+
     def _record(
         self,
         queue: str,
         number: int | None,
         count: model.PendingCount | None,
-        origin: str,
     ) -> None:
         moment = None if count is None else count.moment
         age = self._store_clock.compute_age(moment)
         if count is None:
             origin = "unknown"
+        elif count is self._own:
+            origin = "store"
+        else:
+            origin = "scheduler" if self._source.is_active else "heartbeat"
         self._metrics.pending_answers.labels(origin).inc()
         if age is not None:
             self._metrics.pending_count_age.observe(age.total_seconds())
