Take samples of a job at a rate that does not grow with its runners

Cause: samples of one runner count at most every 0.3 s, but the runner's previous one was looked for among the last six observations of the job. Where a job runs on more than six runners, these are of other runners, and the limit never holds: each report of each runner goes through the regression. In a profile of a scheduler with 446 runners, 17 % of its time went there. Class: a bound for each of many is kept in a buffer that all of them share, and fails once they are many.

Change: a job's history knows the latest observation of each runner, and takes one of all runners each 60 ms; all tasks of a job have the same own load. A sample's lag is now allowed for on large jobs as well, as it was on small ones.

--- a/tamarackhatch/placement/_interference.py
+++ b/tamarackhatch/placement/_interference.py
@@ -8,7 +8,6 @@
 loads and factors are estimated together, from the samples of all runners.
 """
 
-import collections
 from collections.abc import Mapping
 from collections.abc import Sequence
 import datetime
@@ -20,6 +19,7 @@
 from tamarackhatch.placement import _best_effort_usage
 from tamarackhatch.placement import _estimates
 from tamarackhatch.placement import _factors
+from tamarackhatch.placement import _job_history
 from tamarackhatch.placement import _own_load
 
 # Highest tail latency without load to assume, as a share of the target.
@@ -32,11 +32,7 @@
 # More tasks of one job on a runner do not reduce the variance of its sample
 # further, because their samples are not independent of each other.
 _MAX_INDEPENDENT_TASKS = 4
-# At this utilisation and above, a sample is only a lower bound.
-_SATURATED_UTILISATION = 0.93
 _MAX_OWN_LOAD_CHANGE_PER_S = 0.08
-# Samples of a runner at shorter intervals cover mostly the same time.
-_MIN_SAMPLE_INTERVAL = datetime.timedelta(milliseconds=300)
 # A sample depends in part on the utilisation before it. If the runner's
 # previous observation is more recent than this, this share of the difference
 # of the two utilisations counts as an error of the sample.
@@ -46,7 +42,6 @@
 _MAX_COMPARISON_INTERVAL = datetime.timedelta(milliseconds=900)
 # Smaller differences of an image's processor share are ignored.
 _MIN_SHARE_CHANGE = 0.005
-_MAX_COMPARED_OBSERVATIONS = 6
 # Residuals of more standard deviations get less weight.
 _OUTLIER_DEVIATIONS = 2.5
 # Own load estimates of a larger variance do not change an image's peak.
@@ -57,22 +52,6 @@
 _PRIOR_PEAK_SHARE_OF_LIMIT = 0.8
 
 
-@attrs.frozen
-class _Observation:
-    """Utilisation of a serving job on a runner, computed from a sample."""
-
-    runner: str
-    utilisation: float
-    variance: float
-    shares: _best_effort_usage.Shares
-    observed_at: datetime.timedelta
-
-    @property
-    def is_saturated(self) -> bool:
-        """Whether the utilisation is only a lower bound."""
-        return self.utilisation >= _SATURATED_UTILISATION
-
-
 @attrs.define
 class _Peak:
     """Highest own load of an image, and when it was observed."""
@@ -142,9 +121,7 @@
         self._regressions: dict[str, _factors.FactorRegression] = {}
         self._lowest_tail_latencies: dict[str, float] = {}
         self._own_loads: dict[str, _own_load.OwnLoad] = {}
-        self._recent_observations: dict[
-            str, collections.deque[_Observation]
-        ] = {}
+        self._histories: dict[str, _job_history.JobHistory] = {}
         self._peaks: dict[str, _Peak] = {}
         # Upper estimates of factors by serving image, then by weight; those of
         # an image are dropped when its factors are estimated anew.
@@ -285,7 +262,7 @@
     def remove_job(self, job: str) -> None:
         """Removes the own load and the observations of a finished job."""
         self._own_loads.pop(job, None)
-        self._recent_observations.pop(job, None)
+        self._histories.pop(job, None)
 
     def add_samples(
         self,
@@ -306,27 +283,20 @@
         """
         for sample in samples:
             self._record_tail_latency(sample.image, sample.tail_latency_ms)
-            history = self._recent_observations.setdefault(
-                sample.job,
-                collections.deque(maxlen=_MAX_COMPARED_OBSERVATIONS),
-            )
-            previous = next(
-                (item for item in reversed(history) if item.runner == runner),
-                None,
-            )
-            if (
-                previous is not None
-                and now - previous.observed_at < _MIN_SAMPLE_INTERVAL
-            ):
-                # Both samples cover mostly the same time.
+            history = self._histories.get(sample.job)
+            if history is None:
+                history = self._histories[sample.job] = (
+                    _job_history.JobHistory()
+                )
+            if not history.is_due(runner, now):
                 continue
             latest = self._make_observation(
-                runner, sample, shares, now, previous
+                runner, sample, shares, now, history.by_runner.get(runner)
             )
-            self._update_factors(sample, latest, history)
+            self._update_factors(sample, latest, history.compared)
             if not latest.is_saturated:
                 self._update_own_load(sample, latest)
-            history.append(latest)
+            history.add(latest)
 
     def _make_observation(
         self,
@@ -334,14 +304,14 @@
         sample: JobSample,
         shares: _best_effort_usage.Shares,
         now: datetime.timedelta,
-        previous: _Observation | None,
-    ) -> _Observation:
+        previous: _job_history.Observation | None,
+    ) -> _job_history.Observation:
         base_latency = self._get_base_latency(
             sample.image, sample.tail_latency_target_ms
         )
         utilisation = min(
             1 - base_latency / max(sample.tail_latency_ms, base_latency),
-            _SATURATED_UTILISATION,
+            _job_history.SATURATED_UTILISATION,
         )
         deviation = _RELATIVE_SAMPLE_DEVIATION * (1 - utilisation)
         task_count = min(sample.task_count, _MAX_INDEPENDENT_TASKS)
@@ -351,13 +321,15 @@
             variance += (
                 (utilisation - previous.utilisation) * _LAGGING_SHARE
             ) ** 2
-        return _Observation(runner, utilisation, variance, shares, now)
+        return _job_history.Observation(
+            runner, utilisation, variance, shares, now
+        )
 
     def _update_factors(
         self,
         sample: JobSample,
-        latest: _Observation,
-        history: Sequence[_Observation],
+        latest: _job_history.Observation,
+        history: Sequence[_job_history.Observation],
     ) -> None:
         """Adds the differences to recent observations to the regression."""
         shares = latest.shares
@@ -397,7 +369,7 @@
             self._drop_estimates(sample.image)
 
     def _update_own_load(
-        self, sample: JobSample, latest: _Observation
+        self, sample: JobSample, latest: _job_history.Observation
     ) -> None:
         """Corrects the estimate of the job's own load."""
         load = self._own_loads.get(sample.job)
--- a/tamarackhatch/placement/tests/test_interference.py
+++ b/tamarackhatch/placement/tests/test_interference.py
@@ -3,10 +3,12 @@
 import datetime
 import math
 import random
+import typing
 
 import pytest
 
 from tamarackhatch import placement
+from tamarackhatch.placement import _factors
 
 _BASE_MS = 10.0
 _TARGET_MS = 50.0
@@ -183,3 +185,38 @@
         datetime.timedelta(seconds=9),
     )
     assert len({first, second, check_estimates()}) == 3
+
+
+@pytest.mark.parametrize("runners", [1, 6, 7, 24, 100])
+def test_samples_of_many_runners_cost_no_more_than_those_of_few(
+    monkeypatch: pytest.MonkeyPatch, runners: int
+) -> None:
+    """Guards against a limit per runner that many runners displace."""
+    observations = 0
+    add = _factors.FactorRegression.add_observation
+
+    def count(*arguments: typing.Any) -> bool:
+        nonlocal observations
+        observations += 1
+        return add(*arguments)
+
+    monkeypatch.setattr(_factors.FactorRegression, "add_observation", count)
+    interference = placement.InterferenceModel()
+    noise = random.Random(1)
+    for tick in range(30):
+        for runner in range(runners):
+            time_s = tick / 10 + runner * 0.1 / runners
+            shares = {"heavy": noise.random() / 10}
+            tail_latency = _compute_tail_latency(time_s, shares, noise)
+            sample = placement.JobSample(
+                "00", "watch", tail_latency, 2, _TARGET_MS
+            )
+            interference.add_samples(
+                f"i-{runner}",
+                [sample],
+                shares,
+                datetime.timedelta(seconds=time_s),
+            )
+    # In 3 s: a sample of each runner each 0.3 s, one of all each 60 ms, and
+    # each is compared with up to six others.
+    assert 0 < observations <= 6 * min(10 * runners, 50)
