Record urgent starts before the many best-effort ones

Cause: since starts are recorded first, three transactions may be early, and later ones keep to one in 70 ms. Where tasks start all the time, the first ones use that up, most of them best-effort, and each urgent start waits for the next transaction like any other.

Change: the pace of transactions is a decision of its own. Starts of tasks that are not best-effort have an allowance of their own, as large as the common one. A request wakes the writer only if it changes what is due.

--- a/tamarackhatch/scheduler/_commands.py
+++ b/tamarackhatch/scheduler/_commands.py
@@ -153,7 +153,9 @@
         speed_limit_percent: int,
     ) -> None:
         start_records = self._context.start_records
-        delivery = start_records.begin(task.key, run, entry.identifier)
+        delivery = start_records.begin(
+            task.key, run, entry.identifier, not task.step.is_best_effort
+        )
         try:
             await self._repeat_start(
                 task, entry, delivery, speed_limit_percent
--- a/tamarackhatch/scheduler/_runner_rows.py
+++ b/tamarackhatch/scheduler/_runner_rows.py
@@ -57,6 +57,11 @@
         """Whether starts wait for a write of their row."""
         return self._start_records.is_due
 
+    @property
+    def has_urgent_starts(self) -> bool:
+        """Whether starts of urgent tasks wait for a write of their row."""
+        return self._start_records.has_urgent
+
     def request_list(
         self, list_runners: Callable[[], TrackedRunnersWrite]
     ) -> None:
--- a/tamarackhatch/scheduler/_start_attempts.py
+++ b/tamarackhatch/scheduler/_start_attempts.py
@@ -28,6 +28,7 @@
         run: Number of the run.
         runner: Identifier of the runner.
         requested: Monotonic time since which it is to be recorded.
+        is_urgent: Whether the task is no best-effort task.
         is_repeated: Whether more than one command may be sent.
         is_recorded: Whether a successor would know of it, and of the
             repetition.
@@ -37,6 +38,7 @@
     run: int
     runner: str
     requested: datetime.timedelta
+    is_urgent: bool = True
     is_repeated: bool = False
     is_recorded: bool = False
 
@@ -98,11 +100,15 @@
         return len(self._open)
 
     def begin_delivery(
-        self, task: model.TaskKey, run: int, runner: str
+        self,
+        task: model.TaskKey,
+        run: int,
+        runner: str,
+        is_urgent: bool = True,
     ) -> StartDelivery:
         """Records that start commands of a run will be sent."""
         delivery = StartDelivery(
-            task, run, runner, self._clock.get_monotonic()
+            task, run, runner, self._clock.get_monotonic(), is_urgent
         )
         self._deliveries[delivery] = None
         return delivery
--- a/tamarackhatch/scheduler/_start_records.py
+++ b/tamarackhatch/scheduler/_start_records.py
@@ -47,6 +47,7 @@
         self._written: frozenset[object] | None = None
         self._written_deliveries: list[_start_attempts.StartDelivery] = []
         self._has_unrecorded = False
+        self._has_urgent = False
         self._changed = asyncio.Event()
 
     @property
@@ -59,6 +60,11 @@
         """Whether a start waits to be recorded."""
         return self._is_enabled and self._has_unrecorded
 
+    @property
+    def has_urgent(self) -> bool:
+        """Whether the start of an urgent task waits to be recorded."""
+        return self.is_due and self._has_urgent
+
     def set_callback(self, request_write: Callable[[], None]) -> None:
         """Sets the function that requests a write of the row."""
         self._request_write = request_write
@@ -74,11 +80,24 @@
         self._notify()
 
     def begin(
-        self, task: model.TaskKey, run: int, runner: str
+        self,
+        task: model.TaskKey,
+        run: int,
+        runner: str,
+        is_urgent: bool = True,
     ) -> _start_attempts.StartDelivery:
-        """Requests that the start of a run be recorded."""
-        delivery = self._start_attempts.begin_delivery(task, run, runner)
-        self._request_record()
+        """Requests that the start of a run be recorded.
+
+        Args:
+            task: The task.
+            run: Number of the run.
+            runner: Identifier of the runner.
+            is_urgent: Whether its record goes before those of others.
+        """
+        delivery = self._start_attempts.begin_delivery(
+            task, run, runner, is_urgent
+        )
+        self._request_record(delivery)
         return delivery
 
     def repeat(self, delivery: _start_attempts.StartDelivery) -> None:
@@ -87,7 +106,7 @@
             delivery.is_repeated = True
             delivery.is_recorded = False
             delivery.requested = self._clock.get_monotonic()
-            self._request_record()
+            self._request_record(delivery)
 
     def end(self, delivery: _start_attempts.StartDelivery) -> None:
         """Records that no further command of a run will be sent."""
@@ -159,10 +178,13 @@
             if _get_key(delivery) in self._stored:
                 delivery.is_recorded = True
         self._written_deliveries = []
-        self._has_unrecorded = any(
-            not delivery.is_recorded
+        unrecorded = [
+            delivery
             for delivery in self._start_attempts.list_deliveries()
-        )
+            if not delivery.is_recorded
+        ]
+        self._has_unrecorded = bool(unrecorded)
+        self._has_urgent = any(it.is_urgent for it in unrecorded)
         self._notify()
 
     def record_failure(self) -> None:
@@ -170,9 +192,14 @@
         self._written = None
         self._written_deliveries = []
 
-    def _request_record(self) -> None:
+    def _request_record(self, delivery: _start_attempts.StartDelivery) -> None:
+        is_known = self._has_unrecorded and (
+            self._has_urgent or not delivery.is_urgent
+        )
         self._has_unrecorded = True
-        self._request_write()
+        self._has_urgent |= delivery.is_urgent
+        if not is_known:
+            self._request_write()
 
     def _notify(self) -> None:
         self._changed.set()
--- a/tamarackhatch/scheduler/_writer.py
+++ b/tamarackhatch/scheduler/_writer.py
@@ -19,14 +19,9 @@
 from tamarackhatch.scheduler import _rejected_rows
 from tamarackhatch.scheduler import _runner_rows
 from tamarackhatch.scheduler import _state
+from tamarackhatch.scheduler import _transaction_pace
 from tamarackhatch.scheduler import _unwritten_jobs
 
-# Time between two transactions. Calls to the store have a cost, and exits that
-# arrive within this time share one call.
-_BATCH_INTERVAL = datetime.timedelta(milliseconds=70)
-# Starts wait for their record. So many transactions in a row may be sent for
-# them before their interval is over; later ones keep to the average rate.
-_MAX_EARLY_BATCHES = 3
 # Learned interference factors change slowly, so not every heartbeat
 # includes them.
 _HEARTBEATS_PER_INTERFERENCE_WRITE = 3
@@ -104,8 +99,7 @@
         self._last_heartbeat: datetime.timedelta | None = None
         self._wake = asyncio.Event()
         self._start_event = asyncio.Event()
-        # Until when the transactions so far use up the average rate.
-        self._used_until = datetime.timedelta()
+        self._pace = _transaction_pace.TransactionPace()
         self._commit_event = asyncio.Event()
 
     @property
@@ -198,19 +192,23 @@
         Args:
             began: Monotonic time at which the latest one was sent.
         """
-        self._start_event.clear()
-        # Each transaction uses up an interval, in advance if it is early.
-        self._used_until = max(self._used_until, began) + _BATCH_INTERVAL
-        early = self._used_until - _MAX_EARLY_BATCHES * _BATCH_INTERVAL
-        await self._clock.sleep(early - self._clock.get_monotonic())
-        if self._runner_rows.has_waiting_starts:
-            return
-        remaining = began + _BATCH_INTERVAL - self._clock.get_monotonic()
-        try:
-            async with asyncio.timeout(max(0.0, remaining.total_seconds())):
-                await self._start_event.wait()
-        except TimeoutError:
-            return
+        self._pace.record_transaction(began)
+        while True:
+            self._start_event.clear()
+            remaining = (
+                self._pace.compute_due(
+                    self._runner_rows.has_waiting_starts,
+                    self._runner_rows.has_urgent_starts,
+                )
+                - self._clock.get_monotonic()
+            )
+            if remaining <= datetime.timedelta():
+                return
+            try:
+                async with asyncio.timeout(remaining.total_seconds()):
+                    await self._start_event.wait()
+            except TimeoutError:
+                return
 
     async def write_batch(
         self,
