Ask runners less often while the event loop is late

Cause: each exit brings a report of its own as long as reports are 0.1 s apart, whatever the processor can do. Reports are half of the scheduler's work there; the event loop serves them in turn with placements and starts, so that it was 0.2 to 0.34 s late, ran 3 to 8 passes a second, and starts waited 0.2 to 0.7 s for their records. Class: work whose rate is set by the fleet, without a limit by what the scheduler can do.

Change: the interval between two renewals of a runner grows with the lateness of timers, from 0.1 s below 20 ms to 0.8 s at 160 ms, so that a report brings several exits. A scheduler that is not late asks as before.

--- a/tamarackhatch/scheduler/_context.py
+++ b/tamarackhatch/scheduler/_context.py
@@ -19,6 +19,7 @@
 from tamarackhatch.scheduler import _fleet
 from tamarackhatch.scheduler import _job_tracker
 from tamarackhatch.scheduler import _load_monitor
+from tamarackhatch.scheduler import _renewal_pace
 from tamarackhatch.scheduler import _repeated_runs
 from tamarackhatch.scheduler import _start_attempts
 from tamarackhatch.scheduler import _start_records
@@ -61,6 +62,7 @@
         is_service_known: Returns whether the configuration names a service;
             True if that is not known.
         wake: Set when tasks wait or capacity becomes free.
+        renewal_pace: Chooses how often runners are asked.
     """
 
     clock: clock.Clock
@@ -88,6 +90,9 @@
     enforces_capacity: Callable[[str], bool]
     is_service_known: Callable[[str], bool]
     wake: asyncio.Event
+    renewal_pace: _renewal_pace.RenewalPace = attrs.field(
+        factory=_renewal_pace.RenewalPace
+    )
 
     @property
     def term(self) -> int:
--- a/tamarackhatch/scheduler/_runner_reconciler.py
+++ b/tamarackhatch/scheduler/_runner_reconciler.py
@@ -26,10 +26,8 @@
 # The same while a late command may reach the runner's next incarnation, which
 # obeys it unless a renewal with a higher token comes first.
 _FENCING_PAUSE = datetime.timedelta(milliseconds=50)
-# Between two renewals of a runner; each renewal has a cost.
-_MIN_RENEWAL_INTERVAL = datetime.timedelta(milliseconds=100)
-# The same while exits cannot be acknowledged: the runner answers at once then,
-# because it lists them again.
+# Between two renewals of a runner while exits cannot be acknowledged: the
+# runner answers at once then, because it lists them again.
 _HELD_EXIT_INTERVAL = datetime.timedelta(milliseconds=250)
 # The next renewal waits this long for exits to become durable, so that it can
 # acknowledge them.
@@ -428,9 +426,11 @@
                 changes, _MAX_DURABILITY_WAIT
             )
         _exit_acks.acknowledge_exits(context, entry)
-        interval = _MIN_RENEWAL_INTERVAL
+        interval = context.renewal_pace.interval
         if entry.has_held_exit:
-            interval = _HELD_EXIT_INTERVAL
-        elapsed = context.get_now() - sent
-        if elapsed < interval:
-            await context.clock.sleep(interval - elapsed)
+            interval = max(interval, _HELD_EXIT_INTERVAL)
+        due = sent + interval
+        remaining = due - context.get_now()
+        if remaining > datetime.timedelta():
+            await context.clock.sleep(remaining)
+            context.renewal_pace.record_timer(context.get_now() - due)
--- a/tamarackhatch/scheduler/_scheduler.py
+++ b/tamarackhatch/scheduler/_scheduler.py
@@ -222,11 +222,7 @@
 
     @property
     def pending(self) -> model.PendingCount | None:
-        """Numbers of jobs without a started task; None if not known.
-
-        Until the jobs are read, these are the previous scheduler's numbers,
-        with the moment for which it counted them.
-        """
+        """Numbers of jobs without a started task; None if not known."""
         return self._count_pending()
 
     @property
