End reads of all rows of jobs that no store answers

Seen: after one caller had asked for a number of waiting jobs while the store was down, the instance called the store for as long as it was down, though nobody waited.

Cause: the read of all rows repeats until it succeeds, without a limit, and the pause between such reads began only after a success.

Change: the read ends after 20 s, which is the store's history, and the pause begins after each end.

Evidence: test_read_without_a_store_ends_after_its_callers_left failed in both cases (store down, store without an answer), and passes.

--- a/tamarackhatch/service/_pending.py
+++ b/tamarackhatch/service/_pending.py
@@ -19,6 +19,9 @@
 # A full read transfers all jobs, so that it leaves most of the link to others.
 _MIN_FULL_READ_PAUSE = datetime.timedelta(seconds=2)
 _REST_PER_READ_TIME = 5
+# The store keeps its history for 20 s, so that later changes could not be
+# added to a read that took longer.
+_MAX_FULL_READ_TIME = datetime.timedelta(seconds=20)
 
 
 class PendingCountSource(typing.Protocol):
@@ -121,6 +124,10 @@
             )
 
     async def _read_rows(self) -> None:
+        now = self._clock.get_monotonic()
+        is_paused = (
+            self._next_full_read is not None and now < self._next_full_read
+        )
         reported = self._source.get_pending_count()
         try:
             if reported is not None and reported.moment is not None:
@@ -131,14 +138,23 @@
         except model.StoreUnavailableError as error:
             self._log.info("pending_read_failed", reason=error.message)
             return
-        now = self._clock.get_monotonic()
-        if self._next_full_read is not None and now < self._next_full_read:
-            return
-        self._own = await self._reader.count_all()
-        ended = self._clock.get_monotonic()
-        self._next_full_read = ended + max(
-            _MIN_FULL_READ_PAUSE, (ended - now) * _REST_PER_READ_TIME
-        )
+        if not is_paused:
+            await self._read_all_rows()
+
+    async def _read_all_rows(self) -> None:
+        began = self._clock.get_monotonic()
+        pause = _MIN_FULL_READ_PAUSE
+        try:
+            async with asyncio.timeout(_MAX_FULL_READ_TIME.total_seconds()):
+                self._own = await self._reader.count_all()
+            elapsed = self._clock.get_monotonic() - began
+            pause = max(pause, elapsed * _REST_PER_READ_TIME)
+        except TimeoutError:
+            self._log.info(
+                "pending_read_failed", reason="reading all rows took too long"
+            )
+        finally:
+            self._next_full_read = self._clock.get_monotonic() + pause
 
     def _record(
         self,
--- a/tamarackhatch/service/tests/test_pending.py
+++ b/tamarackhatch/service/tests/test_pending.py
@@ -239,3 +239,23 @@
         assert await second == 10
 
     virtual_time.run_virtually(simulate())
+
+
+@pytest.mark.parametrize("is_answering", [False, True])
+def test_read_without_a_store_ends_after_its_callers_left(
+    is_answering: bool,
+) -> None:
+    """Guards against a read that calls a failing store for nobody."""
+
+    async def simulate() -> None:
+        trial = _Trial()
+        await trial.report(None)
+        trial.store.is_down = is_answering
+        trial.store.is_unresponsive = not is_answering
+        assert await trial.count() is None
+        await asyncio.sleep(30)
+        trial.requests.clear()
+        await asyncio.sleep(30)
+        assert trial.requests == []
+
+    virtual_time.run_virtually(simulate())
