Add later jobs to the instance's own count of waiting jobs

Seen: with 501 jobs in a partition and 0.4 s or 0.8 s per round trip to the store, callers got no number most of the time, though the store answered.

Cause: a read of all rows counts as of its first page, so that a long one was too old soon after, or when it ended. Jobs were only ever added to the reported number, whose history is gone or which is unknown; until the next read of all rows, which pauses for five times its duration, nobody counted.

Change: jobs are added to the newer of the reported count and the instance's own, and without a report to its own while reads of all rows pause. This also reads the changes since the last answer instead of all since the report.

Evidence: the four cases of test_slow_full_read_keeps_callers_in_numbers failed and pass.

--- a/tamarackhatch/service/_pending.py
+++ b/tamarackhatch/service/_pending.py
@@ -128,10 +128,10 @@
         is_paused = (
             self._next_full_read is not None and now < self._next_full_read
         )
-        reported = self._source.get_pending_count()
+        base = self._find_base(is_paused)
         try:
-            if reported is not None and reported.moment is not None:
-                self._own = await self._reader.add_changes(reported)
+            if base is not None:
+                self._own = await self._reader.add_changes(base)
                 return
         except model.HistoryLostError:
             pass
@@ -141,6 +141,26 @@
         if not is_paused:
             await self._read_all_rows()
 
+    def _find_base(self, is_paused: bool) -> model.PendingCount | None:
+        """Returns the newest count to which later jobs can be added.
+
+        Without a report, this is the last full read, until the next is due.
+
+        Args:
+            is_paused: Whether reads of all rows pause.
+        """
+        own = self._own
+        reported = self._source.get_pending_count()
+        if reported is None or reported.moment is None:
+            return own if is_paused and own and own.moment else None
+        if (
+            own is not None
+            and own.moment is not None
+            and own.moment.version > reported.moment.version
+        ):
+            return own
+        return reported
+
     async def _read_all_rows(self) -> None:
         began = self._clock.get_monotonic()
         pause = _MIN_FULL_READ_PAUSE
--- a/tamarackhatch/service/tests/test_pending.py
+++ b/tamarackhatch/service/tests/test_pending.py
@@ -259,3 +259,29 @@
         assert trial.requests == []
 
     virtual_time.run_virtually(simulate())
+
+
+@pytest.mark.parametrize("delay_s", [0.2, 0.4])
+@pytest.mark.parametrize("loses_history", [False, True])
+def test_slow_full_read_keeps_callers_in_numbers(
+    loses_history: bool, delay_s: float
+) -> None:
+    """Guards against a number that is too old when all rows are read."""
+
+    async def simulate() -> None:
+        trial = _Trial()
+        await trial.report(7 if loses_history else None)
+        # Each partition takes two reads, one after the other.
+        for number in range(501):
+            trial.submit(f"{number:04x}a")
+        if loses_history:
+            trial.store.discard_history()
+        trial.network.get_faults(_ADDRESS).delay_s = delay_s
+        await asyncio.sleep(5)
+        answers = []
+        for _ in range(60):
+            answers.append(await trial.count())
+            await asyncio.sleep(0.5)
+        assert set(answers[5:]) == {501}
+
+    virtual_time.run_virtually(simulate())
