Clear the scheduler's gauges when its term ends

Seen: an instance that was the active scheduler went on to report its last number of waiting tasks (3 in the test), of open starts and its last lateness, beside those of its successor. A sum over instances counted them twice.

Cause: three of the gauges that only the active scheduler sets were not set back when its term ended.

Change: one method clears all of them.

Evidence: both cases of test_gauges_of_a_scheduler_end_with_its_term (stopped, and cut from the store) failed and pass.

--- a/tamarackhatch/observability/_metrics.py
+++ b/tamarackhatch/observability/_metrics.py
@@ -287,6 +287,18 @@
             registry=self._registry,
         )
 
+    def clear_term(self) -> None:
+        """Clears what only the active scheduler reports."""
+        for gauge in (
+            self.is_scheduler,
+            self.waiting,
+            self.paused,
+            self.open_starts,
+            self.ejected_runners,
+            self.loop_lateness,
+        ):
+            gauge.set(0)
+
     def render(self) -> bytes:
         """Returns all metrics in the Prometheus text format."""
         return prometheus_client.generate_latest(self._registry)
--- a/tamarackhatch/scheduler/_scheduler.py
+++ b/tamarackhatch/scheduler/_scheduler.py
@@ -287,9 +287,7 @@
             self._runner_manager.close()
             for task in tasks:
                 task.cancel()
-            self._metrics.is_scheduler.set(0)
-            self._metrics.paused.set(0)
-            self._metrics.ejected_runners.set(0)
+            self._metrics.clear_term()
             self._log.summary("term_ended", term=self._term.number)
 
     def _record_finished(self, job: _state.JobEntry) -> None:
