Name no scheduler to operators that ended long ago

Seen: POST to the dry run of an instance that had just started, or had just reached the store again after 25 s, was answered 409 with the name and address of a scheduler that had been killed 20 s before, for up to the leader timeout.

Cause: the age of the heartbeat counted from when it was read, or from the store's first answer after a gap.

Change: only a heartbeat that certainly is new names a scheduler; until one arrives the answer is 503, which asks to try again. The age that counts from the reading has no other use and is removed.

Evidence: the two cases of test_active_scheduler.py with a scheduler that is dead failed and pass; with one that is alive it is named as before.

--- a/tamarackhatch/election/_election.py
+++ b/tamarackhatch/election/_election.py
@@ -116,15 +116,6 @@
         """The latest heartbeat that was read."""
         return self._heartbeat
 
-    @property
-    def heartbeat_age(self) -> datetime.timedelta:
-        """Time since the latest heartbeat was read.
-
-        It counts from a later moment if the store did not answer for a
-        while, because heartbeats may have been missing for that reason.
-        """
-        return self._clock.get_monotonic() - self._election_timer_start
-
     @property
     def last_answer(self) -> datetime.timedelta:
         """Monotonic time of the store's latest answer."""
--- a/tamarackhatch/server/_role.py
+++ b/tamarackhatch/server/_role.py
@@ -86,14 +86,19 @@
 
     @property
     def active_scheduler(self) -> records.LeaderHeartbeat | None:
-        """Heartbeat of the active scheduler in another process, if any."""
+        """Heartbeat of the active scheduler in another process, if any.
+
+        A heartbeat that may have been written long before it was read does
+        not count.
+        """
         heartbeat = self._election.heartbeat
         if (
             self._scheduler is not None
             or heartbeat is None
             or heartbeat.is_released
-            or self._election.heartbeat_age
-            > self._dependencies.settings.scheduling.leader_timeout
+            or not self._election.has_heartbeat(
+                self._dependencies.settings.scheduling.leader_timeout
+            )
         ):
             return None
         return heartbeat
