Keep the known term when an instance's own term ends

Seen: an instance whose term 2 had ended told term 1 until it read the heartbeat again, which takes as long as the store does not answer it.

Cause: no heartbeat is read during its own term, so that the latest one that it had read was of an earlier term. Accepted jobs carry the known term, which keeps earlier schedulers from starting them; log lines name it.

Change: the term of the latest scheduler of this process counts as well.

Evidence: both cases of test_known_term_never_decreases (stopped, and cut from the store for 6 s) failed and pass.

--- a/tamarackhatch/server/_role.py
+++ b/tamarackhatch/server/_role.py
@@ -47,6 +47,7 @@
             dependencies.on_heartbeat,
         )
         self._scheduler: scheduler.Scheduler | None = None
+        self._own_term = 0
         self._is_stopping = False
 
     @property
@@ -57,10 +58,10 @@
     @property
     def term(self) -> int:
         """The latest term that this instance knows of; 0 for none."""
-        if self._scheduler is not None:
-            return self._scheduler.term
         heartbeat = self._election.heartbeat
-        return 0 if heartbeat is None else heartbeat.term
+        # No heartbeat is read while this process is the scheduler, so that
+        # the latest one may be of an earlier term.
+        return max(self._own_term, heartbeat.term if heartbeat else 0)
 
     @property
     def publication(self) -> model.Publication | None:
@@ -165,6 +166,7 @@
             self._dependencies,
             log=self._dependencies.log.for_component("scheduler"),
         )
+        self._own_term = term.number
         self._scheduler = scheduler.Scheduler(
             dependencies, term, self._candidate
         )
