Repeat no publication when an earlier term is released

Seen: after all processes had ended for 0.1 s or 60 s, and an instance with under one core released the term of its earlier process, instances took that process's publication for one of that moment, though the configuration had changed since. Instances refuse jobs by the repeated waits likewise if a second report of the same term is young.

Cause: the release copied the earlier heartbeat with all that it said. A heartbeat that certainly is new is taken to say something new.

Change: the release leaves out the configuration and the waits. The number of pending jobs stays, which has its own moment.

That an instance applied an old configuration for it was not shown, nor a refusal.

--- a/tamarackhatch/election/_election.py
+++ b/tamarackhatch/election/_election.py
@@ -366,7 +366,15 @@
             version: Version of the fence row.
         """
         assert self._heartbeat is not None
-        released = attrs.evolve(self._heartbeat, is_released=True)
+        # Instances take what a new heartbeat says of the configuration and of
+        # waits for new. The number of pending jobs has its own moment.
+        released = attrs.evolve(
+            self._heartbeat,
+            is_released=True,
+            configuration=None,
+            position=0,
+            waits=(),
+        )
         result = await self._store.write(
             [(records.FENCE, version)],
             [
