--- a/tamarackhatch/election/_election.py
+++ b/tamarackhatch/election/_election.py
@@ -116,15 +116,6 @@
         """The latest heartbeat that was read."""
         return self._heartbeat
 
-    @property
-    def heartbeat_age(self) -> datetime.timedelta:
-        """Time since the latest heartbeat was read.
-
-        It counts from a later moment if the store did not answer for a
-        while, because heartbeats may have been missing for that reason.
-        """
-        return self._clock.get_monotonic() - self._election_timer_start
-
     @property
     def last_answer(self) -> datetime.timedelta:
         """Monotonic time of the store's latest answer."""
@@ -375,7 +366,15 @@
             version: Version of the fence row.
         """
         assert self._heartbeat is not None
-        released = attrs.evolve(self._heartbeat, is_released=True)
+        # Instances take what a new heartbeat says of the configuration and of
+        # waits for new. The number of pending jobs has its own moment.
+        released = attrs.evolve(
+            self._heartbeat,
+            is_released=True,
+            configuration=None,
+            position=0,
+            waits=(),
+        )
         result = await self._store.write(
             [(records.FENCE, version)],
             [
