Retry reads of all rows of jobs ever more rarely

Seen: with a store that answers 503 at once, and no number known, one instance that is asked continually sent 3360 reads in a minute (virtual time). All of the platform's daemons together may make 2000 reads a second, and refused ones count, so that about 40 instances keep the store refusing.

Cause: each attempt is 16 reads, and attempts were 150 ms apart.

Change: the delay doubles up to 4 s for reads on behalf of callers. The scheduler's own reads keep their delay.

Evidence: test_reads_of_a_store_that_refuses_become_rare failed and passes. The number of instances is computed, not run.

--- a/tamarackhatch/records/_pending_reader.py
+++ b/tamarackhatch/records/_pending_reader.py
@@ -17,6 +17,10 @@
 from tamarackhatch.records import _progress_parts
 from tamarackhatch.records import _watcher
 
+# Any number of instances may read at once, so that retries without a pause
+# would keep an overloaded store overloaded.
+_MAX_LOAD_DELAY = datetime.timedelta(seconds=4)
+
 
 class PendingReader:
     """Counts pending jobs from rows, on behalf of an instance."""
@@ -91,6 +95,7 @@
             partitions,
             rows.append,
             self._log,
+            max_load_delay=_MAX_LOAD_DELAY,
         )
 
     def _list_stored(self, rows: Iterable[model.Row]) -> dict[str, str]:
--- a/tamarackhatch/records/_watcher.py
+++ b/tamarackhatch/records/_watcher.py
@@ -30,6 +30,7 @@
         interval: datetime.timedelta = datetime.timedelta(),
         on_reload: Callable[[set[str]], None] = lambda keys: None,
         on_synced: Callable[[datetime.timedelta], None] = lambda time: None,
+        max_load_delay: datetime.timedelta = _RETRY_DELAY,
     ) -> None:
         """Creates a watcher.
 
@@ -48,7 +49,10 @@
                 was read.
             on_synced: Called with a monotonic time after all changes that the
                 store made before that time were passed on.
+            max_load_delay: Longest delay between attempts to read the whole
+                table; the delay doubles with each attempt up to it.
         """
+        self._max_load_delay = max_load_delay
         self._store = store
         self._clock = time_source
         self._table = table
@@ -88,6 +92,7 @@
 
     async def load(self) -> None:
         """Reads the whole table; retries until it succeeds."""
+        delay = _RETRY_DELAY
         while True:
             started_at = self._clock.get_monotonic()
             try:
@@ -99,7 +104,8 @@
                 )
             except model.StoreUnavailableError as error:
                 self._record_feed_loss(error.message)
-                await self._clock.sleep(_RETRY_DELAY)
+                await self._clock.sleep(delay)
+                delay = min(2 * delay, self._max_load_delay)
                 continue
             break
         self._is_feed_lost = False
--- a/tamarackhatch/service/tests/test_pending.py
+++ b/tamarackhatch/service/tests/test_pending.py
@@ -285,3 +285,18 @@
         assert set(answers[5:]) == {501}
 
     virtual_time.run_virtually(simulate())
+
+
+def test_reads_of_a_store_that_refuses_become_rare() -> None:
+    """Guards against instances that keep a store overloaded by retries."""
+
+    async def simulate() -> None:
+        trial = _Trial()
+        await trial.report(None)
+        trial.store.is_down = True
+        for _ in range(40):
+            assert await trial.count() is None
+            await asyncio.sleep(0.1)
+        assert len(trial.requests) <= 10 * 60
+
+    virtual_time.run_virtually(simulate())
