Count jobs that wait though their progress is divided

Found in review: a job that waits, with progress in several rows (such as a crash before its first run was confirmed), was taken for started where all rows are read, so that the number was too low.

Cause: any part row counted as a start. Now the job's own row decides, if there is one.

Evidence: three cases of test_count_includes_jobs_that_the_report_does_not_know with such a job gave 4 instead of 5 before.

--- a/tamarackhatch/records/_pending_reader.py
+++ b/tamarackhatch/records/_pending_reader.py
@@ -120,11 +120,13 @@
         }
 
     def _list_started(self, rows: Iterable[model.Row]) -> set[str]:
-        started = set()
+        """Returns the jobs of which a task has started."""
+        states: dict[str, model.JobState] = {}
+        divided: set[str] = set()
         for row in rows:
             part = _names.get_progress_part(row.ref.key)
             if part is not None:
-                started.add(part[0])
+                divided.add(part[0])
                 continue
             try:
                 progress = _progress_parts.decode_progress_row(row.value)
@@ -135,6 +137,11 @@
                     reason=error.message,
                 )
                 continue
-            if progress.state is not model.JobState.QUEUED:
-                started.add(row.ref.key)
-        return started
+            states[row.ref.key] = progress.state
+        started = {
+            job
+            for job, state in states.items()
+            if state is not model.JobState.QUEUED
+        }
+        # A job without a row of its own has a part with progress.
+        return started | (divided - states.keys())
--- a/tamarackhatch/service/tests/test_pending.py
+++ b/tamarackhatch/service/tests/test_pending.py
@@ -123,18 +123,20 @@
 
 
 def _start_jobs(trial: _Trial) -> None:
-    """Stores two jobs that have started, and one that has not."""
-    for identifier in ("01", "02", "03"):
+    """Stores two jobs that have started, and two that have not."""
+    for identifier in ("01", "02", "03", "04"):
         trial.submit(identifier)
     for identifier, state in (
         ("01", model.JobState.RUNNING),
         ("03", model.JobState.QUEUED),
+        ("04", model.JobState.QUEUED),
     ):
         trial.put(
             records.get_progress_ref(identifier),
             records.encode_progress(records.JobProgress(state)),
         )
-    trial.put(records.get_progress_part_ref("02", 0), b"{}")
+    for identifier in ("02", "04"):
+        trial.put(records.get_progress_part_ref(identifier, 0), b"{}")
 
 
 @pytest.mark.parametrize(
@@ -143,9 +145,9 @@
         pytest.param(7, True, 1.5, False, 7, id="young"),
         pytest.param(7, True, 2.5, False, 10, id="old"),
         pytest.param(7, True, 60.0, False, 10, id="very old"),
-        pytest.param(7, True, 2.5, True, 4, id="old, history is lost"),
-        pytest.param(7, False, 0.0, False, 4, id="of an earlier build"),
-        pytest.param(None, True, 0.0, False, 4, id="unknown"),
+        pytest.param(7, True, 2.5, True, 5, id="old, history is lost"),
+        pytest.param(7, False, 0.0, False, 5, id="of an earlier build"),
+        pytest.param(None, True, 0.0, False, 5, id="unknown"),
     ],
 )
 def test_count_includes_jobs_that_the_report_does_not_know(
