Lengthen the interval between renewals from 10 ms of lateness on

Seen: in a trial with processors of half the speed, the interval reached 0.3 s while the loop was 0.1 to 0.17 s late, because timers are late by half of that on average; 750 to 1,000 renewals a second went on, a transaction took a second, and the scheduler lost its term for want of a heartbeat.

Change: the interval grows from 10 ms on.

--- a/tamarackhatch/scheduler/_renewal_pace.py
+++ b/tamarackhatch/scheduler/_renewal_pace.py
@@ -15,7 +15,7 @@
 # serving tasks within seconds.
 _MAX_INTERVAL = datetime.timedelta(milliseconds=800)
 # Timers that are this late on average lengthen the interval in proportion.
-_USUAL_LATENESS = datetime.timedelta(milliseconds=20)
+_USUAL_LATENESS = datetime.timedelta(milliseconds=10)
 # Share of a timer's lateness in the average. A busy scheduler sets hundreds of
 # timers a second.
 _SAMPLE_SHARE = 0.02
