Search runners to reserve only where a large task fits soon

What a runner has free within the longest reservation is kept until its tasks change, so that the runs of 446 runners are not read for each waiting step of each pass. A search without a result is not repeated in its pass for larger demands. No reservation changes: runners are left out only if the release time is not below the longest duration of a reservation.

--- a/tamarackhatch/placement/__init__.py
+++ b/tamarackhatch/placement/__init__.py
@@ -52,6 +52,7 @@
 from tamarackhatch.placement._shortage import find_shortage
 from tamarackhatch.placement._shortage import FreeRoom
 from tamarackhatch.placement._shortage import Shortage
+from tamarackhatch.placement._soon_free import SoonFreeRunners
 from tamarackhatch.placement._throttling import BestEffortState
 from tamarackhatch.placement._throttling import choose_speed_limits
 from tamarackhatch.placement._throttling import infer_speed_limit
@@ -90,6 +91,7 @@
     "RunnerRating",
     "ServingState",
     "Shortage",
+    "SoonFreeRunners",
     "StartNear",
     "StartRemote",
     "TransientRun",
--- a/tamarackhatch/placement/_reservations.py
+++ b/tamarackhatch/placement/_reservations.py
@@ -16,8 +16,9 @@
 from tamarackhatch.placement import _load
 from tamarackhatch.placement import _order
 
-# Idle capacity while a long-running task waits is a fault after 3 s.
-_MAX_DURATION = datetime.timedelta(milliseconds=2500)
+# Longest time that a runner is reserved. Idle capacity while a long-running
+# task waits is a fault after 3 s.
+MAX_DURATION = datetime.timedelta(milliseconds=2500)
 # After a reservation that failed, the runner is not reserved again at once.
 _REST = datetime.timedelta(seconds=5)
 # A task that fits into ordinary pieces of capacity gets one within this time.
@@ -210,7 +211,7 @@
         free = [
             (release, runner)
             for runner, release in options
-            if release < _MAX_DURATION
+            if release < MAX_DURATION
             and runner not in taken
             and runner not in self._resting
         ]
@@ -223,4 +224,4 @@
 
 
 def _is_old(reservation: Reservation, now: datetime.timedelta) -> bool:
-    return now - reservation.since >= _MAX_DURATION
+    return now - reservation.since >= MAX_DURATION
--- a/tamarackhatch/scheduler/_large_tasks.py
+++ b/tamarackhatch/scheduler/_large_tasks.py
@@ -29,6 +29,7 @@
         self.is_long_running_waiting = False
         self._context = context
         self._reservations = placement.Reservations()
+        self._soon_free = placement.SoonFreeRunners()
         # Reserved runners that the present pass has taken out.
         self._kept: list[
             tuple[placement.Reservation, placement.CandidateRunner]
@@ -47,6 +48,7 @@
                 reserved are removed.
         """
         context = self._context
+        self._soon_free.begin_pass(context.fleet)
         for failed in self._reservations.expire(waiting, context.get_now()):
             context.metrics.reservations.labels("expired").inc()
             context.log.info(
@@ -171,7 +173,7 @@
             return
         reservation = self._reservations.reserve(
             step,
-            self.list_options(unplaced[0], candidates),
+            self._list_soon(unplaced[0], candidates),
             now,
             order.urgency,
         )
@@ -189,6 +191,24 @@
             self._context.metrics.reservations.labels("used").inc()
             self._reservations.release(step)
 
+    def _list_soon(
+        self,
+        task: _state.TaskEntry,
+        candidates: list[placement.CandidateRunner],
+    ) -> list[tuple[str, datetime.timedelta]]:
+        """Returns the options on which a task fits soon enough."""
+        context = self._context
+        fitting = self._soon_free.list_fitting(
+            task.step.reserved,
+            task.job.job.queue.service,
+            candidates,
+            context.get_now(),
+            lambda identifier: self._iterate_transient_runs(
+                context.fleet[identifier]
+            ),
+        )
+        return self.list_options(task, fitting) if fitting else []
+
     def list_options(
         self,
         task: _state.TaskEntry,
