Sort groups of waiting tasks by a tuple made once

Comparisons of attrs objects make two tuples each.

A test compares the order of the tuples with that of the keys.

--- a/tamarackhatch/placement/_order.py
+++ b/tamarackhatch/placement/_order.py
@@ -91,6 +91,18 @@
     image: str
     accepted: float
 
+    @property
+    def sort_key(self) -> tuple[float, Rank, int, bool, str, float]:
+        """Tuple of the same order, which costs less in each comparison."""
+        return (
+            self.priority,
+            self.rank,
+            self.demand,
+            self.is_unlimited,
+            self.image,
+            self.accepted,
+        )
+
     @property
     def urgency(self) -> Urgency:
         """Priority and rank, which go before the size of a job."""
--- a/tamarackhatch/placement/tests/test_order.py
+++ b/tamarackhatch/placement/tests/test_order.py
@@ -3,6 +3,8 @@
 import datetime
 
 import attrs
+import hypothesis
+from hypothesis import strategies
 import pytest
 
 from tamarackhatch import placement
@@ -133,3 +135,23 @@
     ]
     assert keys[0] < keys[1]
     assert placement.describe_precedence(keys[0], keys[1]) == expected
+
+
+_KEYS = strategies.builds(
+    placement.OrderKey,
+    priority=strategies.sampled_from([0.0, 1.0]),
+    rank=strategies.sampled_from(placement.Rank),
+    demand=strategies.integers(0, 2),
+    is_unlimited=strategies.booleans(),
+    image=strategies.sampled_from(["", "one", "two"]),
+    accepted=strategies.sampled_from([1.0, 2.0]),
+)
+
+
+@hypothesis.given(_KEYS, _KEYS)
+def test_sort_key_has_the_order_of_the_keys(
+    first: placement.OrderKey, second: placement.OrderKey
+) -> None:
+    """Guards against groups that are sorted by other fields than compared."""
+    assert (first < second) == (first.sort_key < second.sort_key)
+    assert (first == second) == (first.sort_key == second.sort_key)
--- a/tamarackhatch/scheduler/_group_order.py
+++ b/tamarackhatch/scheduler/_group_order.py
@@ -38,7 +38,7 @@
     """Returns the groups with their sort keys, the first to place first."""
     return sorted(
         ((_get_order_key(context, group), group) for group in groups),
-        key=lambda item: item[0],
+        key=lambda item: item[0].sort_key,
     )
 
 
