Decide at once that a task without start commands is not bound

Each pass asks about nearly all waiting tasks. While a single start command was open anywhere, each answer read the clock and made two collections.

--- a/tamarackhatch/scheduler/_bound_tasks.py
+++ b/tamarackhatch/scheduler/_bound_tasks.py
@@ -46,6 +46,9 @@
     def is_bound(self, task: _state.TaskEntry) -> bool:
         """Returns whether a waiting task must not start on any runner."""
         attempts = self._context.start_attempts
+        # Nearly all waiting tasks are asked about in each pass.
+        if not attempts.concerns(task.key):
+            return False
         if attempts.has_stray_run(task.key):
             return True
         return any(
--- a/tamarackhatch/scheduler/_start_attempts.py
+++ b/tamarackhatch/scheduler/_start_attempts.py
@@ -243,6 +243,10 @@
         """Returns whether a run of a task exists that is to be stopped."""
         return bool(self._stray_runs) and task in self._stray_runs
 
+    def concerns(self, task: model.TaskKey) -> bool:
+        """Returns whether a task has a recorded command or a stray run."""
+        return task in self._open or task in self._stray_runs
+
     def list_open(self, task: model.TaskKey) -> Collection[StartAttempt]:
         """Returns the commands whose runs may exist or begin unreported."""
         if not self._open:
