Send no early transactions to a store that has just failed

Change: for 2 s after a transaction that the store did not confirm, none is early, neither for urgent nor for other starts.

A sample of the store's clock counts for a minute instead of 10 s, so that a store that is slow for long makes no number of waiting jobs look younger (found in review; a case of test_age_of_a_moment).

--- a/tamarackhatch/records/_store_clock.py
+++ b/tamarackhatch/records/_store_clock.py
@@ -5,8 +5,9 @@
 from tamarackhatch import clock
 from tamarackhatch import model
 
-# Clocks drift apart, so that an answer counts for this time only.
-_MAX_SAMPLE_AGE = datetime.timedelta(seconds=10)
+# Clocks drift apart, so that an answer counts for this time only. While the
+# store is slow, later answers would make moments look younger than they are.
+_MAX_SAMPLE_AGE = datetime.timedelta(seconds=60)
 # The estimate is behind by the time that an answer took. A reading that is
 # further ahead is of another clock, such as that of a store that was replaced.
 _MAX_LEAD = datetime.timedelta(seconds=2)
--- a/tamarackhatch/records/tests/test_store_clock.py
+++ b/tamarackhatch/records/tests/test_store_clock.py
@@ -26,12 +26,19 @@
         pytest.param(
             [(0, 5000), (1000, 5100)], 1000, 4000, 2000, id="late answer"
         ),
+        pytest.param(
+            [(0, 5000), (30_000, 33_600)],
+            30_000,
+            34_000,
+            1000,
+            id="late answers for half a minute",
+        ),
         pytest.param(
             [(0, 5000), (1000, 6200)], 1000, 4000, 2200, id="quicker answer"
         ),
         pytest.param(
-            [(0, 5000), (11_000, 5100)],
-            11_000,
+            [(0, 5000), (61_000, 5100)],
+            61_000,
             5000,
             100,
             id="clock of a store that was replaced",
--- a/tamarackhatch/scheduler/_transaction_pace.py
+++ b/tamarackhatch/scheduler/_transaction_pace.py
@@ -14,6 +14,9 @@
 # So many transactions in a row may be sent for starts before their interval
 # is over; later ones keep to the average rate.
 _MAX_EARLY = 3
+# A store that has failed has to serve all waiting callers as well when it is
+# back, so that none is early for this time.
+_REST_AFTER_FAILURE = datetime.timedelta(seconds=2)
 
 
 class _Allowance:
@@ -40,6 +43,11 @@
         self._regular = _Allowance()
         self._urgent = _Allowance()
         self._sent = datetime.timedelta()
+        self._resting_until = datetime.timedelta()
+
+    def record_failure(self, time: datetime.timedelta) -> None:
+        """Records that the store did not confirm a transaction."""
+        self._resting_until = time + _REST_AFTER_FAILURE
 
     def record_transaction(self, sent: datetime.timedelta) -> None:
         """Records a transaction that was sent at a monotonic time."""
@@ -59,6 +67,8 @@
                 not best-effort tasks.
         """
         due = self._sent + INTERVAL
+        if due < self._resting_until:
+            return due
         if has_starts:
             due = min(due, self._regular.due)
         if has_urgent_starts:
--- a/tamarackhatch/scheduler/_writer.py
+++ b/tamarackhatch/scheduler/_writer.py
@@ -184,6 +184,7 @@
             if await self.write_batch():
                 await self._pause(began)
             else:
+                self._pace.record_failure(self._clock.get_monotonic())
                 await self._clock.sleep(_RETRY_PAUSE)
 
     async def _pause(self, began: datetime.timedelta) -> None:
--- a/tamarackhatch/scheduler/tests/test_transaction_pace.py
+++ b/tamarackhatch/scheduler/tests/test_transaction_pace.py
@@ -38,6 +38,18 @@
     assert gaps == gaps_ms
 
 
+def test_store_that_has_failed_gets_no_early_transactions() -> None:
+    """Guards against a store that fails again under waiting starts."""
+    pace = _transaction_pace.TransactionPace()
+    now = 1000 * _MS
+    pace.record_failure(now)
+    pace.record_transaction(now + 250 * _MS)
+    due = pace.compute_due(True, True)
+    assert due == now + 320 * _MS
+    pace.record_transaction(now + 2000 * _MS)
+    assert pace.compute_due(True, True) <= now + 2000 * _MS
+
+
 def test_rate_of_transactions_is_bounded() -> None:
     """Guards against calls to the store that grow with the starts."""
     pace = _transaction_pace.TransactionPace()
