Let the interval between renewals recover on quiet and small fleets

Callers saw: reports stayed up to 0.8 s apart after a stall or a busy time had ended, where few timers are set.

Cause: the average of timer lateness changed by a fixed share with each timer, however long ago the earlier ones were, and a stall counted without a limit. No timer is set while runners take longer than the interval to answer.

Evidence: the new cases of test_renewal_pace.py; the former code was not run against them, its method takes no time.

A lower lateness replaces an older average by the time between them, with a time constant of 2 s, and a timer counts as at most 80 ms late.

--- a/tamarackhatch/scheduler/_renewal_pace.py
+++ b/tamarackhatch/scheduler/_renewal_pace.py
@@ -8,6 +8,7 @@
 """
 
 import datetime
+import math
 
 # Between two renewals of a runner; each renewal has a cost.
 _MIN_INTERVAL = datetime.timedelta(milliseconds=100)
@@ -19,6 +20,12 @@
 # Share of a timer's lateness in the average. A busy scheduler sets hundreds of
 # timers a second.
 _SAMPLE_SHARE = 0.02
+# On a quiet or small fleet, timers are rare. A lower lateness replaces an
+# average of an earlier time with this time constant.
+_DECAY_TIME = datetime.timedelta(seconds=2)
+# More lateness lengthens the interval no further, and one stall must not
+# outweigh hundreds of later timers.
+_MAX_LATENESS = _USUAL_LATENESS * (_MAX_INTERVAL / _MIN_INTERVAL)
 
 
 class RenewalPace:
@@ -26,6 +33,8 @@
 
     def __init__(self) -> None:
         self._lateness = datetime.timedelta()
+        # Monotonic time of the latest timer.
+        self._recorded: datetime.timedelta | None = None
 
     @property
     def interval(self) -> datetime.timedelta:
@@ -33,6 +42,22 @@
         factor = self._lateness / _USUAL_LATENESS
         return min(_MAX_INTERVAL, _MIN_INTERVAL * max(1.0, factor))
 
-    def record_timer(self, lateness: datetime.timedelta) -> None:
-        """Records how late a timer was."""
-        self._lateness += (lateness - self._lateness) * _SAMPLE_SHARE
+    def record_timer(
+        self,
+        lateness: datetime.timedelta,
+        now: datetime.timedelta | None = None,
+    ) -> None:
+        """Records how late a timer was.
+
+        Args:
+            lateness: How late it was.
+            now: Monotonic time, by which earlier lateness counts less.
+        """
+        lateness = min(lateness, _MAX_LATENESS)
+        share = _SAMPLE_SHARE
+        if now is not None:
+            if self._recorded is not None and lateness < self._lateness:
+                elapsed = now - self._recorded
+                share = max(share, 1 - math.exp(-elapsed / _DECAY_TIME))
+            self._recorded = now
+        self._lateness += (lateness - self._lateness) * share
--- a/tamarackhatch/scheduler/_runner_reconciler.py
+++ b/tamarackhatch/scheduler/_runner_reconciler.py
@@ -433,4 +433,5 @@
         remaining = due - context.get_now()
         if remaining > datetime.timedelta():
             await context.clock.sleep(remaining)
-            context.renewal_pace.record_timer(context.get_now() - due)
+            now = context.get_now()
+            context.renewal_pace.record_timer(now - due, now)
--- a/tamarackhatch/scheduler/tests/test_renewal_pace.py
+++ b/tamarackhatch/scheduler/tests/test_renewal_pace.py
@@ -78,3 +78,25 @@
         assert fleet.check() == []
 
     virtual_time.run_virtually(simulate())
+
+
+@pytest.mark.parametrize(
+    ("late_timers", "lateness_ms", "timers", "gap_ms"),
+    [
+        pytest.param(500, 80, 4, 5000, id="quiet fleet after a busy time"),
+        pytest.param(500, 2000, 100, 100, id="busy fleet after a stall"),
+        pytest.param(3, 5000, 1, 800, id="small fleet after a stall"),
+    ],
+)
+def test_interval_is_usual_again_within_seconds(
+    late_timers: int, lateness_ms: int, timers: int, gap_ms: int
+) -> None:
+    """Guards against reports that stay rare where few timers are set."""
+    pace = _renewal_pace.RenewalPace()
+    now = 1000 * _MS
+    for _ in range(late_timers):
+        pace.record_timer(lateness_ms * _MS, now)
+    for _ in range(timers):
+        now += gap_ms * _MS
+        pace.record_timer(0 * _MS, now)
+    assert pace.interval == 100 * _MS
