Log how late the scheduler is, its transactions, and its calls by purpose

The logs of a congested scheduler could not tell lateness of its event loop from a full link, nor which of its work takes the time: lateness was read once a second, transactions and reports were not measured, and a call without an answer could mean that it was never sent. scheduler_load now has the mean and longest lateness of all timers, reports with their time, transactions with their time and bytes, and starts without a record; runner_traffic counts the calls to runners by purpose, with bytes, those that were not sent, those without an answer, and the longest time until one was sent. No decision changes.

--- a/standins/network.py
+++ b/standins/network.py
@@ -271,9 +271,14 @@
 
 
 class NetworkClient:
-    """Stand-in for transport.HttpClient."""
+    """Stand-in for transport.HttpClient.
+
+    Attributes:
+        traffic: Counts no calls.
+    """
 
     def __init__(self, network: Network, name: str) -> None:
+        self.traffic = transport.Traffic()
         self._network = network
         self._name = name
         self._is_closed = False
--- a/tamarackhatch/platform/_runner_client.py
+++ b/tamarackhatch/platform/_runner_client.py
@@ -67,6 +67,13 @@
 }
 
 
+# Names of the commands in logs, by the platform's paths.
+_PURPOSES: typing.Final = {
+    "/-/run-start": "start",
+    "/-/run-stop": "stop",
+    "/-/pace": "speed limit",
+}
+
 ClockObserver = Callable[[datetime.timedelta], None]
 
 
@@ -102,6 +109,11 @@
     def __init__(self, client: transport.HttpClient) -> None:
         self._client = client
 
+    @property
+    def traffic(self) -> transport.Traffic:
+        """Counts the calls to runners."""
+        return self._client.traffic
+
     async def renew(
         self,
         runner: model.Runner,
@@ -150,6 +162,7 @@
             body,
             wait + _RENEWAL_ANSWER_ALLOWANCE,
             is_permitted,
+            "renewal",
         )
         if acknowledged_exit:
             assert call.body is not None
@@ -279,7 +292,12 @@
     ) -> CommandOutcome:
         answer = await self._send(
             _make_call(
-                runner, path, body, _COMMAND_TIMEOUT, authority.is_valid
+                runner,
+                path,
+                body,
+                _COMMAND_TIMEOUT,
+                authority.is_valid,
+                _PURPOSES[path],
             )
         )
         reading = _decode_clock(answer.body)
@@ -323,6 +341,7 @@
     body: dict[str, typing.Any],
     timeout: datetime.timedelta,
     is_permitted: Callable[[], bool],
+    purpose: str,
 ) -> transport.Call:
     return transport.Call(
         "POST",
@@ -333,6 +352,7 @@
         (f"X-Expect-Instance: {runner.identifier}",),
         is_permitted=is_permitted,
         is_repeatable=False,
+        purpose=purpose,
     )
 
 
--- a/tamarackhatch/scheduler/_load_monitor.py
+++ b/tamarackhatch/scheduler/_load_monitor.py
@@ -6,6 +6,7 @@
 
 from tamarackhatch import clock
 from tamarackhatch import observability
+from tamarackhatch import transport
 
 _INTERVAL = datetime.timedelta(seconds=1)
 _MILLISECOND = datetime.timedelta(milliseconds=1)
@@ -24,6 +25,15 @@
         recorded: Number of starts that were recorded before they were sent.
         record_time: Time for which they waited for that.
         longest_record: Longest such time.
+        unrecorded: Number of starts that were sent without a record.
+        reports: Number of reports of runners that were applied.
+        report_time: Time that this took.
+        transactions: Number of transactions that the store has confirmed.
+        transaction_time: Time until they were confirmed.
+        transaction_bytes: Bytes of the rows in all transactions.
+        timers: Number of timers that were measured.
+        lateness: Time by which they were late.
+        longest_lateness: Longest such time.
     """
 
     passes: int = 0
@@ -34,6 +44,27 @@
     recorded: int = 0
     record_time: datetime.timedelta = datetime.timedelta()
     longest_record: datetime.timedelta = datetime.timedelta()
+    unrecorded: int = 0
+    reports: int = 0
+    report_time: datetime.timedelta = datetime.timedelta()
+    transactions: int = 0
+    transaction_time: datetime.timedelta = datetime.timedelta()
+    transaction_bytes: int = 0
+    timers: int = 0
+    lateness: datetime.timedelta = datetime.timedelta()
+    longest_lateness: datetime.timedelta = datetime.timedelta()
+
+    def add_timer(self, lateness: datetime.timedelta) -> None:
+        """Counts a timer that fired late by some time."""
+        self.timers += 1
+        self.lateness += lateness
+        self.longest_lateness = max(self.longest_lateness, lateness)
+
+    def add_transaction(self, elapsed: datetime.timedelta, size: int) -> None:
+        """Counts a transaction with rows of ``size`` bytes."""
+        self.transactions += 1
+        self.transaction_time += elapsed
+        self.transaction_bytes += size
 
     def add_record(self, waited: datetime.timedelta) -> None:
         """Counts a start that has waited for its record."""
@@ -79,6 +110,7 @@
         time_source: clock.Clock,
         log: observability.Log,
         metrics: observability.Metrics,
+        traffic: transport.Traffic,
     ) -> None:
         self.counters = LoadCounters()
         self.waiting = WaitingTasks()
@@ -87,26 +119,38 @@
         self._clock = time_source
         self._log = log
         self._metrics = metrics
+        self._traffic = traffic
 
     async def run(self) -> None:
         """Logs until cancelled."""
+        self._traffic.take()
         while True:
             due = self._clock.get_monotonic() + _INTERVAL
             await self._clock.sleep(_INTERVAL)
             lateness = self._clock.get_monotonic() - due
             self._metrics.loop_lateness.set(lateness.total_seconds())
+            self.counters.add_timer(lateness)
             counters, self.counters = self.counters, LoadCounters()
             waiting = self.waiting
             self._metrics.paused.set(waiting.paused)
             self._metrics.open_starts.set(self.open_starts)
             self._log.summary(
                 "scheduler_load",
-                late_ms=lateness // _MILLISECOND,
+                late_ms=counters.lateness / counters.timers // _MILLISECOND,
+                longest_late_ms=counters.longest_lateness // _MILLISECOND,
                 passes=counters.passes,
                 pass_ms=counters.pass_time // _MILLISECOND,
                 placed=counters.placed,
                 renewals=counters.renewals,
                 missed_renewals=counters.missed_renewals,
+                reports=counters.reports,
+                report_ms=counters.report_time // _MILLISECOND,
+                transactions=counters.transactions,
+                transaction_ms=counters.transaction_time
+                / max(1, counters.transactions)
+                // _MILLISECOND,
+                transaction_bytes=counters.transaction_bytes,
+                unrecorded=counters.unrecorded,
                 record_ms=counters.record_time
                 / max(1, counters.recorded)
                 // _MILLISECOND,
@@ -119,3 +163,22 @@
                 reserving=waiting.reserving,
                 best_effort=waiting.best_effort,
             )
+            self._log_traffic()
+
+    def _log_traffic(self) -> None:
+        traffic = self._traffic.take()
+        self._log.summary(
+            "runner_traffic",
+            opened_connections=traffic.opened_connections,
+            by_purpose={
+                purpose: [
+                    calls.calls,
+                    calls.request_bytes,
+                    calls.answer_bytes,
+                    calls.unsent,
+                    calls.unanswered,
+                    calls.longest_unsent // _MILLISECOND,
+                ]
+                for purpose, calls in sorted(traffic.by_purpose.items())
+            },
+        )
--- a/tamarackhatch/scheduler/_runner_reconciler.py
+++ b/tamarackhatch/scheduler/_runner_reconciler.py
@@ -120,17 +120,26 @@
                     _FENCING_PAUSE if is_late_expected else _RETRY_PAUSE
                 )
                 continue
-            self._apply_report(report, sent)
-            if entry.record.is_draining:
-                self.evict_from_draining_runner()
-                self._untrack_if_idle()
-            else:
-                self._throttling.update_speed_limits(report)
-            if entry.is_cordoned and not entry.should_be_cordoned:
-                context.writer.request_cordon_update()
-            context.wake.set()
+            self._process_report(report, sent)
             await self._wait_before_renewal(sent)
 
+    def _process_report(
+        self, report: model.RunnerReport, sent: datetime.timedelta
+    ) -> None:
+        context, entry = self._context, self._entry
+        began = context.get_now()
+        self._apply_report(report, sent)
+        if entry.record.is_draining:
+            self.evict_from_draining_runner()
+            self._untrack_if_idle()
+        else:
+            self._throttling.update_speed_limits(report)
+        if entry.is_cordoned and not entry.should_be_cordoned:
+            context.writer.request_cordon_update()
+        context.wake.set()
+        context.load_monitor.counters.reports += 1
+        context.load_monitor.counters.report_time += context.get_now() - began
+
     def interrupt(self) -> None:
         """Gives up a renewal to an incarnation that has ended.
 
@@ -435,3 +444,4 @@
             await context.clock.sleep(remaining)
             now = context.get_now()
             context.renewal_pace.record_timer(now - due, now)
+            context.load_monitor.counters.add_timer(now - due)
--- a/tamarackhatch/scheduler/_scheduler.py
+++ b/tamarackhatch/scheduler/_scheduler.py
@@ -24,7 +24,9 @@
 from tamarackhatch.scheduler import _fleet
 from tamarackhatch.scheduler import _garbage_collector
 from tamarackhatch.scheduler import _health
+from tamarackhatch.scheduler import _job_rows
 from tamarackhatch.scheduler import _job_tracker
+from tamarackhatch.scheduler import _leadership_loss
 from tamarackhatch.scheduler import _load_monitor
 from tamarackhatch.scheduler import _near_places
 from tamarackhatch.scheduler import _repeated_runs
@@ -83,11 +85,19 @@
         )
         interference = placement.InterferenceModel()
         fleet: dict[str, _fleet.RunnerEntry] = {}
+        load_monitor = _load_monitor.LoadMonitor(
+            time_source, log, metrics, dependencies.client.traffic
+        )
         start_attempts = _start_attempts.StartAttempts(
             time_source, configured.longest_run
         )
         self._start_records = _start_records.StartRecords(
-            time_source, start_attempts, self._leader_lease, log, metrics
+            time_source,
+            start_attempts,
+            self._leader_lease,
+            log,
+            metrics,
+            load_monitor,
         )
         self._runner_rows = _runner_rows.RunnerRows(
             _cordons.CordonList(fleet), self._start_records
@@ -113,6 +123,7 @@
             metrics,
             self._summarise_waits,
             dependencies.on_heartbeat,
+            load_monitor,
         )
         self._start_records.set_callback(self._writer.request_start_records)
         wake = asyncio.Event()
@@ -145,7 +156,7 @@
                 dependencies.policy, configured.bounds
             ),
             tickets=self._tickets,
-            load_monitor=_load_monitor.LoadMonitor(time_source, log, metrics),
+            load_monitor=load_monitor,
             repeated_runs=_repeated_runs.RepeatedRunRecorder(
                 time_source, log, metrics
             ),
@@ -190,6 +201,14 @@
         self._progress = _stored_progress.StoredProgress(
             store, time_source, log
         )
+        job_rows = _job_rows.JobRows(
+            job_tracker,
+            self._garbage_collector,
+            self._progress,
+            self._leader_lease,
+            self._runner_manager.apply_unread_runs,
+            log,
+        )
         self._stop_requested_at: datetime.timedelta | None = None
         self._has_loaded_jobs = False
         self._ready_at: datetime.timedelta | None = None
@@ -198,9 +217,9 @@
             time_source,
             records.JOBS_TABLE,
             records.JOB_PARTITIONS,
-            self._apply_job_row,
+            job_rows.apply,
             log,
-            on_reload=self._forget_removed_cancellations,
+            on_reload=job_rows.forget_removed_cancellations,
             on_synced=job_tracker.mark_synced,
         )
         self._runner_watcher = records.TableWatcher(
@@ -357,7 +376,9 @@
             for task in tasks:
                 if task.done():
                     error = task.exception()
-                    if not isinstance(error, _writer.LeadershipLostError):
+                    if not isinstance(
+                        error, _leadership_loss.LeadershipLostError
+                    ):
                         self._log.error("scheduler_failed", reason=repr(error))
                     return
             await self._clock.sleep(_CHECK_INTERVAL)
@@ -390,57 +411,10 @@
                 )
                 if is_written:
                     break
-        except _writer.LeadershipLostError:
+        except _leadership_loss.LeadershipLostError:
             return
         self._log.summary("term_released", written=is_written)
 
-    def _apply_job_row(self, row: model.Row) -> None:
-        job_tracker = self._context.job_tracker
-        cancelled = records.get_cancelled_job(row.ref.key)
-        if row.is_deleted:
-            if cancelled is not None:
-                job_tracker.cancellations.forget(cancelled)
-            return
-        if cancelled is not None:
-            if not job_tracker.has_job(cancelled):
-                self._garbage_collector.record_marker(row)
-            job_tracker.cancellations.cancel(cancelled)
-            return
-        if records.get_refused_job(row.ref.key) is not None:
-            self._garbage_collector.record_marker(row)
-            return
-        if job_tracker.has_job(row.ref.key):
-            return
-        if self._progress.is_unreadable(row.ref.key):
-            # Tasks that are done would run again.
-            self._log.error("job_not_scheduled", job=row.ref.key)
-            return
-        try:
-            job = records.decode_job(row.ref.key, row.value)
-        except records.MalformedRowError as error:
-            self._log.error(
-                "job_unreadable", job=row.ref.key, reason=error.message
-            )
-            return
-        if job.term > self._term.number:
-            # The instance that accepted the job follows a later scheduler,
-            # which relies on earlier ones not to start such jobs.
-            self._log.info(
-                "later_term_found", job=job.identifier, term=job.term
-            )
-            self._leader_lease.revoke()
-            return
-        progress = self._progress.take(row.ref.key)
-        job_tracker.add_job(job, row.version, progress)
-        self._runner_manager.apply_unread_runs(job.identifier)
-
-    def _forget_removed_cancellations(self, keys: set[str]) -> None:
-        """Forgets rows whose removal the feed may not have passed on."""
-        cancelled = {records.get_cancelled_job(key) for key in keys}
-        self._context.job_tracker.cancellations.keep_only(
-            {identifier for identifier in cancelled if identifier is not None}
-        )
-
     async def _open_occurrences(self) -> None:
         while True:
             self._context.job_tracker.open_due_occurrences()
--- a/tamarackhatch/scheduler/_start_records.py
+++ b/tamarackhatch/scheduler/_start_records.py
@@ -15,6 +15,7 @@
 from tamarackhatch import model
 from tamarackhatch import observability
 from tamarackhatch import records
+from tamarackhatch.scheduler import _load_monitor
 from tamarackhatch.scheduler import _start_attempts
 
 # Longer than writes take while the store is slow. If it confirms nothing for
@@ -32,12 +33,14 @@
         leader_lease: election.LeaderLease,
         log: observability.Log,
         metrics: observability.Metrics,
+        load_monitor: _load_monitor.LoadMonitor,
     ) -> None:
         self._clock = time_source
         self._start_attempts = start_attempts
         self._leader_lease = leader_lease
         self._log = log
         self._metrics = metrics
+        self._load_monitor = load_monitor
         self._request_write: Callable[[], None] = lambda: None
         self._is_enabled = False
         self._is_closed = False
@@ -127,6 +130,7 @@
             )
             if remaining <= datetime.timedelta():
                 self._metrics.unrecorded_starts.inc()
+                self._load_monitor.counters.unrecorded += 1
                 self._log.info(
                     "start_unrecorded",
                     task=str(delivery.task),
--- a/tamarackhatch/scheduler/_writer.py
+++ b/tamarackhatch/scheduler/_writer.py
@@ -10,12 +10,13 @@
 
 from tamarackhatch import clock
 from tamarackhatch import election
-from tamarackhatch import errors
 from tamarackhatch import model
 from tamarackhatch import observability
 from tamarackhatch import placement
 from tamarackhatch import records
 from tamarackhatch.scheduler import _configuration_publisher
+from tamarackhatch.scheduler import _leadership_loss
+from tamarackhatch.scheduler import _load_monitor
 from tamarackhatch.scheduler import _rejected_rows
 from tamarackhatch.scheduler import _runner_rows
 from tamarackhatch.scheduler import _state
@@ -38,13 +39,6 @@
 _MAX_LOGGED_ROWS = 5
 
 
-class LeadershipLostError(errors.CodedError):
-    """Another scheduler has taken over."""
-
-    def __init__(self, message: str) -> None:
-        super().__init__(errors.ErrorCode.SCHEDULER_FENCED, message)
-
-
 class ProgressWriter:
     """Writes the progress of jobs, heartbeats and the list of tracked runners.
 
@@ -72,7 +66,9 @@
         on_heartbeat: Callable[[records.LeaderHeartbeat], None] = (
             lambda heartbeat: None
         ),
+        load_monitor: _load_monitor.LoadMonitor | None = None,
     ) -> None:
+        self._load_monitor = load_monitor
         self._summarise_waits = summarise_waits
         self._on_heartbeat = on_heartbeat
         self._store = store
@@ -429,6 +425,10 @@
             self._resolve_conflict(result)
             return False
         self._metrics.commit_seconds.observe(elapsed.total_seconds())
+        if self._load_monitor is not None:
+            self._load_monitor.counters.add_transaction(
+                elapsed, sum(len(put.value) for put in puts)
+            )
         self._sequence = result.version
         self._leader_lease.extend(sent, result.version)
         if has_heartbeat:
@@ -439,7 +439,7 @@
         fence = records.find_row(conflict.rows, records.FENCE)
         if fence is None or fence.version != self._leader_lease.term.token:
             self._leader_lease.revoke()
-            raise LeadershipLostError(
+            raise _leadership_loss.LeadershipLostError(
                 "the fence row in the store belongs to another term"
             )
         sequence = records.find_row(conflict.rows, records.SEQUENCE)
--- a/tamarackhatch/scheduler/tests/test_start_records.py
+++ b/tamarackhatch/scheduler/tests/test_start_records.py
@@ -39,6 +39,7 @@
             self.lease,
             typing.cast(typing.Any, mock.Mock()),
             self.metrics,
+            typing.cast(typing.Any, mock.MagicMock()),
         )
         self.records.enable()
         self._index = 0
--- a/tamarackhatch/scheduler/tests/test_straggler_mover.py
+++ b/tamarackhatch/scheduler/tests/test_straggler_mover.py
@@ -20,6 +20,7 @@
 from tamarackhatch.scheduler import _state
 from tamarackhatch.scheduler import _stragglers
 from tamarackhatch import stragglers
+from tamarackhatch import transport
 
 _MS = datetime.timedelta(milliseconds=1)
 _SECOND = datetime.timedelta(seconds=1)
@@ -103,7 +104,10 @@
                 policy=placement.PlacementPolicy(),
                 interference=placement.InterferenceModel(),
                 load_monitor=_load_monitor.LoadMonitor(
-                    typing.cast(typing.Any, clock), log, self.metrics
+                    typing.cast(typing.Any, clock),
+                    log,
+                    self.metrics,
+                    transport.Traffic(),
                 ),
                 wait_estimator=admission.WaitEstimator(),
                 settings=types.SimpleNamespace(
--- a/tamarackhatch/transport/__init__.py
+++ b/tamarackhatch/transport/__init__.py
@@ -5,6 +5,8 @@
 from tamarackhatch.transport._calls import CallLostError
 from tamarackhatch.transport._calls import CallNotSentError
 from tamarackhatch.transport._client import HttpClient
+from tamarackhatch.transport._traffic import PurposeTraffic
+from tamarackhatch.transport._traffic import Traffic
 
 __all__ = [
     "Answer",
@@ -12,4 +14,6 @@
     "CallLostError",
     "CallNotSentError",
     "HttpClient",
+    "PurposeTraffic",
+    "Traffic",
 ]
--- a/tamarackhatch/transport/_calls.py
+++ b/tamarackhatch/transport/_calls.py
@@ -53,6 +53,7 @@
             call is for; None for any process. One that is reached over a
             connection opened later may have taken its place.
         other_body: Body for such a process, padded to the length of ``body``.
+        purpose: What the call is for; calls are counted by it.
     """
 
     method: str
@@ -68,6 +69,7 @@
     is_repeatable: bool = True
     opened_before: datetime.timedelta | None = None
     other_body: bytes = b""
+    purpose: str = "other"
 
     @property
     def has_other_body(self) -> bool:
--- a/tamarackhatch/transport/_client.py
+++ b/tamarackhatch/transport/_client.py
@@ -17,6 +17,7 @@
 
 from tamarackhatch import clock
 from tamarackhatch.transport import _calls
+from tamarackhatch.transport import _traffic
 from tamarackhatch.transport import _transfer
 
 # A full accept queue may drop a connection request. The timeout is well below
@@ -57,9 +58,13 @@
     Args:
         time_source: Clock that measures the age of connections.
         max_connections: Most connections to one host.
+
+    Attributes:
+        traffic: Counts the calls.
     """
 
     def __init__(self, time_source: clock.Clock, max_connections: int) -> None:
+        self.traffic = _traffic.Traffic()
         self._clock = time_source
         self._loop = asyncio.get_running_loop()
         self._multi = pycurl.CurlMulti()
@@ -101,7 +106,10 @@
         idle_handles = self._idle_handles[call.has_other_body]
         handle = idle_handles.pop() if idle_handles else _make_handle()
         transfer = _transfer.Transfer(
-            call, self._loop.create_future(), self._connections
+            call,
+            self._loop.create_future(),
+            self._connections,
+            self.traffic,
         )
         try:
             self._configure_handle(handle, transfer)
@@ -308,6 +316,7 @@
             return
         if transfer.timer is not None:
             transfer.timer.cancel()
+        transfer.record_end()
         result: _calls.Answer | Exception
         if failure is None:
             status = handle.getinfo(pycurl.RESPONSE_CODE)
@@ -341,6 +350,7 @@
         message: str,
     ) -> Exception:
         """Records a timeout, and returns the exception for the caller."""
+        transfer.record_failure()
         call = transfer.call
         if code == pycurl.E_OPERATION_TIMEDOUT:
             self._last_timeout_by_address[call.address] = (
--- a/tamarackhatch/transport/_transfer.py
+++ b/tamarackhatch/transport/_transfer.py
@@ -11,6 +11,7 @@
 
 from tamarackhatch import clock
 from tamarackhatch.transport import _calls
+from tamarackhatch.transport import _traffic
 
 # Twice the connections that the client keeps open.
 _MAX_KNOWN_CONNECTIONS = 5000
@@ -46,6 +47,10 @@
             tuple[object, ...], _Connection
         ] = collections.OrderedDict()
 
+    def get_now(self) -> datetime.timedelta:
+        """Returns monotonic time."""
+        return self._clock.get_monotonic()
+
     def add(self, name: tuple[object, ...], descriptor: int) -> None:
         """Adds a connection, which is established, by addresses and ports."""
         self._connections[name] = _Connection(
@@ -71,13 +76,17 @@
         call: _calls.Call,
         answer: asyncio.Future[_calls.Answer],
         connections: Connections,
+        traffic: _traffic.Traffic,
     ) -> None:
+        self.requested_at = connections.get_now()
         self.call = call
         self.answer = answer
         self.body_buffer = io.BytesIO()
         self.is_sent = False
+        self.sent_at: datetime.timedelta | None = None
         self.timer: asyncio.TimerHandle | None = None
         self._connections = connections
+        self._traffic = traffic
         self._opened_descriptor: int | None = None
         self._may_repeat = True
         self._body = io.BytesIO()
@@ -85,6 +94,7 @@
     def record_socket(self, descriptor: int, _purpose: int) -> int:
         """Records that a connection is opened for the call."""
         self._opened_descriptor = descriptor
+        self._traffic.opened_connections += 1
         return int(pycurl.SOCKOPT_OK)
 
     def prepare_sending(self, *name: object) -> int:
@@ -103,8 +113,28 @@
         if not self.call.is_repeatable:
             self._choose_body(self._connections.find(name))
         self.is_sent = True
+        self.sent_at = self._connections.get_now()
         return int(pycurl.PREREQFUNC_OK)
 
+    def record_end(self) -> None:
+        """Counts the call, which has ended, without its answer."""
+        counters = self._traffic.get(self.call.purpose)
+        counters.calls += 1
+        counters.request_bytes += len(self.call.body or b"")
+        counters.answer_bytes += self.body_buffer.tell()
+        sent_at = self.sent_at or self._connections.get_now()
+        counters.longest_unsent = max(
+            counters.longest_unsent, sent_at - self.requested_at
+        )
+
+    def record_failure(self) -> None:
+        """Counts that the call got no complete answer."""
+        counters = self._traffic.get(self.call.purpose)
+        if self.is_sent:
+            counters.unanswered += 1
+        else:
+            counters.unsent += 1
+
     def read_body(self, size: int) -> bytes:
         """Returns the next part of the body."""
         return self._body.read(size)
--- a/tamarackhatch/transport/tests/test_connection_age.py
+++ b/tamarackhatch/transport/tests/test_connection_age.py
@@ -84,7 +84,9 @@
         call = transport.Call(
             "POST", "10.0.0.1:80", "/", _TIMEOUT, b"{1}", is_repeatable=False
         )
-        opening = _transfer.Transfer(call, loop.create_future(), connections)
+        opening = _transfer.Transfer(
+            call, loop.create_future(), connections, transport.Traffic()
+        )
         with socket.socket() as used:
             opening.record_socket(used.fileno(), 0)
             await time_source.advance(connect_s / 2 * _SECOND)
@@ -99,6 +101,7 @@
                 ),
                 loop.create_future(),
                 connections,
+                transport.Traffic(),
             )
             later.prepare_sending(*name)
             return later.read_body(10)
