--- a/standins/pausable_loop.py
+++ b/standins/pausable_loop.py
@@ -36,12 +36,13 @@
     RANDOM = "random"
 
 
-class _Callback:
+class HeldCallback:
     """A callback of an instance, which waits while the instance is stopped.
 
     Attributes:
         handle: Its handle in the loop.
         is_timer: Whether a timer calls it.
+        context: Context in which it runs.
     """
 
     def __init__(
@@ -51,9 +52,11 @@
         function: Callable[..., object],
         arguments: tuple[typing.Any, ...],
         is_timer: bool,
+        context: contextvars.Context,
     ) -> None:
         self.handle: asyncio.Handle | None = None
         self.is_timer = is_timer
+        self.context = context
         self._loop = loop
         self._owner = owner
         self._function = function
@@ -64,7 +67,14 @@
         if self.handle is not None and self.handle.cancelled():
             return
         if not self._loop.hold(self._owner, self):
+            self.execute()
+
+    def execute(self) -> None:
+        """Calls the function."""
+        try:
             self._function(*self._arguments)
+        finally:
+            self._loop.record_end(self._owner)
 
 
 class PausableLoop(virtual_time.VirtualLoop):
@@ -72,7 +82,7 @@
 
     def __init__(self) -> None:
         super().__init__()
-        self._held: dict[str, list[_Callback]] = {}
+        self._held: dict[str, list[HeldCallback]] = {}
 
     def run_as(
         self, owner: str, function: Callable[..., Result], *args: typing.Any
@@ -110,7 +120,7 @@
             assert handle is not None
             super().call_soon(callback.run)
 
-    def hold(self, owner: str, callback: _Callback) -> bool:
+    def hold(self, owner: str, callback: HeldCallback) -> bool:
         """Keeps a callback if its instance is stopped; returns whether."""
         held = self._held.get(owner)
         if held is None:
@@ -118,6 +128,9 @@
         held.append(callback)
         return True
 
+    def record_end(self, owner: str) -> None:
+        """Records that a callback of an instance has run."""
+
     # The arguments of these methods are typed in typeshed by type variables
     # that a subclass cannot repeat for all versions of Python.
     def call_soon(  # type: ignore[override]
@@ -130,7 +143,7 @@
         owner = used.get(_owner)
         if owner is None:
             return super().call_soon(callback, *args, context=used)
-        kept = _Callback(self, owner, callback, args, False)
+        kept = HeldCallback(self, owner, callback, args, False, used)
         kept.handle = super().call_soon(kept.run, context=used)
         return kept.handle
 
@@ -145,7 +158,7 @@
         owner = used.get(_owner)
         if owner is None:
             return super().call_at(when, callback, *args, context=used)
-        kept = _Callback(self, owner, callback, args, True)
+        kept = HeldCallback(self, owner, callback, args, True, used)
         handle = super().call_at(when, kept.run, context=used)
         kept.handle = handle
         return handle
