Take the scheduler's own delay for no silence of its runners

Cause: the times of a call ran from the moment at which the process meant to send it. libcurl ended connections whose server had accepted while the process was late, and with the same timer calls that waited for one of the four connections to their runner; an answer that came in time after a late sending counted as overdue. Each of these closed the runner, and raised its token.

Now the client ends calls itself, after it has handled the sockets; the time for a connection begins when it is opened, and that for a runner's answer when the call is sent. A call that was not sent in time tells nothing of the runner: a start is taken back, a renewal repeated.

--- a/standins/network.py
+++ b/standins/network.py
@@ -171,7 +171,8 @@
             CallLostError: No answer came; the call may still be executed.
         """
         faults = self.get_faults(call.address)
-        timeout = call.timeout.total_seconds()
+        # A call is sent at once here.
+        timeout = (call.answer_timeout or call.timeout).total_seconds()
         loop = asyncio.get_running_loop()
         deadline = loop.time() + timeout
         is_connected = False
--- a/tamarackhatch/platform/__init__.py
+++ b/tamarackhatch/platform/__init__.py
@@ -19,6 +19,7 @@
 from tamarackhatch.platform._runner_client import CommandOutcome
 from tamarackhatch.platform._runner_client import RunCommand
 from tamarackhatch.platform._runner_client import RunnerClient
+from tamarackhatch.platform._runner_errors import CallDelayedError
 from tamarackhatch.platform._runner_errors import FencedError
 from tamarackhatch.platform._runner_errors import RunnerOutcomeUnknownError
 from tamarackhatch.platform._runner_errors import RunnerReplacedError
@@ -32,6 +33,7 @@
     "AdviceUnavailableError",
     "Authority",
     "CONFIGURATION_KEY",
+    "CallDelayedError",
     "CommandOutcome",
     "EVACUATION_KEYS_END",
     "FIRST_EVACUATION_KEY",
--- a/tamarackhatch/platform/_runner_client.py
+++ b/tamarackhatch/platform/_runner_client.py
@@ -26,6 +26,9 @@
 # The kernel repeats a lost connection request only after a second. A new
 # attempt finds a runner sooner that is back.
 _PROBE_CONNECT_TIMEOUT = datetime.timedelta(milliseconds=200)
+# Four starts to one runner take their turn within some 100 ms each. A call
+# that waits longer for a connection than this is out of date.
+_MAX_SENDING_TIME = datetime.timedelta(milliseconds=1600)
 _COMMAND_TIMEOUT = datetime.timedelta(milliseconds=800)
 _MILLISECOND = datetime.timedelta(milliseconds=1)
 
@@ -36,6 +39,7 @@
     Attributes:
         ACCEPTED: The runner carries out the command, or did so before.
         FENCED: The runner has seen a higher fencing token.
+        DELAYED: The command was not sent in time, by no fault of the runner.
         OUTDATED: This run, or one with a higher number, was stopped or has
             exited on the runner.
         EXPIRED: The lease in the command has expired by the runner's clock.
@@ -49,6 +53,7 @@
 
     ACCEPTED = "accepted"
     FENCED = "fenced"
+    DELAYED = "not sent in time"
     OUTDATED = "outdated"
     EXPIRED = "expired"
     NO_CAPACITY = "no room"
@@ -140,6 +145,7 @@
 
         Raises:
             RunnerUnavailableError: No report came.
+            CallDelayedError: The renewal was not sent in time.
             RunnerStalledError: No report came over a new connection.
             RunnerReplacedError: Another runner answers at the address.
             FencedError: The runner has seen a higher token.
@@ -328,6 +334,8 @@
         try:
             return await self._client.send(call)
         except transport.CallNotSentError as error:
+            if error.is_delayed_here:
+                raise _runner_errors.CallDelayedError(str(error)) from error
             raise _runner_errors.RunnerUnavailableError(str(error)) from error
         except transport.CallLostError as error:
             raise _runner_errors.RunnerOutcomeUnknownError(
@@ -339,7 +347,7 @@
     runner: model.Runner,
     path: str,
     body: dict[str, typing.Any],
-    timeout: datetime.timedelta,
+    answer_timeout: datetime.timedelta,
     is_permitted: Callable[[], bool],
     purpose: str,
 ) -> transport.Call:
@@ -347,10 +355,11 @@
         "POST",
         runner.address,
         path,
-        timeout,
+        _MAX_SENDING_TIME,
         orjson.dumps(body),
         (f"X-Expect-Instance: {runner.identifier}",),
         is_permitted=is_permitted,
+        answer_timeout=answer_timeout,
         is_repeatable=False,
         purpose=purpose,
     )
--- a/tamarackhatch/platform/_runner_errors.py
+++ b/tamarackhatch/platform/_runner_errors.py
@@ -10,6 +10,13 @@
         super().__init__(errors.ErrorCode.RUNNER_UNAVAILABLE, message)
 
 
+class CallDelayedError(RunnerUnavailableError):
+    """The call was not sent in time, which tells nothing of the runner.
+
+    Earlier calls used the connections to it, or this process was late.
+    """
+
+
 class RunnerReplacedError(RunnerUnavailableError):
     """Another runner answers at the address; this one has ended."""
 
--- a/tamarackhatch/scheduler/_commands.py
+++ b/tamarackhatch/scheduler/_commands.py
@@ -330,6 +330,10 @@
                     record_clock,
                 ),
             )
+        except platform.CallDelayedError:
+            attempts.record_answer(attempt)
+            self._count_command("start", "delayed")
+            return None if is_uncertain else _Outcome.DELAYED
         except platform.RunnerUnavailableError as error:
             attempts.record_answer(attempt)
             self._log_unanswered("start", task, entry, error.message)
--- a/tamarackhatch/scheduler/_runner_reconciler.py
+++ b/tamarackhatch/scheduler/_runner_reconciler.py
@@ -171,6 +171,8 @@
         except platform.FencedError:
             self._commands.handle_fenced_command("renew", entry, authority)
             return None
+        except platform.CallDelayedError:
+            return None
         except (
             platform.RunnerUnavailableError,
             platform.MalformedBodyError,
--- a/tamarackhatch/scheduler/_start_refusals.py
+++ b/tamarackhatch/scheduler/_start_refusals.py
@@ -40,6 +40,9 @@
         runner=entry.identifier,
         outcome=outcome.value,
     )
+    if outcome is _Outcome.DELAYED:
+        context.job_tracker.undo_start(task)
+        return
     if outcome is _Outcome.NO_TICKET:
         key = task.key
         step = (key.job, key.occurrence, key.step)
--- a/tamarackhatch/transport/_calls.py
+++ b/tamarackhatch/transport/_calls.py
@@ -10,7 +10,16 @@
 
 
 class CallNotSentError(Exception):
-    """The call failed before a byte of the request was sent."""
+    """The call failed before a byte of the request was sent.
+
+    Attributes:
+        is_delayed_here: Whether no connection was tried for it, so that it
+            tells nothing of the server.
+    """
+
+    def __init__(self, message: str, is_delayed_here: bool = False) -> None:
+        super().__init__(message)
+        self.is_delayed_here = is_delayed_here
 
 
 class CallLostError(Exception):
@@ -38,6 +47,8 @@
             connection.
         connect_timeout: Longest time for opening a connection; None for the
             client's own.
+        answer_timeout: Longest time from the sending to the answer, which may
+            end after ``timeout``; None for what is then left of ``timeout``.
         transfer_time: Further time for an answer whose first byte arrived
             within the timeout, while more bytes arrive at least once a second.
         body: Body of a POST or PUT, else None.
@@ -64,6 +75,7 @@
     headers: tuple[str, ...] = ()
     transfer_time: datetime.timedelta = datetime.timedelta()
     connect_timeout: datetime.timedelta | None = None
+    answer_timeout: datetime.timedelta | None = None
     is_permitted: Callable[[], bool] = lambda: True
     needs_new_connection: bool = False
     is_repeatable: bool = True
--- a/tamarackhatch/transport/_client.py
+++ b/tamarackhatch/transport/_client.py
@@ -20,12 +20,11 @@
 from tamarackhatch.transport import _traffic
 from tamarackhatch.transport import _transfer
 
-# A full accept queue may drop a connection request. The timeout is well below
-# the usual call timeout, so that a second attempt fits into the call.
-_CONNECT_TIMEOUT = datetime.timedelta(milliseconds=700)
 # For this time after a call that timed out, connections that were opened
 # before it are not used again.
 _NO_REUSE_PERIOD = datetime.timedelta(seconds=60)
+# The loop may call a timer early by its clock's resolution.
+_TIMER_TOLERANCE = datetime.timedelta(milliseconds=1)
 # libcurl ends calls that are this late, if this process does not do it.
 _MAX_LATENESS = datetime.timedelta(seconds=30)
 # Longest time without another byte of an answer that has begun to arrive.
@@ -120,20 +119,15 @@
             ) from error
         self._transfers[handle] = transfer
         self._multi.add_handle(handle)
-        # This timer, unlike libcurl's own timeout, cannot end a call whose
-        # answer has arrived while this process was late: the event loop
-        # handles sockets before timers.
-        transfer.timer = self._loop.call_later(
-            call.timeout.total_seconds(),
-            self._end_if_stalled,
-            handle,
-            transfer,
-            0,
-        )
+        # Unlike libcurl's own timeouts, this timer cannot end a call whose
+        # connection or answer has come while this process was late: the event
+        # loop handles sockets before timers.
+        self._set_deadline(handle, transfer, transfer.requested_at)
         try:
             return await transfer.answer
         except asyncio.CancelledError:
-            transfer.timer.cancel()
+            if transfer.timer is not None:
+                transfer.timer.cancel()
             if self._transfers.pop(handle, None) is not None:
                 self._multi.remove_handle(handle)
                 handle.close()
@@ -169,16 +163,12 @@
     ) -> None:
         call = transfer.call
         handle.setopt(pycurl.URL, f"http://{call.address}{call.path}")
-        handle.setopt(
-            pycurl.TIMEOUT_MS,
-            (call.timeout + call.transfer_time + _MAX_LATENESS)
-            // _MILLISECOND,
-        )
-        connect_timeout = call.connect_timeout or _CONNECT_TIMEOUT
-        handle.setopt(
-            pycurl.CONNECTTIMEOUT_MS,
-            max(1, min(call.timeout, connect_timeout) // _MILLISECOND),
-        )
+        answer_timeout = call.answer_timeout or datetime.timedelta()
+        longest = call.timeout + answer_timeout + call.transfer_time
+        timeout_ms = (longest + _MAX_LATENESS) // _MILLISECOND
+        handle.setopt(pycurl.TIMEOUT_MS, timeout_ms)
+        # libcurl would end calls that wait for a free connection as well.
+        handle.setopt(pycurl.CONNECTTIMEOUT_MS, timeout_ms)
         handle.setopt(
             pycurl.DNS_CACHE_TIMEOUT,
             (
@@ -208,6 +198,30 @@
         handle.setopt(pycurl.SOCKOPTFUNCTION, transfer.record_socket)
         self._limit_connection_age(handle, call)
 
+    def _set_deadline(
+        self,
+        handle: pycurl.Curl,
+        transfer: _transfer.Transfer,
+        now: datetime.timedelta,
+    ) -> None:
+        # A call that is opening a connection is looked at again before the
+        # deadline of the whole call.
+        remaining = transfer.deadline - now
+        if not transfer.is_sent:
+            remaining = min(remaining, transfer.connect_timeout)
+        transfer.timer = self._loop.call_later(
+            remaining.total_seconds(), self._end_if_late, handle, transfer
+        )
+
+    def _end_if_late(
+        self, handle: pycurl.Curl, transfer: _transfer.Transfer
+    ) -> None:
+        now = self._clock.get_monotonic()
+        if now < transfer.deadline - _TIMER_TOLERANCE:
+            self._set_deadline(handle, transfer, now)
+        else:
+            self._end_if_stalled(handle, transfer, 0)
+
     def _end_if_stalled(
         self, handle: pycurl.Curl, transfer: _transfer.Transfer, received: int
     ) -> None:
@@ -230,7 +244,7 @@
             )
             return
         self._finish_transfer(
-            handle, (pycurl.E_OPERATION_TIMEDOUT, "no answer in time")
+            handle, (pycurl.E_OPERATION_TIMEDOUT, transfer.timeout_reason)
         )
 
     def _limit_connection_age(
@@ -352,16 +366,18 @@
         """Records a timeout, and returns the exception for the caller."""
         transfer.record_failure()
         call = transfer.call
-        if code == pycurl.E_OPERATION_TIMEDOUT:
+        is_timeout = code == pycurl.E_OPERATION_TIMEDOUT
+        if is_timeout and transfer.has_tried_server:
             self._last_timeout_by_address[call.address] = (
                 self._clock.get_monotonic()
             )
         text = f"{call.method} {call.address}: {message}"
         if transfer.is_sent:
-            is_timeout = code == pycurl.E_OPERATION_TIMEDOUT
             is_new = handle.getinfo(pycurl.NUM_CONNECTS) > 0
             return _calls.CallLostError(text, is_timeout and is_new)
-        return _calls.CallNotSentError(text)
+        return _calls.CallNotSentError(
+            text, is_timeout and not transfer.has_tried_server
+        )
 
 
 @functools.lru_cache(maxsize=_MAX_CACHED_ADDRESSES)
--- a/tamarackhatch/transport/_transfer.py
+++ b/tamarackhatch/transport/_transfer.py
@@ -13,6 +13,9 @@
 from tamarackhatch.transport import _calls
 from tamarackhatch.transport import _traffic
 
+# A full accept queue may drop a connection request. The timeout is well below
+# the usual call timeout, so that a second attempt fits into the call.
+_CONNECT_TIMEOUT = datetime.timedelta(milliseconds=700)
 # Twice the connections that the client keeps open.
 _MAX_KNOWN_CONNECTIONS = 5000
 
@@ -88,12 +91,45 @@
         self._connections = connections
         self._traffic = traffic
         self._opened_descriptor: int | None = None
+        self._opened_at: datetime.timedelta | None = None
         self._may_repeat = True
         self._body = io.BytesIO()
 
+    @property
+    def has_tried_server(self) -> bool:
+        """Whether it was sent, or a connection was opened for it."""
+        return self.is_sent or self._opened_at is not None
+
+    @property
+    def connect_timeout(self) -> datetime.timedelta:
+        """Longest time for opening a connection."""
+        return self.call.connect_timeout or _CONNECT_TIMEOUT
+
+    @property
+    def deadline(self) -> datetime.timedelta:
+        """Monotonic time at which it fails, in its present state."""
+        call = self.call
+        deadline = self.requested_at + call.timeout
+        if self.sent_at is not None:
+            if call.answer_timeout is not None:
+                deadline = self.sent_at + call.answer_timeout
+        elif self._opened_at is not None:
+            deadline = min(deadline, self._opened_at + self.connect_timeout)
+        return deadline
+
+    @property
+    def timeout_reason(self) -> str:
+        """What it has waited for in vain, once its deadline has passed."""
+        if self.is_sent:
+            return "no answer in time"
+        if self.has_tried_server:
+            return "no connection in time"
+        return "no free connection in time"
+
     def record_socket(self, descriptor: int, _purpose: int) -> int:
         """Records that a connection is opened for the call."""
         self._opened_descriptor = descriptor
+        self._opened_at = self._connections.get_now()
         self._traffic.opened_connections += 1
         return int(pycurl.SOCKOPT_OK)
 
