Limit starts and placement passes by how late the event loop is

Cause: passes paused 10 ms at most however long they took, and started all that had room. The starts waited in the event loop and for their record, the urgent ones among several times as many best-effort ones, and renewals, reports and heartbeats behind them.

Now a window limits the starts in progress: it shrinks while timers are over 80 ms late on average or half of the start commands take over 0.6 s, and grows while tasks are held back and timers are on time. A quarter of it is left to urgent tasks; tasks wait in the order of the passes, and long-running ones, which fill runners together, are not held back. A pass is followed by a pause of half to three times its length, by the lateness. A probe measures it every 25 ms, whatever else sets timers.

--- a/tamarackhatch/scheduler/_commands.py
+++ b/tamarackhatch/scheduler/_commands.py
@@ -60,6 +60,7 @@
             speed_limit_percent: Speed limit of the run, in per cent.
         """
         run = self._context.job_tracker.allocate_run(task)
+        self._context.start_window.begin_start(not task.step.is_best_effort)
         self._spawn_delivery(
             self._deliver_start(task, entry, run, speed_limit_percent)
         )
@@ -153,8 +154,10 @@
         speed_limit_percent: int,
     ) -> None:
         start_records = self._context.start_records
+        window = self._context.start_window
+        is_urgent = not task.step.is_best_effort
         delivery = start_records.begin(
-            task.key, run, entry.identifier, not task.step.is_best_effort
+            task.key, run, entry.identifier, is_urgent
         )
         try:
             await self._repeat_start(
@@ -162,6 +165,9 @@
             )
         finally:
             start_records.end(delivery)
+            window.end_start(is_urgent)
+            if window.has_room_again:
+                self._context.wake.set()
 
     async def _may_send_start(
         self,
@@ -346,6 +352,7 @@
             self._count_command("start", "unknown")
             return None
         attempts.record_answer(attempt)
+        context.start_window.record_call(context.get_now() - sent)
         self._count_command("start", outcome.value)
         return outcome
 
--- a/tamarackhatch/scheduler/_context.py
+++ b/tamarackhatch/scheduler/_context.py
@@ -23,6 +23,7 @@
 from tamarackhatch.scheduler import _repeated_runs
 from tamarackhatch.scheduler import _start_attempts
 from tamarackhatch.scheduler import _start_records
+from tamarackhatch.scheduler import _start_window
 from tamarackhatch.scheduler import _state
 from tamarackhatch.scheduler import _tickets
 from tamarackhatch.scheduler import _writer
@@ -63,6 +64,7 @@
             True if that is not known.
         wake: Set when tasks wait or capacity becomes free.
         renewal_pace: Chooses how often runners are asked.
+        start_window: Limits the starts in progress.
     """
 
     clock: clock.Clock
@@ -93,6 +95,9 @@
     renewal_pace: _renewal_pace.RenewalPace = attrs.field(
         factory=_renewal_pace.RenewalPace
     )
+    start_window: _start_window.StartWindow = attrs.field(
+        factory=_start_window.StartWindow
+    )
 
     @property
     def term(self) -> int:
@@ -114,6 +119,8 @@
 
     def list_open_runners(self) -> list[_fleet.RunnerEntry]:
         """Returns the runners in data centres that are not evacuated."""
+        if not self.evacuations.is_enabled:
+            return list(self.fleet.values())
         # There are far fewer data centres than runners.
         evacuated = {
             name
--- a/tamarackhatch/scheduler/_dispatcher.py
+++ b/tamarackhatch/scheduler/_dispatcher.py
@@ -16,16 +16,14 @@
 from tamarackhatch.scheduler import _large_tasks
 from tamarackhatch.scheduler import _load_monitor
 from tamarackhatch.scheduler import _near_places
+from tamarackhatch.scheduler import _pass_pace
 from tamarackhatch.scheduler import _precedence
 from tamarackhatch.scheduler import _runner_choice
+from tamarackhatch.scheduler import _start_limiter
 from tamarackhatch.scheduler import _state
 from tamarackhatch.scheduler import _waiting_work
 from tamarackhatch.scheduler import _waits
 
-# Events within this time share one placement pass, or within the time that a
-# pass takes if that is longer, up to a limit.
-_MIN_PASS_PAUSE = datetime.timedelta(milliseconds=3)
-_MAX_PASS_PAUSE = datetime.timedelta(milliseconds=10)
 # Runners may become schedulable again without an event.
 _MAX_PASS_INTERVAL = datetime.timedelta(milliseconds=250)
 
@@ -47,6 +45,7 @@
     ) -> None:
         self._context = context
         self._commands = commands
+        self._start_limiter = _start_limiter.StartLimiter(context)
         self._large_tasks = _large_tasks.LargeTaskReserver(context)
         self._bound_tasks = _bound_tasks.BoundTasks(context, self._place_task)
         self.precedence = _precedence.Precedence()
@@ -166,8 +165,10 @@
             began = context.get_now()
             if context.leader_lease.is_valid:
                 self.run_pass()
-            pause = max(_MIN_PASS_PAUSE, context.get_now() - began)
-            await context.clock.sleep(min(pause, _MAX_PASS_PAUSE))
+            pause = _pass_pace.compute_pause(
+                context.get_now() - began, context.start_window.lateness
+            )
+            await context.clock.sleep(pause)
 
     def run_pass(self) -> None:
         """Starts as many waiting tasks as there is capacity for."""
@@ -181,10 +182,13 @@
         context.load_monitor.waiting = _load_monitor.WaitingTasks()
         if not waiting:
             return
+        context.load_monitor.start_limit = context.start_window.limit
+        if not self._start_limiter.begin_pass(waiting.values()):
+            return
         began = context.get_now()
         ordered = _group_order.order_groups(context, waiting.values())
         groups = [group for _, group in ordered]
-        is_grouping = self.is_grouping(groups)
+        is_grouping = _group_order.is_grouping(context, groups)
         candidates = self.list_candidates()
         self._large_tasks.is_long_running_waiting = any(
             next(iter(group.values())).step.is_long_running for group in groups
@@ -219,7 +223,10 @@
         candidates: dict[str, list[placement.CandidateRunner]],
     ) -> None:
         result = self._context.load_monitor.waiting
-        selection = _group_order.select_tasks(group, self.is_withheld)
+        most = self._start_limiter.count_startable(group)
+        if not most:
+            return
+        selection = _group_order.select_tasks(group, self.is_withheld, most)
         result.paused += selection.paused
         result.suspects += selection.suspects
         if not (tasks := selection.tasks):
@@ -257,22 +264,6 @@
             if not choices:
                 self._request_tickets(decision.task, decision.candidates)
 
-    def is_grouping(self, groups: list[Group]) -> bool:
-        """Returns whether new long-running tasks are still being collected.
-
-        They are placed together once the oldest has waited long enough.
-        """
-        firsts = (next(iter(group.values())) for group in groups)
-        oldest = min(
-            (task.phase_since for task in firsts if _group_order.is_new(task)),
-            default=None,
-        )
-        if oldest is None:
-            return False
-        return self._context.get_now() - oldest < (
-            self._context.policy.grouping_delay
-        )
-
     def is_withheld(self, task: _state.TaskEntry) -> bool:
         """Returns whether a task must not start on any runner with room."""
         return self.is_paused(task) or self._bound_tasks.is_bound(task)
--- a/tamarackhatch/scheduler/_dry_run.py
+++ b/tamarackhatch/scheduler/_dry_run.py
@@ -147,7 +147,7 @@
         # collected now.
         is_grouping = not any(
             _group_order.is_new(_get_first(group)) for group in own
-        ) and self._dispatcher.is_grouping(list(waiting.values()))
+        ) and _group_order.is_grouping(self._context, list(waiting.values()))
         self._place_suspects(groups)
         large_tasks = self._dispatcher.large_tasks.make_view(
             waiting, self._candidates
--- a/tamarackhatch/scheduler/_group_order.py
+++ b/tamarackhatch/scheduler/_group_order.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 from collections.abc import Iterable
+import sys
 
 import attrs
 
@@ -23,8 +24,8 @@
 
     Attributes:
         tasks: The tasks.
-        paused: Number of tasks whose start is paused.
-        suspects: Number of tasks that may have crashed a runner.
+        paused: Number of tasks that were looked at and whose start is paused.
+        suspects: The same of those that may have crashed a runner.
     """
 
     tasks: list[_state.TaskEntry]
@@ -42,18 +43,28 @@
     )
 
 
-def select_tasks(group: Group, is_paused: IsPaused) -> Selection:
+def select_tasks(
+    group: Group, is_paused: IsPaused, most: int = sys.maxsize
+) -> Selection:
     """Returns the tasks that may be placed beside others now.
 
     Args:
         group: The waiting tasks of a step.
         is_paused: Returns whether a task must not start yet.
+        most: Number of tasks after which the others are not looked at.
     """
-    running = [task for task in group.values() if not is_paused(task)]
-    tasks = [task for task in running if not _crash_suspects.is_suspect(task)]
-    return Selection(
-        tasks, len(group) - len(running), len(running) - len(tasks)
-    )
+    tasks: list[_state.TaskEntry] = []
+    paused = suspects = 0
+    for task in group.values():
+        if len(tasks) >= most:
+            break
+        if is_paused(task):
+            paused += 1
+        elif _crash_suspects.is_suspect(task):
+            suspects += 1
+        else:
+            tasks.append(task)
+    return Selection(tasks, paused, suspects)
 
 
 def is_new(task: _state.TaskEntry) -> bool:
@@ -61,6 +72,26 @@
     return task.step.is_long_running and not task.run
 
 
+def is_grouping(
+    context: _context.SchedulerContext, groups: Iterable[Group]
+) -> bool:
+    """Returns whether new long-running tasks are still being collected.
+
+    They are placed together once the oldest has waited long enough.
+
+    Args:
+        context: Shared components of the scheduler.
+        groups: Waiting tasks by step.
+    """
+    firsts = (next(iter(group.values())) for group in groups)
+    oldest = min(
+        (task.phase_since for task in firsts if is_new(task)), default=None
+    )
+    return oldest is not None and (
+        context.get_now() - oldest < context.policy.grouping_delay
+    )
+
+
 def _get_order_key(
     context: _context.SchedulerContext, group: Group
 ) -> placement.OrderKey:
--- a/tamarackhatch/scheduler/_load_monitor.py
+++ b/tamarackhatch/scheduler/_load_monitor.py
@@ -81,6 +81,7 @@
         paused: Starts are paused after a takeover, or until a start command
             without an answer cannot be carried out elsewhere.
         grouped: Long-running tasks that wait for others of their image.
+        held_back: Enough starts are in progress.
         reserving: No runner has capacity for them.
         suspects: They may have crashed a runner, and wait to be observed.
         best_effort: No runner has memory and headroom for them.
@@ -88,6 +89,7 @@
 
     paused: int = 0
     grouped: int = 0
+    held_back: int = 0
     suspects: int = 0
     reserving: int = 0
     best_effort: int = 0
@@ -101,6 +103,7 @@
         waiting: Result of the last placement pass.
         open_starts: Tasks with a start command without an answer, which may
             still be carried out.
+        start_limit: Number of starts that may be in progress.
         awaited_runners: Runners that have to answer before starts that a
             takeover paused go on.
     """
@@ -116,6 +119,7 @@
         self.waiting = WaitingTasks()
         self.awaited_runners = 0
         self.open_starts = 0
+        self.start_limit = 0
         self._clock = time_source
         self._log = log
         self._metrics = metrics
@@ -159,6 +163,8 @@
                 awaited_runners=self.awaited_runners,
                 open_starts=self.open_starts,
                 grouped=waiting.grouped,
+                held_back=waiting.held_back,
+                start_limit=self.start_limit,
                 suspects=waiting.suspects,
                 reserving=waiting.reserving,
                 best_effort=waiting.best_effort,
--- a/tamarackhatch/scheduler/_scheduler.py
+++ b/tamarackhatch/scheduler/_scheduler.py
@@ -26,6 +26,7 @@
 from tamarackhatch.scheduler import _health
 from tamarackhatch.scheduler import _job_rows
 from tamarackhatch.scheduler import _job_tracker
+from tamarackhatch.scheduler import _lateness_probe
 from tamarackhatch.scheduler import _leadership_loss
 from tamarackhatch.scheduler import _load_monitor
 from tamarackhatch.scheduler import _near_places
@@ -370,6 +371,9 @@
             )
             group.create_task(self._open_occurrences())
             group.create_task(self._context.load_monitor.run())
+            group.create_task(
+                _lateness_probe.LatenessProbe(self._context).run()
+            )
 
     async def _wait_for_end(self, tasks: list[asyncio.Task[None]]) -> None:
         while not self._is_hand_over_due and not self._leader_lease.is_revoked:
--- a/tamarackhatch/scheduler/tests/test_straggler_mover.py
+++ b/tamarackhatch/scheduler/tests/test_straggler_mover.py
@@ -17,6 +17,7 @@
 from tamarackhatch.scheduler import _job_tracker
 from tamarackhatch.scheduler import _load_monitor
 from tamarackhatch.scheduler import _start_attempts
+from tamarackhatch.scheduler import _start_window
 from tamarackhatch.scheduler import _state
 from tamarackhatch.scheduler import _stragglers
 from tamarackhatch import stragglers
@@ -109,6 +110,7 @@
                     self.metrics,
                     transport.Traffic(),
                 ),
+                start_window=_start_window.StartWindow(),
                 wait_estimator=admission.WaitEstimator(),
                 settings=types.SimpleNamespace(
                     bounds=types.SimpleNamespace(contact=4 * _SECOND)
