End the waits for records one by one

Each transaction woke all starts that waited for a record, also those that it did not contain, and each of them set a new timeout. Now a transaction ends the waits of the starts that it contains, and one task looks for waits that are too long. What starts wait for, and how long at most, is unchanged; test_start_records.py passes as it is.

--- a/tamarackhatch/scheduler/_start_records.py
+++ b/tamarackhatch/scheduler/_start_records.py
@@ -21,6 +21,7 @@
 # Longer than writes take while the store is slow. If it confirms nothing for
 # so long, tasks start unrecorded rather than wait for the end of an outage.
 _MAX_WAIT = datetime.timedelta(seconds=1)
+_MIN_EXPIRY_PAUSE = datetime.timedelta(milliseconds=10)
 
 
 class StartRecords:
@@ -51,7 +52,11 @@
         self._written_deliveries: list[_start_attempts.StartDelivery] = []
         self._has_unrecorded = False
         self._has_urgent = False
-        self._changed = asyncio.Event()
+        self._waits: dict[
+            _start_attempts.StartDelivery, asyncio.Future[None]
+        ] = {}
+        # Ends waits that are too long, while there are any.
+        self._expiry: asyncio.Task[None] | None = None
 
     @property
     def is_closed(self) -> bool:
@@ -80,7 +85,7 @@
     def close(self) -> None:
         """Ends all waits, because the term ends."""
         self._is_closed = True
-        self._notify()
+        self._end_waits()
 
     def begin(
         self,
@@ -123,26 +128,47 @@
         Returns early if the store does not confirm it in time, or if the term
         ends.
         """
-        while not delivery.is_recorded and not self._is_closed:
-            remaining = _MAX_WAIT - max(
-                self._leader_lease.confirmation_age,
-                self._clock.get_monotonic() - delivery.requested,
-            )
-            if remaining <= datetime.timedelta():
-                self._metrics.unrecorded_starts.inc()
-                self._load_monitor.counters.unrecorded += 1
-                self._log.info(
-                    "start_unrecorded",
-                    task=str(delivery.task),
-                    run=delivery.run,
-                    runner=delivery.runner,
-                )
-                return
+        if delivery.is_recorded or self._is_closed:
+            return
+        if self._compute_remaining(delivery) > datetime.timedelta():
+            wait = asyncio.get_running_loop().create_future()
+            self._waits[delivery] = wait
+            if self._expiry is None or self._expiry.done():
+                self._expiry = asyncio.create_task(self._end_expired_waits())
             try:
-                async with asyncio.timeout(remaining.total_seconds()):
-                    await self._changed.wait()
-            except TimeoutError:
-                pass
+                await wait
+            finally:
+                self._waits.pop(delivery, None)
+        if not delivery.is_recorded and not self._is_closed:
+            self._metrics.unrecorded_starts.inc()
+            self._load_monitor.counters.unrecorded += 1
+            self._log.info(
+                "start_unrecorded",
+                task=str(delivery.task),
+                run=delivery.run,
+                runner=delivery.runner,
+            )
+
+    def _compute_remaining(
+        self, delivery: _start_attempts.StartDelivery
+    ) -> datetime.timedelta:
+        """Returns how much longer a start may wait for its record."""
+        return _MAX_WAIT - max(
+            self._leader_lease.confirmation_age,
+            self._clock.get_monotonic() - delivery.requested,
+        )
+
+    async def _end_expired_waits(self) -> None:
+        """Ends the waits that are too long, until there are none."""
+        while self._waits:
+            for delivery, wait in list(self._waits.items()):
+                remaining = self._compute_remaining(delivery)
+                if remaining <= datetime.timedelta() and not wait.done():
+                    wait.set_result(None)
+            remaining = min(
+                map(self._compute_remaining, self._waits), default=_MAX_WAIT
+            )
+            await self._clock.sleep(max(_MIN_EXPIRY_PAUSE, remaining))
 
     def prepare(self, has_heartbeat: bool) -> list[model.Put]:
         """Returns the row of open starts if it has to be written.
@@ -189,7 +215,7 @@
         ]
         self._has_unrecorded = bool(unrecorded)
         self._has_urgent = any(it.is_urgent for it in unrecorded)
-        self._notify()
+        self._end_waits()
 
     def record_failure(self) -> None:
         """Records that the prepared row may not be durable."""
@@ -205,9 +231,11 @@
         if not is_known:
             self._request_write()
 
-    def _notify(self) -> None:
-        self._changed.set()
-        self._changed = asyncio.Event()
+    def _end_waits(self) -> None:
+        """Ends the waits of starts that are recorded, or all with the term."""
+        for delivery, wait in self._waits.items():
+            if (delivery.is_recorded or self._is_closed) and not wait.done():
+                wait.set_result(None)
 
 
 def _get_key(delivery: _start_attempts.StartDelivery) -> object:
