--- a/tamarackhatch/health/_monitor.py
+++ b/tamarackhatch/health/_monitor.py
@@ -1,5 +1,6 @@
 """Decides which runners are failing, and what may start there."""
 
+import collections
 from collections.abc import Iterable
 from collections.abc import Mapping
 import datetime
@@ -35,6 +36,8 @@
         self._proven: set[str] = set()
         self._ejected: dict[str, None] = {}
         self._events: list[_records.HealthEvent] = []
+        # Number of changes of what is known of a runner, by identifier.
+        self._changes: collections.Counter[str] = collections.Counter()
 
     @property
     def ejected(self) -> list[str]:
@@ -95,6 +98,7 @@
         ):
             record.limited_since = now
             record.start_limit = _records.START_LIMIT
+            self._changes[runner] += 1
 
     def record_probe(self, runner: str, name: _records.RunName) -> None:
         """Records that a run starts on an ejected runner."""
@@ -170,6 +174,10 @@
         """Returns whether nothing limits starts on a runner."""
         return runner in self._unrestricted
 
+    def count_changes(self, runner: str) -> int:
+        """Returns how often what limits starts on a runner has changed."""
+        return self._changes[runner]
+
     def is_proven(self, runner: str) -> bool:
         """Returns whether last attempts may start on a runner at once."""
         return runner in self._proven
@@ -416,6 +424,7 @@
         self._refresh(runner)
 
     def _refresh(self, runner: str) -> None:
+        self._changes[runner] += 1
         record = self._records[runner]
         if record.standing is _Standing.TRUSTED and not record.is_suspect:
             self._unrestricted.add(runner)
--- a/tamarackhatch/placement/_candidate.py
+++ b/tamarackhatch/placement/_candidate.py
@@ -65,6 +65,9 @@
         unused_cpu: Processors that no task is expected to use, in thousandths
             of a core; infinite without serving tasks, beside which nothing is
             slowed down.
+        restricted_at: Monotonic time at which penalty and limit were set;
+            None if the runner has neither.
+        restriction_changes: Count of the changes that they are based on.
         created_at: Monotonic time of its forecasts.
         serving_changes: Count of the load's changes that they are based on.
         best_effort_changes: The same for the best-effort tasks.
@@ -108,6 +111,8 @@
 
     def clear_restrictions(self) -> None:
         """Removes the penalty and the limit of starts."""
+        self.restricted_at: datetime.timedelta | None = None
+        self.restriction_changes = 0
         self.penalty = 0.0
         self.start_limit = sys.maxsize
         self.is_limit_strict = True
--- a/tamarackhatch/platform/_reports.py
+++ b/tamarackhatch/platform/_reports.py
@@ -89,13 +89,23 @@
     # Rows are [task, run, saved, percent, sample]: "saved" is the checkpoint,
     # "percent" the progress, and "sample" the tail latency of a serving task
     # in ms or the CPU use of another task in thousandths of a core.
-    sample = row[4] if len(row) > 4 else 0
+    sample = (row[4] if len(row) > 4 else 0) or 0
+    run, percent = row[1], row[3]
+    # Most rows have the published types, and a report has a dozen rows.
+    if not (
+        type(run) is type(percent) is type(sample) is int
+        and max(run, percent, sample) <= _decoding.MAX_MAGNITUDE
+        and min(run, percent, sample) >= 0
+    ):
+        run = _decoding.check_integer(run, "run")
+        percent = _decoding.check_integer(percent, "percent")
+        sample = _decoding.check_integer(sample, "sample")
     return model.RunningTask(
         parse_task_key(row[0]),
-        _decoding.check_integer(row[1], "run"),
-        _decode_checkpoint(row[2]),
-        _decoding.check_integer(row[3], "percent"),
-        _decoding.check_integer(sample or 0, "sample"),
+        run,
+        _decode_checkpoint(row[2]) if row[2] else "",
+        percent,
+        sample,
     )
 
 
--- a/tamarackhatch/scheduler/_fleet.py
+++ b/tamarackhatch/scheduler/_fleet.py
@@ -411,21 +411,26 @@
 
     def is_schedulable(self, now: datetime.timedelta) -> bool:
         """Returns whether new tasks may be placed on the runner."""
+        # Every pass asks all runners, so that this makes few calls.
+        record = self.record
         return (
             self.is_registered
             and self.is_capacity_known
             and not self.has_unknown_runs
-            and self._is_record_current
-            and self.unreported_life.found_at is None
+            and self.missed_renewals == 0
+            and not record.is_draining
             and self.is_tracked
             and not self.is_untracked
             and not self.is_cordoned
-            and not self.record.is_draining
+            and self.unreported_life.found_at is None
             and self.clock_read is not None
-            and self.missed_renewals == 0
             and now - self.clock_read < MAX_TIME_SINCE_ANSWER
             and now >= self.avoid_until
-            and not self.has_long_exit_list
+            and (
+                record.incarnation == self.incarnation
+                or self._is_record_current
+            )
+            and not (self.has_held_exit and self.has_long_exit_list)
         )
 
     @property
--- a/tamarackhatch/scheduler/_health.py
+++ b/tamarackhatch/scheduler/_health.py
@@ -31,6 +31,10 @@
 
 _Phase = _state.TaskPhase
 Candidates = list[placement.CandidateRunner]
+# Penalties and limits also change with time, within seconds. What is known of
+# a runner changes at once.
+_MAX_RESTRICTION_AGE = datetime.timedelta(milliseconds=100)
+
 Group = dict[int, _state.TaskEntry]
 
 
@@ -41,11 +45,21 @@
     now: datetime.timedelta,
 ) -> None:
     """Sets the penalty and the limit of starts by the health of a runner."""
-    candidate.clear_restrictions()
     monitor = context.health
     runner = entry.identifier
     if monitor.is_unrestricted(runner):
+        if candidate.restricted_at is not None:
+            candidate.clear_restrictions()
         return
+    changes = monitor.count_changes(runner)
+    if (
+        candidate.restricted_at is not None
+        and candidate.restriction_changes == changes
+        and now - candidate.restricted_at < _MAX_RESTRICTION_AGE
+    ):
+        return
+    candidate.clear_restrictions()
+    candidate.restricted_at, candidate.restriction_changes = now, changes
     candidate.penalty = monitor.compute_penalty(runner)
     started: Iterable[datetime.timedelta] = ()
     if entry.load.transient_count:
@@ -69,9 +83,9 @@
         for candidate in candidates
         if candidate.start_limit < health.UNLIMITED
     ]
-    if 2 * len(limited) > len(candidates):
-        for candidate in limited:
-            candidate.is_limit_strict = False
+    is_strict = 2 * len(limited) <= len(candidates)
+    for candidate in limited:
+        candidate.is_limit_strict = is_strict
 
 
 def record_exit(
--- a/tamarackhatch/scheduler/_throttling.py
+++ b/tamarackhatch/scheduler/_throttling.py
@@ -16,6 +16,9 @@
 _SAMPLE_WINDOW = datetime.timedelta(milliseconds=500)
 # Samples of a serving task are too low for this long after it became ready.
 _WARM_UP_TIME = datetime.timedelta(seconds=1)
+# Samples of a job on a runner count no more often than this, and own loads
+# change by a percent meanwhile. Runners report each exit.
+_MIN_UPDATE_INTERVAL = datetime.timedelta(milliseconds=300)
 # Progress that a long-running task reports once it is ready.
 _READY_PERCENT = 100
 _MILLISECOND = datetime.timedelta(milliseconds=1)
@@ -38,14 +41,17 @@
         self._commands = commands
         # Serving tasks over their targets, and since when.
         self._violations: dict[model.TaskKey, datetime.timedelta] = {}
+        self._next_update = datetime.timedelta()
         # Since when all best-effort tasks of a shrunk runner are stopped.
         self._starved_since: datetime.timedelta | None = None
 
     def update_speed_limits(self, report: model.RunnerReport) -> None:
         """Updates the model from a report and sends new speed limits."""
         context, entry = self._context, self._entry
-        if not entry.is_capacity_known:
+        now = context.get_now()
+        if not entry.is_capacity_known or now < self._next_update:
             return
+        self._next_update = now + _MIN_UPDATE_INTERVAL
         tail_latencies = self._list_tail_latencies(report)
         self._record_violations(tail_latencies)
         if all(
