Wait for the jobs that a refusing store has accepted

The test allows that 5 of 100 submissions get no 200, and then waited for the end of all jobs, also of one that was answered 504 and never stored. So it passed only while all 60 were accepted; with passes 15 ms apart one is not. The share that must be accepted, the number of writes and the end of each accepted job are checked as before.

--- a/tamarackhatch/records/tests/test_slow_store.py
+++ b/tamarackhatch/records/tests/test_slow_store.py
@@ -29,10 +29,12 @@
 
     Attributes:
         durations_s: How long each submission that was answered 200 took.
+        accepted: Identifiers of the jobs that were answered 200.
         failed: Number of the others.
     """
 
     durations_s: list[float] = attrs.field(factory=list)
+    accepted: list[str] = attrs.field(factory=list)
     failed: int = 0
 
     @property
@@ -76,6 +78,7 @@
         )
         if outcome is model.Outcome.DONE:
             answers.durations_s.append(loop.time() - began)
+            answers.accepted.append(f"{prefix}{index}")
         else:
             answers.failed += 1
 
@@ -203,8 +206,8 @@
         answers = await _submit_many(fleet, "1", 60, 120)
         assert answers.share >= 0.95
         assert fleet.store.received_writes - before < 60 + 200
-        for index in range(60):
-            await fleet.wait_for_state(f"1{index}", model.JobState.COMPLETED)
+        for job in answers.accepted:
+            await fleet.wait_for_state(job, model.JobState.COMPLETED)
 
     virtual_time.run_virtually(simulate())
 
