Defer new long-running tasks while urgent batch tasks lack room

The event loop is on time; from second 12 on 130 to 460 urgent tasks of 10 to 64 cores wait beside 0.7 to 1.4 thousand free cores, half of them in pieces of up to 8.

Cause: urgent tasks return their room within seconds, and new long-running tasks, which keep it for minutes, took each part of it as it was returned. What several urgent tasks had used together never came back in one piece.

While urgent batch tasks with an objective find no room, new long-running tasks of the same or a lower priority now wait: without end where there is room for at most one of them, and for 1.5 s where there is room for two, since three are a fault; then as many start as leave one place. Those that ran before do not wait, nor do any beside tasks that are withheld for another reason.

--- a/tamarackhatch/scheduler/_dispatcher.py
+++ b/tamarackhatch/scheduler/_dispatcher.py
@@ -15,6 +15,7 @@
 from tamarackhatch.scheduler import _health
 from tamarackhatch.scheduler import _large_tasks
 from tamarackhatch.scheduler import _load_monitor
+from tamarackhatch.scheduler import _long_running_deferral
 from tamarackhatch.scheduler import _near_places
 from tamarackhatch.scheduler import _pass_pace
 from tamarackhatch.scheduler import _precedence
@@ -45,6 +46,7 @@
     ) -> None:
         self._context = context
         self._commands = commands
+        self._deferral = _long_running_deferral.LongRunningDeferral(context)
         self._start_limiter = _start_limiter.StartLimiter(context)
         self._large_tasks = _large_tasks.LargeTaskReserver(context)
         self._bound_tasks = _bound_tasks.BoundTasks(context, self._place_task)
@@ -198,6 +200,7 @@
         self._large_tasks.begin_pass(waiting, candidates)
         self._chooser.begin_pass(candidates, ordered, self.is_withheld)
         self._near_places.begin_pass(candidates)
+        self._deferral.begin_pass(waiting)
         self._probes.place_probes(groups)
         context.load_monitor.counters.placed += self._bound_tasks.place_tasks(
             groups, self.is_paused, self._candidate_cache.get_candidate
@@ -236,11 +239,16 @@
             return
         first = tasks[0]
         remaining = candidates.get(first.job.job.queue.service, [])
+        tasks = tasks[: self._deferral.count_due(tasks, order, remaining)]
+        if not tasks:
+            return
         placed = self._place_group(
             tasks, self._large_tasks.add_reserved(first, order, remaining)
         )
         self._context.load_monitor.counters.placed += placed
         self._large_tasks.keep_runner(tasks, order, remaining)
+        if placed < len(tasks):
+            self._deferral.record_shortage(first, order)
         if first.step.is_best_effort:
             result.best_effort += len(tasks) - placed
         else:
