Let more starts be in progress while nothing urgent starts

After about three seconds without an urgent start timers may be 200 ms late, so that more starts share each pass and record.

--- a/tamarackhatch/scheduler/_start_window.py
+++ b/tamarackhatch/scheduler/_start_window.py
@@ -20,6 +20,12 @@
 # heartbeats and renewals would come too late.
 _MAX_LATENESS = datetime.timedelta(milliseconds=80)
 _LOW_LATENESS = datetime.timedelta(milliseconds=60)
+# While nothing urgent starts, lateness costs no caller an objective, and more
+# starts share each pass and record.
+_MAX_CALM_LATENESS = datetime.timedelta(milliseconds=200)
+_LOW_CALM_LATENESS = datetime.timedelta(milliseconds=150)
+# Timers without an urgent start after which that counts; about three seconds.
+_MIN_CALM_TIMERS = 100
 # One stall must not outweigh many later timers.
 _MAX_SAMPLE = datetime.timedelta(milliseconds=400)
 _SAMPLE_SHARE = 0.15
@@ -46,6 +52,7 @@
         self._lateness = datetime.timedelta()
         self._median_call = datetime.timedelta()
         self._timers = 0
+        self._calm_timers = 0
         self._is_limiting = False
 
     @property
@@ -93,6 +100,7 @@
         """Records that a start begins."""
         if is_urgent:
             self._urgent += 1
+            self._calm_timers = 0
         else:
             self._best_effort += 1
 
@@ -121,14 +129,15 @@
         lateness = min(lateness, _MAX_SAMPLE)
         self._lateness += (lateness - self._lateness) * _SAMPLE_SHARE
         self._timers += 1
+        self._calm_timers += 1
         if self._timers < _TIMERS_PER_CHANGE:
             return
         self._timers = 0
-        if (
-            self._lateness > _MAX_LATENESS
-            or self._median_call > _MAX_CALL_TIME
-        ):
+        highest, low = _MAX_LATENESS, _LOW_LATENESS
+        if self._calm_timers > _MIN_CALM_TIMERS:
+            highest, low = _MAX_CALM_LATENESS, _LOW_CALM_LATENESS
+        if self._lateness > highest or self._median_call > _MAX_CALL_TIME:
             used = min(self._limit, self.in_progress)
             self._limit = max(_MIN_LIMIT, used * _REDUCTION)
-        elif self._is_limiting and self._lateness < _LOW_LATENESS:
+        elif self._is_limiting and self._lateness < low:
             self._limit = min(_MAX_LIMIT, self._limit * _GROWTH)
--- a/tamarackhatch/scheduler/tests/test_start_window.py
+++ b/tamarackhatch/scheduler/tests/test_start_window.py
@@ -60,6 +60,21 @@
     assert (window.limit > former) is is_higher
 
 
+@pytest.mark.parametrize("is_urgent", [True, False])
+def test_limit_grows_further_while_nothing_urgent_starts(
+    is_urgent: bool,
+) -> None:
+    """Guards against best-effort tasks that wait beside an empty fleet."""
+    window = _make_window(120, 200)
+    former = window.limit
+    for _ in range(200):
+        window.begin_start(is_urgent)
+        window.end_start(is_urgent)
+        window.hold_back()
+        window.record_timer(120 * _MS)
+    assert (window.limit > former) is not is_urgent
+
+
 def test_one_stall_changes_no_limit() -> None:
     """Guards against work held back because the process was paused once."""
     window = _make_window(5, 20)
