Count room for long-running tasks on runners of any state

Found in review of the deferral: it counted runners that may get tasks. With one of them, and room on one that is ejected, or silent, or kept for a large task, a long-running task would have waited without end beside room for two (LOST). All registered runners that do not drain count now.

--- a/tamarackhatch/scheduler/_dispatcher.py
+++ b/tamarackhatch/scheduler/_dispatcher.py
@@ -239,7 +239,7 @@
             return
         first = tasks[0]
         remaining = candidates.get(first.job.job.queue.service, [])
-        tasks = tasks[: self._deferral.count_due(tasks, order, remaining)]
+        tasks = tasks[: self._deferral.count_due(tasks, order)]
         if not tasks:
             return
         placed = self._place_group(
--- a/tamarackhatch/scheduler/_long_running_deferral.py
+++ b/tamarackhatch/scheduler/_long_running_deferral.py
@@ -60,17 +60,13 @@
             self._short.add((queue.service, order.priority))
 
     def count_due(
-        self,
-        tasks: list[_state.TaskEntry],
-        order: placement.OrderKey,
-        candidates: list[placement.CandidateRunner],
+        self, tasks: list[_state.TaskEntry], order: placement.OrderKey
     ) -> int:
         """Returns how many of the waiting tasks of a step may start now.
 
         Args:
             tasks: The tasks.
             order: Their sort key.
-            candidates: Runners that may get them.
         """
         first = tasks[0]
         if not first.step.is_long_running or any(task.run for task in tasks):
@@ -79,7 +75,7 @@
         if not self._is_short(first, order):
             self._room_since.pop(key, None)
             return len(tasks)
-        rooms = self._count_rooms(first, candidates, len(tasks) + 1)
+        rooms = self._count_rooms(first, len(tasks) + 1)
         if rooms < 2:
             self._room_since.pop(key, None)
             return 0
@@ -98,17 +94,20 @@
             for short, priority in self._short
         )
 
-    def _count_rooms(
-        self,
-        task: _state.TaskEntry,
-        candidates: list[placement.CandidateRunner],
-        most: int,
-    ) -> int:
-        """Returns how many runners have room for a task, up to a number."""
+    def _count_rooms(self, task: _state.TaskEntry, most: int) -> int:
+        """Returns how many runners have room for a task, up to a number.
+
+        Those that get no tasks at present count as well: what is free there is
+        room in the sense of the fault.
+        """
+        service = task.job.job.queue.service
         rooms = (
-            candidate
-            for candidate in candidates
-            if candidate.load.has_capacity(task.step)
-            and placement.is_allowed(candidate.load, task.key, task.step)
+            entry
+            for entry in self._context.fleet.values()
+            if entry.load.has_capacity(task.step)
+            and entry.load.service == service
+            and entry.is_registered
+            and not entry.record.is_draining
+            and placement.is_allowed(entry.load, task.key, task.step)
         )
         return sum(1 for _ in itertools.islice(rooms, most))
--- a/tamarackhatch/scheduler/tests/test_long_running_deferral.py
+++ b/tamarackhatch/scheduler/tests/test_long_running_deferral.py
@@ -2,6 +2,8 @@
 
 import asyncio
 import datetime
+import types
+import typing
 
 import attrs
 import pytest
@@ -10,6 +12,9 @@
 from standins import runner
 from standins import virtual_time
 from tamarackhatch import model
+from tamarackhatch import placement
+from tamarackhatch.scheduler import _fleet
+from tamarackhatch.scheduler import _long_running_deferral
 
 _CAPACITY = model.Resources(64_000, 256_000)
 _RUN_TIMES_S = {"first": 0.6, "second": 1.0}
@@ -137,3 +142,74 @@
         assert max(new) <= _MAX_WAIT_BESIDE_ROOM_S
 
     virtual_time.run_virtually(simulate())
+
+
+def _make_order(rank: placement.Rank, priority: float) -> placement.OrderKey:
+    return placement.OrderKey(priority, rank, 0, False, "", 0.0)
+
+
+def _make_task(step: model.Step, queue: model.Queue, run: int) -> typing.Any:
+    job = types.SimpleNamespace(job=types.SimpleNamespace(queue=queue))
+    key = model.TaskKey("00", 0, 0, 0)
+    return types.SimpleNamespace(key=key, step=step, job=job, run=run)
+
+
+@pytest.mark.parametrize(
+    ("rooms", "waited_s", "run", "short", "priority", "expected"),
+    [
+        pytest.param(1, 60.0, 0, _URGENT, 0, 0, id="one-place"),
+        pytest.param(2, 1.0, 0, _URGENT, 0, 0, id="two-places"),
+        pytest.param(2, 1.6, 0, _URGENT, 0, 1, id="two-places-for-long"),
+        pytest.param(4, 1.6, 0, _URGENT, 0, 3, id="four-places-for-long"),
+        pytest.param(1, 0.0, 1, _URGENT, 0, 5, id="ran-before"),
+        pytest.param(1, 0.0, 0, None, 0, 5, id="nothing-is-short"),
+        pytest.param(1, 0.0, 0, _URGENT, 1, 5, id="less-urgent-is-short"),
+        pytest.param(
+            1, 0.0, 0, standin_fleet.QUEUE, 0, 5, id="without-objective"
+        ),
+    ],
+)
+@pytest.mark.parametrize("is_ejected", [False, True])
+def test_long_running_tasks_wait_as_long_as_they_may(
+    rooms: int,
+    waited_s: float,
+    run: int,
+    short: model.Queue | None,
+    priority: float,
+    expected: int,
+    is_ejected: bool,
+) -> None:
+    """Guards against a wait beside room for two, on runners of any state."""
+    times = iter([0.0, waited_s])
+    entries = {}
+    for index in range(5):
+        record = model.Runner(
+            f"i-{index}",
+            "office",
+            f"10.1.0.{index}:8000",
+            "",
+            False,
+            _CAPACITY,
+        )
+        entry = entries[f"i-{index}"] = _fleet.make_runner_entry(record)
+        entry.missed_renewals = int(is_ejected)
+        if index >= rooms:
+            entry.load.reserved_cpu = _CAPACITY.processors
+    context = types.SimpleNamespace(
+        fleet=entries,
+        get_now=lambda: datetime.timedelta(seconds=next(times)),
+    )
+    deferral = _long_running_deferral.LongRunningDeferral(
+        typing.cast(typing.Any, context)
+    )
+    waiting = _make_task(_make_step(5, 12_000, True), standin_fleet.QUEUE, run)
+    order = _make_order(placement.Rank.LONG_RUNNING, 0)
+    due = 0
+    for _ in range(2):
+        deferral.begin_pass([("00", 0, 0)])
+        if short is not None:
+            urgent = _make_task(_make_step(1, 20_000), short, 0)
+            rank = placement.Rank.LATE_BATCH
+            deferral.record_shortage(urgent, _make_order(rank, priority))
+        due = deferral.count_due([waiting] * 5, order)
+    assert due == expected
